--- a/drengine/engine.go
+++ b/drengine/engine.go
@@ -96,10 +96,10 @@
 // CacheEvent says that an engine added or dropped prompt prefix blocks. A gap
 // in Seq means that events were lost.
 type CacheEvent struct {
-	Seq    uint64   `json:"seq"`
-	Model  string   `json:"model"`
-	Added  []uint64 `json:"added,omitempty"`
-	Evicted[]uint64 `json:"evicted,omitempty"`
+	Seq     uint64   `json:"seq"`
+	Model   string   `json:"model"`
+	Added   []uint64 `json:"added,omitempty"`
+	Evicted []uint64 `json:"evicted,omitempty"`
 }
 
 // TokenStream delivers a generation in order.
