Add the event ring and the hybrid logical clock of the time line

Cause: every package records events, so the type has to exist before them. Conclusion: events of several processes can be ordered under clock skew.

--- /dev/null
+++ b/drtimeline/ring_test.go
@@ -0,0 +1,36 @@
+package drtimeline_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+)
+
+// Guards against a receive event that is ordered before its send event when
+// the receiver's clock is behind.
+func TestStampsFollowMessagesDespiteSkew(t *testing.T) {
+	is := is.New(t)
+	ahead := drtimeline.NewHybridClock(drclock.NewFake(time.UnixMilli(50_000)))
+	behind := drtimeline.NewHybridClock(drclock.NewFake(time.UnixMilli(1_000)))
+	sent := ahead.Now()
+	behind.Observe(sent)
+	is.True(behind.Now() > sent)
+}
+
+// Guards against a ring that grows or returns events out of order.
+func TestRingKeepsTheNewest(t *testing.T) {
+	is := is.New(t)
+	r := drtimeline.NewRing(drtimeline.NewHybridClock(drclock.NewFake(time.UnixMilli(0))), "vm-1", 2)
+	for _, n := range []string{"a", "b", "c"} {
+		r.Record(drtimeline.Event{Name: n})
+	}
+	es := r.Events()
+	is.Equal(len(es), 2)
+	is.Equal(es[0].Name, "b")
+	is.Equal(es[1].Name, "c")
+	is.True(es[0].Stamp < es[1].Stamp)
+}
