--- /dev/null
+++ b/drtimeline/filter.go
@@ -0,0 +1,62 @@
+package drtimeline
+
+import (
+	"slices"
+	"time"
+)
+
+// Filter selects events. Zero fields select all.
+type Filter struct {
+	RequestID string
+	Account   string
+	Model     string
+	// From and To bound the wall clock part of the stamp; To is exclusive.
+	From, To time.Time
+}
+
+// Match reports whether e is selected.
+func (f Filter) Match(e Event) bool {
+	t := e.Stamp.Time()
+	switch {
+	case f.RequestID != "" && f.RequestID != e.RequestID:
+		return false
+	case f.Account != "" && f.Account != e.Account:
+		return false
+	case f.Model != "" && f.Model != e.Model:
+		return false
+	case !f.From.IsZero() && t.Before(f.From):
+		return false
+	case !f.To.IsZero() && !t.Before(f.To):
+		return false
+	}
+	return true
+}
+
+// Merge returns the selected events of all lists in the order of their
+// stamps. Equal stamps are ordered by VM, so that the result does not depend
+// on the order of the lists.
+func Merge(f Filter, lists ...[]Event) []Event {
+	var merged []Event
+	for _, es := range lists {
+		for _, e := range es {
+			if f.Match(e) {
+				merged = append(merged, e)
+			}
+		}
+	}
+	slices.SortStableFunc(merged, func(a, b Event) int {
+		switch {
+		case a.Stamp < b.Stamp:
+			return -1
+		case a.Stamp > b.Stamp:
+			return 1
+		case a.VM < b.VM:
+			return -1
+		case a.VM > b.VM:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return merged
+}
--- /dev/null
+++ b/drtimeline/picture.go
@@ -0,0 +1,146 @@
+package drtimeline
+
+import (
+	_ "embed" // embeds the page template
+	"html/template"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drset"
+)
+
+// Geometry of the picture, in SVG user units (pixels at scale 1).
+const (
+	laneHeight    = 46
+	laneLabelEdge = 130
+	pictureWidth  = 1400
+	axisHeight    = 34
+	rightMargin   = 150
+	tickCount     = 8
+	// labelWidth is the room that a label needs; labels of events that are
+	// closer together than this are put on alternating rows.
+	labelWidth = 84
+	labelRows  = 3
+)
+
+//go:embed picture.html.tmpl
+var pictureSource string
+
+var pictureTemplate = template.Must(template.New("picture").Parse(pictureSource))
+
+type picture struct {
+	Width, Height int
+	Left, Right   int
+	Lanes         []lane
+	Marks         []mark
+	Links         []link
+	Ticks         []tick
+	Rows          []row
+}
+
+type lane struct {
+	VM string
+	Y  int
+}
+
+type mark struct {
+	X, Y, LabelY int
+	Name, Title  string
+	Color        string
+}
+
+type link struct{ X1, Y1, X2, Y2 int }
+
+type tick struct {
+	X     int
+	Label string
+}
+
+type row struct{ Time, VM, Name, Attributes string }
+
+// WriteHTML writes a self-contained page with one lane for each VM. Events of
+// the same request are joined by a line.
+func WriteHTML(w io.Writer, es []Event) error {
+	return pictureTemplate.Execute(w, newPicture(es))
+}
+
+func newPicture(es []Event) picture {
+	vms := drset.Of[string]()
+	for _, e := range es {
+		vms.Add(e.VM)
+	}
+	p := picture{Width: pictureWidth, Left: laneLabelEdge, Right: pictureWidth - rightMargin}
+	laneY := make(map[string]int)
+	for i, vm := range drset.Sorted(vms) {
+		y := axisHeight + laneHeight/2 + i*laneHeight
+		laneY[vm] = y
+		p.Lanes = append(p.Lanes, lane{VM: vm, Y: y})
+	}
+	p.Height = axisHeight + laneHeight*len(p.Lanes) + laneHeight/2
+	if len(es) == 0 {
+		return p
+	}
+	first, last := es[0].Stamp.Time(), es[len(es)-1].Stamp.Time()
+	span := max(last.Sub(first), time.Millisecond)
+	x := func(t time.Time) int {
+		return p.Left + int(float64(p.Right-p.Left)*float64(t.Sub(first))/float64(span))
+	}
+	p.Ticks = newTicks(first, span, x)
+	p.Marks, p.Links = newMarks(es, laneY, x)
+	for _, e := range es {
+		p.Rows = append(p.Rows, row{e.Stamp.Time().UTC().Format(textTimeFormat), e.VM, e.Name, attributes(e)})
+	}
+	return p
+}
+
+func newTicks(first time.Time, span time.Duration, x func(time.Time) int) []tick {
+	var ts []tick
+	for i := range tickCount + 1 {
+		d := span * time.Duration(i) / tickCount
+		ts = append(ts, tick{X: x(first.Add(d)), Label: "+" + d.Round(100*time.Microsecond).String()})
+	}
+	return ts
+}
+
+func newMarks(es []Event, laneY map[string]int, x func(time.Time) int) ([]mark, []link) {
+	var ms []mark
+	var ls []link
+	lastOfRequest := make(map[string]mark)
+	rowEnd := make(map[string]*[labelRows]int)
+	for _, e := range es {
+		m := mark{X: x(e.Stamp.Time()), Y: laneY[e.VM], Name: e.Name, Title: e.Name + attributes(e), Color: color(e.Name)}
+		ends := rowEnd[e.VM]
+		if ends == nil {
+			ends = new([labelRows]int)
+			rowEnd[e.VM] = ends
+		}
+		if r := slices.IndexFunc(ends[:], func(end int) bool { return end <= m.X }); r >= 0 {
+			ends[r] = m.X + labelWidth
+			m.LabelY = m.Y + 14 - r*11
+			if r > 0 {
+				m.LabelY -= 8
+			}
+		} else {
+			m.Name = ""
+		}
+		if e.RequestID != "" {
+			if prev, ok := lastOfRequest[e.RequestID]; ok {
+				ls = append(ls, link{prev.X, prev.Y, m.X, m.Y})
+			}
+			lastOfRequest[e.RequestID] = m
+		}
+		ms = append(ms, m)
+	}
+	return ms, ls
+}
+
+// color returns a colour that stays the same for an event name.
+func color(name string) string {
+	palette := []string{"#1b6ca8", "#b8430e", "#2e7d32", "#6a3d9a", "#8a6d00", "#00838f", "#ad1457", "#455a64"}
+	h := 0
+	for _, r := range name {
+		h = (h*31 + int(r)) % 1_000_003
+	}
+	return palette[h%len(palette)]
+}
