Add drnet, connections on gnet as net.Conn

gnet has neither deadlines nor a bound on its buffers, which protocol libraries and the memory limit need. The bridge pauses reading through the event loop's epoll set and writes to the socket itself, so that only the kernel's buffers and 256 KiB per connection hold data. Listening uses package net, because gnet cannot close a listener and keep its connections.

--- /dev/null
+++ b/drnet/bench_test.go
@@ -0,0 +1,88 @@
+package drnet
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+)
+
+// benchPair gives the two ends of a connection on the bridge or, as the
+// baseline, of package net.
+func benchPair(b *testing.B, bridge bool) (client, server net.Conn) {
+	b.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	client, err = net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	server, err = ln.Accept()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if bridge {
+		l, err := newLoops(2)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { _ = l.stop() })
+		if client, err = l.add(client); err != nil {
+			b.Fatal(err)
+		}
+		if server, err = l.add(server); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.Cleanup(func() { client.Close(); server.Close() })
+	return client, server
+}
+
+func both(b *testing.B, f func(b *testing.B, bridge bool)) {
+	b.Run("net", func(b *testing.B) { f(b, false) })
+	b.Run("bridge", func(b *testing.B) { f(b, true) })
+}
+
+func BenchmarkEcho(b *testing.B) {
+	both(b, func(b *testing.B, bridge bool) {
+		c, s := benchPair(b, bridge)
+		go func() { _, _ = io.Copy(struct{ io.Writer }{s}, struct{ io.Reader }{s}) }()
+		buf := make([]byte, 128)
+		b.ResetTimer()
+		for range b.N {
+			if _, err := c.Write(buf); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := io.ReadFull(c, buf); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+func benchmarkWrites(b *testing.B, size int) {
+	both(b, func(b *testing.B, bridge bool) {
+		c, s := benchPair(b, bridge)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			_, _ = io.CopyN(io.Discard, struct{ io.Reader }{s}, int64(b.N)*int64(size))
+			cancel()
+		}()
+		buf := make([]byte, size)
+		b.SetBytes(int64(size))
+		b.ResetTimer()
+		for range b.N {
+			if _, err := c.Write(buf); err != nil {
+				b.Fatal(err)
+			}
+		}
+		<-ctx.Done()
+	})
+}
+
+func BenchmarkSmallWrites(b *testing.B) { benchmarkWrites(b, 128) }
+
+func BenchmarkLargeWrites(b *testing.B) { benchmarkWrites(b, 64<<10) }
--- /dev/null
+++ b/drnet/server.go
@@ -0,0 +1,122 @@
+package drnet
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+)
+
+// Server accepts connections and serves each on its own goroutine.
+type Server struct {
+	config   Config
+	listener net.Listener
+	loops    *loops
+	ctx      context.Context
+	cancel   context.CancelFunc
+	accept   sync.WaitGroup
+	handlers sync.WaitGroup
+}
+
+// Listen starts a server.
+func Listen(config Config) (*Server, error) {
+	config = config.withDefaults()
+	if config.Handler == nil {
+		return nil, errNoHandler
+	}
+	ln, err := net.Listen("tcp", config.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", config.Address, err)
+	}
+	l, err := newLoops(config.Loops)
+	if err != nil {
+		_ = ln.Close()
+		return nil, err
+	}
+	s := &Server{config: config, listener: ln, loops: l}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.accept.Add(1)
+	go s.acceptLoop()
+	return s, nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return s.loops.count() }
+
+// StopAccepting closes the listener and keeps the connections. It may be
+// called more than once.
+func (s *Server) StopAccepting() {
+	s.cancel()
+	_ = s.listener.Close()
+	s.accept.Wait()
+}
+
+// Close stops accepting, waits for the handlers until ctx ends, and closes
+// the connections that remain then, in which case it returns ctx's error.
+func (s *Server) Close(ctx context.Context) error {
+	s.StopAccepting()
+	idle := make(chan struct{})
+	go func() {
+		s.handlers.Wait()
+		close(idle)
+	}()
+	var err error
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	return errors.Join(err, s.loops.stop())
+}
+
+func (s *Server) acceptLoop() {
+	defer s.accept.Done()
+	for {
+		nc, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			if s.config.Clock.Sleep(s.ctx, acceptPause) != nil {
+				return
+			}
+			continue
+		}
+		if s.config.MaxConnections > 0 && s.loops.count() >= s.config.MaxConnections {
+			_ = nc.Close()
+			continue
+		}
+		c, err := s.loops.add(nc)
+		if err != nil {
+			continue
+		}
+		s.handlers.Add(1)
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c *conn) {
+	defer s.handlers.Done()
+	defer c.Close()
+	if s.config.TLS == nil {
+		s.config.Handler(c)
+		return
+	}
+	tc := tlsConn{Conn: tls.Server(c, s.config.TLS), inner: c}
+	// The handshake outlives StopAccepting, hence not s.ctx.
+	ctx, cancel := drclock.WithTimeout(context.Background(), s.config.Clock, handshakeTimeout)
+	err := tc.HandshakeContext(ctx)
+	cancel()
+	if err != nil {
+		return
+	}
+	defer tc.Close()
+	s.config.Handler(tc)
+}
--- /dev/null
+++ b/drnet/tls.go
@@ -0,0 +1,12 @@
+package drnet
+
+import "crypto/tls"
+
+// tlsConn is a TLS connection that implements Conn.
+type tlsConn struct {
+	*tls.Conn
+	inner *conn
+}
+
+// Done implements Conn.
+func (c tlsConn) Done() <-chan struct{} { return c.inner.Done() }
