Add Drain to drpeer, resume TLS sessions in drnet

Drain lets calls that are being served finish and resets later ones unaccepted, which callers report as not run; a call that a session refused this way is tried on another session.

--- a/drnet/config.go
+++ b/drnet/config.go
@@ -19,6 +19,9 @@
 const (
 	// handshakeTimeout bounds the TLS handshake of an accepted connection.
 	handshakeTimeout = 10 * time.Second
+	// sessionCache is the number of servers whose TLS sessions a Dialer
+	// resumes; the target size has 410 entry VMs.
+	sessionCache = 512
 	// acceptPause is the pause after a failed accept, for instance when the
 	// process is out of file descriptors.
 	acceptPause = 50 * time.Millisecond
--- a/drnet/dialer.go
+++ b/drnet/dialer.go
@@ -19,6 +19,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if config.TLS != nil && config.TLS.ClientSessionCache == nil {
+		// A full handshake takes some 2 KB; a probe per second to VMs
+		// without a session would spend most of the control traffic on it.
+		config.TLS = config.TLS.Clone()
+		config.TLS.ClientSessionCache = tls.NewLRUClientSessionCache(sessionCache)
+	}
 	return &Dialer{config: config.withDefaults(), loops: l}, nil
 }
 
--- a/drpeer/call.go
+++ b/drpeer/call.go
@@ -92,6 +92,7 @@
 func (x *exchange) run(ctx context.Context) (*drpb.Reply, error) {
 	st, err := x.session.mux.OpenStream()
 	if err != nil {
+		x.session.refuse()
 		return nil, x.failed(drverdict.NotRun, err, "open stream")
 	}
 	defer st.Close()
--- a/drpeer/node.go
+++ b/drpeer/node.go
@@ -5,8 +5,10 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelridge/dotterelridge/drclock"
@@ -29,6 +31,10 @@
 	pingTimeout  = 1500 * time.Millisecond
 	// dialTimeout bounds a dial, which several calls may share.
 	dialTimeout = 2 * time.Second
+	// maxAttempts bounds the sessions that one call tries.
+	maxAttempts = 3
+	// drainPoll is the interval at which Drain looks for running calls.
+	drainPoll = 10 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after failed dials.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
@@ -71,6 +77,9 @@
 	mu       sync.Mutex
 	handlers map[string]Handler
 	links    map[string]*link
+	sessions map[*session]struct{}
+	draining bool
+	served   atomic.Int64 // calls being served
 
 	// spawnMu orders the start of goroutines before Close waits for them.
 	spawnMu sync.Mutex
@@ -90,7 +99,7 @@
 	}
 	n := &Node{
 		config: config, handlers: make(map[string]Handler),
-		links: make(map[string]*link),
+		links: make(map[string]*link), sessions: make(map[*session]struct{}),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.spawn(n.sweepLoop)
@@ -131,11 +140,24 @@
 	if vm == n.config.VM {
 		return n.callSelf(ctx, method, req, resp)
 	}
-	s, err := n.link(vm).session(ctx)
-	if err != nil {
-		return err
+	var err error
+	for range maxAttempts {
+		var s *session
+		if s, err = n.link(vm).session(ctx); err != nil {
+			return err
+		}
+		if err = s.call(ctx, vm, method, req, resp); err == nil || !refusedBySession(err) {
+			return err
+		}
 	}
-	return s.call(ctx, vm, method, req, resp)
+	return err
+}
+
+// refusedBySession reports whether a call has certainly not run because its
+// session was just ending, so that another session may take it.
+func refusedBySession(err error) bool {
+	return drverdict.Of(err) == drverdict.NotRun && (errors.Is(err, yamux.ErrRemoteGoAway) ||
+		errors.Is(err, yamux.ErrSessionShutdown) || errors.Is(err, yamux.ErrConnectionReset))
 }
 
 func (n *Node) callSelf(ctx context.Context, method string, req, resp proto.Message) error {
@@ -210,6 +232,42 @@
 	}
 }
 
+// add keeps a new session until remove, and reports whether the node drains.
+func (n *Node) add(s *session) (draining bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sessions[s] = struct{}{}
+	return n.draining
+}
+
+func (n *Node) remove(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.sessions, s)
+}
+
+// Drain refuses new calls of other VMs, which their callers report as not
+// run, and waits until the running ones have been answered or ctx ends. Calls
+// to other VMs stay possible.
+func (n *Node) Drain(ctx context.Context) error {
+	n.mu.Lock()
+	n.draining = true
+	var ss []*session
+	for s := range n.sessions {
+		ss = append(ss, s)
+	}
+	n.mu.Unlock()
+	for _, s := range ss {
+		n.spawn(func() { _ = s.mux.GoAway() })
+	}
+	for n.served.Load() > 0 {
+		if err := n.config.Clock.Sleep(ctx, drainPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Close ends all sessions and waits until their goroutines have ended.
 func (n *Node) Close() error {
 	n.spawnMu.Lock()
--- a/drpeer/node_test.go
+++ b/drpeer/node_test.go
@@ -267,6 +267,35 @@
 	is.NoErr(err)
 }
 
+// Guards against a drain that cuts a running call off, or that takes new ones.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(t)
+	a, b := w.node("a", nil), w.node("b", nil)
+	started, finish := make(chan struct{}), make(chan struct{})
+	b.Handle("Slow", func(context.Context, Sender, []byte) (proto.Message, error) {
+		close(started)
+		<-finish
+		return nil, nil
+	})
+	answered, drained := make(chan error, 1), make(chan error, 1)
+	go func() { answered <- a.Call(within(t, 5*time.Second), "b", "Slow", new(wrapperspb.BytesValue), nil) }()
+	<-started
+	go func() { drained <- b.Drain(within(t, 5*time.Second)) }()
+	for {
+		if _, err := echo(within(t, time.Second), a, "b", "x"); err != nil {
+			expect(t, err, drverdict.NotRun, drverdict.Unavailable)
+			break
+		}
+	}
+	is.Equal(len(drained), 0)
+	_, err := echo(within(t, time.Second), b, "a", "x")
+	is.NoErr(err)
+	close(finish)
+	is.NoErr(<-answered)
+	is.NoErr(<-drained)
+}
+
 // Guards against stamps that do not order a handler after its caller.
 func TestStampsAreObserved(t *testing.T) {
 	is := is.New(t)
--- a/drpeer/session.go
+++ b/drpeer/session.go
@@ -70,7 +70,11 @@
 
 // serve answers the peer's calls until the session ends.
 func (s *session) serve() {
+	if s.node.add(s) {
+		_ = s.mux.GoAway()
+	}
 	defer close(s.ended)
+	defer s.node.remove(s)
 	defer s.close()
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -86,8 +90,10 @@
 		case <-s.mux.CloseChan():
 			return
 		}
+		s.node.served.Add(1)
 		wg.Go(func() {
 			defer func() { <-s.slots }()
+			defer s.node.served.Add(-1)
 			s.begin()
 			defer s.end()
 			s.answer(ctx, st)
@@ -95,6 +101,13 @@
 	}
 }
 
+// refuse keeps further calls off a session that opens no more streams.
+func (s *session) refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retired = true
+}
+
 func (s *session) usable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,9 +167,7 @@
 // retire refuses new streams from the peer and closes the session. A stream
 // that the peer opens meanwhile is reset, which its caller reports as not run.
 func (s *session) retire() {
-	s.mu.Lock()
-	s.retired = true
-	s.mu.Unlock()
+	s.refuse()
 	s.node.spawn(func() {
 		if s.mux.GoAway() == nil {
 			_ = s.node.config.Clock.Sleep(s.node.ctx, pingInterval)
