Refuse connections that an event loop did not take

gnet closes a socket that epoll rejects without telling its handler, which left a connection without a descriptor.

--- a/drnet/conn.go
+++ b/drnet/conn.go
@@ -97,6 +97,12 @@
 	c.gc, c.fd, c.epoll = gc, gc.Fd(), epollOf(gc)
 }
 
+func (c *conn) wasOpened() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gc != nil || c.ended
+}
+
 // received is called by the event loop with new data. It reports whether the
 // connection must be closed because its reading cannot be paused.
 func (c *conn) received(gc gnet.Conn) (overflow bool) {
--- a/drnet/loops.go
+++ b/drnet/loops.go
@@ -63,6 +63,11 @@
 		l.remove(c)
 		return nil, fmt.Errorf("add connection to event loop: %w", err)
 	}
+	if !c.wasOpened() {
+		// gnet closes a socket that epoll does not take, without an event.
+		l.remove(c)
+		return nil, errNotAdded
+	}
 	return c, nil
 }
 
@@ -117,5 +122,8 @@
 
 var _ gnet.EventHandler = (*loops)(nil)
 
+// errNotAdded is returned for a connection that an event loop did not take.
+var errNotAdded = errors.New("drnet: the event loop did not take the connection")
+
 // errNoHandler is returned by Listen without a handler.
 var errNoHandler = errors.New("drnet: a handler is required")
