Add stand-ins of the outside systems

Tests need the platform's log, VM list, weight store, engines and plain services with faults that can be switched at run time.

--- /dev/null
+++ b/drstandin/standin_test.go
@@ -0,0 +1,249 @@
+package drstandin_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drengine"
+	"github.com/dotterelridge/dotterelridge/drstandin"
+)
+
+type standin interface {
+	Start() error
+	Address() string
+	Close()
+}
+
+func start(t *testing.T, s standin) string {
+	t.Helper()
+	is.New(t).NoErr(s.Start())
+	t.Cleanup(s.Close)
+	return "http://" + s.Address()
+}
+
+func call(t *testing.T, method, url, body string) (int, string) {
+	t.Helper()
+	status, text, err := try(method, url, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status, text
+}
+
+func try(method, url, body string) (int, string, error) {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Close = true // net/http may repeat a request on a reused connection
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatal("did not happen: " + what)
+}
+
+// Guards against a log stand-in whose faults have no effect or a wrong one.
+func TestLog(t *testing.T) {
+	is := is.New(t)
+	l := drstandin.NewLog(drstandin.LogConfig{RetainCount: 3})
+	u := start(t, l) + "/v1/streams/s/records"
+	_, b := call(t, "POST", u, "a")
+	is.Equal(b, `{"offset":1}`)
+
+	l.SetFaults(drstandin.LogFaults{LoseAnswer: true})
+	_, _, err := try("POST", u, "b")
+	is.True(err != nil)
+	is.Equal(l.Counts().Appends, 2) // appended in spite of the lost answer
+
+	_, b = call(t, "POST", "http://"+l.Address()+"/v1/faults", `{"lose-answer":false,"late-append":"50ms"}`)
+	is.True(strings.Contains(b, `"late-append":"50ms"`))
+	_, _, err = try("POST", u, "c")
+	is.True(err != nil)
+	_, b = call(t, "GET", u+"?from=3&wait=5s", "")
+	is.True(strings.Contains(b, `"data":"Yw=="`)) // a held read sees the late append
+
+	l.SetFaults(drstandin.LogFaults{})
+	call(t, "POST", u, "d")
+	status, b := call(t, "GET", u+"?from=1", "")
+	is.Equal(status, http.StatusGone)
+	is.Equal(b, `{"first":2,"next":5}`)
+
+	l.SetFaults(drstandin.LogFaults{Down: true})
+	_, _, err = try("GET", u+"?from=2", "")
+	is.True(err != nil)
+}
+
+// Guards against a log stand-in without its limit of appends per second.
+func TestLogLimitsAppends(t *testing.T) {
+	is := is.New(t)
+	l := drstandin.NewLog(drstandin.LogConfig{AppendRate: 1})
+	u := start(t, l) + "/v1/streams/s/records"
+	status, _ := call(t, "POST", u, "a")
+	is.Equal(status, http.StatusOK)
+	status, _ = call(t, "POST", u, "b")
+	is.Equal(status, http.StatusTooManyRequests)
+}
+
+// Guards against a list that shows changes before its lag or never.
+func TestVMListLags(t *testing.T) {
+	is := is.New(t)
+	l := drstandin.NewVMList(drstandin.VMListConfig{
+		VMs: []drstandin.VM{{ID: "a", Role: "entry"}}, Lag: 100 * time.Millisecond,
+	})
+	u := start(t, l) + "/v1/vms"
+	begin := time.Now()
+	call(t, "POST", u, `{"op":"leaving","vm":{"id":"a"}}`)
+	status, _ := call(t, "GET", u+"?version=1", "")
+	is.Equal(status, http.StatusNotModified)
+	eventually(t, "leaving", func() bool {
+		_, b := call(t, "GET", u, "")
+		return strings.Contains(b, "leaving")
+	})
+	is.True(time.Since(begin) >= 100*time.Millisecond)
+}
+
+var catalogue = []drstandin.Checkpoint{
+	{Name: "m", Bytes: 60, Remote: drstandin.Duration(80 * time.Millisecond), Disk: drstandin.Duration(10 * time.Millisecond)},
+	{Name: "n", Bytes: 60, Remote: drstandin.Duration(80 * time.Millisecond)},
+	{Name: "a", Base: "m", Bytes: 1},
+}
+
+// Guards against a weight store that serves more than four at full speed.
+func TestWeightStoreSlowsDown(t *testing.T) {
+	is := is.New(t)
+	w := drstandin.NewWeightStore(drstandin.WeightStoreConfig{Catalogue: catalogue})
+	u := start(t, w)
+	begin := time.Now()
+	ended := make(chan error)
+	for range 8 {
+		go func() {
+			_, _, err := try("GET", u+"/v1/weights/m", "")
+			ended <- err
+		}()
+	}
+	for range 8 {
+		is.NoErr(<-ended)
+	}
+	is.True(time.Since(begin) >= 150*time.Millisecond) // 8 at once take twice 80 ms
+	is.Equal(w.Counts().MostModels, 8)
+}
+
+func engine(t *testing.T, c drstandin.EngineConfig) (*drstandin.Engine, string) {
+	t.Helper()
+	c.Catalogue, c.Memory, c.Name = catalogue, 100, "e"
+	c.ReportLag, c.TokenInterval = -1, time.Millisecond
+	c.RestartDelay = 50 * time.Millisecond
+	e := drstandin.NewEngine(c)
+	return e, start(t, e)
+}
+
+func load(t *testing.T, e *drstandin.Engine, u, replica, model, base string) {
+	t.Helper()
+	body := fmt.Sprintf(`{"op":"load","replica":%q,"model":%q,"base":%q}`, replica, model, base)
+	if status, b := call(t, "POST", u+"/v1/orders", body); status != http.StatusAccepted {
+		t.Fatal(status, b)
+	}
+	eventually(t, "loaded", func() bool {
+		for _, r := range e.Replicas() {
+			if r.ID == replica {
+				return r.State == drengine.Loaded
+			}
+		}
+		return false
+	})
+}
+
+func text(body string) (s string) {
+	for sc := bufio.NewScanner(bytes.NewBufferString(body)); sc.Scan(); {
+		var k drengine.Token
+		if json.Unmarshal(sc.Bytes(), &k) == nil {
+			s += k.Text
+		}
+	}
+	return s
+}
+
+// Guards against loads that ignore memory, fencing or the replica's id.
+func TestEngineOrders(t *testing.T) {
+	is := is.New(t)
+	e, u := engine(t, drstandin.EngineConfig{ChecksFence: true})
+	load(t, e, u, "r1", "m", "")
+	load(t, e, u, "r1", "m", "")
+	load(t, e, u, "r2", "a", "m")
+	is.Equal(e.Counts().Loads, 2)
+	is.Equal(e.Counts().MostReplicas["m"], 1)
+	status, _ := call(t, "POST", u+"/v1/orders", `{"op":"load","replica":"r3","model":"n"}`)
+	is.Equal(status, http.StatusInsufficientStorage)
+	call(t, "GET", u+"/v1/state?fence=7", "")
+	status, _ = call(t, "POST", u+"/v1/orders", `{"op":"unload","replica":"r1","fence":6}`)
+	is.Equal(status, http.StatusConflict)
+	status, _ = call(t, "POST", u+"/v1/orders", `{"op":"unload","replica":"r1","fence":7}`)
+	is.Equal(status, http.StatusAccepted)
+	is.Equal(len(e.Replicas()), 0) // the adapter went with its base
+	is.Equal(e.Counts().MostUsed, int64(61))
+}
+
+// Guards against a broken stream that cannot be resumed, and a poison request
+// that leaves the engine up or its memory filled.
+func TestEngineStreams(t *testing.T) {
+	is := is.New(t)
+	e, u := engine(t, drstandin.EngineConfig{Poison: "poison"})
+	load(t, e, u, "r1", "m", "")
+	e.SetFaults(drstandin.EngineFaults{DropAfter: 3})
+	_, b, err := try("POST", u+"/v1/generate", `{"id":"g","model":"m","prompt":"hello","max-tokens":9}`)
+	is.True(err != nil)
+	// The last lines before the drop may be lost with the connection.
+	is.True(strings.HasPrefix(drstandin.Answer("m", "", "hello", 3), text(b)))
+	e.SetFaults(drstandin.EngineFaults{})
+	_, b = call(t, "GET", u+"/v1/generations/g?from=0", "")
+	is.Equal(text(b), drstandin.Answer("m", "", "hello", 9))
+	is.Equal(e.Counts().Generations, 1)
+	is.True(e.Saw("hello"))
+	is.True(!e.Saw("secret"))
+
+	_, _, err = try("POST", u+"/v1/generate", `{"id":"p","model":"m","prompt":"poison"}`)
+	is.True(err != nil)
+	is.Equal(len(e.Replicas()), 0)
+	eventually(t, "restart", func() bool {
+		_, b, err := try("GET", u+"/v1/state", "")
+		return err == nil && strings.Contains(b, `"instance":"e-2"`)
+	})
+}
+
+// Guards against a service stand-in that miscounts executions.
+func TestServiceCounts(t *testing.T) {
+	is := is.New(t)
+	s := drstandin.NewService(drstandin.ServiceConfig{})
+	u := start(t, s) + "/book?x=1"
+	_, b := call(t, "POST", u, "body")
+	is.True(strings.Contains(b, `"body":"body"`))
+	s.SetFaults(drstandin.ServiceFaults{LoseAnswer: true})
+	_, _, err := try("POST", u, "")
+	is.True(err != nil)
+	s.SetFaults(drstandin.ServiceFaults{Fail: true})
+	status, _ := call(t, "POST", u, "")
+	is.Equal(status, http.StatusInternalServerError)
+	is.Equal(s.Counts().Paths["/book"], 2)
+}
--- /dev/null
+++ b/drstandin/token_text.go
@@ -0,0 +1,32 @@
+package drstandin
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// promptBytesPerToken is how engines count a prompt's tokens.
+const promptBytesPerToken = 4
+
+// TokenText returns the token at index that an engine generates. It depends on
+// all arguments, so that a test notices tokens of another answer.
+func TokenText(model, adapter, prompt string, index int) string {
+	h := xxhash.Sum64String(model + "\x00" + adapter + "\x00" + prompt)
+	return fmt.Sprintf(" %d-%04x", index, (h>>(uint(index)%3*16))&0xffff)
+}
+
+// Answer returns the whole text of n tokens.
+func Answer(model, adapter, prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(TokenText(model, adapter, prompt, i))
+	}
+	return b.String()
+}
+
+// PromptTokens returns the number of tokens that an engine counts for prompt.
+func PromptTokens(prompt string) int {
+	return (len(prompt) + promptBytesPerToken - 1) / promptBytesPerToken
+}
--- /dev/null
+++ b/drstandin/vm_list.go
@@ -0,0 +1,152 @@
+package drstandin
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// VM is an entry of the platform's list.
+type VM struct {
+	ID      string `json:"id"`
+	Role    string `json:"role"` // entry or backend
+	Fleet   string `json:"fleet,omitempty"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	State   string `json:"state"` // live or leaving
+}
+
+// VMChange is the body of POST /v1/vms.
+type VMChange struct {
+	Op string `json:"op"` // add, remove or leaving
+	VM VM     `json:"vm"`
+}
+
+// VMListConfig sets up a VMList.
+type VMListConfig struct {
+	Address string
+	VMs     []VM
+	// Lag is the time before a change becomes visible.
+	Lag time.Duration
+}
+
+// VMListFaults are the faults of a VMList.
+type VMListFaults struct {
+	Down bool `json:"down"`
+}
+
+// VMList stands in for the platform's list of virtual machines.
+type VMList struct {
+	server
+	switches[VMListFaults]
+	config  VMListConfig
+	mu      sync.Mutex
+	version uint64
+	vms     map[string]VM
+	pending []pendingChange
+}
+
+type pendingChange struct {
+	due time.Time
+	VMChange
+}
+
+// NewVMList returns a VMList that shows the configured entries at once.
+func NewVMList(c VMListConfig) *VMList {
+	l := &VMList{config: c, version: 1, vms: make(map[string]VM)}
+	for _, v := range c.VMs {
+		if v.State == "" {
+			v.State = "live"
+		}
+		l.vms[v.ID] = v
+	}
+	return l
+}
+
+// Start begins to listen.
+func (l *VMList) Start() error { return l.listen(l.config.Address, l.handle) }
+
+// Change schedules a change, visible after the lag.
+func (l *VMList) Change(c VMChange) error {
+	switch c.Op {
+	case "add", "remove", "leaving":
+	default:
+		return fmt.Errorf("unknown operation %q", c.Op)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append(l.pending, pendingChange{time.Now().Add(l.config.Lag), c})
+	return nil
+}
+
+// settle applies the changes that became visible.
+func (l *VMList) settle() {
+	now := time.Now()
+	for len(l.pending) > 0 && !l.pending[0].due.After(now) {
+		c := l.pending[0]
+		l.pending = l.pending[1:]
+		switch c.Op {
+		case "add":
+			if c.VM.State == "" {
+				c.VM.State = "live"
+			}
+			l.vms[c.VM.ID] = c.VM
+		case "remove":
+			delete(l.vms, c.VM.ID)
+		case "leaving":
+			if v, ok := l.vms[c.VM.ID]; ok {
+				v.State = "leaving"
+				l.vms[c.VM.ID] = v
+			}
+		}
+		l.version++
+	}
+}
+
+func (l *VMList) handle(ctx *fasthttp.RequestCtx) {
+	switch {
+	case l.switches.handle(ctx):
+	case l.Faults().Down:
+		drop(ctx)
+	case string(ctx.Path()) != "/v1/vms":
+		answerError(ctx, fasthttp.StatusNotFound, "no such path")
+	case ctx.IsPost():
+		var c VMChange
+		err := json.Unmarshal(ctx.PostBody(), &c)
+		if err == nil {
+			err = l.Change(c)
+		}
+		if err != nil {
+			answerError(ctx, fasthttp.StatusBadRequest, "%v", err)
+			return
+		}
+		ctx.SetStatusCode(fasthttp.StatusAccepted)
+	default:
+		l.list(ctx)
+	}
+}
+
+func (l *VMList) list(ctx *fasthttp.RequestCtx) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle()
+	if numberArg(ctx, "version", 0) == l.version {
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
+	vms := make([]VM, 0, len(l.vms))
+	for _, v := range l.vms {
+		vms = append(vms, v)
+	}
+	slices.SortFunc(vms, func(a, b VM) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	answerJSON(ctx, fasthttp.StatusOK, map[string]any{"version": l.version, "vms": vms})
+}
