Add the HTTP client of the engine protocol

The client gives each error an exact verdict, never repeats a request by itself, and checks the index of each token, so that a broken or doubled line is an error instead of output.

--- /dev/null
+++ b/drengine/http.go
@@ -0,0 +1,150 @@
+package drengine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// HTTP is an Engine reached over HTTP.
+type HTTP struct {
+	config HTTPConfig
+	client *fasthttp.HostClient
+}
+
+var _ Engine = (*HTTP)(nil)
+
+// NewHTTP returns a client of the engine at c.Address. It connects on demand.
+func NewHTTP(c HTTPConfig) *HTTP {
+	c = c.withDefaults()
+	return &HTTP{config: c, client: newClient(c)}
+}
+
+// Close closes the idle connections.
+func (h *HTTP) Close() { h.client.CloseIdleConnections() }
+
+// State implements Engine.
+func (h *HTTP) State(ctx context.Context, fence, after uint64, wait time.Duration) (State, error) {
+	q := url.Values{}
+	if fence > 0 {
+		q.Set("fence", strconv.FormatUint(fence, 10))
+	}
+	if after > 0 {
+		q.Set("after", strconv.FormatUint(after, 10))
+		q.Set("wait", wait.String())
+	}
+	var s State
+	err := h.call(ctx, fasthttp.MethodGet, "/v1/state?"+q.Encode(), nil, wait, &s)
+	return s, err
+}
+
+// Order implements Engine.
+func (h *HTTP) Order(ctx context.Context, o Order) error {
+	return h.call(ctx, fasthttp.MethodPost, "/v1/orders", o, 0, nil)
+}
+
+// Generate implements Engine. An engine that already knows the id of g answers
+// drverdict.Conflict with MayHaveRun.
+func (h *HTTP) Generate(ctx context.Context, g Generation) (TokenStream, error) {
+	s, err := h.stream(ctx, fasthttp.MethodPost, "/v1/generate", g, len(g.Prefix))
+	if err != nil && drverdict.ReasonOf(err) == drverdict.Conflict {
+		return nil, drverdict.Wrap(drverdict.MayHaveRun, drverdict.Conflict, err, "generation id is in use")
+	}
+	return s, err
+}
+
+// Resume implements Engine. A generation that the engine does not know gives
+// drverdict.Unavailable with NotRun, where the verdict is about the resumption.
+func (h *HTTP) Resume(ctx context.Context, id string, from int) (TokenStream, error) {
+	target := fmt.Sprintf("/v1/generations/%s?from=%d", url.PathEscape(id), from)
+	s, err := h.stream(ctx, fasthttp.MethodGet, target, nil, from)
+	if err != nil && drverdict.ReasonOf(err) == drverdict.UnknownModel {
+		return nil, drverdict.Wrap(drverdict.NotRun, drverdict.Unavailable, err, "resume")
+	}
+	return s, err
+}
+
+// Cancel implements Engine. A generation that no longer exists is no error.
+func (h *HTTP) Cancel(ctx context.Context, id string) error {
+	err := h.call(ctx, fasthttp.MethodDelete, "/v1/generations/"+url.PathEscape(id), nil, 0, nil)
+	if err != nil && drverdict.ReasonOf(err) == drverdict.UnknownModel {
+		return nil
+	}
+	return err
+}
+
+// CacheEvents implements Engine.
+func (h *HTTP) CacheEvents(ctx context.Context, after uint64, wait time.Duration) ([]CacheEvent, error) {
+	var page struct {
+		Events []CacheEvent `json:"events"`
+	}
+	target := fmt.Sprintf("/v1/cache-events?after=%d&wait=%s", after, wait)
+	err := h.call(ctx, fasthttp.MethodGet, target, nil, wait, &page)
+	return page.Events, err
+}
+
+// call sends a request and decodes the answer into out, unless that is nil.
+func (h *HTTP) call(ctx context.Context, method, target string, in any, wait time.Duration, out any) error {
+	body, err := encode(in)
+	if err != nil {
+		return err
+	}
+	resp, err := h.send(ctx, method, target, body, defaultCallTimeout+wait)
+	if err != nil {
+		return err
+	}
+	defer closeBody(resp)
+	answer, err := readBody(ctx, resp)
+	if err != nil || out == nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return drverdict.Wrap(drverdict.MayHaveRun, drverdict.BackendFailed, err, "decode the engine's answer")
+	}
+	return nil
+}
+
+func (h *HTTP) stream(ctx context.Context, method, target string, in any, from int) (TokenStream, error) {
+	body, err := encode(in)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := h.send(ctx, method, target, body, defaultStreamTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return newHTTPStream(ctx, resp.BodyStream(), h.config.MaxLine, from), nil
+}
+
+func encode(in any) ([]byte, error) {
+	if in == nil {
+		return nil, nil
+	}
+	b, err := json.Marshal(in)
+	return b, drverdict.Wrap(drverdict.NotRun, drverdict.MalformedRequest, err, "encode the request")
+}
+
+func readBody(ctx context.Context, resp *fasthttp.Response) ([]byte, error) {
+	body := resp.BodyStream()
+	if body == nil {
+		return resp.Body(), nil
+	}
+	stop := context.AfterFunc(ctx, func() { closeStream(body) })
+	defer stop()
+	b, err := io.ReadAll(io.LimitReader(body, maxBody+1))
+	if err == nil && len(b) > maxBody {
+		err = fmt.Errorf("answer exceeds %d bytes", maxBody)
+	}
+	if err != nil {
+		return nil, brokenError(ctx, err)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/drengine/token_decoder_test.go
@@ -0,0 +1,55 @@
+package drengine
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against tokens that are delivered twice, out of order, cut off, or
+// beyond the bound of a line.
+func TestDecoderRejects(t *testing.T) {
+	for name, text := range map[string]string{
+		"doubled":   `{"index":0,"text":"a"}` + "\n" + `{"index":0,"text":"a"}` + "\n",
+		"skipped":   `{"index":0,"text":"a"}` + "\n" + `{"index":2,"text":"a"}` + "\n",
+		"cut off":   `{"index":0,"text":"a"}` + "\n" + `{"index":1,"text":"a"}`,
+		"ended":     `{"index":0,"text":"a"}` + "\n",
+		"long":      `{"index":0,"text":"a"}` + "\n" + `{"index":1,"text":"` + strings.Repeat("a", 5000) + `"}` + "\n",
+		"unindexed": `{"index":0,"text":"a"}` + "\n" + `{"text":"a"}` + "\n",
+		"last text": `{"index":0,"text":"a"}` + "\n" + `{"done":true,"text":"a"}` + "\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newTokenDecoder(strings.NewReader(text), 4096, 0)
+			_, err := d.token()
+			is.NoErr(err)
+			_, err = d.token()
+			is.True(err != nil && !errors.Is(err, io.EOF))
+			_, again := d.token()
+			is.Equal(again, err)
+		})
+	}
+}
+
+// Guards against a decoder that panics, or delivers an index other than the
+// next one, on any input.
+func FuzzDecoder(f *testing.F) {
+	f.Add(`{"index":3,"text":"a"}`+"\n"+`{"done":true}`+"\n", 3)
+	f.Add(strings.Repeat("x", 3000)+"\n", 0)
+	f.Add("{\"index\":null}\n", 0)
+	f.Fuzz(func(t *testing.T, text string, from int) {
+		d := newTokenDecoder(strings.NewReader(text), 4096, from)
+		for want := from; ; want++ {
+			k, err := d.token()
+			if err != nil {
+				return
+			}
+			if k.Index != want {
+				t.Fatalf("index %d, want %d", k.Index, want)
+			}
+		}
+	})
+}
--- a/drstandin/engine_generate.go
+++ b/drstandin/engine_generate.go
@@ -190,6 +190,7 @@
 	conn := ctx.Conn()
 	g.enter()
 	ctx.SetContentType("application/x-ndjson")
+	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer g.leave()
 		e.write(conn, w, g, from)
