Close body streams of engine answers

fasthttp's body streams have CloseWithError instead of Close, so a closed token stream kept its connection and did not interrupt a blocked read.

--- a/drengine/http_test.go
+++ b/drengine/http_test.go
@@ -170,3 +170,23 @@
 	is.Equal(es[0].Added, drengine.PrefixBlocks(prompt))
 	is.Equal(len(es[0].Added), 2)
 }
+
+// Guards against answers and broken streams that leak their connection.
+func TestConnectionsAreReturned(t *testing.T) {
+	is := is.New(t)
+	e, _ := setUp(t, drstandin.EngineConfig{})
+	h := drengine.NewHTTP(drengine.HTTPConfig{Address: e.Address(), MaxConns: 1})
+	defer h.Close()
+	ctx := context.Background()
+	for _, id := range []string{"a", "b", "c"} {
+		s, err := h.Generate(ctx, drengine.Generation{ID: id, Model: "m", MaxTokens: 5})
+		is.NoErr(err)
+		_, err = s.Next()
+		is.NoErr(err)
+		is.NoErr(s.Close())
+		_, err = h.State(ctx, 0, 0, 0)
+		is.NoErr(err)
+		_, err = h.Resume(ctx, "unknown", 0)
+		is.Equal(drverdict.ReasonOf(err), drverdict.Unavailable)
+	}
+}
--- a/drengine/transport.go
+++ b/drengine/transport.go
@@ -145,8 +145,10 @@
 
 func closeBody(resp *fasthttp.Response) { closeStream(resp.BodyStream()) }
 
+// closeStream closes a body, also while another goroutine reads it. fasthttp's
+// body streams have CloseWithError instead of Close.
 func closeStream(body io.Reader) {
-	if c, ok := body.(io.Closer); ok {
-		c.Close()
+	if c, ok := body.(interface{ CloseWithError(error) error }); ok {
+		_ = c.CloseWithError(nil)
 	}
 }
