--- /dev/null
+++ b/drlog/envelope.go
@@ -0,0 +1,48 @@
+package drlog
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// envelopeVersion is the newest format of records that this process knows.
+const envelopeVersion = 1
+
+// AppendEntry wraps an entry for the Folders of a stream and appends it.
+func AppendEntry(ctx context.Context, a Appender, stream string, entry []byte) (uint64, error) {
+	if entry == nil {
+		entry = []byte{}
+	}
+	return appendRecord(ctx, a, stream, &drpb.LogRecord{
+		Version: envelopeVersion, Body: &drpb.LogRecord_Entry{Entry: entry},
+	})
+}
+
+func appendRecord(ctx context.Context, a Appender, stream string, r *drpb.LogRecord) (uint64, error) {
+	data, err := proto.Marshal(r)
+	if err != nil {
+		return 0, drverdict.Wrap(drverdict.NotRun, drverdict.Internal, err, "encode a log record")
+	}
+	return a.Append(ctx, stream, data)
+}
+
+// unwrap returns the entry or the snapshot part of a record; neither if the
+// record is malformed or of a newer format.
+func unwrap(data []byte) (entry []byte, part *drpb.LogSnapshotPart, ok bool) {
+	var r drpb.LogRecord
+	if proto.Unmarshal(data, &r) != nil || r.Version > envelopeVersion {
+		return nil, nil, false
+	}
+	switch b := r.Body.(type) {
+	case *drpb.LogRecord_Entry:
+		return b.Entry, nil, true
+	case *drpb.LogRecord_SnapshotPart:
+		return nil, b.SnapshotPart, true
+	default:
+		return nil, nil, false
+	}
+}
--- /dev/null
+++ b/drlog/follower.go
@@ -0,0 +1,294 @@
+package drlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+)
+
+// Follower folds a stream into a Folder. It never moves to a lower offset and
+// never restores a state older than the one it holds.
+type Follower struct {
+	config FollowerConfig
+	ready  chan struct{}
+	poke   chan struct{}
+
+	reading sync.Mutex // held by the one goroutine that changes the state
+
+	mu        sync.RWMutex // guards everything below and the Folder
+	offset    uint64       // last applied
+	confirmed time.Time
+	changed   chan struct{} // closed when the offset grows
+	tail      tail
+	scan      *scan // nil unless a gap is being closed
+	assembler assembler
+	policy    snapshotPolicy
+}
+
+// NewFollower returns a Follower that holds nothing.
+func NewFollower(c FollowerConfig) *Follower {
+	return &Follower{
+		config: c.withDefaults(), ready: make(chan struct{}),
+		poke: make(chan struct{}, 1), changed: make(chan struct{}),
+	}
+}
+
+// Stream returns the stream's name.
+func (f *Follower) Stream() string { return f.config.Stream }
+
+// Offset returns the offset of the last record that the Folder holds.
+func (f *Follower) Offset() uint64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.offset
+}
+
+// Confirmed returns the last local time at which the Folder certainly held all
+// records of the stream, by the log's own word or a peer's. It is zero if that
+// was never so.
+func (f *Follower) Confirmed() time.Time {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.confirmed
+}
+
+// Ready is closed after the first catch-up with the log or a peer.
+func (f *Follower) Ready() <-chan struct{} { return f.ready }
+
+// View runs fn while the Folder does not change. fn must not call the Follower.
+func (f *Follower) View(fn func()) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	fn()
+}
+
+// Poke makes a Follower that waits to retry read at once.
+func (f *Follower) Poke() {
+	select {
+	case f.poke <- struct{}{}:
+	default:
+	}
+}
+
+// WaitFor blocks until the Folder holds the record at offset.
+func (f *Follower) WaitFor(ctx context.Context, offset uint64) error {
+	for {
+		f.mu.RLock()
+		reached, changed := f.offset >= offset, f.changed
+		f.mu.RUnlock()
+		if reached {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for offset %d of stream %q: %w", offset, f.config.Stream, context.Cause(ctx))
+		}
+	}
+}
+
+// Run follows the stream and writes snapshots until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var writer sync.WaitGroup
+	defer writer.Wait()
+	writer.Go(func() { f.writeSnapshots(ctx) })
+	wait := pollWait
+	for ctx.Err() == nil {
+		start := f.config.Clock.Now()
+		err := f.readLog(ctx, wait)
+		if err == nil {
+			wait = pollWait
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if wait > 0 {
+			f.note("log-read-failed", "error=%q", err)
+		}
+		wait = 0
+		f.ReadPeers(ctx)
+		f.pause(ctx, retryCycle-f.config.Clock.Since(start))
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	t := f.config.Clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-f.poke:
+	case <-ctx.Done():
+	}
+}
+
+// readLog reads one page. An error means that the log could not be read, or
+// that it does not hold what is needed to go on.
+func (f *Follower) readLog(ctx context.Context, wait time.Duration) error {
+	f.mu.RLock()
+	from := f.cursor()
+	if f.scan != nil {
+		wait = 0
+	}
+	f.mu.RUnlock()
+	sent := f.config.Clock.Now()
+	call, cancel := drclock.WithTimeout(ctx, f.config.Clock, wait+readTimeout)
+	defer cancel()
+	p, err := f.config.Log.Read(call, f.config.Stream, from, pageRecords, wait)
+	if gap, ok := errors.AsType[*GapError](err); ok {
+		f.beginScan(gap)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if p.Next < from {
+		return fmt.Errorf("log moved back: next offset %d, want at least %d", p.Next, from)
+	}
+	// The log held an empty poll open, so that its answer is as recent as that.
+	if len(p.Records) == 0 && f.config.Clock.Since(sent) >= wait {
+		sent = sent.Add(wait)
+	}
+	f.reading.Lock()
+	defer f.reading.Unlock()
+	return f.take(ctx, p, sent)
+}
+
+// cursor returns the offset to read next.
+func (f *Follower) cursor() uint64 {
+	if f.scan != nil {
+		return f.scan.next
+	}
+	return f.offset + 1
+}
+
+// take applies a page that the log returned at or after time at.
+func (f *Follower) take(ctx context.Context, p Page, at time.Time) error {
+	f.mu.Lock()
+	before := f.cursor()
+	for _, r := range p.Records {
+		f.apply(r)
+	}
+	f.confirm(p.Next, at)
+	stuck := len(p.Records) > 0 && f.cursor() == before && before < p.Next
+	exhausted := f.scan != nil && f.scan.next >= p.Next
+	f.mu.Unlock()
+	if stuck {
+		return fmt.Errorf("log skipped offset %d", before)
+	}
+	if !exhausted {
+		return nil
+	}
+	if err := f.fetchState(ctx); err != nil {
+		return fmt.Errorf("no snapshot is retained: %w", err)
+	}
+	return nil
+}
+
+// apply folds a record or, while a gap is being closed, collects it.
+func (f *Follower) apply(r Record) {
+	if f.scan != nil {
+		if f.scan.add(r) {
+			f.restoreScanned(f.scan.found.covers, f.scan.found.data)
+		}
+		return
+	}
+	if r.Offset != f.offset+1 {
+		return
+	}
+	entry, part, ok := unwrap(r.Data)
+	switch {
+	case !ok:
+		f.note("log-record-skipped", "offset=%d", r.Offset)
+	case part != nil:
+		if s := f.assembler.add(part, r.Time); s != nil && s.covers < r.Offset {
+			f.policy.covered(s.covers, s.time)
+		}
+	default:
+		f.policy.uncovered(r.Offset, r.Time)
+		f.config.Folder.Apply(Record{Offset: r.Offset, Time: r.Time, Data: entry})
+	}
+	f.tail.add(r)
+	f.offset = r.Offset
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// confirm notes that no record from next on existed at a time.
+func (f *Follower) confirm(next uint64, at time.Time) {
+	if f.scan != nil || f.offset+1 < next || at.IsZero() {
+		return
+	}
+	if at.After(f.confirmed) {
+		f.confirmed = at
+	}
+	f.markReady()
+}
+
+func (f *Follower) markReady() {
+	select {
+	case <-f.ready:
+	default:
+		close(f.ready)
+	}
+}
+
+// beginScan starts to look for a snapshot in the retained records.
+func (f *Follower) beginScan(gap *GapError) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if gap.First <= f.offset+1 {
+		f.scan = nil
+		return
+	}
+	f.scan = &scan{first: gap.First, next: gap.First}
+	f.note("log-gap", "held=%d first=%d next=%d", f.offset, gap.First, gap.Next)
+}
+
+// restoreScanned restores a state that joins the scanned records and applies
+// those after it. It reports whether it did.
+func (f *Follower) restoreScanned(covers uint64, data []byte) bool {
+	s := f.scan
+	if covers+1 < s.first || !f.restore(covers, data) {
+		return false
+	}
+	f.scan = nil
+	for _, r := range s.records {
+		if r.Offset > covers {
+			f.apply(r)
+		}
+	}
+	return true
+}
+
+// restore replaces the state by a newer one.
+func (f *Follower) restore(covers uint64, data []byte) bool {
+	if covers <= f.offset {
+		return false
+	}
+	if err := f.config.Folder.Restore(covers, data); err != nil {
+		f.note("log-snapshot-rejected", "covers=%d error=%q", covers, err)
+		return false
+	}
+	f.note("log-snapshot-restored", "held=%d covers=%d", f.offset, covers)
+	f.offset = covers
+	f.tail.clear()
+	f.assembler = assembler{}
+	f.policy = snapshotPolicy{}
+	f.policy.restored(f.config.Clock.Now(), f.config.Retention)
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return true
+}
+
+func (f *Follower) note(name, format string, args ...any) {
+	f.config.Events.Record(drtimeline.Event{
+		Name: name, Detail: "stream=" + f.config.Stream + " " + fmt.Sprintf(format, args...),
+	})
+}
--- /dev/null
+++ b/drlog/follower_snapshot.go
@@ -0,0 +1,78 @@
+package drlog
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// partTries is how often a part is appended before the attempt is given up. A
+// part that appears twice does no harm.
+const partTries = 3
+
+// writeSnapshots writes a snapshot whenever one is due and this VM is chosen.
+func (f *Follower) writeSnapshots(ctx context.Context) {
+	for f.config.Clock.Sleep(ctx, snapshotCheck) == nil {
+		if !f.config.IsSnapshotter() {
+			continue
+		}
+		if err := f.writeSnapshotIfDue(ctx); err != nil {
+			f.note("log-snapshot-failed", "error=%q", err)
+		}
+	}
+}
+
+func (f *Follower) writeSnapshotIfDue(ctx context.Context) error {
+	f.mu.RLock()
+	now := f.config.Clock.Now()
+	// A VM that lags would write a snapshot that helps nobody.
+	current := f.scan == nil && now.Sub(f.confirmed) <= FreshBound
+	if !current || !f.policy.due(now, f.config.Retention, f.config.SnapshotEvery) {
+		f.mu.RUnlock()
+		return nil
+	}
+	offset, data := f.offset, f.config.Folder.Snapshot()
+	f.mu.RUnlock()
+	if err := f.writeSnapshot(ctx, offset, data); err != nil {
+		return err
+	}
+	f.note("log-snapshot-written", "covers=%d bytes=%d", offset, len(data))
+	return nil
+}
+
+func (f *Follower) writeSnapshot(ctx context.Context, covers uint64, data []byte) error {
+	hash := sha256.Sum256(data)
+	attempt := rand.Text()
+	count := max(1, (len(data)+partSize-1)/partSize)
+	for i := range count {
+		part := &drpb.LogSnapshotPart{
+			Attempt: attempt, Covers: covers, Index: uint32(i), Count: uint32(count), Hash: hash[:],
+			Data: data[i*partSize : min((i+1)*partSize, len(data))],
+		}
+		if err := f.writePart(ctx, part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Follower) writePart(ctx context.Context, p *drpb.LogSnapshotPart) error {
+	r := &drpb.LogRecord{Version: envelopeVersion, Body: &drpb.LogRecord_SnapshotPart{SnapshotPart: p}}
+	var err error
+	for range partTries {
+		call, cancel := drclock.WithTimeout(ctx, f.config.Clock, defaultCallTimeout)
+		_, err = appendRecord(call, f.config.Log, f.config.Stream, r)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if drverdict.Of(err) == drverdict.NotRun && f.config.Clock.Sleep(ctx, appendRetry) != nil {
+			return err
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/drlog/http_config.go
@@ -0,0 +1,48 @@
+package drlog
+
+import (
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+)
+
+const (
+	defaultMaxConns    = 64
+	defaultDialTimeout = 500 * time.Millisecond
+
+	// defaultCallTimeout limits calls whose context has no deadline; reads add
+	// their wait.
+	defaultCallTimeout = 5 * time.Second
+
+	// idleConn is how long an unused connection is kept. A short time makes it
+	// less likely that an append goes out on a connection that has died.
+	idleConn = 5 * time.Second
+
+	// maxPage bounds an answer of the log, in bytes.
+	maxPage = 64 << 20
+
+	// appendRetry is the advice after a refused append: the log's limit is
+	// per second.
+	appendRetry = time.Second
+)
+
+// HTTPConfig sets up an HTTP. Zero values take the defaults.
+type HTTPConfig struct {
+	Address     string // host:port
+	Clock       drclock.Clock
+	MaxConns    int
+	DialTimeout time.Duration
+}
+
+func (c HTTPConfig) withDefaults() HTTPConfig {
+	if c.Clock == nil {
+		c.Clock = drclock.System{}
+	}
+	if c.MaxConns == 0 {
+		c.MaxConns = defaultMaxConns
+	}
+	if c.DialTimeout == 0 {
+		c.DialTimeout = defaultDialTimeout
+	}
+	return c
+}
--- /dev/null
+++ b/drlog/http_test.go
@@ -0,0 +1,59 @@
+package drlog_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drlog"
+	"github.com/dotterelridge/dotterelridge/drstandin"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// Guards against a verdict "not run" for a record that is, or will be, in the
+// stream, and against a record that is folded twice.
+func TestAppendVerdicts(t *testing.T) {
+	is := is.New(t)
+	s := drstandin.NewLog(drstandin.LogConfig{})
+	is.NoErr(s.Start())
+	defer s.Close()
+	h := drlog.NewHTTP(drlog.HTTPConfig{Address: s.Address()})
+	defer h.Close()
+	folder := &list{}
+	f := drlog.NewFollower(drlog.FollowerConfig{Log: h, Stream: "s", Folder: folder})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	go func() { _ = f.Run(ctx) }()
+	try := func(entry string) (uint64, error) { return drlog.AppendEntry(ctx, h, "s", []byte(entry)) }
+
+	offset, err := try("a")
+	is.NoErr(err)
+	is.Equal(offset, uint64(1))
+	s.SetFaults(drstandin.LogFaults{LoseAnswer: true})
+	_, err = try("lost")
+	is.Equal(drverdict.Of(err), drverdict.MayHaveRun)
+	s.SetFaults(drstandin.LogFaults{LateAppend: drstandin.Duration(100 * time.Millisecond)})
+	_, err = try("late")
+	is.Equal(drverdict.Of(err), drverdict.MayHaveRun)
+	s.SetFaults(drstandin.LogFaults{RejectRate: 1})
+	_, err = try("refused")
+	is.Equal(drverdict.Of(err), drverdict.NotRun)
+	is.NoErr(f.WaitFor(ctx, 3))
+	f.View(func() { is.Equal(folder.Entries, []string{"a", "lost", "late"}) })
+
+	s.SetFaults(drstandin.LogFaults{})
+	s.Truncate("s", 3)
+	_, err = h.Read(ctx, "s", 1, 10, 0)
+	gap, ok := errors.AsType[*drlog.GapError](err)
+	is.True(ok)
+	is.Equal(gap.First, uint64(3))
+	is.Equal(gap.Next, uint64(4))
+
+	s.Close()
+	h.Close()
+	_, err = try("nobody listens")
+	is.Equal(drverdict.Of(err), drverdict.NotRun)
+}
--- a/drlog/log.go
+++ b/drlog/log.go
@@ -21,18 +21,19 @@
 // Record is one entry of a stream.
 type Record struct {
 	// Offset is the position in the stream, starting at 1.
-	Offset uint64
+	Offset uint64 `json:"offset"`
 	// Time is the log's own time of the append.
-	Time time.Time
-	Data []byte
+	Time time.Time `json:"time"`
+	Data []byte    `json:"data"`
 }
 
 // Page is the answer to a read.
 type Page struct {
-	Records []Record
+	Records []Record `json:"records"`
 	// First is the lowest retained offset, Next the offset that the next
 	// append will get.
-	First, Next uint64
+	First uint64 `json:"first"`
+	Next  uint64 `json:"next"`
 }
 
 // Appender appends to the log.
@@ -62,8 +63,10 @@
 type Folder interface {
 	// Apply folds one record. Records come in order of offset, each once.
 	Apply(r Record)
-	// Snapshot returns the encoded state as of the last applied record.
+	// Snapshot returns the encoded state as of the last applied record. It may
+	// run at the same time as readers of the state.
 	Snapshot() []byte
-	// Restore replaces the state by a snapshot that covers offset.
+	// Restore replaces the state by a snapshot that covers offset. On an error it
+	// keeps the state.
 	Restore(offset uint64, snapshot []byte) error
 }
--- /dev/null
+++ b/drlog/peer_relay_state.go
@@ -0,0 +1,85 @@
+package drlog
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// maxState bounds a state from a peer to what a snapshot in the log can hold.
+const maxState = maxSnapshotParts * partSize
+
+// heldState is a state that is handed out in pages.
+type heldState struct {
+	offset uint64
+	data   []byte
+	hash   [sha256.Size]byte
+	taken  time.Time
+}
+
+// FetchState implements Relay. It takes the newest state of a few peers.
+func (p *PeerRelay) FetchState(ctx context.Context, stream string, above uint64) (RelayedState, error) {
+	req := &drpb.LogFetchStateRequest{Stream: stream, Above: above}
+	answers, err := askAll[drpb.LogFetchStateResponse](ctx, p, MethodFetchState, req)
+	if err != nil {
+		return RelayedState{}, err
+	}
+	var from string
+	first := &drpb.LogFetchStateResponse{Offset: above}
+	for vm, a := range answers {
+		if a.Offset > first.Offset {
+			from, first = vm, a
+		}
+	}
+	if from == "" || first.Size > maxState {
+		return RelayedState{}, drverdict.New(drverdict.NotRun, drverdict.LogUnavailable, "no peer has a state of stream %q above offset %d", stream, above)
+	}
+	data := first.Data
+	req.Offset = first.Offset
+	for uint64(len(data)) < first.Size {
+		req.Position = uint64(len(data))
+		page := &drpb.LogFetchStateResponse{}
+		if err := p.config.Caller.Call(ctx, from, MethodFetchState, req, page); err != nil {
+			return RelayedState{}, err
+		}
+		if page.Offset != first.Offset || len(page.Data) == 0 {
+			return RelayedState{}, drverdict.New(drverdict.NotRun, drverdict.LogUnavailable, "the state of peer %q changed during the transfer", from)
+		}
+		data = append(data, page.Data...)
+	}
+	if sum := sha256.Sum256(data); !bytes.Equal(sum[:], first.Hash) {
+		return RelayedState{}, drverdict.New(drverdict.NotRun, drverdict.LogUnavailable, "the state of peer %q is corrupt", from)
+	}
+	return RelayedState{Offset: first.Offset, Snapshot: data}, nil
+}
+
+// state returns the state to hand out, nil if there is none above an offset.
+// A given offset names the state of earlier pages.
+func (p *PeerRelay) state(f *Follower, above, offset uint64) *heldState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.states[f.Stream()]
+	now := p.config.Clock.Now()
+	if offset > 0 {
+		if h != nil && h.offset == offset {
+			return h
+		}
+		return nil
+	}
+	if h != nil && h.offset > above && now.Sub(h.taken) < stateLife {
+		return h
+	}
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if f.offset <= above {
+		return nil
+	}
+	h = &heldState{offset: f.offset, data: f.config.Folder.Snapshot(), taken: now}
+	h.hash = sha256.Sum256(h.data)
+	p.states[f.Stream()] = h
+	return h
+}
