--- a/drlog/envelope.go
+++ b/drlog/envelope.go
@@ -46,3 +46,10 @@
 		return nil, nil, false
 	}
 }
+
+// isNewer reports whether a record has a format that only newer versions of
+// this program know.
+func isNewer(data []byte) bool {
+	var r drpb.LogRecord
+	return proto.Unmarshal(data, &r) == nil && (r.Version > envelopeVersion || len(r.ProtoReflect().GetUnknown()) > 0)
+}
--- a/drlog/follower.go
+++ b/drlog/follower.go
@@ -28,6 +28,9 @@
 	scan      *scan // nil unless a gap is being closed
 	assembler assembler
 	policy    snapshotPolicy
+	// partial is set after a record of a newer format was skipped. The state
+	// then lacks something and must not be passed on as a snapshot.
+	partial bool
 }
 
 // NewFollower returns a Follower that holds nothing.
@@ -205,6 +208,7 @@
 	entry, part, ok := unwrap(r.Data)
 	switch {
 	case !ok:
+		f.partial = f.partial || isNewer(r.Data)
 		f.note("log-record-skipped", "offset=%d", r.Offset)
 	case part != nil:
 		if s := f.assembler.add(part, r.Time); s != nil && s.covers < r.Offset {
@@ -280,6 +284,7 @@
 	f.offset = covers
 	f.tail.clear()
 	f.assembler = assembler{}
+	f.partial = false
 	f.policy = snapshotPolicy{}
 	f.policy.restored(f.config.Clock.Now(), f.config.Retention)
 	close(f.changed)
--- a/drlog/follower_snapshot.go
+++ b/drlog/follower_snapshot.go
@@ -30,7 +30,7 @@
 	f.mu.RLock()
 	now := f.config.Clock.Now()
 	// A VM that lags would write a snapshot that helps nobody.
-	current := f.scan == nil && now.Sub(f.confirmed) <= FreshBound
+	current := f.scan == nil && !f.partial && now.Sub(f.confirmed) <= FreshBound
 	if !current || !f.policy.due(now, f.config.Retention, f.config.SnapshotEvery) {
 		f.mu.RUnlock()
 		return nil
--- a/drlog/peer_relay_state.go
+++ b/drlog/peer_relay_state.go
@@ -75,7 +75,7 @@
 	}
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	if f.offset <= above {
+	if f.offset <= above || f.partial {
 		return nil
 	}
 	h = &heldState{offset: f.offset, data: f.config.Folder.Snapshot(), taken: now}
--- a/drstandin/server.go
+++ b/drstandin/server.go
@@ -1,7 +1,8 @@
 // Package drstandin holds stand-ins of the platform's outside systems for tests,
 // demonstrations and load runs. Each listens on 127.0.0.1 and follows the
 // protocols of docs/design.md, section 7. Faults are switched in Go or with
-// POST /v1/faults, counters are read in Go or with GET /v1/counts.
+// POST /v1/faults, counters are read in Go or with GET /v1/counts; engines and
+// services tell with GET /v1/saw?text=T whether a request contained a text.
 package drstandin
 
 import (
@@ -18,6 +19,7 @@
 const (
 	faultsPath = "/v1/faults"
 	countsPath = "/v1/counts"
+	sawPath    = "/v1/saw"
 
 	// defaultAddress lets the system choose a free port.
 	defaultAddress = "127.0.0.1:0"
--- a/drstandin/service.go
+++ b/drstandin/service.go
@@ -83,6 +83,9 @@
 		answerJSON(ctx, fasthttp.StatusOK, s.Counts())
 		return
 	}
+	if s.traffic.handle(ctx) {
+		return
+	}
 	f := s.Faults()
 	if f.Down {
 		drop(ctx)
--- a/drstandin/traffic.go
+++ b/drstandin/traffic.go
@@ -41,3 +41,12 @@
 	}
 	return false
 }
+
+// handle answers GET /v1/saw?text=T and reports whether it did.
+func (t *traffic) handle(ctx *fasthttp.RequestCtx) bool {
+	if string(ctx.Path()) != sawPath {
+		return false
+	}
+	answerJSON(ctx, fasthttp.StatusOK, map[string]bool{"saw": t.Saw(string(ctx.QueryArgs().Peek("text")))})
+	return true
+}
