--- a/drlog/fakes_test.go
+++ b/drlog/fakes_test.go
@@ -24,6 +24,7 @@
 	records []drlog.Record
 	next    uint64
 	down    bool
+	delay   time.Duration // of every read
 	grown   chan struct{}
 }
 
@@ -76,6 +77,12 @@
 }
 
 func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, _ int, wait time.Duration) (drlog.Page, error) {
+	l.mu.Lock()
+	delay := l.delay
+	l.mu.Unlock()
+	if err := l.clock.Sleep(ctx, delay); err != nil {
+		return drlog.Page{}, err
+	}
 	t := l.clock.NewTimer(wait)
 	defer t.Stop()
 	for {
@@ -157,6 +164,7 @@
 	mu       sync.Mutex
 	handlers map[string]map[string]drpeer.Handler
 	groups   map[string]int // VMs of different groups do not reach each other
+	refused  string         // method that no VM answers
 }
 
 func newMesh() *mesh {
@@ -179,6 +187,12 @@
 	m.groups[vm] = g
 }
 
+func (m *mesh) refuse(method string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refused = method
+}
+
 // meshEnd is one VM's end of a mesh.
 type meshEnd struct {
 	*mesh
@@ -196,7 +210,7 @@
 
 func (e meshEnd) Call(ctx context.Context, vm, method string, req, resp proto.Message) error {
 	e.mu.Lock()
-	h, cut := e.handlers[vm][method], e.groups[vm] != e.groups[e.vm]
+	h, cut := e.handlers[vm][method], e.groups[vm] != e.groups[e.vm] || method == e.refused
 	e.mu.Unlock()
 	if cut || h == nil {
 		return drverdict.New(drverdict.NotRun, drverdict.Unavailable, "no way to %s", vm)
--- a/drlog/follower.go
+++ b/drlog/follower.go
@@ -105,7 +105,10 @@
 		start := f.config.Clock.Now()
 		err := f.readLog(ctx, wait)
 		if err == nil {
-			wait = pollWait
+			slow := f.config.Clock.Since(start) > wait+slowRead
+			if wait = pollWait; slow {
+				wait = 0
+			}
 			continue
 		}
 		if ctx.Err() != nil {
--- a/drlog/follower_config.go
+++ b/drlog/follower_config.go
@@ -9,12 +9,17 @@
 
 const (
 	// pollWait is how long the log holds a poll open. The age of a
-	// confirmation reaches twice this time, plus retryCycle when it comes
+	// confirmation reaches twice this time, plus freshnessCycle when it comes
 	// through a peer; the sum has to stay below FreshBound.
 	pollWait = time.Second
 
-	// readTimeout bounds a read beyond its wait.
-	readTimeout = time.Second
+	// readTimeout bounds a read beyond its wait. With half of FreshBound, a log
+	// that answers just in time still confirms often enough.
+	readTimeout = FreshBound / 2
+
+	// slowRead is the delay beyond the wait after which polls are not held
+	// open, so that the delay is the only age of a confirmation.
+	slowRead = 500 * time.Millisecond
 
 	// retryCycle is the time between the starts of two reads while the log
 	// cannot be read.
--- a/drlog/follower_test.go
+++ b/drlog/follower_test.go
@@ -33,15 +33,15 @@
 	is := is.New(t)
 	w := newWorld(t)
 	w.append("a", "b", "c")
-	w.part("dying", 3, 0, 2, good, good[:9])      // 4: never finished
-	w.append("d")                                 // 5
-	w.part("corrupt", 5, 0, 1, good, good[1:])    // 6: hash differs
-	w.part("unreadable", 3, 0, 1, "junk", "junk") // 7: Restore fails
-	w.part("old", 1, 0, 1, good, good)            // 8: does not reach the first record
-	w.part("future", 99, 0, 1, good, good)        // 9: covers what it cannot
-	w.part("good", 3, 0, 2, good, good[:9])       // 10
-	w.append("e")                                 // 11
-	w.part("good", 3, 1, 2, good, good[9:])       // 12
+	w.part("dying", 3, 0, 2, good, good[:9])                             // 4: never finished
+	w.append("d")                                                        // 5
+	w.part("corrupt", 5, 0, 1, good, strings.Replace(good, "b", "z", 1)) // 6: hash differs
+	w.part("unreadable", 3, 0, 1, "junk", "junk")                        // 7: Restore fails
+	w.part("old", 1, 0, 1, good, good)                                   // 8: does not reach the first record
+	w.part("future", 99, 0, 1, good, good)                               // 9: covers what it cannot
+	w.part("good", 3, 0, 2, good, good[:9])                              // 10
+	w.append("e")                                                        // 11
+	w.part("good", 3, 1, 2, good, good[9:])                              // 12
 	w.log.truncate(4)
 	v := w.vm("v", nil)
 	w.run(v)
--- a/drlog/freshness_test.go
+++ b/drlog/freshness_test.go
@@ -45,6 +45,35 @@
 	}
 }
 
+// Guards against a VM that takes the log for down although peers reach it, when
+// it cannot read through them.
+func TestPeersReachTheLog(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	vs := w.fleet(4)
+	vs[0].log.set(true)
+	w.mesh.refuse(drlog.MethodFetchRecords)
+	w.pass(drlog.FreshBound + time.Second)
+	for range 10 {
+		w.pass(500 * time.Millisecond)
+		is.Equal(vs[0].freshness.State(), drlog.Isolated)
+	}
+}
+
+// Guards against a VM that loses its freshness because the log is only slow.
+func TestSlowLogStaysFresh(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	v := w.fleet(1)[0]
+	w.log.mu.Lock()
+	w.log.delay = 1500 * time.Millisecond
+	w.log.mu.Unlock()
+	for range 80 {
+		w.pass(250 * time.Millisecond)
+		is.Equal(v.freshness.State(), drlog.Fresh)
+	}
+}
+
 // Guards against a fleet that refuses everything when the log is down for all,
 // also for a moment, or that serves without it for ever.
 func TestDownForAll(t *testing.T) {
