--- /dev/null
+++ b/drconfig/change.go
@@ -0,0 +1,129 @@
+package drconfig
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drjson"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drset"
+)
+
+const (
+	// ChangeFormat is the newest record format that this version folds. All
+	// readers must fold a record alike, so a new field of an object needs a
+	// new format, which authors may use once every VM supports it.
+	ChangeFormat = 1
+	// maxChangeID bounds the results that are kept, in bytes each.
+	maxChangeID = 128
+)
+
+// Change is a set of puts and deletes that takes effect as a whole or not at
+// all.
+type Change struct {
+	// ID is unique per change; a retry repeats it.
+	ID string
+	// BasedOn is the Fold's Offset that the author saw.
+	BasedOn uint64
+	Author  string
+	Puts    Objects
+	Deletes []Ref
+}
+
+// Encode returns the record for the config stream.
+func (c Change) Encode() []byte {
+	m := &drpb.ConfigChange{ChangeId: c.ID, BasedOn: c.BasedOn, Author: c.Author, Format: ChangeFormat}
+	for _, o := range c.Puts {
+		r := o.Ref()
+		m.Puts = append(m.Puts, &drpb.ConfigObject{Kind: string(r.Kind), Name: r.Name, Json: EncodeObject(o)})
+	}
+	for _, r := range c.Deletes {
+		m.Deletes = append(m.Deletes, &drpb.ConfigRef{Kind: string(r.Kind), Name: r.Name})
+	}
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		panic(err) // fails only for strings that are not UTF-8
+	}
+	return b
+}
+
+// decodeChange decodes a record. An error means that the record is no change
+// at all and has no result; problems mean that the change is rejected.
+func decodeChange(b []byte) (Change, []drjson.Problem, error) {
+	m := new(drpb.ConfigChange)
+	if err := proto.Unmarshal(b, m); err != nil {
+		return Change{}, nil, fmt.Errorf("decode configuration change: %w", err)
+	}
+	c := Change{ID: m.ChangeId, BasedOn: m.BasedOn, Author: m.Author}
+	if c.ID == "" || len(c.ID) > maxChangeID {
+		return Change{}, nil, fmt.Errorf("decode configuration change: the id has %d bytes, want 1 to %d", len(c.ID), maxChangeID)
+	}
+	if m.Format != ChangeFormat {
+		return c, []drjson.Problem{{Reason: fmt.Sprintf("unsupported format %d, want %d", m.Format, ChangeFormat)}}, nil
+	}
+	var problems []drjson.Problem
+	for _, p := range m.Puts {
+		name := p.Kind + " " + p.Name
+		n, found := drjson.Parse(name, p.Json)
+		if found != nil {
+			problems = append(problems, found...)
+			continue
+		}
+		o, found := decodeObject(Kind(p.Kind), n)
+		problems = append(problems, found...)
+		if o == nil {
+			continue
+		}
+		if o.Ref().Name != p.Name {
+			problems = append(problems, n.Problem("the object is named %q", o.Ref().Name))
+		}
+		c.Puts = append(c.Puts, o)
+	}
+	for _, d := range m.Deletes {
+		c.Deletes = append(c.Deletes, Ref{Kind(d.Kind), d.Name})
+	}
+	return c, problems, nil
+}
+
+// refs returns every object that the change touches.
+func (c Change) refs() []Ref {
+	refs := make([]Ref, 0, len(c.Puts)+len(c.Deletes))
+	for _, o := range c.Puts {
+		refs = append(refs, o.Ref())
+	}
+	return append(refs, c.Deletes...)
+}
+
+// ApplyTo returns the configuration that the change makes out of base, or the
+// problems for which it would be rejected. It ignores BasedOn.
+func (c Change) ApplyTo(base Config) (Config, []drjson.Problem) {
+	var problems []drjson.Problem
+	report := func(format string, args ...any) {
+		problems = append(problems, drjson.Problem{Reason: fmt.Sprintf(format, args...)})
+	}
+	seen, touched := drset.Set[Ref]{}, drset.Set[Kind]{}
+	for _, r := range c.refs() {
+		if seen.Has(r) {
+			report("%s is touched twice", r)
+		}
+		seen.Add(r)
+		touched.Add(r.Kind)
+	}
+	for _, r := range c.Deletes {
+		if _, ok := base.Object(r); !ok {
+			report("%s does not exist and cannot be deleted", r)
+		}
+	}
+	if len(seen) == 0 {
+		report("the change is empty")
+	}
+	if problems != nil {
+		return base, problems
+	}
+	next := base.change(c.Puts, c.Deletes)
+	if found := check(next, touched); found != nil {
+		return base, toProblems(found, nil)
+	}
+	return next, nil
+}
--- a/drconfig/config.go
+++ b/drconfig/config.go
@@ -1,131 +1,281 @@
-// Package drconfig holds the declarations that operators write, their
-// validation, and the configuration that folding the config stream gives.
 package drconfig
 
-import "time"
+import (
+	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
 
-// Labels are attached to every declared object and matched by selectors.
-type Labels map[string]string
+	"github.com/dotterelridge/dotterelridge/drset"
+)
 
-// Model is a language model.
-type Model struct {
-	Name   string `json:"name"`
-	Labels Labels `json:"labels,omitempty"`
-	// Fleet is the fleet of engines that can load the model.
-	Fleet string `json:"fleet"`
-	// Bytes is the memory that one replica takes.
-	Bytes int64 `json:"bytes"`
-	// MaxTokens bounds the output of a request that names no bound, and of
-	// any request.
-	DefaultMaxTokens int `json:"default-max-tokens"`
-	MaxTokens        int `json:"max-tokens"`
+// Config is an immutable configuration. The zero Config is empty. Values
+// share unchanged parts, so copies are cheap.
+type Config struct {
+	offset uint64
+	// Each map is replaced, never written to, once it is in a Config.
+	fleets    map[string]Fleet
+	models    map[string]Model
+	adapters  map[string]Adapter
+	accounts  map[string]ClientAccount
+	keys      map[string]Key
+	routes    map[string]Route
+	selectors map[string]Selector
+	// keyIDs and paths index keys by hash and routes by path.
+	keyIDs map[[hashSize]byte]string
+	paths  map[string]string
+	view   *view
 }
 
-// Adapter is a small set of weights on top of a loaded model.
-type Adapter struct {
-	Name   string `json:"name"`
-	Labels Labels `json:"labels,omitempty"`
-	Base   string `json:"base"`
-	Bytes  int64  `json:"bytes"`
+// Offset returns the stream offset of the last accepted change, 0 if none.
+func (c Config) Offset() uint64 { return c.offset }
+
+// WithOffset returns a copy with the offset.
+func (c Config) WithOffset(offset uint64) Config {
+	c.offset = offset
+	return c
 }
 
-// FleetKind says what a fleet's backend servers are.
-type FleetKind string
+// With returns a copy in which the objects are added or replaced. It does not
+// validate; see Problems.
+func (c Config) With(objects ...Object) Config { return c.change(objects, nil) }
 
-// Kinds of fleets.
-const (
-	EngineFleet  FleetKind = "engine"
-	ServiceFleet FleetKind = "service"
-)
+// Without returns a copy that lacks the objects.
+func (c Config) Without(refs ...Ref) Config { return c.change(nil, refs) }
 
-// Fleet is a group of backend servers.
-type Fleet struct {
-	Name   string    `json:"name"`
-	Labels Labels    `json:"labels,omitempty"`
-	Kind   FleetKind `json:"kind"`
-	// ChecksFencing says that the engines refuse orders with an old fencing
-	// number.
-	ChecksFencing bool `json:"checks-fencing,omitempty"`
-}
-
-// ClientAccount is a customer.
-type ClientAccount struct {
-	Name   string `json:"name"`
-	Labels Labels `json:"labels,omitempty"`
-	// Weight is the account's share under contention; 1 if not stated.
-	Weight int `json:"weight,omitempty"`
-}
-
-// Key admits callers for a client account. Only the keyed hash is stored.
-type Key struct {
-	ID      string `json:"id"`
-	Labels  Labels `json:"labels,omitempty"`
-	Account string `json:"account"`
-	// Hash is the hex HMAC-SHA-256 of the key under the deployment secret.
-	Hash string `json:"hash"`
-}
-
-// Route exposes a fleet of plain services to callers.
-type Route struct {
-	Name   string `json:"name"`
-	Labels Labels `json:"labels,omitempty"`
-	// Path is a path prefix such as "/bookings".
-	Path  string `json:"path"`
-	Fleet string `json:"fleet"`
-	// Open routes need no key.
-	Open bool `json:"open,omitempty"`
-	// Methods that may be repeated safely; GET, HEAD and OPTIONS if empty.
-	RepeatableMethods []string `json:"repeatable-methods,omitempty"`
-	// Accounts matches the client accounts that may use the route; an empty
-	// match admits all.
-	Accounts Labels `json:"accounts,omitempty"`
-	// Timeout is the default deadline of a call.
-	Timeout Duration `json:"timeout,omitempty"`
-}
-
-// Range bounds a number of replicas.
-type Range struct {
-	Min int `json:"min"`
-	Max int `json:"max"`
-}
-
-// Priority is the urgency class of requests.
-type Priority string
-
-// Priorities, most urgent first.
-const (
-	Interactive Priority = "interactive"
-	Draft       Priority = "draft"
-	Batch       Priority = "batch"
-)
+func (c Config) change(puts []Object, deletes []Ref) Config {
+	touched := drset.Set[Kind]{}
+	for _, r := range deletes {
+		c = c.fork(touched, r.Kind)
+		c.remove(r)
+	}
+	for _, o := range puts {
+		c = c.fork(touched, o.Ref().Kind)
+		c.put(o)
+	}
+	if touched.Has(KindKey) {
+		c.keyIDs = indexKeys(c.keys)
+	}
+	if touched.Has(KindRoute) {
+		c.paths = make(map[string]string, len(c.routes))
+		for _, r := range c.routes {
+			c.paths[r.Path] = r.Name
+		}
+	}
+	for _, k := range []Kind{KindModel, KindAdapter, KindAccount, KindSelector} {
+		if touched.Has(k) {
+			c.view = newView(c)
+			break
+		}
+	}
+	return c
+}
+
+// fork clones the map of the kind, once per change.
+func (c Config) fork(touched drset.Set[Kind], k Kind) Config {
+	if touched.Has(k) {
+		return c
+	}
+	touched.Add(k)
+	switch k {
+	case KindFleet:
+		c.fleets = clone(c.fleets)
+	case KindModel:
+		c.models = clone(c.models)
+	case KindAdapter:
+		c.adapters = clone(c.adapters)
+	case KindAccount:
+		c.accounts = clone(c.accounts)
+	case KindKey:
+		c.keys = clone(c.keys)
+	case KindRoute:
+		c.routes = clone(c.routes)
+	case KindSelector:
+		c.selectors = clone(c.selectors)
+	}
+	return c
+}
+
+// clone is maps.Clone, except that the result can be written to if m is nil.
+func clone[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return map[string]V{}
+	}
+	return maps.Clone(m)
+}
+
+// put and remove write to maps that fork has cloned.
+func (c Config) put(o Object) {
+	switch o := o.(type) {
+	case Fleet:
+		c.fleets[o.Name] = o
+	case Model:
+		c.models[o.Name] = o
+	case Adapter:
+		c.adapters[o.Name] = o
+	case ClientAccount:
+		c.accounts[o.Name] = o
+	case Key:
+		c.keys[o.ID] = o
+	case Route:
+		c.routes[o.Name] = o
+	case Selector:
+		c.selectors[o.Name] = o
+	}
+}
+
+func (c Config) remove(r Ref) {
+	switch r.Kind {
+	case KindFleet:
+		delete(c.fleets, r.Name)
+	case KindModel:
+		delete(c.models, r.Name)
+	case KindAdapter:
+		delete(c.adapters, r.Name)
+	case KindAccount:
+		delete(c.accounts, r.Name)
+	case KindKey:
+		delete(c.keys, r.Name)
+	case KindRoute:
+		delete(c.routes, r.Name)
+	case KindSelector:
+		delete(c.selectors, r.Name)
+	}
+}
+
+func indexKeys(keys map[string]Key) map[[hashSize]byte]string {
+	index := make(map[[hashSize]byte]string, len(keys))
+	for id, k := range keys {
+		var h [hashSize]byte
+		if n, err := hex.Decode(h[:], []byte(k.Hash)[:min(len(k.Hash), 2*hashSize)]); err == nil && n == hashSize {
+			index[h] = id
+		}
+	}
+	return index
+}
+
+// Object returns any object.
+func (c Config) Object(r Ref) (Object, bool) {
+	switch r.Kind {
+	case KindFleet:
+		return find[Fleet](c.fleets, r.Name)
+	case KindModel:
+		return find[Model](c.models, r.Name)
+	case KindAdapter:
+		return find[Adapter](c.adapters, r.Name)
+	case KindAccount:
+		return find[ClientAccount](c.accounts, r.Name)
+	case KindKey:
+		return find[Key](c.keys, r.Name)
+	case KindRoute:
+		return find[Route](c.routes, r.Name)
+	case KindSelector:
+		return find[Selector](c.selectors, r.Name)
+	}
+	return nil, false
+}
+
+func find[V Object](m map[string]V, name string) (Object, bool) {
+	v, ok := m[name]
+	if !ok {
+		return nil, false
+	}
+	return v, true
+}
+
+// Objects returns all objects, ordered by kind and name.
+func (c Config) Objects() Objects {
+	var all Objects
+	all = appendSorted(all, c.fleets)
+	all = appendSorted(all, c.models)
+	all = appendSorted(all, c.adapters)
+	all = appendSorted(all, c.accounts)
+	all = appendSorted(all, c.keys)
+	all = appendSorted(all, c.routes)
+	return appendSorted(all, c.selectors)
+}
+
+func appendSorted[V Object](all Objects, m map[string]V) Objects {
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		all = append(all, m[name])
+	}
+	return all
+}
+
+func sorted[V any](m map[string]V) []V {
+	values := make([]V, 0, len(m))
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		values = append(values, m[name])
+	}
+	return values
+}
+
+// Fleet returns the named fleet.
+func (c Config) Fleet(name string) (Fleet, bool) {
+	f, ok := c.fleets[name]
+	return f, ok
+}
+
+// Model returns the named model.
+func (c Config) Model(name string) (Model, bool) {
+	m, ok := c.models[name]
+	return m, ok
+}
+
+// Adapter returns the named adapter.
+func (c Config) Adapter(name string) (Adapter, bool) {
+	a, ok := c.adapters[name]
+	return a, ok
+}
+
+// Account returns the named client account.
+func (c Config) Account(name string) (ClientAccount, bool) {
+	a, ok := c.accounts[name]
+	return a, ok
+}
 
-// Selector says which models stay available for which client accounts, at
-// what rate.
-type Selector struct {
-	Name   string `json:"name"`
-	Labels Labels `json:"labels,omitempty"`
-	// Models and Accounts match objects that carry all the given labels.
-	Models   Labels `json:"models"`
-	Accounts Labels `json:"accounts"`
-	// Rate is in tokens per second, Burst in tokens, for each matched
-	// account over all its models. Selectors that match the same account
-	// must not state different values.
-	Rate  float64 `json:"rate"`
-	Burst float64 `json:"burst"`
-	// Replicas bounds the replicas of each matched model; the largest Max
-	// and Min over all selectors apply.
-	Replicas Range `json:"replicas"`
-	// Priority is the most urgent class that requests may claim.
-	Priority Priority `json:"priority,omitempty"`
-	// IdleTimeout unloads a model that had no request for so long.
-	IdleTimeout Duration `json:"idle-timeout,omitempty"`
-}
-
-// Duration is a time.Duration written as "5s" in JSON.
-type Duration time.Duration
-
-// Limit is the token limit of a client account over all VMs together.
-type Limit struct {
-	Rate  float64 // tokens per second
-	Burst float64 // tokens
+// Key returns the key with the id.
+func (c Config) Key(id string) (Key, bool) {
+	k, ok := c.keys[id]
+	return k, ok
 }
+
+// Selector returns the named selector.
+func (c Config) Selector(name string) (Selector, bool) {
+	s, ok := c.selectors[name]
+	return s, ok
+}
+
+// Route returns the route with the longest path that is a prefix of path in
+// whole segments: "/bookings" serves "/bookings/7" but not "/bookings2". The
+// caller must have removed "." and ".." segments.
+func (c Config) Route(path string) (Route, bool) {
+	for path != "" {
+		if name, ok := c.paths[path]; ok {
+			return c.routes[name], true
+		}
+		path = path[:max(0, strings.LastIndexByte(path, '/'))]
+	}
+	return Route{}, false
+}
+
+// Fleets returns all fleets by name.
+func (c Config) Fleets() []Fleet { return sorted(c.fleets) }
+
+// Models returns all models by name.
+func (c Config) Models() []Model { return sorted(c.models) }
+
+// Adapters returns all adapters by name.
+func (c Config) Adapters() []Adapter { return sorted(c.adapters) }
+
+// Accounts returns all client accounts by name.
+func (c Config) Accounts() []ClientAccount { return sorted(c.accounts) }
+
+// Keys returns all keys by id.
+func (c Config) Keys() []Key { return sorted(c.keys) }
+
+// Routes returns all routes by name.
+func (c Config) Routes() []Route { return sorted(c.routes) }
+
+// Selectors returns all selectors by name.
+func (c Config) Selectors() []Selector { return sorted(c.selectors) }
--- /dev/null
+++ b/drconfig/diff.go
@@ -0,0 +1,32 @@
+package drconfig
+
+import (
+	"bytes"
+
+	"github.com/dotterelridge/dotterelridge/drset"
+)
+
+// Diff returns the puts that bring current to the desired objects and, if
+// prune is set, the deletes of objects that are not desired. Pruning concerns
+// only the kinds of which at least one object is desired, so that files
+// without keys, for example, never withdraw keys that were issued separately.
+// Both results are ordered by kind and name.
+func Diff(current Config, desired Objects, prune bool) (puts Objects, deletes []Ref) {
+	wanted, kinds := drset.Set[Ref]{}, drset.Set[Kind]{}
+	for _, o := range desired {
+		r := o.Ref()
+		wanted.Add(r)
+		kinds.Add(r.Kind)
+		old, ok := current.Object(r)
+		if !ok || !bytes.Equal(EncodeObject(old), EncodeObject(o)) {
+			puts = append(puts, o)
+		}
+	}
+	sortObjects(puts)
+	for _, o := range current.Objects() {
+		if r := o.Ref(); prune && kinds.Has(r.Kind) && !wanted.Has(r) {
+			deletes = append(deletes, r)
+		}
+	}
+	return puts, deletes
+}
--- /dev/null
+++ b/drconfig/fold.go
@@ -0,0 +1,192 @@
+package drconfig
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/dotterelridge/dotterelridge/drjson"
+	"github.com/dotterelridge/dotterelridge/drlog"
+)
+
+const (
+	// Window is the number of offsets for which results and deletions are
+	// kept. A change based on an older offset is rejected, so a repeat whose
+	// first result is forgotten cannot take effect again. 4,096 offsets are
+	// about five hours at the target of 20,000 changes per day.
+	Window = 4096
+	// maxProblems bounds the text that is kept for a rejected change.
+	maxProblems = 16
+)
+
+var _ drlog.Folder = (*Fold)(nil)
+
+// Fold is the configuration that the records of the config stream produce. A
+// record is accepted if its change is valid and touches no object that changed
+// after its BasedOn. One goroutine applies records; any may read.
+type Fold struct {
+	current   atomic.Pointer[Config]
+	mu        sync.RWMutex
+	applied   uint64
+	changed   map[Ref]uint64 // offset of the last change, also of deleted objects
+	deleted   []deletion     // oldest first
+	results   map[string]Result
+	recent    []string // ids in results, oldest first
+	listeners []func(before, after Config)
+}
+
+// deletion remembers when an object was deleted, so that a change based on an
+// earlier offset does not bring it back.
+type deletion struct {
+	ref    Ref
+	offset uint64
+}
+
+// NewFold returns the fold of an empty stream.
+func NewFold() *Fold {
+	f := &Fold{changed: map[Ref]uint64{}, results: map[string]Result{}}
+	f.current.Store(&Config{})
+	return f
+}
+
+// Current returns the configuration in force without taking a lock.
+func (f *Fold) Current() Config { return *f.current.Load() }
+
+// Offset returns the offset of the last applied record, which a new change
+// should be based on.
+func (f *Fold) Offset() uint64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.applied
+}
+
+// Result returns what became of the change, false if it is not in the last
+// Window offsets.
+func (f *Fold) Result(changeID string) (Result, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	r, ok := f.results[changeID]
+	r.Problems = slices.Clone(r.Problems)
+	return r, ok
+}
+
+// OnChange registers a function that is called with the configurations before
+// and after each accepted change or restore, in order, on the goroutine that
+// applies records. It must not block or apply records.
+func (f *Fold) OnChange(listener func(before, after Config)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listeners = append(f.listeners, listener)
+}
+
+// Apply implements drlog.Folder.
+func (f *Fold) Apply(r drlog.Record) {
+	f.mu.Lock()
+	if r.Offset <= f.applied {
+		f.mu.Unlock()
+		return
+	}
+	f.applied = r.Offset
+	f.forget()
+	before, after := f.Current(), f.Current()
+	c, problems, err := decodeChange(r.Data)
+	if _, repeated := f.results[c.ID]; err == nil && !repeated {
+		after = f.fold(c, problems)
+		f.current.Store(&after)
+	}
+	f.mu.Unlock()
+	if after.offset != before.offset {
+		f.notify(before, after)
+	}
+}
+
+// notify calls the listeners without holding the lock, so that they may call
+// Result.
+func (f *Fold) notify(before, after Config) {
+	f.mu.RLock()
+	listeners := slices.Clone(f.listeners)
+	f.mu.RUnlock()
+	for _, l := range listeners {
+		l(before, after)
+	}
+}
+
+// fold records the result of a new change at the applied offset and returns
+// the configuration that follows from it.
+func (f *Fold) fold(c Change, problems []drjson.Problem) Config {
+	after := f.Current()
+	if problems == nil {
+		problems = f.conflicts(c)
+	}
+	if problems == nil {
+		after, problems = c.ApplyTo(after)
+	}
+	result := Result{Offset: f.applied, Accepted: problems == nil}
+	for i, p := range problems {
+		if i == maxProblems {
+			result.Problems = append(result.Problems, fmt.Sprintf("and %d more", len(problems)-i))
+			break
+		}
+		result.Problems = append(result.Problems, p.String())
+	}
+	f.results[c.ID] = result
+	f.recent = append(f.recent, c.ID)
+	if !result.Accepted {
+		return after
+	}
+	for _, o := range c.Puts {
+		f.touch(o.Ref(), false)
+	}
+	for _, r := range c.Deletes {
+		f.touch(r, true)
+	}
+	return after.WithOffset(f.applied)
+}
+
+func (f *Fold) touch(r Ref, deleted bool) {
+	f.deleted = slices.DeleteFunc(f.deleted, func(d deletion) bool { return d.ref == r })
+	f.changed[r] = f.applied
+	if deleted {
+		f.deleted = append(f.deleted, deletion{r, f.applied})
+	}
+}
+
+// conflicts says which objects changed after the offset the change is based on.
+func (f *Fold) conflicts(c Change) []drjson.Problem {
+	if c.BasedOn >= f.applied {
+		return []drjson.Problem{{Reason: fmt.Sprintf("based on offset %d, which is not before the change's own offset %d", c.BasedOn, f.applied)}}
+	}
+	if c.BasedOn < f.oldest() {
+		return []drjson.Problem{{Reason: fmt.Sprintf("based on offset %d, which is more than %d offsets old", c.BasedOn, Window)}}
+	}
+	var problems []drjson.Problem
+	for _, r := range c.refs() {
+		if at := f.changed[r]; at > c.BasedOn {
+			problems = append(problems, drjson.Problem{Reason: fmt.Sprintf("%s changed at offset %d, after offset %d that the change is based on", r, at, c.BasedOn)})
+		}
+	}
+	return problems
+}
+
+// oldest is the lowest offset that a change at the applied offset may be based
+// on.
+func (f *Fold) oldest() uint64 { return f.applied - min(f.applied, Window) }
+
+// forget drops results and deletions older than the window. It depends only on
+// the applied offset, so all folds drop the same ones.
+func (f *Fold) forget() {
+	oldest := f.oldest()
+	n := 0
+	for n < len(f.recent) && f.results[f.recent[n]].Offset < oldest {
+		delete(f.results, f.recent[n])
+		n++
+	}
+	f.recent = slices.Delete(f.recent, 0, n)
+	n = 0
+	for n < len(f.deleted) && f.deleted[n].offset < oldest {
+		delete(f.changed, f.deleted[n].ref)
+		n++
+	}
+	f.deleted = slices.Delete(f.deleted, 0, n)
+}
--- /dev/null
+++ b/drconfig/fold_test.go
@@ -0,0 +1,331 @@
+package drconfig
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drlog"
+	"github.com/dotterelridge/dotterelridge/drpb"
+)
+
+// TestMain fixes the seed of the property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// stream appends records and folds them.
+type stream struct {
+	*Fold
+	next uint64
+}
+
+func newStream() *stream {
+	s := &stream{Fold: NewFold(), next: 1}
+	s.change("base", 0, base()...)
+	return s
+}
+
+func (s *stream) append(data []byte) {
+	s.Apply(drlog.Record{Offset: s.next, Data: data})
+	s.next++
+}
+
+func (s *stream) change(id string, basedOn uint64, puts ...Object) Result {
+	s.append(Change{ID: id, BasedOn: basedOn, Puts: puts}.Encode())
+	r, _ := s.Result(id)
+	return r
+}
+
+func other(weight int) Object { return ClientAccount{Name: "other", Weight: weight} }
+
+// Guards against operators who overwrite each other, a partly applied change,
+// and a retry that takes effect twice.
+func TestFold(t *testing.T) {
+	is := is.New(t)
+	s := newStream()
+	is.Equal(s.Current().Offset(), uint64(1))
+	is.True(s.change("a", 1, other(2)).Accepted)
+	// Concurrent with a, on the same object and on another one.
+	r := s.change("b", 1, other(3), ClientAccount{Name: "small", Weight: 9})
+	is.Equal(r, Result{Offset: 3, Problems: []string{"client-account other changed at offset 2, after offset 1 that the change is based on"}})
+	small, _ := s.Current().Account("small")
+	is.Equal(small.Weight, 2)
+	is.True(s.change("c", 1, ClientAccount{Name: "small", Labels: small.Labels, Weight: 4}).Accepted)
+	// Invalid as a whole.
+	r = s.change("d", 4, other(5), Key{ID: "k", Account: "none", Hash: HashKey(secret, "k")})
+	is.Equal(r.Accepted, false)
+	is.Equal(r.Problems, []string{`key k: client account "none" does not exist`})
+	// The answer to a was lost: its retry has the first result, after others
+	// changed the same object too.
+	is.True(s.change("e", 5, other(6)).Accepted)
+	is.Equal(s.change("a", 1, other(2)), Result{Offset: 2, Accepted: true})
+	is.Equal(s.change("d", 6, other(5)), r)
+	got, _ := s.Current().Account("other")
+	is.Equal(got.Weight, 6)
+	is.Equal(s.Current().Offset(), uint64(6))
+	is.Equal(s.Offset(), uint64(8))
+	is.Equal(s.change("f", 9, other(7)).Accepted, false) // based on itself
+	// An old record that is applied again changes nothing.
+	s.Apply(drlog.Record{Offset: 2, Data: Change{ID: "z", Puts: Objects{other(9)}}.Encode()})
+	_, ok := s.Result("z")
+	is.True(!ok)
+}
+
+// Guards against a deleted object that a stale change brings back.
+func TestFoldDelete(t *testing.T) {
+	is := is.New(t)
+	s := newStream()
+	s.append(Change{ID: "a", BasedOn: 1, Deletes: []Ref{{KindAccount, "other"}}}.Encode())
+	_, ok := s.Current().Account("other")
+	is.True(!ok)
+	is.Equal(s.change("b", 1, other(2)).Accepted, false)
+	is.True(s.change("c", 2, other(2)).Accepted)
+}
+
+// Guards against records that are no change, or of another version.
+func TestFoldMalformed(t *testing.T) {
+	is := is.New(t)
+	s := newStream()
+	before := s.Current()
+	for _, data := range [][]byte{nil, []byte("garbage"), Change{BasedOn: 1, Puts: Objects{other(2)}}.Encode(), Change{ID: strings.Repeat("x", maxChangeID+1)}.Encode()} {
+		s.append(data)
+	}
+	is.Equal(s.Current().Offset(), before.Offset())
+	encode := func(c *drpb.ConfigChange) []byte {
+		c.BasedOn = s.Offset()
+		b, err := proto.Marshal(c)
+		is.NoErr(err)
+		return b
+	}
+	put := func(kind, name, json string) []*drpb.ConfigObject {
+		return []*drpb.ConfigObject{{Kind: kind, Name: name, Json: []byte(json)}}
+	}
+	for id, c := range map[string]*drpb.ConfigChange{
+		"unsupported format 99, want 1":                         {Format: 99},
+		"the change is empty":                                   {Format: 1},
+		`accounts x:1:1: unknown kind "accounts"`:               {Format: 1, Puts: put("accounts", "x", `{}`)},
+		`client-account x:1:1: the object is named "y"`:         {Format: 1, Puts: put("client-account", "x", `{"name": "y"}`)},
+		`client-account x:1:15: unknown field "weigh"`:          {Format: 1, Puts: put("client-account", "x", `{"name": "x", "weigh": 1}`)},
+		`client-account x: hujson: line 1, column 1: `:          {Format: 1, Puts: put("client-account", "x", ``)},
+		`accounts x does not exist and cannot be deleted`:       {Format: 1, Deletes: []*drpb.ConfigRef{{Kind: "accounts", Name: "x"}}},
+		`client-account x does not exist and cannot be deleted`: {Format: 1, Deletes: []*drpb.ConfigRef{{Kind: "client-account", Name: "x"}}},
+	} {
+		c.ChangeId = id[:min(len(id), maxChangeID)]
+		s.append(encode(c))
+		r, ok := s.Result(c.ChangeId)
+		is.True(ok)
+		is.True(!r.Accepted)
+		if len(r.Problems) != 1 || !strings.HasPrefix(r.Problems[0], id) && !strings.HasPrefix(id, "client-account x: hujson") {
+			t.Errorf("problems are %q, want %q", r.Problems, id)
+		}
+	}
+}
+
+// Guards against results that are kept forever, and a retry that takes effect
+// again once its first result is forgotten.
+func TestFoldForgets(t *testing.T) {
+	is := is.New(t)
+	s := newStream()
+	is.True(s.change("first", 1, other(2)).Accepted)
+	s.append(Change{ID: "delete", BasedOn: 2, Deletes: []Ref{{KindKey, "k2"}}}.Encode())
+	for i := range Window + 10 {
+		s.append(Change{ID: fmt.Sprint(i), BasedOn: s.Offset()}.Encode())
+	}
+	_, ok := s.Result("first")
+	is.True(!ok)
+	is.True(len(s.results) <= Window+1)
+	is.Equal(len(s.recent), len(s.results))
+	is.Equal(len(s.deleted), 0)
+	r := s.change("first", 1, other(2))
+	is.Equal(r.Problems, []string{"based on offset 1, which is more than 4096 offsets old"})
+	is.Equal(s.change("key", 2, base()[11]).Accepted, false)
+}
+
+// Guards against a withdrawn key that still authenticates, and against queued
+// requests that are not told of the withdrawal.
+func TestWithdrawnKey(t *testing.T) {
+	is := is.New(t)
+	s := newStream()
+	var gone []string
+	s.OnChange(func(before, after Config) {
+		for _, k := range before.Keys() {
+			if _, ok := after.Key(k.ID); !ok {
+				gone = append(gone, k.ID)
+			}
+		}
+		_, ok := s.Result("withdraw")
+		is.True(ok)
+		is.Equal(s.Current().Offset(), after.Offset())
+	})
+	_, ok := s.Current().Authenticate("drk_one", secret)
+	is.True(ok)
+	s.append(Change{ID: "withdraw", BasedOn: 1, Deletes: []Ref{{KindKey, "k1"}}}.Encode())
+	_, ok = s.Current().Authenticate("drk_one", secret)
+	is.True(!ok)
+	is.Equal(gone, []string{"k1"})
+	s.append(nil) // no change, no call
+	is.Equal(gone, []string{"k1"})
+}
+
+// Guards against a snapshot that loses state, moves a fold back in time, or
+// is taken although it is damaged.
+func TestSnapshot(t *testing.T) {
+	is := is.New(t)
+	s := newStream()
+	s.append(Change{ID: "a", BasedOn: 1, Deletes: []Ref{{KindKey, "k1"}}}.Encode())
+	s.change("b", 1, other(-1))
+	snapshot := s.Snapshot()
+	f := NewFold()
+	called := 0
+	f.OnChange(func(_, _ Config) { called++ })
+	is.NoErr(f.Restore(3, snapshot))
+	is.Equal(called, 1)
+	is.True(bytes.Equal(f.Snapshot(), snapshot))
+	is.Equal(f.Current().Objects(), s.Current().Objects())
+	is.Equal(f.Current().Offset(), uint64(2))
+	r, _ := f.Result("b")
+	is.Equal(r.Problems, []string{"client-account other: weight -1 is negative"})
+	f.Apply(drlog.Record{Offset: 4, Data: Change{ID: "c", BasedOn: 1, Puts: Objects{base()[10]}}.Encode()})
+	r, _ = f.Result("c")
+	is.Equal(r.Accepted, false) // k1 was deleted after offset 1
+	is.True(f.Restore(3, snapshot) != nil)
+	is.True(f.Restore(2, snapshot) != nil)
+	is.True(NewFold().Restore(2, snapshot) != nil)
+	is.True(NewFold().Restore(3, snapshot[:len(snapshot)-3]) != nil)
+	is.True(NewFold().Restore(3, nil) != nil)
+	is.Equal(f.Offset(), uint64(4))
+}
+
+// oracle is an independent model of what operators must see.
+type oracle struct {
+	weight map[string]int
+	at     map[string]uint64
+	result map[string]Result
+}
+
+func (o *oracle) apply(offset uint64, c Change) {
+	if _, ok := o.result[c.ID]; ok {
+		return
+	}
+	accepted := true
+	for _, p := range c.Puts {
+		a := p.(ClientAccount)
+		accepted = accepted && o.at[a.Name] <= c.BasedOn && a.Weight >= 0
+	}
+	for _, d := range c.Deletes {
+		_, exists := o.weight[d.Name]
+		accepted = accepted && o.at[d.Name] <= c.BasedOn && exists
+	}
+	o.result[c.ID] = Result{Offset: offset, Accepted: accepted}
+	if !accepted {
+		return
+	}
+	for _, p := range c.Puts {
+		o.weight[p.Ref().Name], o.at[p.Ref().Name] = p.(ClientAccount).Weight, offset
+	}
+	for _, d := range c.Deletes {
+		delete(o.weight, d.Name)
+		o.at[d.Name] = offset
+	}
+}
+
+func drawChange(t *rapid.T, id int, head uint64) Change {
+	c := Change{ID: fmt.Sprint(id), BasedOn: uint64(rapid.IntRange(max(0, int(head)-4), int(head)).Draw(t, "based-on"))}
+	for _, n := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 2, rapid.ID[string]).Draw(t, "objects") {
+		if rapid.IntRange(0, 3).Draw(t, "delete") == 0 {
+			c.Deletes = append(c.Deletes, Ref{KindAccount, n})
+		} else {
+			c.Puts = append(c.Puts, ClientAccount{Name: n, Weight: rapid.IntRange(-1, 9).Draw(t, "weight")})
+		}
+	}
+	return c
+}
+
+// Guards against an accepted change that is lost or reverted, and against
+// folders that disagree, for any interleaving of operators with stale views,
+// late appends, retries and restored snapshots.
+func TestOperatorsRacing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := oracle{map[string]int{}, map[string]uint64{}, map[string]Result{}}
+		steady, restored := NewFold(), NewFold()
+		var pending, sent []Change
+		offset := uint64(0)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			pending = append(pending, drawChange(t, step, offset))
+			if rapid.IntRange(0, 2).Draw(t, "wait") == 0 {
+				continue // the append arrives later, perhaps out of order
+			}
+			i := rapid.IntRange(0, len(pending)-1).Draw(t, "which")
+			c := pending[i]
+			pending = slices.Delete(pending, i, i+1)
+			if len(sent) > 0 && rapid.IntRange(0, 4).Draw(t, "retry") == 0 {
+				c = rapid.SampledFrom(sent).Draw(t, "again")
+			}
+			sent = append(sent, c)
+			offset++
+			want.apply(offset, c)
+			steady.Apply(drlog.Record{Offset: offset, Data: c.Encode()})
+			restored.Apply(drlog.Record{Offset: offset, Data: c.Encode()})
+			if rapid.Bool().Draw(t, "restart") {
+				snapshot := restored.Snapshot()
+				restored = NewFold()
+				if err := restored.Restore(offset, snapshot); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !bytes.Equal(steady.Snapshot(), restored.Snapshot()) {
+				t.Fatalf("folds differ at offset %d", offset)
+			}
+			got := map[string]int{}
+			for _, a := range steady.Current().Accounts() {
+				got[a.Name] = a.Weight
+			}
+			if fmt.Sprint(got) != fmt.Sprint(want.weight) {
+				t.Fatalf("at offset %d the configuration is %v, want %v", offset, got, want.weight)
+			}
+			for id, w := range want.result {
+				if r, _ := steady.Result(id); r.Offset != w.Offset || r.Accepted != w.Accepted {
+					t.Fatalf("change %s has result %+v, want %+v", id, r, w)
+				}
+			}
+		}
+	})
+}
+
+// Guards against panics on hostile records, and against folds that cannot be
+// restored after one.
+func FuzzApply(f *testing.F) {
+	f.Add(Change{ID: "a", BasedOn: 1, Puts: Objects{other(3)}, Deletes: []Ref{{KindKey, "k1"}}}.Encode())
+	f.Add(Change{ID: "b", BasedOn: 1, Puts: base()}.Encode())
+	f.Add([]byte("\x0a\x01a\x20\x01"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := newStream()
+		s.append(data)
+		restored := NewFold()
+		if err := restored.Restore(2, s.Snapshot()); err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(restored.Snapshot(), s.Snapshot()) {
+			t.Error("the restored fold differs")
+		}
+		if problems := s.Current().Problems(); problems != nil {
+			t.Errorf("an invalid configuration is in force: %v", problems)
+		}
+	})
+}
--- /dev/null
+++ b/drconfig/load.go
@@ -0,0 +1,124 @@
+package drconfig
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/dotterelridge/dotterelridge/drjson"
+	"github.com/dotterelridge/dotterelridge/drset"
+)
+
+// extensions of the files that Load reads in directories.
+var extensions = []string{".json", ".jsonc"}
+
+// Load reads declaration files, and in directories all .json and .jsonc files
+// in lexical order. It returns the objects and every problem found, including
+// those of the resulting configuration as a whole. The objects are usable
+// only if there are no problems.
+func Load(paths ...string) (Objects, []drjson.Problem) { return LoadOnto(Config{}, paths...) }
+
+// LoadOnto is Load for objects that are added to an existing configuration,
+// to which they may refer.
+func LoadOnto(base Config, paths ...string) (Objects, []drjson.Problem) {
+	var l loader
+	for _, p := range paths {
+		l.walk(p)
+	}
+	return l.finish(base)
+}
+
+// Parse reads declarations from src. The file name is used in problems only.
+func Parse(file string, src []byte) (Objects, []drjson.Problem) {
+	var l loader
+	l.parse(file, src)
+	return l.finish(Config{})
+}
+
+// loader collects declarations and where they were made.
+type loader struct {
+	objects  Objects
+	declared map[Ref]drjson.Node
+	problems []drjson.Problem
+}
+
+func (l *loader) walk(root string) {
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() || path != root && !slices.Contains(extensions, filepath.Ext(path)) {
+			return nil
+		}
+		src, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		l.parse(path, src)
+		return nil
+	})
+	if err != nil {
+		p := drjson.Problem{File: root, Reason: err.Error()}
+		if pe, ok := errors.AsType[*fs.PathError](err); ok {
+			p.File, p.Reason = pe.Path, pe.Err.Error()
+		}
+		l.problems = append(l.problems, p)
+	}
+}
+
+func (l *loader) parse(file string, src []byte) {
+	root, problems := drjson.Parse(file, src)
+	if problems != nil {
+		l.problems = append(l.problems, problems...)
+		return
+	}
+	for _, n := range root.Elements() {
+		l.declaration(n)
+	}
+}
+
+func (l *loader) declaration(n drjson.Node) {
+	members, ok := n.Members()
+	if !ok || len(members) != 1 {
+		l.problems = append(l.problems, n.Problem("want a declaration {\"KIND\": {...}} with one member"))
+		return
+	}
+	m := members[0]
+	if newObject(Kind(m.Key)) == nil {
+		_, problems := decodeObject(Kind(m.Key), m.Name)
+		l.problems = append(l.problems, problems...)
+		return
+	}
+	o, problems := decodeObject(Kind(m.Key), m.Value)
+	l.problems = append(l.problems, problems...)
+	if first, ok := l.declared[o.Ref()]; ok {
+		at := first.Problem("")
+		l.problems = append(l.problems, m.Value.Problem("%s is already declared at %s:%d:%d", o.Ref(), at.File, at.Line, at.Column))
+		return
+	}
+	if l.declared == nil {
+		l.declared = map[Ref]drjson.Node{}
+	}
+	l.declared[o.Ref()] = m.Value
+	l.objects = append(l.objects, o)
+}
+
+// finish validates the whole and orders the problems by position. Objects of
+// the base that were valid before can only fail through new ones.
+func (l *loader) finish(base Config) (Objects, []drjson.Problem) {
+	whole := base.With(l.objects...)
+	mistyped := drset.Set[drjson.Problem]{}
+	for _, p := range l.problems {
+		mistyped.Add(drjson.Problem{File: p.File, Line: p.Line, Column: p.Column})
+	}
+	for _, p := range toProblems(check(whole, allKinds), l.declared) {
+		// A member that could not be decoded is not reported as missing too.
+		if !mistyped.Has(drjson.Problem{File: p.File, Line: p.Line, Column: p.Column}) {
+			l.problems = append(l.problems, p)
+		}
+	}
+	slices.SortStableFunc(l.problems, drjson.Problem.Compare)
+	return l.objects, l.problems
+}
--- /dev/null
+++ b/drconfig/object.go
@@ -0,0 +1,128 @@
+package drconfig
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+
+	"github.com/dotterelridge/dotterelridge/drjson"
+)
+
+// Kind is the type of a declared object.
+type Kind string
+
+// Kinds of objects.
+const (
+	KindFleet    Kind = "fleet"
+	KindModel    Kind = "model"
+	KindAdapter  Kind = "adapter"
+	KindAccount  Kind = "client-account"
+	KindKey      Kind = "key"
+	KindRoute    Kind = "route"
+	KindSelector Kind = "selector"
+)
+
+// Kinds lists all kinds; an object refers only to kinds that precede its own.
+var Kinds = []Kind{KindFleet, KindModel, KindAdapter, KindAccount, KindKey, KindRoute, KindSelector}
+
+// Object is a declared object: Fleet, Model, Adapter, ClientAccount, Key,
+// Route or Selector.
+type Object interface {
+	// Ref identifies the object.
+	Ref() Ref
+	labels() Labels
+}
+
+// Objects is a set of declared objects.
+type Objects []Object
+
+// Ref implements Object.
+func (f Fleet) Ref() Ref { return Ref{KindFleet, f.Name} }
+
+// Ref implements Object.
+func (m Model) Ref() Ref { return Ref{KindModel, m.Name} }
+
+// Ref implements Object.
+func (a Adapter) Ref() Ref { return Ref{KindAdapter, a.Name} }
+
+// Ref implements Object.
+func (a ClientAccount) Ref() Ref { return Ref{KindAccount, a.Name} }
+
+// Ref implements Object.
+func (k Key) Ref() Ref { return Ref{KindKey, k.ID} }
+
+// Ref implements Object.
+func (r Route) Ref() Ref { return Ref{KindRoute, r.Name} }
+
+// Ref implements Object.
+func (s Selector) Ref() Ref { return Ref{KindSelector, s.Name} }
+
+func (f Fleet) labels() Labels         { return f.Labels }
+func (m Model) labels() Labels         { return m.Labels }
+func (a Adapter) labels() Labels       { return a.Labels }
+func (a ClientAccount) labels() Labels { return a.Labels }
+func (k Key) labels() Labels           { return k.Labels }
+func (r Route) labels() Labels         { return r.Labels }
+func (s Selector) labels() Labels      { return s.Labels }
+
+// newObject returns a pointer to an empty object of the kind, nil if there is
+// no such kind.
+func newObject(k Kind) any {
+	switch k {
+	case KindFleet:
+		return new(Fleet)
+	case KindModel:
+		return new(Model)
+	case KindAdapter:
+		return new(Adapter)
+	case KindAccount:
+		return new(ClientAccount)
+	case KindKey:
+		return new(Key)
+	case KindRoute:
+		return new(Route)
+	case KindSelector:
+		return new(Selector)
+	}
+	return nil
+}
+
+// decodeObject decodes an object of the kind strictly. The object is nil if
+// there is no such kind.
+func decodeObject(k Kind, n drjson.Node) (Object, []drjson.Problem) {
+	into := newObject(k)
+	if into == nil {
+		p := n.Problem("unknown kind %q", k)
+		names := make([]string, len(Kinds))
+		for i, k := range Kinds {
+			names[i] = string(k)
+		}
+		p.Suggestion = drjson.Closest(string(k), names)
+		return nil, []drjson.Problem{p}
+	}
+	problems := n.Decode(into)
+	return reflect.ValueOf(into).Elem().Interface().(Object), problems
+}
+
+// EncodeObject returns the JSON of o without its kind.
+func EncodeObject(o Object) []byte {
+	b, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // objects hold only finite numbers and strings
+	}
+	return b
+}
+
+// Declaration returns o as a declaration file writes it: {"KIND": {...}}.
+func Declaration(o Object) []byte {
+	b, err := json.MarshalIndent(map[Kind]Object{o.Ref().Kind: o}, "", "  ")
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// sortObjects orders by kind, in the order of Kinds, then by name.
+func sortObjects(objects Objects) {
+	slices.SortFunc(objects, func(a, b Object) int { return a.Ref().Compare(b.Ref()) })
+}
--- /dev/null
+++ b/drconfig/view.go
@@ -0,0 +1,159 @@
+package drconfig
+
+import (
+	"slices"
+	"time"
+)
+
+// DefaultIdleTimeout applies to models whose selectors state none.
+const DefaultIdleTimeout = 5 * time.Minute
+
+// view is what the selectors mean for each account, model and adapter. It is
+// computed once per configuration.
+type view struct {
+	selectors []Selector // by name
+	// accounts and targets give the matching selectors as ascending indexes.
+	// Objects with equal labels share one slice.
+	accounts map[string][]int32
+	targets  map[string][]int32 // models and adapters
+	limits   map[string]Limit   // by account
+	replicas map[string]Range   // by model
+	idle     map[string]time.Duration
+}
+
+func newView(c Config) *view {
+	v := &view{
+		selectors: c.Selectors(),
+		accounts:  make(map[string][]int32, len(c.accounts)),
+		targets:   make(map[string][]int32, len(c.models)+len(c.adapters)),
+		limits:    make(map[string]Limit, len(c.accounts)),
+		replicas:  make(map[string]Range, len(c.models)),
+		idle:      make(map[string]time.Duration, len(c.models)),
+	}
+	accounts := newMatcher(v.selectors, func(s Selector) Labels { return s.Accounts })
+	models := newMatcher(v.selectors, func(s Selector) Labels { return s.Models })
+	for name, a := range c.accounts {
+		v.accounts[name] = accounts.match(a.Labels)
+		for _, i := range v.accounts[name] {
+			if s := v.selectors[i]; s.Rate > 0 {
+				v.limits[name] = Limit{s.Rate, s.Burst}
+				break
+			}
+		}
+	}
+	for name, m := range c.models {
+		v.targets[name] = models.match(m.Labels)
+		v.widen(name, v.targets[name])
+	}
+	for name, a := range c.adapters {
+		own := models.match(a.Labels)
+		v.widen(a.Base, own)
+		v.targets[name] = union(own, models.match(c.models[a.Base].Labels))
+	}
+	return v
+}
+
+// widen applies selectors to a model's replicas and idle timeout.
+func (v *view) widen(model string, selectors []int32) {
+	for _, i := range selectors {
+		s := v.selectors[i]
+		r := v.replicas[model]
+		v.replicas[model] = Range{max(r.Min, s.Replicas.Min), max(r.Max, s.Replicas.Max)}
+		v.idle[model] = max(v.idle[model], time.Duration(s.IdleTimeout))
+	}
+}
+
+// union merges ascending lists and returns one of them where it can.
+func union(a, b []int32) []int32 {
+	if len(a) == 0 || slices.Equal(a, b) {
+		return b
+	}
+	if len(b) == 0 {
+		return a
+	}
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// Limit returns the token limit of the account, false if there is no such
+// account or no selector states one for it; such an account has no tokens.
+func (c Config) Limit(account string) (Limit, bool) {
+	if c.view == nil {
+		return Limit{}, false
+	}
+	l, ok := c.view.limits[account]
+	return l, ok
+}
+
+// Replicas returns the decided number of replicas of the model: the largest
+// Min and Max over the selectors that match the model or one of its adapters.
+// The zero Range means that it must not be loaded.
+func (c Config) Replicas(model string) Range {
+	if c.view == nil {
+		return Range{}
+	}
+	return c.view.replicas[model]
+}
+
+// IdleTimeout returns how long the model stays loaded without requests.
+func (c Config) IdleTimeout(model string) time.Duration {
+	if c.view != nil && c.view.idle[model] > 0 {
+		return c.view.idle[model]
+	}
+	return DefaultIdleTimeout
+}
+
+// Allowed reports whether the account may use the model or adapter. It may if
+// a selector matches both the account and the target. An adapter is matched
+// by its own labels or by those of its base, because a selector that names a
+// model covers everything that runs on it; selecting an adapter does not give
+// access to its base.
+func (c Config) Allowed(account, target string) (Entitlement, bool) {
+	if c.view == nil {
+		return Entitlement{}, false
+	}
+	priority, ok := c.view.ceiling(c.view.accounts[account], c.view.targets[target])
+	if !ok {
+		return Entitlement{}, false
+	}
+	if a, ok := c.adapters[target]; ok {
+		return Entitlement{Priority: priority, Model: a.Base, Adapter: target}, true
+	}
+	return Entitlement{Priority: priority, Model: target}, true
+}
+
+// ceiling returns the most urgent priority of the selectors in both lists. It
+// searches the longer list for the members of the shorter.
+func (v *view) ceiling(a, b []int32) (Priority, bool) {
+	if len(a) > len(b) {
+		a, b = b, a
+	}
+	best, found := len(Priorities), false
+	for _, i := range a {
+		if _, ok := slices.BinarySearch(b, i); ok {
+			best, found = min(best, v.selectors[i].Priority.rank()), true
+		}
+	}
+	if !found {
+		return "", false
+	}
+	return Priorities[best], true
+}
+
+// ModelsFor returns the names of the models and adapters that the account may
+// use, sorted.
+func (c Config) ModelsFor(account string) []string {
+	if c.view == nil {
+		return nil
+	}
+	var names []string
+	selectors := c.view.accounts[account]
+	for name, t := range c.view.targets {
+		if _, ok := c.view.ceiling(selectors, t); ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/drjson/closest.go
@@ -0,0 +1,40 @@
+package drjson
+
+// Closest returns the candidate with the smallest edit distance to name, or
+// "" if more than a third of the name (at least two letters) would have to
+// change. Ties go to the earlier candidate.
+func Closest(name string, candidates []string) string {
+	best, found := max(2, len(name)/3)+1, ""
+	for _, c := range candidates {
+		if abs(len(c)-len(name)) >= best {
+			continue
+		}
+		if d := distance(name, c); d < best {
+			best, found = d, c
+		}
+	}
+	return found
+}
+
+func abs(n int) int { return max(n, -n) }
+
+// distance is the Levenshtein distance in bytes.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			next := min(row[j]+1, row[j+1]+1, diagonal+cost)
+			diagonal, row[j+1] = row[j+1], next
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/drjson/size.go
@@ -0,0 +1,81 @@
+package drjson
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Size is a number of bytes, written as "32MiB" or as a plain number in JSON.
+// It is never negative.
+type Size int64
+
+// sizeUnits are ordered so that String picks the largest one that divides a
+// size, and ParseSize tries "B" last because the others end in it.
+var sizeUnits = []struct {
+	name  string
+	bytes int64
+}{
+	{"TiB", 1 << 40}, {"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10},
+	{"TB", 1e12}, {"GB", 1e9}, {"MB", 1e6}, {"KB", 1e3}, {"B", 1},
+}
+
+// ParseSize parses a number with a unit: B, KB, MB, GB, TB (powers of 1000) or
+// KiB, MiB, GiB, TiB (powers of 1024).
+func ParseSize(s string) (Size, error) {
+	for _, u := range sizeUnits {
+		number, ok := strings.CutSuffix(s, u.name)
+		if !ok {
+			continue
+		}
+		f, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+		if err != nil || math.IsNaN(f) {
+			break
+		}
+		if f < 0 {
+			return 0, fmt.Errorf("size %q is negative", s)
+		}
+		if f*float64(u.bytes) >= math.MaxInt64 {
+			return 0, fmt.Errorf("size %q is too large", s)
+		}
+		return Size(f * float64(u.bytes)), nil
+	}
+	return 0, fmt.Errorf("want a size with a unit such as \"32MiB\", got %q", s)
+}
+
+// String returns the size in the largest binary unit that divides it.
+func (s Size) String() string {
+	for _, u := range sizeUnits[:4] {
+		if s != 0 && int64(s)%u.bytes == 0 {
+			return strconv.FormatInt(int64(s)/u.bytes, 10) + u.name
+		}
+	}
+	return strconv.FormatInt(int64(s), 10) + "B"
+}
+
+// MarshalJSON implements json.Marshaler.
+func (s Size) MarshalJSON() ([]byte, error) { return json.Marshal(s.String()) }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *Size) UnmarshalJSON(b []byte) error {
+	var n int64
+	if json.Unmarshal(b, &n) == nil {
+		if n < 0 {
+			return fmt.Errorf("size %d is negative", n)
+		}
+		*s = Size(n)
+		return nil
+	}
+	var text string
+	if json.Unmarshal(b, &text) != nil {
+		return fmt.Errorf("want a size with a unit such as \"32MiB\", got %s", b)
+	}
+	v, err := ParseSize(text)
+	if err != nil {
+		return err
+	}
+	*s = v
+	return nil
+}
