Check and index only what a configuration change touches

At the target size (240 models, 3,100 adapters, 1,000 accounts and selectors, 10,000 keys) a key change took 24 ms and a selector change 115 ms, because every change validated all keys and tested all selectors against all accounts.

--- a/drconfig/change.go
+++ b/drconfig/change.go
@@ -102,13 +102,12 @@
 	report := func(format string, args ...any) {
 		problems = append(problems, drjson.Problem{Reason: fmt.Sprintf(format, args...)})
 	}
-	seen, touched := drset.Set[Ref]{}, drset.Set[Kind]{}
+	seen := drset.Set[Ref]{}
 	for _, r := range c.refs() {
 		if seen.Has(r) {
 			report("%s is touched twice", r)
 		}
 		seen.Add(r)
-		touched.Add(r.Kind)
 	}
 	for _, r := range c.Deletes {
 		if _, ok := base.Object(r); !ok {
@@ -122,7 +121,7 @@
 		return base, problems
 	}
 	next := base.change(c.Puts, c.Deletes)
-	if found := check(next, touched); found != nil {
+	if found := check(next, c.refs()); found != nil {
 		return base, toProblems(found, nil)
 	}
 	return next, nil
--- a/drconfig/check.go
+++ b/drconfig/check.go
@@ -1,7 +1,6 @@
 package drconfig
 
 import (
-	"encoding/hex"
 	"fmt"
 	"maps"
 	"regexp"
@@ -9,7 +8,6 @@
 	"strings"
 
 	"github.com/dotterelridge/dotterelridge/drjson"
-	"github.com/dotterelridge/dotterelridge/drset"
 )
 
 // reservedPaths belong to the callers' API and cannot be route paths.
@@ -23,15 +21,12 @@
 
 var methodPattern = regexp.MustCompile(`^[A-Z]+$`)
 
-var allKinds = drset.Of(Kinds...)
-
 // refersTo lists, for each kind, the kinds whose changes can invalidate it.
 var refersTo = map[Kind][]Kind{
-	KindModel:    {KindFleet},
-	KindAdapter:  {KindModel},
-	KindKey:      {KindAccount},
-	KindRoute:    {KindFleet},
-	KindSelector: {KindAccount},
+	KindModel:   {KindFleet},
+	KindAdapter: {KindModel},
+	KindKey:     {KindAccount},
+	KindRoute:   {KindFleet},
 }
 
 // finding is a fault of one object; field is the JSON name of the faulty
@@ -56,13 +51,16 @@
 
 // checker collects findings about a configuration.
 type checker struct {
-	c     Config
-	found []finding
+	c Config
+	// touched limits the check to these objects and to the kinds that refer
+	// to their kinds; nil checks everything.
+	touched []Ref
+	found   []finding
 }
 
 // Problems returns everything that is wrong with the configuration.
 func (c Config) Problems() []drjson.Problem {
-	return toProblems(check(c, allKinds), nil)
+	return toProblems(check(c, nil), nil)
 }
 
 func toProblems(found []finding, declared map[Ref]drjson.Node) []drjson.Problem {
@@ -73,53 +71,70 @@
 	return problems
 }
 
-// check validates the objects of the touched kinds and of the kinds that
-// refer to them. Findings are ordered, because all folders must agree on them.
-func check(c Config, touched drset.Set[Kind]) []finding {
-	k := &checker{c: c}
-	for _, kind := range Kinds {
-		needed := touched.Has(kind) || slices.ContainsFunc(refersTo[kind], touched.Has)
-		if !needed {
-			continue
-		}
-		switch kind {
-		case KindFleet:
-			each(k, c.fleets, k.fleet)
-		case KindModel:
-			each(k, c.models, k.model)
-		case KindAdapter:
-			each(k, c.adapters, k.adapter)
-		case KindAccount:
-			each(k, c.accounts, k.account)
-		case KindKey:
-			each(k, c.keys, k.key)
-			duplicates(k, c.keys, "hash", func(o Key) string { return strings.ToLower(o.Hash) })
-		case KindRoute:
-			each(k, c.routes, k.route)
-			duplicates(k, c.routes, "path", func(o Route) string { return o.Path })
-		case KindSelector:
-			each(k, c.selectors, k.selector)
-			k.rates()
-		}
+// check validates the touched objects and all objects of kinds that refer to
+// kinds of touched ones, or all objects if touched is nil. Checking and
+// indexing all keys for each change took 20 ms at the target size. Findings are ordered, because
+// all folders must agree on them.
+func check(c Config, touched []Ref) []finding {
+	k := &checker{c: c, touched: touched}
+	each(k, KindFleet, c.fleets, k.fleet)
+	each(k, KindModel, c.models, k.model)
+	each(k, KindAdapter, c.adapters, k.adapter)
+	each(k, KindAccount, c.accounts, k.account)
+	each(k, KindKey, c.keys, k.key)
+	if len(c.keyIDs) < len(c.keys) {
+		duplicates(k, c.keys, "hash", func(o Key) string { return strings.ToLower(o.Hash) })
+	}
+	each(k, KindRoute, c.routes, k.route)
+	if len(c.paths) < len(c.routes) {
+		duplicates(k, c.routes, "path", func(o Route) string { return o.Path })
+	}
+	each(k, KindSelector, c.selectors, k.selector)
+	if touched == nil || k.touches(KindAccount) || k.touches(KindSelector) {
+		k.rates()
 	}
 	return k.found
 }
 
-func each[V Object](k *checker, objects map[string]V, visit func(V)) {
-	for _, o := range sorted(objects) {
-		name, field := o.Ref().Name, "name"
-		if o.Ref().Kind == KindKey {
-			field = "id"
+func (k *checker) touches(kind Kind) bool {
+	return slices.ContainsFunc(k.touched, func(r Ref) bool { return r.Kind == kind })
+}
+
+// each visits the objects of a kind that have to be checked, by name.
+func each[V Object](k *checker, kind Kind, objects map[string]V, visit func(V)) {
+	if k.touched == nil || slices.ContainsFunc(refersTo[kind], k.touches) {
+		for _, o := range sorted(objects) {
+			k.common(o)
+			visit(o)
 		}
-		if !namePattern.MatchString(name) {
-			k.add(o, field, "%s %q is not 1 to 128 letters, digits or . _ : -", field, name)
+		return
+	}
+	var touched []string
+	for _, r := range k.touched {
+		if r.Kind == kind {
+			touched = append(touched, r.Name)
 		}
-		for label := range o.labels() {
-			if label == "" {
-				k.add(o, "labels", "a label has an empty name")
-			}
+	}
+	slices.Sort(touched)
+	for _, name := range touched {
+		if o, ok := objects[name]; ok { // else it was deleted
+			k.common(o)
+			visit(o)
 		}
-		visit(o)
+	}
+}
+
+// common checks what all kinds have.
+func (k *checker) common(o Object) {
+	name, field := o.Ref().Name, "name"
+	if o.Ref().Kind == KindKey {
+		field = "id"
+	}
+	if !namePattern.MatchString(name) {
+		k.add(o, field, "%s %q is not 1 to 128 letters, digits or . _ : -", field, name)
+	}
+	if _, ok := o.labels()[""]; ok {
+		k.add(o, "labels", "a label has an empty name")
 	}
 }
 
@@ -202,7 +217,7 @@
 	if _, ok := k.c.accounts[o.Account]; !ok {
 		k.addUnknown(o, "account", "client account", o.Account, names(k.c.accounts))
 	}
-	if b, err := hex.DecodeString(o.Hash); err != nil || len(b) != hashSize {
+	if _, ok := o.hash(); !ok {
 		k.add(o, "hash", "hash is not %d hex digits", 2*hashSize)
 	}
 }
--- a/drconfig/config.go
+++ b/drconfig/config.go
@@ -1,7 +1,6 @@
 package drconfig
 
 import (
-	"encoding/hex"
 	"maps"
 	"slices"
 	"strings"
@@ -53,9 +52,6 @@
 		c = c.fork(touched, o.Ref().Kind)
 		c.put(o)
 	}
-	if touched.Has(KindKey) {
-		c.keyIDs = indexKeys(c.keys)
-	}
 	if touched.Has(KindRoute) {
 		c.paths = make(map[string]string, len(c.routes))
 		for _, r := range c.routes {
@@ -88,6 +84,9 @@
 		c.accounts = clone(c.accounts)
 	case KindKey:
 		c.keys = clone(c.keys)
+		if c.keyIDs = maps.Clone(c.keyIDs); c.keyIDs == nil {
+			c.keyIDs = map[[hashSize]byte]string{}
+		}
 	case KindRoute:
 		c.routes = clone(c.routes)
 	case KindSelector:
@@ -116,7 +115,11 @@
 	case ClientAccount:
 		c.accounts[o.Name] = o
 	case Key:
+		c.remove(o.Ref())
 		c.keys[o.ID] = o
+		if h, ok := o.hash(); ok {
+			c.keyIDs[h] = o.ID
+		}
 	case Route:
 		c.routes[o.Name] = o
 	case Selector:
@@ -135,6 +138,9 @@
 	case KindAccount:
 		delete(c.accounts, r.Name)
 	case KindKey:
+		if h, ok := c.keys[r.Name].hash(); ok && c.keyIDs[h] == r.Name {
+			delete(c.keyIDs, h)
+		}
 		delete(c.keys, r.Name)
 	case KindRoute:
 		delete(c.routes, r.Name)
@@ -143,17 +149,6 @@
 	}
 }
 
-func indexKeys(keys map[string]Key) map[[hashSize]byte]string {
-	index := make(map[[hashSize]byte]string, len(keys))
-	for id, k := range keys {
-		var h [hashSize]byte
-		if n, err := hex.Decode(h[:], []byte(k.Hash)[:min(len(k.Hash), 2*hashSize)]); err == nil && n == hashSize {
-			index[h] = id
-		}
-	}
-	return index
-}
-
 // Object returns any object.
 func (c Config) Object(r Ref) (Object, bool) {
 	switch r.Kind {
--- a/drconfig/fold_test.go
+++ b/drconfig/fold_test.go
@@ -117,21 +117,21 @@
 		return []*drpb.ConfigObject{{Kind: kind, Name: name, Json: []byte(json)}}
 	}
 	for id, c := range map[string]*drpb.ConfigChange{
-		"unsupported format 99, want 1":                         {Format: 99},
-		"the change is empty":                                   {Format: 1},
-		`accounts x:1:1: unknown kind "accounts"`:               {Format: 1, Puts: put("accounts", "x", `{}`)},
-		`client-account x:1:1: the object is named "y"`:         {Format: 1, Puts: put("client-account", "x", `{"name": "y"}`)},
-		`client-account x:1:15: unknown field "weigh"`:          {Format: 1, Puts: put("client-account", "x", `{"name": "x", "weigh": 1}`)},
-		`client-account x: hujson: line 1, column 1: `:          {Format: 1, Puts: put("client-account", "x", ``)},
-		`accounts x does not exist and cannot be deleted`:       {Format: 1, Deletes: []*drpb.ConfigRef{{Kind: "accounts", Name: "x"}}},
-		`client-account x does not exist and cannot be deleted`: {Format: 1, Deletes: []*drpb.ConfigRef{{Kind: "client-account", Name: "x"}}},
+		"unsupported format 99, want 1":                                        {Format: 99},
+		"the change is empty":                                                  {Format: 1},
+		`accounts x:1:1: unknown kind "accounts"`:                              {Format: 1, Puts: put("accounts", "x", `{}`)},
+		`client-account x:1:1: the object is named "y"`:                        {Format: 1, Puts: put("client-account", "x", `{"name": "y"}`)},
+		`client-account x:1:15: unknown field "weigh"; did you mean "weight"?`: {Format: 1, Puts: put("client-account", "x", `{"name": "x", "weigh": 1}`)},
+		`client-account x:1:1: parsing value: unexpected EOF`:                  {Format: 1, Puts: put("client-account", "x", ``)},
+		`accounts x does not exist and cannot be deleted`:                      {Format: 1, Deletes: []*drpb.ConfigRef{{Kind: "accounts", Name: "x"}}},
+		`client-account x does not exist and cannot be deleted`:                {Format: 1, Deletes: []*drpb.ConfigRef{{Kind: "client-account", Name: "x"}}},
 	} {
 		c.ChangeId = id[:min(len(id), maxChangeID)]
 		s.append(encode(c))
 		r, ok := s.Result(c.ChangeId)
 		is.True(ok)
 		is.True(!r.Accepted)
-		if len(r.Problems) != 1 || !strings.HasPrefix(r.Problems[0], id) && !strings.HasPrefix(id, "client-account x: hujson") {
+		if !slices.Equal(r.Problems, []string{id}) {
 			t.Errorf("problems are %q, want %q", r.Problems, id)
 		}
 	}
--- a/drconfig/key.go
+++ b/drconfig/key.go
@@ -45,9 +45,18 @@
 func (c Config) Authenticate(key string, secret []byte) (Key, bool) {
 	h := hashKey(secret, key)
 	k, ok := c.keys[c.keyIDs[h]]
-	want, err := hex.DecodeString(k.Hash)
-	if !ok || err != nil || subtle.ConstantTimeCompare(want, h[:]) != 1 {
+	want, valid := k.hash()
+	if !ok || !valid || subtle.ConstantTimeCompare(want[:], h[:]) != 1 {
 		return Key{}, false
 	}
 	return k, true
 }
+
+// hash decodes the declared hash, false if it is malformed.
+func (k Key) hash() (h [hashSize]byte, ok bool) {
+	if len(k.Hash) != 2*hashSize {
+		return h, false
+	}
+	_, err := hex.Decode(h[:], []byte(k.Hash))
+	return h, err == nil
+}
--- a/drconfig/load.go
+++ b/drconfig/load.go
@@ -113,7 +113,7 @@
 	for _, p := range l.problems {
 		mistyped.Add(drjson.Problem{File: p.File, Line: p.Line, Column: p.Column})
 	}
-	for _, p := range toProblems(check(whole, allKinds), l.declared) {
+	for _, p := range toProblems(check(whole, nil), l.declared) {
 		// A member that could not be decoded is not reported as missing too.
 		if !mistyped.Has(drjson.Problem{File: p.File, Line: p.Line, Column: p.Column}) {
 			l.problems = append(l.problems, p)
