--- a/drconfig/check.go
+++ b/drconfig/check.go
@@ -73,8 +73,8 @@
 
 // check validates the touched objects and all objects of kinds that refer to
 // kinds of touched ones, or all objects if touched is nil. Checking and
-// indexing all keys for each change took 20 ms at the target size. Findings are ordered, because
-// all folders must agree on them.
+// indexing all keys for each change took 20 ms at the target size. Findings
+// are ordered, because all folders must agree on them.
 func check(c Config, touched []Ref) []finding {
 	k := &checker{c: c, touched: touched}
 	each(k, KindFleet, c.fleets, k.fleet)
