--- /dev/null
+++ b/drmetric/name.go
@@ -0,0 +1,76 @@
+package drmetric
+
+// Names of all metrics. Rates are taken from counters by the reader of the
+// page, over the interval that it needs.
+const (
+	Requests           = "dotterelridge_requests_total"
+	Refusals           = "dotterelridge_refusals_total"
+	InRateRefusals     = "dotterelridge_in_rate_refusals_total"
+	QueueWait          = "dotterelridge_queue_wait_seconds"
+	Queued             = "dotterelridge_queued_requests"
+	QueuedBytes        = "dotterelridge_queued_bytes"
+	TimeToFirstToken   = "dotterelridge_time_to_first_token_seconds"
+	InterTokenLatency  = "dotterelridge_inter_token_latency_seconds"
+	ColdStartWait      = "dotterelridge_cold_start_wait_seconds"
+	ServedTokens       = "dotterelridge_served_tokens_total"
+	Loads              = "dotterelridge_loads_total"
+	LoadTime           = "dotterelridge_load_seconds"
+	Evictions          = "dotterelridge_evictions_total"
+	IdleAccelerator    = "dotterelridge_idle_accelerator_seconds_total"
+	BorrowedTokens     = "dotterelridge_borrowed_tokens_total"
+	ReturnedTokens     = "dotterelridge_returned_tokens_total"
+	Retries            = "dotterelridge_retries_total"
+	Ejections          = "dotterelridge_ejections_total"
+	Strikes            = "dotterelridge_strikes_total"
+	LogAppends         = "dotterelridge_log_appends_total"
+	LogReads           = "dotterelridge_log_reads_total"
+	FollowerLag        = "dotterelridge_follower_lag_seconds"
+	FollowerOffset     = "dotterelridge_follower_offset"
+	ConfigOffset       = "dotterelridge_config_offset"
+	ConfigChanges      = "dotterelridge_config_changes_total"
+	OnceCalls          = "dotterelridge_once_calls_total"
+	Peers              = "dotterelridge_peers"
+	PeerBytes          = "dotterelridge_peer_bytes_total"
+	CallerConnections  = "dotterelridge_caller_connections"
+	ProcessCPU         = "dotterelridge_process_cpu_seconds_total"
+	ProcessMemory      = "dotterelridge_process_memory_bytes"
+	ProcessGoroutines  = "dotterelridge_process_goroutines"
+	TimelineOverwrites = "dotterelridge_timeline_overwrites_total"
+)
+
+// Descriptions describes all metrics in the order of the page.
+var Descriptions = []Description{
+	{Requests, Counter, Count, []string{"status"}, "Requests by the status that the caller got; 499 if the caller went away."},
+	{Refusals, Counter, Count, []string{"reason"}, "Refused requests by reason, the suffix of the problem type."},
+	{InRateRefusals, Counter, Count, []string{"account"}, "Requests refused with over-rate although the client account was within its rate."},
+	{QueueWait, Histogram, Seconds, []string{"priority"}, "Time from a request's arrival to its dispatch."},
+	{Queued, Gauge, Count, nil, "Requests that are queued now."},
+	{QueuedBytes, Gauge, Bytes, nil, "Memory of the requests that are queued now."},
+	{TimeToFirstToken, Histogram, Seconds, nil, "Time from a request's arrival to its first token, on models that were loaded."},
+	{InterTokenLatency, Histogram, Seconds, nil, "Time between consecutive tokens of a stream."},
+	{ColdStartWait, Histogram, Seconds, nil, "Time from a request's arrival to its dispatch, if the model had to be loaded."},
+	{ServedTokens, Counter, Tokens, []string{"account"}, "Prompt and completion tokens served."},
+	{Loads, Counter, Count, []string{"result"}, "Loads of models and adapters by result: loaded, failed or unknown."},
+	{LoadTime, Histogram, Seconds, nil, "Time from the order to load a model until it is loaded."},
+	{Evictions, Counter, Count, []string{"cause"}, "Unloaded models by cause: idle, memory, released or moved."},
+	{IdleAccelerator, Counter, Seconds, nil, "Time that loaded replicas spent without a running request, summed over replicas."},
+	{BorrowedTokens, Counter, Tokens, []string{"account"}, "Tokens borrowed from share holders."},
+	{ReturnedTokens, Counter, Tokens, []string{"account"}, "Borrowed tokens that were returned unused."},
+	{Retries, Counter, Count, []string{"result"}, "Retries on another backend server by result: allowed or over-budget."},
+	{Ejections, Counter, Count, []string{"fleet"}, "Backend servers ejected after consecutive failures."},
+	{Strikes, Counter, Count, nil, "Requests recorded as suspects because a backend server crashed while running them."},
+	{LogAppends, Counter, Count, []string{"stream", "result"}, "Appends to the log by result: appended, failed or unknown."},
+	{LogReads, Counter, Count, []string{"stream", "result"}, "Reads of the log by result: read, failed or relayed by a peer."},
+	{FollowerLag, Gauge, Seconds, []string{"stream"}, "Time since the head of the stream was last confirmed."},
+	{FollowerOffset, Gauge, Count, []string{"stream"}, "Offset of the last applied record."},
+	{ConfigOffset, Gauge, Count, nil, "Offset of the last accepted configuration change."},
+	{ConfigChanges, Counter, Count, []string{"result"}, "Configuration changes by result: accepted or rejected."},
+	{OnceCalls, Counter, Count, []string{"result"}, "Calls with an Idempotency-Key by result, such as granted, replayed or unknown."},
+	{Peers, Gauge, Count, []string{"state"}, "Entry VMs by the state in which this one sees them."},
+	{PeerBytes, Counter, Bytes, []string{"direction"}, "Bytes exchanged with other entry VMs: sent or received."},
+	{CallerConnections, Gauge, Count, nil, "Connections of callers that are open."},
+	{ProcessCPU, Counter, Seconds, nil, "User and system time of this process."},
+	{ProcessMemory, Gauge, Bytes, nil, "Memory that the Go runtime holds from the operating system."},
+	{ProcessGoroutines, Gauge, Count, nil, "Goroutines of this process."},
+	{TimelineOverwrites, Counter, Count, nil, "Events that left the time line because its ring was full."},
+}
