--- a/drconfig/snapshot.go
+++ b/drconfig/snapshot.go
@@ -11,12 +11,29 @@
 	"github.com/dotterelridge/dotterelridge/drpb"
 )
 
-// maxSnapshot bounds a decompressed snapshot in bytes. The target size needs
-// about 4 MB.
-const maxSnapshot = 64 << 20
+const (
+	// maxSnapshot bounds a decompressed snapshot in bytes. The target size
+	// needs about 4 MB.
+	maxSnapshot = 64 << 20
+	// snapshotWindow is the history of the compressor in bytes. Objects of a
+	// kind are alike and adjacent, so a larger one costs memory for little.
+	snapshotWindow = 128 << 10
+)
 
 // Snapshot implements drlog.Folder. Equal folds give equal bytes.
 func (f *Fold) Snapshot() []byte {
+	// A single goroutine makes the compressed bytes deterministic.
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
+		zstd.WithWindowSize(snapshotWindow), zstd.WithEncoderLevel(zstd.SpeedFastest))
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	defer e.Close()
+	return e.EncodeAll(f.encode(), nil)
+}
+
+// encode returns the uncompressed snapshot.
+func (f *Fold) encode() []byte {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	c := f.Current()
@@ -36,13 +53,7 @@
 	if err != nil {
 		panic(err) // all strings were decoded from valid records
 	}
-	// A single goroutine makes the compressed bytes deterministic.
-	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	defer e.Close()
-	return e.EncodeAll(b, nil)
+	return b
 }
 
 // Restore implements drlog.Folder. It refuses a snapshot that is older than
@@ -89,7 +100,7 @@
 }
 
 func decodeSnapshot(snapshot []byte) (*drpb.ConfigSnapshot, error) {
-	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSnapshot))
+	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxSnapshot))
 	if err != nil {
 		return nil, fmt.Errorf("restore configuration: %w", err)
 	}
