--- /dev/null
+++ b/drplace/adapter_spec.go
@@ -0,0 +1,8 @@
+package drplace
+
+// AdapterSpec is an adapter as far as placement is concerned.
+type AdapterSpec struct {
+	Name  string
+	Base  string
+	Bytes int64
+}
--- /dev/null
+++ b/drplace/granted_slot.go
@@ -0,0 +1,7 @@
+package drplace
+
+// grantedSlot is a slot that was obtained for a load.
+type grantedSlot struct {
+	load *load
+	give func()
+}
--- /dev/null
+++ b/drplace/place.go
@@ -0,0 +1,130 @@
+package drplace
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// Place is the placement of one entry VM: owner, planner, slots and waker.
+type Place struct {
+	Config
+	owner     *Owner
+	planner   *Planner
+	slots     *Slots
+	residency *Residency
+	waker     *Waker
+}
+
+// New returns a Place. It subscribes to the ledger, so it must be called before
+// the first record is applied.
+func New(c Config) *Place {
+	p := &Place{Config: c}
+	p.slots = newSlots(p)
+	p.owner = newOwner(p)
+	p.planner = newPlanner(p)
+	p.residency = newResidency(p)
+	p.waker = newWaker(p)
+	c.Ledger.Watch(func(ch Change) {
+		p.owner.ledgerChanged(ch)
+		p.planner.poke()
+	})
+	return p
+}
+
+// Register registers the handlers of placement calls.
+func (p *Place) Register(r drpeer.Registry) {
+	r.Handle(methodWake, p.owner.handleWake)
+	r.Handle(methodYield, p.owner.handleYield)
+	r.Handle(methodResidency, p.owner.handleResidency)
+	r.Handle(methodDemand, p.planner.handleDemand)
+	r.Handle(methodSlot, p.slots.handle)
+}
+
+// Run runs until ctx ends and all goroutines have ended. Runners are not given
+// up; see Drain.
+func (p *Place) Run(ctx context.Context) {
+	var g sync.WaitGroup
+	if p.Policy == Rights {
+		g.Go(func() { p.owner.run(ctx) })
+		g.Go(func() { p.planner.run(ctx) })
+		g.Go(func() { p.slots.run(ctx) })
+	}
+	g.Go(func() { p.residency.run(ctx) })
+	g.Wait()
+}
+
+// Drain gives up the runners that this VM owns and takes over no more. It
+// returns when all are given up or ctx ends.
+func (p *Place) Drain(ctx context.Context) { p.owner.drain(ctx) }
+
+// Waker returns the part that entry VMs use to have models loaded.
+func (p *Place) Waker() *Waker { return p.waker }
+
+// Residency returns the local view of what is loaded where.
+func (p *Place) Residency() *Residency { return p.residency }
+
+// Methods of calls between entry VMs.
+const (
+	methodWake      = "Wake"
+	methodYield     = "Yield"
+	methodResidency = "Residency"
+	methodDemand    = "Demand"
+	methodSlot      = "Slot"
+)
+
+// logDown reports whether the log has not been confirmed recently.
+func (p *Place) logDown() bool {
+	return p.Clock.Since(p.Journal.Confirmed()) > logDownAfter
+}
+
+// append appends a record and waits until it is folded. The caller reads the
+// ledger to learn whether the record was accepted.
+func (p *Place) append(ctx context.Context, r *drpb.PlacementRecord) (uint64, error) {
+	b, err := proto.Marshal(r)
+	if err != nil {
+		return 0, drverdict.Wrap(drverdict.NotRun, drverdict.Internal, err, "encode placement record")
+	}
+	ctx, cancel := p.timeout(ctx, appendTimeout)
+	defer cancel()
+	offset, err := p.Journal.Append(ctx, b)
+	if err != nil {
+		return 0, err
+	}
+	return offset, p.Journal.WaitFor(ctx, offset)
+}
+
+func (p *Place) timeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return drclock.WithTimeout(ctx, p.Clock, d)
+}
+
+// backend returns the listed backend server that is the given runner.
+func (p *Place) backend(runner string) (drmember.Backend, bool) {
+	for _, f := range p.Catalogue.EngineFleets() {
+		bs := p.View.Backends(f)
+		if i, ok := slices.BinarySearchFunc(bs, runner, func(b drmember.Backend, vm string) int {
+			return cmp.Compare(b.VM, vm)
+		}); ok {
+			return bs[i], true
+		}
+	}
+	return drmember.Backend{}, false
+}
+
+func (p *Place) record(name, runner string, k key, detail string) {
+	if k.adapter != "" {
+		detail += " adapter=" + k.adapter
+	}
+	p.Recorder.Record(drtimeline.Event{Name: name, Backend: runner, Model: k.model, Detail: detail})
+}
--- /dev/null
+++ b/drplace/runner_status.go
@@ -0,0 +1,15 @@
+package drplace
+
+import "time"
+
+// RunnerStatus is the newest report on a runner with a loaded replica.
+type RunnerStatus struct {
+	Runner  string
+	Address string
+	Zone    string
+	Fence   uint64
+	// Capacity, Running and Waiting are the engine's own report.
+	Capacity, Running, Waiting int
+	// At is the local time at which the report arrived.
+	At time.Time
+}
--- /dev/null
+++ b/drplace/slots.go
@@ -0,0 +1,257 @@
+package drplace
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drset"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// Slots shares the weight store. Each slot is held by a VM, which lends it for
+// one load at a time; with the log down the holders stay and go on lending.
+type Slots struct {
+	p     *Place
+	mu    sync.Mutex
+	lent  map[slotKey]*lending
+	freed chan struct{} // closed when a loan ends
+	next  uint64        // last loan id
+}
+
+// lending is the state of a slot at its holder.
+type lending struct {
+	offset uint64 // holding that this state belongs to
+	loan   uint64
+	until  time.Time // end of the loan
+	from   time.Time // earliest start of the next loan
+}
+
+func newSlots(p *Place) *Slots {
+	return &Slots{p: p, lent: make(map[slotKey]*lending), freed: make(chan struct{}), next: rand.Uint64() >> 1}
+}
+
+func (s SlotKind) loan() time.Duration {
+	if s == AdapterSlot {
+		return adapterLoan
+	}
+	return loadLoan
+}
+
+// run takes over slots whose holder is gone.
+func (s *Slots) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		self := s.p.View.Self()
+		candidates := s.p.View.Candidates()
+		alive := make(drset.Set[string], len(candidates))
+		for _, m := range candidates {
+			alive.Add(m.VM)
+		}
+		for kind := range slotKinds {
+			held := make(map[uint32]Slot)
+			for _, t := range s.p.Ledger.Slots(kind) {
+				held[t.Number] = t
+			}
+			for n := range kind.count() {
+				t := held[n]
+				restarted := t.VM == self.VM && t.Incarnation != self.Incarnation
+				if t.VM != "" && alive.Has(t.VM) && !restarted {
+					continue
+				}
+				if !restarted && !first(slotName(kind, n), candidates, self.VM) {
+					continue
+				}
+				s.take(ctx, kind, n, t.Offset)
+			}
+		}
+		if s.p.Clock.Sleep(ctx, tick) != nil {
+			return
+		}
+	}
+}
+
+func (s *Slots) take(ctx context.Context, kind SlotKind, n uint32, basedOn uint64) {
+	self := s.p.View.Self()
+	// A failed append is repeated at the next tick; the fold accepts one.
+	_, _ = s.p.append(ctx, &drpb.PlacementRecord{Kind: &drpb.PlacementRecord_Slot{Slot: &drpb.PlacementSlot{
+		Kind: uint32(kind), Number: n, Vm: self.VM, Incarnation: self.Incarnation, BasedOn: basedOn,
+	}}})
+}
+
+func (s *Slots) handle(ctx context.Context, _ drpeer.Sender, body []byte) (proto.Message, error) {
+	var c drpb.PlacementSlotCall
+	if err := proto.Unmarshal(body, &c); err != nil {
+		return nil, drverdict.Wrap(drverdict.NotRun, drverdict.MalformedRequest, err, "decode slot call")
+	}
+	return s.serve(ctx, &c), nil
+}
+
+// serve answers a call, waiting up to hold_ms for a free slot.
+func (s *Slots) serve(ctx context.Context, c *drpb.PlacementSlotCall) *drpb.PlacementSlotReply {
+	kind := SlotKind(c.Kind)
+	if kind >= slotKinds {
+		return &drpb.PlacementSlotReply{WaitMs: uint64(tick.Milliseconds())}
+	}
+	if c.Loan != 0 {
+		return s.extend(kind, c)
+	}
+	end := s.p.Clock.Now().Add(time.Duration(c.HoldMs) * time.Millisecond)
+	for {
+		loan, wait, freed := s.lend(kind)
+		left := end.Sub(s.p.Clock.Now())
+		if loan != 0 || left <= 0 || ctx.Err() != nil {
+			return &drpb.PlacementSlotReply{Granted: loan != 0, Loan: loan, WaitMs: uint64(wait.Milliseconds())}
+		}
+		t := s.p.Clock.NewTimer(min(left, max(wait, time.Millisecond)))
+		select {
+		case <-freed:
+		case <-t.C():
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// lend lends a free slot of this VM, or returns the time until one may be free.
+func (s *Slots) lend(kind SlotKind) (loan uint64, wait time.Duration, freed <-chan struct{}) {
+	now, self := s.p.Clock.Now(), s.p.View.Self()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait = tick
+	for _, t := range s.p.Ledger.Slots(kind) {
+		if t.VM != self.VM || t.Incarnation != self.Incarnation {
+			continue
+		}
+		n := s.lending(t, now)
+		free := n.from
+		if n.loan != 0 && n.until.After(free) {
+			free = n.until
+		}
+		if free.After(now) {
+			wait = min(wait, free.Sub(now))
+			continue
+		}
+		s.next++
+		n.loan, n.until = s.next, now.Add(kind.loan())
+		if kind == LoadSlot && s.p.LoadsPerSecond > 0 {
+			// Each slot has an equal share of the store's rate.
+			n.from = now.Add(time.Duration(float64(loadSlots) / s.p.LoadsPerSecond * float64(time.Second)))
+		}
+		return n.loan, 0, s.freed
+	}
+	return 0, wait, s.freed
+}
+
+// lending returns the state of a held slot. A new holder waits until the loans
+// of the earlier one have ended.
+func (s *Slots) lending(t Slot, now time.Time) *lending {
+	k := slotKey{t.Kind, t.Number}
+	n := s.lent[k]
+	if n == nil || n.offset != t.Offset {
+		n = &lending{offset: t.Offset, from: now}
+		if !t.Clean {
+			n.from = now.Add(t.Kind.loan() + driftMargin)
+		}
+		s.lent[k] = n
+	}
+	return n
+}
+
+// extend renews a loan or takes it back.
+func (s *Slots) extend(kind SlotKind, c *drpb.PlacementSlotCall) *drpb.PlacementSlotReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.lent {
+		if n.loan != c.Loan {
+			continue
+		}
+		if c.GiveBack {
+			n.loan, n.until = 0, time.Time{}
+			close(s.freed)
+			s.freed = make(chan struct{})
+			break
+		}
+		n.until = s.p.Clock.Now().Add(kind.loan())
+		return &drpb.PlacementSlotReply{Granted: true, Loan: c.Loan}
+	}
+	return &drpb.PlacementSlotReply{}
+}
+
+func (s *Slots) call(ctx context.Context, vm string, c *drpb.PlacementSlotCall) (*drpb.PlacementSlotReply, error) {
+	if vm == s.p.View.Self().VM {
+		return s.serve(ctx, c), nil
+	}
+	ctx, cancel := s.p.timeout(ctx, callTimeout)
+	defer cancel()
+	var r drpb.PlacementSlotReply
+	return &r, s.p.Caller.Call(ctx, vm, methodSlot, c, &r)
+}
+
+// acquire borrows a slot and renews the loan until give is called. wait gets
+// the expected waiting time before each pause.
+func (s *Slots) acquire(ctx context.Context, kind SlotKind, wait func(time.Duration)) (give func(), err error) {
+	hold := time.Duration(0)
+	for {
+		shortest := tick
+		for _, vm := range s.holders(kind) {
+			r, err := s.call(ctx, vm, &drpb.PlacementSlotCall{Kind: uint32(kind), HoldMs: uint64(hold.Milliseconds())})
+			if err == nil && r.Granted {
+				return s.keep(ctx, kind, vm, r.Loan), nil
+			}
+			if err == nil {
+				shortest = min(shortest, time.Duration(r.WaitMs)*time.Millisecond)
+			}
+		}
+		wait(shortest)
+		if hold > 0 && shortest == tick {
+			// No holder answers or all are busy: do not spin.
+			if err := s.p.Clock.Sleep(ctx, retryPause); err != nil {
+				return nil, err
+			}
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		hold = slotHold
+	}
+}
+
+// holders returns the VMs that hold slots of a kind, in random order.
+func (s *Slots) holders(kind SlotKind) []string {
+	vms := make(drset.Set[string])
+	for _, t := range s.p.Ledger.Slots(kind) {
+		vms.Add(t.VM)
+	}
+	hs := drset.Sorted(vms)
+	rand.Shuffle(len(hs), func(i, j int) { hs[i], hs[j] = hs[j], hs[i] })
+	return hs
+}
+
+// keep renews a loan until the returned function is called, which gives it
+// back. A loan that cannot be given back expires.
+func (s *Slots) keep(ctx context.Context, kind SlotKind, vm string, loan uint64) func() {
+	renewing, cancel := context.WithCancel(ctx)
+	go func() {
+		for s.p.Clock.Sleep(renewing, kind.loan()/3) == nil {
+			_, _ = s.call(renewing, vm, &drpb.PlacementSlotCall{Kind: uint32(kind), Loan: loan})
+		}
+		_, _ = s.call(context.WithoutCancel(ctx), vm, &drpb.PlacementSlotCall{Kind: uint32(kind), Loan: loan, GiveBack: true})
+	}()
+	return cancel
+}
+
+// first reports whether vm ranks first for name.
+func first(name string, candidates []drmember.Member, vm string) bool {
+	r := drmember.Rank(name, candidates)
+	return len(r) > 0 && r[0].VM == vm
+}
+
+func slotName(kind SlotKind, n uint32) string {
+	return "slot/" + string(rune('0'+kind)) + "/" + string(rune('0'+n))
+}
