Test placement under faults

Cause: I1, I2, I9 and I11 must hold under kills, pauses, lost answers and takeovers. Change: fakes of log, engines and peers in a synctest bubble, tests of single faults, a property test over random interleavings, a benchmark of the fold. Fixes found by them: wake-ups survive a lost append, a yield is dropped while the log is down, background calls end with the Place.

--- a/drplace/keeper.go
+++ b/drplace/keeper.go
@@ -55,6 +55,7 @@
 	releasing   drset.Set[uint64]    // grants whose release may be on its way
 	appendAfter time.Time
 	next        time.Time // when step must run again
+	work        sync.WaitGroup
 }
 
 // failure counts failed loads in a row.
@@ -107,6 +108,7 @@
 		_ = k.p.Clock.Sleep(ctx, d.until.Sub(k.now()))
 	}
 	g.Wait()
+	k.work.Wait()
 }
 
 // finish refuses what is waiting.
@@ -117,6 +119,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.ended = true
+	for _, g := range k.granted {
+		g.give()
+	}
+	k.granted = nil
 	k.signal()
 }
 
@@ -133,11 +139,16 @@
 			_ = k.p.Clock.Sleep(ctx, retryPause)
 			continue
 		}
+		unchanged := s.Version == after || s.Version == 0
 		after = s.Version
 		k.mu.Lock()
 		k.polled, k.polledAt = s, began
 		k.mu.Unlock()
 		poke(k.pokes)
+		if unchanged && k.now().Sub(began) < statePoll/2 {
+			// The engine does not wait for changes.
+			_ = k.p.Clock.Sleep(ctx, retryPause)
+		}
 	}
 }
 
--- a/drplace/keeper_load.go
+++ b/drplace/keeper_load.go
@@ -190,7 +190,7 @@
 	l.phase = awaitingSlot
 	var waiting context.Context
 	waiting, l.cancel = context.WithCancel(ctx)
-	go k.awaitSlot(ctx, waiting, l)
+	k.work.Go(func() { k.awaitSlot(ctx, waiting, l) })
 	return k.readyAt(l), nil
 }
 
@@ -247,6 +247,10 @@
 		return nil
 	}
 	err := k.order(ctx, l.key, o)
+	if drverdict.ReasonOf(err) == drverdict.LogUnavailable && !k.p.logDown() {
+		k.due(k.appendAfter) // one append failed
+		return nil
+	}
 	if err != nil && drverdict.Of(err) == drverdict.NotRun {
 		if drverdict.ReasonOf(err) == drverdict.LogUnavailable || drverdict.ReasonOf(err) == drverdict.Conflict {
 			l.end()
--- a/drplace/keeper_release.go
+++ b/drplace/keeper_release.go
@@ -10,6 +10,10 @@
 // releaseRights releases the rights that must go, once the engine has confirmed
 // that nothing is loaded under them and nothing can be loaded any more.
 func (k *keeper) releaseRights(ctx context.Context) {
+	if k.p.logDown() {
+		k.dropYields()
+		return
+	}
 	for model, r := range k.rights {
 		_, ok := k.entitled(model)
 		if ok && !k.surplus(model, r) || k.occupied(model) {
@@ -24,9 +28,20 @@
 	}
 }
 
+// dropYields keeps the rights whose release was not attempted, because they
+// cannot be granted elsewhere while the log is down.
+func (k *keeper) dropYields() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	clear(k.yields)
+}
+
 // release appends a release. From then on nothing is loaded under the right,
 // because the record may still arrive if its answer was lost.
 func (k *keeper) release(ctx context.Context, model string, r Right) bool {
+	if k.p.logDown() {
+		return false
+	}
 	k.releasing.Add(r.Grant)
 	done := k.append(ctx, &drpb.PlacementRecord{Kind: &drpb.PlacementRecord_Release{Release: &drpb.PlacementRelease{
 		Model: model, Runner: k.runner, Grant: r.Grant, Fence: k.fence,
--- /dev/null
+++ b/drplace/ledger_test.go
@@ -0,0 +1,160 @@
+package drplace
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drlog"
+	"github.com/dotterelridge/dotterelridge/drpb"
+)
+
+// ledgerLog builds a ledger record by record.
+type ledgerLog struct {
+	*Ledger
+	next     uint64
+	accepted int
+	data     [][]byte
+}
+
+func newLedgerLog() *ledgerLog {
+	l := &ledgerLog{Ledger: NewLedger()}
+	l.Watch(func(Change) { l.accepted++ })
+	return l
+}
+
+// add appends a record and reports whether it was accepted.
+func (l *ledgerLog) add(r *drpb.PlacementRecord) bool {
+	b, err := proto.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	l.next++
+	before := l.accepted
+	l.data = append(l.data, b)
+	l.Apply(drlog.Record{Offset: l.next, Data: b})
+	return l.accepted > before
+}
+
+func own(runner, vm string, basedOn uint64) *drpb.PlacementRecord {
+	return &drpb.PlacementRecord{Kind: &drpb.PlacementRecord_Own{Own: &drpb.PlacementOwn{Runner: runner, Vm: vm, Incarnation: 1, BasedOn: basedOn}}}
+}
+
+func grant(model, runner string, limit uint32, offset uint64) *drpb.PlacementRecord {
+	return &drpb.PlacementRecord{Kind: &drpb.PlacementRecord_Grant{Grant: &drpb.PlacementGrant{Model: model, Runner: runner, Max: limit, ConfigOffset: offset}}}
+}
+
+func release(model, runner string, granted, fence uint64) *drpb.PlacementRecord {
+	return &drpb.PlacementRecord{Kind: &drpb.PlacementRecord_Release{Release: &drpb.PlacementRelease{Model: model, Runner: runner, Grant: granted, Fence: fence}}}
+}
+
+func decide(model string, limit uint32, offset uint64) *drpb.PlacementRecord {
+	return &drpb.PlacementRecord{Kind: &drpb.PlacementRecord_Decide{Decide: &drpb.PlacementDecide{Model: model, Max: limit, ConfigOffset: offset}}}
+}
+
+func intent(runner, model string, fence uint64) *drpb.PlacementRecord {
+	return &drpb.PlacementRecord{Kind: &drpb.PlacementRecord_Intent{Intent: &drpb.PlacementIntent{Runner: runner, Model: model, Replica: model, Fence: fence, Bytes: 1}}}
+}
+
+// Guards against a fold that accepts records made under stale assumptions.
+func TestLedgerRejectsStaleRecords(t *testing.T) {
+	is := is.New(t)
+	l := newLedgerLog()
+	is.True(l.add(own("r", "a", 0)))          // 1
+	is.True(!l.add(own("r", "b", 0)))         // second takeover at once
+	is.True(l.add(grant("m", "r", 1, 10)))    // 3
+	is.True(!l.add(grant("m", "s", 1, 10)))   // above the decided number
+	is.True(!l.add(grant("m", "s", 9, 9)))    // older configuration
+	is.True(l.add(decide("m", 2, 11)))        // 6
+	is.True(!l.add(decide("m", 1, 10)))       // older configuration
+	is.True(l.add(grant("m", "s", 2, 11)))    // 8
+	is.True(!l.add(grant("m", "s", 2, 11)))   // same runner twice
+	is.True(l.add(intent("r", "m", 1)))       // 10
+	is.True(!l.add(release("m", "r", 3, 1)))  // an order is in doubt
+	is.True(l.add(own("r", "b", 1)))          // 12
+	is.True(!l.add(intent("r", "m", 1)))      // old fencing token
+	is.True(!l.add(release("m", "r", 3, 1)))  // old fencing token
+	is.True(!l.add(release("m", "r", 3, 12))) // still in doubt
+	is.True(l.add(giveUp("r", 1, false)))     // 16, by the old owner
+	is.Equal(l.Owner("r").VM, "b")            // which does not end the new ownership
+	is.True(l.add(release("m", "r", 3, 12)))  // 17
+	is.True(l.add(grant("m", "r", 2, 11)))    // 18
+	is.True(!l.add(release("m", "r", 3, 12))) // late copy
+	is.True(l.add(decide("m", 1, 12)))        // 20
+	is.True(l.RightsOn("r")["m"].Excess)      // the newest right must go
+	is.True(!l.RightsOn("s")["m"].Excess)     //
+	is.True(!l.add(intent("r", "m", 12)))     // no load under it
+	is.True(!l.Owner("r").Clean)              // a did not give up before b
+	is.True(l.add(giveUp("r", 12, false)))    // 22
+	is.True(l.add(own("r", "c", 12)))         // 23
+	is.True(!l.Owner("r").Clean)              // a's lease may still run
+	l.Apply(drlog.Record{Offset: 24, Data: []byte("\xff")})
+	is.Equal(l.Offset(), uint64(24))
+}
+
+// Guards against a snapshot that loses state or differs between VMs.
+func TestLedgerSnapshot(t *testing.T) {
+	is := is.New(t)
+	l := newLedgerLog()
+	fillLedger(l, 20, 10, 2)
+	l.add(intent("r0", "m0", l.Owner("r0").Fence))
+	l.add(&drpb.PlacementRecord{Kind: &drpb.PlacementRecord_Slot{Slot: &drpb.PlacementSlot{Kind: 1, Number: 31, Vm: "a"}}})
+	restored := newLedgerLog()
+	is.NoErr(restored.Restore(l.Offset(), l.Snapshot()))
+	is.True(bytes.Equal(restored.Snapshot(), l.Snapshot()))
+	restored.next = l.next
+	for _, r := range []*drpb.PlacementRecord{decide("m0", 1, 99), own("r1", "z", l.Owner("r1").Fence), release("m1", "r1", 5, 1)} {
+		is.Equal(restored.add(r), l.add(r))
+	}
+	is.True(bytes.Equal(restored.Snapshot(), l.Snapshot()))
+}
+
+// fillLedger adds an owner for each runner and rights for each model.
+func fillLedger(l *ledgerLog, runners, models, each int) {
+	for i := range runners {
+		l.add(own(fmt.Sprintf("r%d", i), fmt.Sprintf("vm%d", i%410), 0))
+	}
+	for i := range models {
+		for j := range each {
+			l.add(grant(fmt.Sprintf("m%d", i), fmt.Sprintf("r%d", (i*each+j)%runners), uint32(each), 1))
+		}
+	}
+}
+
+// BenchmarkLedger measures the fold of a record and the memory of the ledger.
+// Adapters have no records: they are loaded under the rights of their base.
+func BenchmarkLedger(b *testing.B) {
+	for _, size := range []struct{ runners, models int }{{9, 50}, {370, 240}, {3700, 240}} {
+		b.Run(fmt.Sprintf("runners=%d/models=%d", size.runners, size.models), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			l := newLedgerLog()
+			fillLedger(l, size.runners, size.models, max(1, size.runners*4/size.models))
+			data := l.data
+			l.data = nil
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			heap := float64(after.HeapAlloc) - float64(before.HeapAlloc)
+			for _, d := range data {
+				heap -= float64(cap(d))
+			}
+			heap -= float64(cap(data)) * 24
+			snapshot := float64(len(l.Snapshot()))
+			b.ResetTimer()
+			for i := range b.N {
+				if i%len(data) == 0 {
+					l.Ledger = NewLedger()
+				}
+				l.Apply(drlog.Record{Offset: uint64(i%len(data) + 1), Data: data[i%len(data)]})
+			}
+			b.ReportMetric(heap/1024, "heap-KiB")
+			b.ReportMetric(snapshot/1024, "snapshot-KiB")
+			b.ReportMetric(float64(len(data)), "records")
+		})
+	}
+}
--- a/drplace/place.go
+++ b/drplace/place.go
@@ -63,6 +63,8 @@
 	}
 	g.Go(func() { p.residency.run(ctx) })
 	g.Wait()
+	p.waker.stop()
+	p.slots.work.Wait()
 }
 
 // Drain gives up the runners that this VM owns and takes over no more. It
--- /dev/null
+++ b/drplace/place_test.go
@@ -0,0 +1,477 @@
+package drplace
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+func (c *cluster) wake(vm, model, adapter string, within time.Duration) (Location, error) {
+	return c.vms[vm].place.Waker().Wake(context.Background(), model, adapter, time.Now().Add(within))
+}
+
+// owner returns the VM that owns a runner.
+func (c *cluster) owner(runner string) *testVM {
+	own := c.truth.Owner(runner)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms[own.VM]
+}
+
+// wakeOf asks for a model on a runner.
+func wakeOf(runner, model string) *drpb.PlacementWake {
+	return &drpb.PlacementWake{Runner: runner, Model: model, HoldMs: 10_000}
+}
+
+// other returns a running VM that is not v.
+func (c *cluster) other(v *testVM) string {
+	for name, o := range c.vms {
+		if o != v && !o.dead && !o.paused {
+			return name
+		}
+	}
+	return ""
+}
+
+// Guards against a burst at many VMs that loads more or fewer replicas than
+// decided, and against wake-ups that need the log.
+func TestBurstLoadsDecidedNumber(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		for decided := 1; decided <= 3; decided++ {
+			c := newCluster(16, 9, fencing)
+			c.model("m", 4, decided, decided)
+			c.run(t, func(t *testing.T) {
+				is := is.New(t)
+				c.startAll()
+				c.settle()
+				before := c.appends()
+				var g sync.WaitGroup
+				for name := range c.vms {
+					for range 5 {
+						g.Go(func() {
+							_, err := c.wake(name, "m", "", 20*time.Second)
+							is.NoErr(err)
+						})
+					}
+				}
+				g.Wait()
+				time.Sleep(10 * time.Second)
+				is.Equal(c.loadsOf("m"), decided)
+				is.NoErr(c.check())
+				if fencing {
+					is.Equal(c.appends(), before)
+				}
+				t.Logf("fencing=%v decided=%d appends for the burst=%d", fencing, decided, c.appends()-before)
+			})
+		}
+	}
+}
+
+// Guards against an owner that was paused before an order reached the engine
+// and sends it after another VM took over and used the memory otherwise.
+func TestLateOrderAfterTakeover(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		c := newCluster(3, 1, fencing)
+		c.model("a", 6, 1, 1)
+		c.model("b", 6, 1, 1)
+		c.run(t, func(t *testing.T) {
+			is := is.New(t)
+			c.startAll()
+			c.settle()
+			old := c.owner("r0")
+			old.pause()
+			go func() { _, _ = old.place.owner.wake(context.Background(), wakeOf("r0", "a")) }()
+			time.Sleep(20 * time.Second)
+			is.True(c.owner("r0") != old)
+			if !fencing {
+				is.Equal(len(c.truth.InDoubt("r0")), 0) // paused before the intent
+			}
+			_, err := c.wake(c.other(old), "b", "", 30*time.Second)
+			is.NoErr(err)
+			old.resume()
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				is.NoErr(c.check())
+			}
+			is.Equal(c.loadsOf("b"), 1)
+		})
+	}
+}
+
+// Guards against an order that was on its way when its sender was paused: it
+// is counted in memory until the sender confirms that it has no further effect.
+func TestOrderInFlightStaysReserved(t *testing.T) {
+	c := newCluster(3, 1, false)
+	c.model("a", 6, 1, 1)
+	c.model("b", 6, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		old := c.owner("r0")
+		go func() { _, _ = old.place.owner.wake(context.Background(), wakeOf("r0", "a")) }()
+		for len(c.truth.InDoubt("r0")) == 0 {
+			time.Sleep(100 * time.Microsecond)
+		}
+		old.pause() // between the intent and the order
+		time.Sleep(20 * time.Second)
+		is.True(c.owner("r0") != old)
+		is.Equal(len(c.truth.InDoubt("r0")), 1)
+		_, err := c.wake(c.other(old), "b", "", 10*time.Second)
+		is.Equal(drverdict.ReasonOf(err), drverdict.NoCapacity) // a may still arrive
+		is.Equal(drverdict.Of(err), drverdict.NotRun)
+		old.resume()
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			is.NoErr(c.check())
+		}
+		is.Equal(len(c.truth.InDoubt("r0")), 0)
+		_, err = c.wake(c.other(nil), "b", "", 20*time.Second)
+		is.NoErr(err)
+		is.NoErr(c.check())
+	})
+}
+
+// Guards against duplicate rights or owners when the log's answers are lost or
+// records arrive late.
+func TestLostAnswers(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		c := newCluster(4, 3, fencing)
+		c.model("m", 4, 2, 2)
+		c.run(t, func(t *testing.T) {
+			is := is.New(t)
+			c.lose = 10
+			c.startAll()
+			c.settle()
+			c.flush()
+			c.settle()
+			is.Equal(len(c.truth.Rights("m")), 2)
+			c.mu.Lock()
+			c.lose = 2
+			for _, e := range c.engines {
+				e.lose = 1
+			}
+			c.mu.Unlock()
+			_, err := c.wake("vm00", "m", "", 30*time.Second)
+			is.NoErr(err)
+			c.flush()
+			c.settle()
+			is.NoErr(c.check())
+			is.Equal(c.loadsOf("m"), 2)
+		})
+	}
+}
+
+// Guards against two accepted owners after a simultaneous takeover, and
+// against a wake-up that is lost with the owner that served it.
+func TestOwnerDiesMidLoad(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		c := newCluster(4, 1, fencing)
+		c.model("m", 4, 1, 1)
+		c.run(t, func(t *testing.T) {
+			is := is.New(t)
+			c.engines["r0"].took = 30 * time.Second
+			c.startAll()
+			c.settle()
+			old := c.owner("r0")
+			before := c.appends()
+			waker := c.other(old)
+			done := make(chan error)
+			go func() {
+				_, err := c.wake(waker, "m", "", 2*time.Minute)
+				done <- err
+			}()
+			time.Sleep(5 * time.Second)
+			old.kill()
+			// Each survivor claims at once, whatever its rank.
+			self := c.vms[waker].member
+			fence := c.truth.Owner("r0").Fence
+			for name, v := range c.vms {
+				if !v.dead {
+					m := v.member
+					m.VM = name
+					go v.place.owner.claim(context.Background(), "r0", fence, m)
+				}
+			}
+			is.NoErr(<-done)
+			is.True(self.VM != "")
+			is.Equal(c.loadsOf("m"), 1) // adopted, not loaded again
+			is.NoErr(c.check())
+			t.Logf("fencing=%v records in the log from before the load to after the takeover: %d", fencing, c.appends()-before)
+		})
+	}
+}
+
+// Guards against a load that is forgotten when the engine restarts, and against
+// trusting the residency of the engine's earlier process.
+func TestEngineRestartsMidLoad(t *testing.T) {
+	c := newCluster(2, 1, true)
+	c.model("m", 4, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		time.AfterFunc(time.Second, c.engines["r0"].restart)
+		_, err := c.wake("vm00", "m", "", 20*time.Second)
+		is.NoErr(err)
+		is.Equal(c.loadsOf("m"), 2)
+		c.engines["r0"].restart()
+		time.Sleep(3 * time.Second)
+		is.Equal(len(c.vms["vm00"].place.Residency().Loaded("m", "")), 0)
+	})
+}
+
+// Guards against wake-ups that fail without the log where fencing makes them
+// safe, and against loads without the log where nothing does.
+func TestWakeWhileLogIsDown(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		c := newCluster(3, 2, fencing)
+		c.model("m", 4, 1, 1)
+		c.run(t, func(t *testing.T) {
+			is := is.New(t)
+			c.startAll()
+			c.settle()
+			c.mu.Lock()
+			c.logDown = true
+			c.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			_, err := c.wake("vm01", "m", "", 20*time.Second)
+			if fencing {
+				is.NoErr(err)
+				return
+			}
+			is.Equal(drverdict.Of(err), drverdict.NotRun)
+			is.Equal(drverdict.ReasonOf(err), drverdict.LogUnavailable)
+			is.Equal(c.loadsOf("m"), 0)
+		})
+	}
+}
+
+// Guards against replicas that stay loaded above a lowered decided number, and
+// against new grants before they are gone.
+func TestDecidedMaximumLowered(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		c := newCluster(3, 4, fencing)
+		c.model("m", 4, 3, 3)
+		c.run(t, func(t *testing.T) {
+			is := is.New(t)
+			c.startAll()
+			c.settle()
+			_, err := c.wake("vm00", "m", "", 20*time.Second)
+			is.NoErr(err)
+			c.settle()
+			is.Equal(c.loadsOf("m"), 3)
+			c.model("m", 4, 1, 1)
+			for range 400 {
+				time.Sleep(100 * time.Millisecond)
+				is.NoErr(c.check())
+			}
+			is.Equal(len(c.truth.Rights("m")), 1)
+			c.model("m", 4, 0, 0)
+			time.Sleep(time.Minute)
+			is.Equal(len(c.truth.Rights("m")), 0)
+			for _, e := range c.engines {
+				is.Equal(len(e.replicas), 0)
+			}
+		})
+	}
+}
+
+// Guards against evicting a model in use, in the wrong order, or not at all.
+func TestMemoryPressure(t *testing.T) {
+	c := newCluster(2, 1, true)
+	for _, m := range []string{"a", "b", "c"} {
+		c.model(m, 4, 1, 1)
+	}
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		for _, m := range []string{"a", "b"} {
+			_, err := c.wake("vm00", m, "", 20*time.Second)
+			is.NoErr(err)
+		}
+		res := c.vms["vm00"].place.Residency()
+		doneA, doneB := res.Use("r0", "a", ""), res.Use("r0", "b", "")
+		time.Sleep(5 * time.Second)
+		_, err := c.wake("vm00", "c", "", time.Second) // both in use
+		is.Equal(drverdict.ReasonOf(err), drverdict.NoCapacity)
+		is.Equal(drverdict.Of(err), drverdict.NotRun)
+		doneB()
+		_, err = c.wake("vm00", "c", "", 20*time.Second)
+		is.NoErr(err)
+		is.Equal(len(res.Loaded("a", "")), 1)
+		is.Equal(c.loadsOf("c"), 1)
+		is.NoErr(c.check())
+		doneA()
+	})
+}
+
+// Guards against models that never scale to idle.
+func TestIdleTimeout(t *testing.T) {
+	c := newCluster(2, 1, true)
+	c.model("a", 4, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		_, err := c.wake("vm00", "a", "", 20*time.Second)
+		is.NoErr(err)
+		time.Sleep(defaultIdleTimeout - 10*time.Second)
+		is.Equal(len(c.engines["r0"].replicas), 1)
+		time.Sleep(20 * time.Second)
+		is.Equal(len(c.engines["r0"].replicas), 0)
+		is.Equal(len(c.truth.Rights("a")), 1) // the minimum stays
+		_, err = c.wake("vm00", "a", "", 20*time.Second)
+		is.NoErr(err)
+	})
+}
+
+// Guards against a caller that waits for a load that cannot be in time.
+func TestDeadlineRefusal(t *testing.T) {
+	c := newCluster(2, 1, true)
+	c.model("a", 4, 1, 1)
+	c.model("b", 4, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		_, err := c.wake("vm00", "a", "", 20*time.Second) // teaches the load time
+		is.NoErr(err)
+		began := time.Now()
+		_, err = c.wake("vm00", "b", "", time.Second)
+		is.Equal(drverdict.ReasonOf(err), drverdict.Deadline)
+		is.Equal(drverdict.Of(err), drverdict.NotRun)
+		is.True(time.Since(began) < 500*time.Millisecond)
+		var e *drverdict.Error
+		is.True(asVerdict(err, &e))
+		is.True(e.RetryAfter > time.Second && e.RetryAfter <= 2500*time.Millisecond)
+		time.Sleep(e.RetryAfter + 100*time.Millisecond)
+		_, err = c.wake("vm00", "b", "", time.Second)
+		is.NoErr(err)
+	})
+}
+
+// Guards against new loads on a runner that is leaving (I11).
+func TestLeavingRunner(t *testing.T) {
+	c := newCluster(3, 2, true)
+	c.model("m", 4, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		held := c.truth.Rights("m")[0].Runner
+		c.mu.Lock()
+		c.engines[held].leaving = true
+		c.engines[held].bump()
+		c.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		l, err := c.wake("vm00", "m", "", 20*time.Second)
+		is.NoErr(err)
+		is.True(l.Runner != held)
+		is.Equal(len(c.engines[held].loads), 0)
+	})
+}
+
+// Guards against adapters that are loaded without their base.
+func TestAdapterLoadsItsBase(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		c := newCluster(2, 1, fencing)
+		c.model("m", 4, 1, 1)
+		c.adapt["x"] = AdapterSpec{Name: "x", Base: "m", Bytes: gigabyte / 8}
+		c.run(t, func(t *testing.T) {
+			is := is.New(t)
+			c.startAll()
+			c.settle()
+			_, err := c.wake("vm01", "m", "x", 20*time.Second)
+			is.NoErr(err)
+			is.Equal(c.loadsOf("m"), 1)
+			is.Equal(c.loadsOf("x"), 1)
+			time.Sleep(2 * time.Second)
+			is.Equal(len(c.vms["vm01"].place.Residency().Loaded("m", "x")), 1)
+		})
+	}
+}
+
+// Guards against a drain that leaves runners without an owner, or makes the
+// next owner of an engine without fencing wait for a lease.
+func TestDrainHandsRunnersOver(t *testing.T) {
+	c := newCluster(3, 3, false)
+	c.model("m", 4, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		old := c.owner("r0")
+		before := c.kinds["*drpb.PlacementRecord_Own"]
+		old.place.Drain(context.Background())
+		old.kill()
+		time.Sleep(5 * time.Second)
+		is.True(c.owner("r0") != nil && c.owner("r0") != old)
+		is.True(c.truth.Owner("r0").Clean)
+		t.Logf("own records after the drain: %d", c.kinds["*drpb.PlacementRecord_Own"]-before)
+	})
+}
+
+// Guards against more concurrent loads from the weight store than it has slots,
+// and against slots that stop being lent while the log is down.
+func TestWeightStoreSlots(t *testing.T) {
+	c := newCluster(4, 9, true)
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
+	for _, m := range names {
+		c.model(m, 9, 1, 1)
+	}
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		c.mu.Lock()
+		c.logDown = true
+		c.mu.Unlock()
+		time.Sleep(10 * time.Second) // until all VMs have noticed
+		var g sync.WaitGroup
+		for _, m := range names {
+			g.Go(func() {
+				_, err := c.wake("vm00", m, "", time.Minute)
+				is.NoErr(err)
+			})
+		}
+		most := 0
+		for range 150 {
+			time.Sleep(50 * time.Millisecond)
+			c.mu.Lock()
+			n := 0
+			for _, e := range c.engines {
+				for _, r := range e.replicas {
+					if r.State == "loading" {
+						n++
+					}
+				}
+			}
+			c.mu.Unlock()
+			most = max(most, n)
+		}
+		g.Wait()
+		is.Equal(most, loadSlots)
+	})
+}
+
+// Guards against a baseline that does not load at all.
+func TestLoadOnMiss(t *testing.T) {
+	c := newCluster(2, 2, true)
+	c.policy = LoadOnMiss
+	c.model("m", 4, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		_, err := c.wake("vm00", "m", "", 20*time.Second)
+		is.NoErr(err)
+		is.Equal(c.appends(), 0)
+	})
+}
--- /dev/null
+++ b/drplace/property_test.go
@@ -0,0 +1,159 @@
+package drplace
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// propertySeed is fixed so that a failing run can be repeated.
+const propertySeed = "20261204"
+
+// fault is one step of the property test.
+type fault struct {
+	Kind, VM, Thing, Wait int
+}
+
+const (
+	faultWake = iota
+	faultWakeAgain
+	faultKill
+	faultStart
+	faultPause
+	faultResume
+	faultLoseAppends
+	faultFlush
+	faultLoseOrder
+	faultEngineRestart
+	faultLogDown
+	faultLogUp
+	faultDecide
+	faultClaim
+	faultDrain
+	faultLeaving
+	faultKinds
+)
+
+// Guards against an interleaving of kills, pauses, lost answers, restarts,
+// takeovers and changes of the decided number that breaks I1 or I2.
+func TestInvariantsUnderFaults(t *testing.T) {
+	for name, value := range map[string]string{"rapid.seed": propertySeed, "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	step := rapid.Custom(func(rt *rapid.T) fault {
+		return fault{
+			rapid.IntRange(0, faultKinds-1).Draw(rt, "kind"), rapid.IntRange(0, 3).Draw(rt, "vm"),
+			rapid.IntRange(0, 3).Draw(rt, "thing"), rapid.IntRange(0, 4).Draw(rt, "wait"),
+		}
+	})
+	loads := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		fencing := rapid.Bool().Draw(rt, "fencing")
+		faults := rapid.SliceOfN(step, 5, 40).Draw(rt, "faults")
+		c := newCluster(4, 3, fencing)
+		for m := range 4 {
+			c.model(fmt.Sprintf("m%d", m), int64(3+m), 1, 2)
+		}
+		c.adapt["x"] = AdapterSpec{Name: "x", Base: "m0", Bytes: gigabyte}
+		var violation error
+		c.run(t, func(*testing.T) {
+			c.startAll()
+			c.settle()
+			for i, f := range faults {
+				c.inject(f)
+				if violation = c.watch(f.Wait); violation != nil {
+					violation = fmt.Errorf("after step %d of %v: %w", i, faults[:i+1], violation)
+					return
+				}
+			}
+			loads += c.loadsOf("m0") + c.loadsOf("m1")
+		})
+		if violation != nil {
+			rt.Fatal(violation)
+		}
+	})
+	if loads == 0 {
+		t.Error("no model was ever loaded, so the test has checked nothing")
+	}
+}
+
+// watch checks the invariants every few milliseconds for one of several times.
+func (c *cluster) watch(wait int) error {
+	d := []time.Duration{time.Millisecond, 20 * time.Millisecond, time.Second, 5 * time.Second, 16 * time.Second}[wait]
+	for pause := max(d/40, time.Millisecond); d > 0; d -= pause {
+		time.Sleep(pause)
+		if err := c.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) inject(f fault) {
+	v := c.vms[fmt.Sprintf("vm%02d", f.VM)]
+	e := c.engines[fmt.Sprintf("r%d", f.Thing%3)]
+	model, adapter := fmt.Sprintf("m%d", f.Thing), ""
+	if f.Thing == 0 {
+		adapter = "x"
+	}
+	switch f.Kind {
+	case faultWake, faultWakeAgain:
+		if !v.dead && !v.paused {
+			go func() { _, _ = c.wake(v.member.VM, model, adapter, 20*time.Second) }()
+		}
+	case faultKill:
+		v.kill()
+	case faultStart:
+		if v.dead {
+			v.start()
+		}
+	case faultPause:
+		v.pause()
+	case faultResume:
+		v.resume()
+	case faultFlush:
+		c.flush()
+	case faultEngineRestart:
+		e.restart()
+	case faultDecide:
+		c.model(model, int64(3+f.Thing), min(1, f.Wait), f.Wait%3)
+	case faultClaim:
+		if !v.dead && !v.paused {
+			go v.place.owner.claim(context.Background(), e.name, c.truth.Owner(e.name).Fence, v.member)
+		}
+	case faultDrain:
+		if !v.dead && !v.paused {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			go func() {
+				v.place.Drain(ctx)
+				cancel()
+			}()
+		}
+	default:
+		c.toggle(f, e)
+	}
+}
+
+func (c *cluster) toggle(f fault, e *testEngine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch f.Kind {
+	case faultLoseAppends:
+		c.lose = f.Thing + 1
+	case faultLoseOrder:
+		e.lose = 1 + f.Wait%2
+	case faultLogDown:
+		c.logDown = true
+	case faultLogUp:
+		c.logDown = false
+	case faultLeaving:
+		e.leaving = !e.leaving
+		e.bump()
+	}
+}
--- a/drplace/slots.go
+++ b/drplace/slots.go
@@ -23,6 +23,7 @@
 	lent  map[slotKey]*lending
 	freed chan struct{} // closed when a loan ends
 	next  uint64        // last loan id
+	work  sync.WaitGroup
 }
 
 // lending is the state of a slot at its holder.
@@ -237,12 +238,12 @@
 // back. A loan that cannot be given back expires.
 func (s *Slots) keep(ctx context.Context, kind SlotKind, vm string, loan uint64) func() {
 	renewing, cancel := context.WithCancel(ctx)
-	go func() {
+	s.work.Go(func() {
 		for s.p.Clock.Sleep(renewing, kind.loan()/3) == nil {
 			_, _ = s.call(renewing, vm, &drpb.PlacementSlotCall{Kind: uint32(kind), Loan: loan})
 		}
 		_, _ = s.call(context.WithoutCancel(ctx), vm, &drpb.PlacementSlotCall{Kind: uint32(kind), Loan: loan, GiveBack: true})
-	}()
+	})
 	return cancel
 }
 
--- a/drplace/waker.go
+++ b/drplace/waker.go
@@ -18,10 +18,33 @@
 	mu       sync.Mutex
 	flights  map[key]*flight
 	demanded map[string]time.Time
+	stopped  bool
+	ctx      context.Context // ends with the waker
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
 }
 
 func newWaker(p *Place) *Waker {
-	return &Waker{p: p, baseline: &loadOnMiss{p: p}, flights: make(map[key]*flight), demanded: make(map[string]time.Time)}
+	w := &Waker{p: p, baseline: &loadOnMiss{p: p}, flights: make(map[key]*flight), demanded: make(map[string]time.Time)}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	return w
+}
+
+// stop ends all flights and waits for them.
+func (w *Waker) stop() {
+	w.cancel()
+	w.mu.Lock()
+	w.stopped = true
+	for _, f := range w.flights {
+		f.done, f.err = true, stopped()
+		f.signal()
+	}
+	w.mu.Unlock()
+	w.work.Wait()
+}
+
+func stopped() error {
+	return drverdict.New(drverdict.NotRun, drverdict.Draining, "this VM is shutting down")
 }
 
 func jitter(limit time.Duration) time.Duration { return rand.N(limit) }
@@ -40,7 +63,10 @@
 	}
 	timer := w.p.Clock.NewTimer(deadline.Sub(w.p.Clock.Now()))
 	defer timer.Stop()
-	f := w.join(ky)
+	f, err := w.join(ky)
+	if err != nil {
+		return Location{}, err
+	}
 	defer w.leave(ky, f)
 	for {
 		w.mu.Lock()
@@ -88,20 +114,23 @@
 }
 
 // join joins the flight of ky or starts one.
-func (w *Waker) join(ky key) *flight {
+func (w *Waker) join(ky key) (*flight, error) {
 	w.p.residency.touch(ky.model)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped {
+		return nil, stopped()
+	}
 	f := w.flights[ky]
 	if f == nil || f.done {
 		f = &flight{progress: make(chan struct{})}
 		var ctx context.Context
-		ctx, f.cancel = context.WithCancel(context.Background())
+		ctx, f.cancel = context.WithCancel(w.ctx)
 		w.flights[ky] = f
-		go w.fly(ctx, ky, f)
+		w.work.Go(func() { w.fly(ctx, ky, f) })
 	}
 	f.waiters++
-	return f
+	return f, nil
 }
 
 func (w *Waker) leave(ky key, f *flight) {
@@ -119,6 +148,9 @@
 func (w *Waker) finish(f *flight, l Location, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if f.done {
+		return
+	}
 	f.done, f.location, f.err = true, l, err
 	f.signal()
 }
@@ -138,7 +170,7 @@
 	for ctx.Err() == nil {
 		rights := w.order(ky)
 		if hold == 0 {
-			w.wakeMinimum(ctx, ky, rights)
+			w.wakeMinimum(ky, rights)
 		}
 		l, wait, from, err := w.tryRights(ctx, ky, rights, hold)
 		if err == nil && l.Runner != "" {
@@ -163,27 +195,30 @@
 // waiting is pointless.
 func (w *Waker) recover(ctx context.Context, ky key, f *flight, rights []Right, from string, err error) error {
 	reason := drverdict.ReasonOf(err)
-	if reason == drverdict.LogUnavailable || reason == drverdict.UnknownModel {
+	if reason == drverdict.UnknownModel {
 		return err
 	}
-	if w.p.logDown() && err != nil {
+	var e *drverdict.Error
+	crowded := asVerdict(err, &e) && reason == drverdict.NoCapacity && e.RetryAfter > 0
+	if w.p.logDown() && err != nil && !crowded {
 		// No ownership and no right can change until the log returns.
 		return drverdict.Wrap(drverdict.NotRun, drverdict.LogUnavailable, err, "wake while the log is down")
 	}
-	var e *drverdict.Error
 	if len(rights) == 0 || reason == drverdict.NoCapacity {
 		demand := w.p.callDemand(ctx, &drpb.PlacementDemand{Model: ky.model, Have: uint32(len(rights)), Contended: from})
 		switch {
 		case demand == nil:
 			return nil
-		case drverdict.ReasonOf(demand) == drverdict.LogUnavailable, drverdict.ReasonOf(demand) == drverdict.UnknownModel:
+		case drverdict.ReasonOf(demand) == drverdict.UnknownModel:
 			return demand
+		case w.p.logDown() && !crowded:
+			return drverdict.Wrap(drverdict.NotRun, drverdict.LogUnavailable, demand, "wake while the log is down")
 		case len(rights) == 0 && drverdict.ReasonOf(demand) == drverdict.NoCapacity && len(w.p.Ledger.Rights(ky.model)) == 0:
 			return demand
 		}
 	}
 	wait := retryPause
-	if asVerdict(err, &e) && e.RetryAfter > 0 {
+	if crowded {
 		w.expect(f, e.RetryAfter, err)
 		wait = e.RetryAfter / 4
 	}
@@ -209,13 +244,22 @@
 	return append(loaded, others...)
 }
 
-// wakeMinimum wakes the model on the other runners that make up its minimum.
-func (w *Waker) wakeMinimum(ctx context.Context, ky key, rights []Right) {
+// wakeMinimum wakes the model on the other runners that make up its minimum,
+// beyond the end of the flight.
+func (w *Waker) wakeMinimum(ky key, rights []Right) {
 	m, _ := w.p.Catalogue.Model(ky.model)
 	for i := 1; i < min(m.Min, len(rights)); i++ {
-		go func() {
-			_, _ = w.p.callWake(ctx, &drpb.PlacementWake{Runner: rights[i].Runner, Model: ky.model, Adapter: ky.adapter})
-		}()
+		w.work.Go(func() { w.wakeOther(ky, rights[i].Runner) })
+	}
+}
+
+// wakeOther makes some attempts to wake ky on a runner.
+func (w *Waker) wakeOther(ky key, runner string) {
+	for range 5 {
+		_, err := w.p.callWake(w.ctx, &drpb.PlacementWake{Runner: runner, Model: ky.model, Adapter: ky.adapter})
+		if err == nil || w.p.Clock.Sleep(w.ctx, tick) != nil {
+			return
+		}
 	}
 }
 
