Keep settled intents reserved until the engine shows their effect

Cause: a done record of a superseded owner can be folded before the engine's report shows the replica; draining could hand over an order in doubt. Change: settled intents become doubts until a later state; drain waits for orders the engine has not shown; the next VM in rank claims a runner that stays without owner; fakes delay orders, appends and reports.

--- a/drplace/cluster_test.go
+++ b/drplace/cluster_test.go
@@ -24,6 +24,8 @@
 const (
 	gigabyte    = 1 << 30
 	testLatency = 2 * time.Millisecond
+	// testLag is how old an engine's report is when it arrives.
+	testLag = 30 * time.Millisecond
 )
 
 // cluster is a set of VMs with fakes of the log, the engines and the peers. It
@@ -34,7 +36,8 @@
 	kinds   map[string]int
 	grown   chan struct{}
 	logDown bool
-	lose    int // answers of appends to lose
+	lose    int // answers of appends to lose; every other arrives late
+	delay   int // appends to answer with an error, which arrive late
 	late    [][]byte
 	truth   *Ledger
 	vms     map[string]*testVM
@@ -60,6 +63,7 @@
 	ended       chan struct{}
 	dead        bool
 	paused      bool
+	leaving     bool
 	silentSince time.Time
 	resumed     chan struct{}
 }
@@ -120,7 +124,7 @@
 
 func (v *testVM) start() {
 	v.c.mu.Lock()
-	v.dead, v.paused = false, false
+	v.dead, v.paused, v.leaving = false, false, false
 	v.member.Incarnation++
 	v.ledger, v.applied, v.confirmed = NewLedger(), 0, time.Time{}
 	v.handlers = make(map[string]drpeer.Handler)
@@ -175,6 +179,14 @@
 	}
 }
 
+// drain hands the VM's runners over as a graceful shutdown does.
+func (v *testVM) drain(ctx context.Context) {
+	v.c.mu.Lock()
+	v.leaving = true
+	v.c.mu.Unlock()
+	v.place.Drain(ctx)
+}
+
 // gate blocks while the VM is paused; what passes it has an effect outside.
 func (v *testVM) gate() {
 	for {
@@ -267,6 +279,11 @@
 		return 0, drverdict.Wrap(drverdict.MayHaveRun, drverdict.LogUnavailable, ctx.Err(), "append")
 	}
 	defer c.mu.Unlock()
+	if c.delay > 0 {
+		c.delay--
+		c.late = append(c.late, entry)
+		return 0, drverdict.New(drverdict.MayHaveRun, drverdict.LogUnavailable, "no answer")
+	}
 	if c.lose > 0 {
 		c.lose--
 		if c.lose%2 == 0 {
@@ -336,6 +353,9 @@
 		if (v.dead || v.paused) && time.Since(v.silentSince) > 3*time.Second && m.VM != w.self.VM {
 			m.State = drmember.Unreachable
 		}
+		if v.leaving {
+			m.State = drmember.Leaving
+		}
 		ms = append(ms, m)
 	}
 	slices.SortFunc(ms, func(a, b drmember.Member) int {
--- a/drplace/config.go
+++ b/drplace/config.go
@@ -65,6 +65,9 @@
 	// stateStale is the age of the last state beyond which an engine counts
 	// as unreachable.
 	stateStale = 4 * time.Second
+	// claimPause is how long a runner may be without owner before the next VM
+	// in rank claims it as well.
+	claimPause = 3 * time.Second
 	// appendTimeout bounds an append and the wait until it is read back.
 	appendTimeout = 2 * time.Second
 	// retryPause separates attempts after a failed call or append.
--- a/drplace/engine_test.go
+++ b/drplace/engine_test.go
@@ -18,13 +18,13 @@
 	name     string
 	memory   int64
 	took     time.Duration
-	adapter  time.Duration
 	fence    uint64
 	version  uint64
 	instance int
 	down     bool
 	leaving  bool
-	lose     int // answers of orders to lose
+	lose     int // answers of orders to lose, the orders taking effect
+	delay    int // orders to answer with an error and to execute later
 	replicas []drengine.Replica
 	loads    map[string]int
 	stale    int // orders refused for a stale fence
@@ -76,6 +76,7 @@
 		}
 		changed := t.changed
 		t.c.mu.Unlock()
+		time.Sleep(testLag)
 		if over || after == 0 || s.Version != after {
 			t.v.gate()
 			return s, nil
@@ -106,11 +107,16 @@
 		t.stale++
 		return drverdict.New(drverdict.NotRun, drverdict.Conflict, "stale fence")
 	}
-	if o.Op == drengine.Unload {
-		t.remove(o.Replica)
-	} else {
-		t.load(o)
+	if t.delay > 0 {
+		t.delay--
+		time.AfterFunc(quarantine-driftMargin/2, func() {
+			t.c.mu.Lock()
+			defer t.c.mu.Unlock()
+			t.execute(o)
+		})
+		return drverdict.New(drverdict.MayHaveRun, drverdict.Unavailable, "no answer")
 	}
+	t.execute(o)
 	if t.lose > 0 {
 		t.lose--
 		return drverdict.New(drverdict.MayHaveRun, drverdict.Unavailable, "answer lost")
@@ -118,6 +124,18 @@
 	return nil
 }
 
+// execute carries out an order unless its fence has become stale.
+func (e *testEngine) execute(o drengine.Order) {
+	switch {
+	case e.c.fencing && o.Fence < e.fence:
+		e.stale++
+	case o.Op == drengine.Unload:
+		e.remove(o.Replica)
+	default:
+		e.load(o)
+	}
+}
+
 func (e *testEngine) remove(id string) {
 	e.replicas = slices.DeleteFunc(e.replicas, func(r drengine.Replica) bool { return r.ID == id })
 	e.bump()
--- a/drplace/keeper.go
+++ b/drplace/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -160,7 +161,7 @@
 		return false
 	}
 	k.rights = k.p.Ledger.RightsOn(k.runner)
-	k.intents = k.p.Ledger.InDoubt(k.runner)
+	k.takeIntents()
 	if k.p.View.Gone(k.runner) {
 		return k.abandon(ctx)
 	}
@@ -169,7 +170,11 @@
 	}
 	fresh := k.takeState()
 	k.settleDoubts(ctx)
-	if k.drainRequested() && len(k.doubts) == 0 {
+	if fresh {
+		k.takeSlots()
+		k.settleLoads()
+	}
+	if k.drainRequested() && k.quiet() {
 		return !k.giveUp(ctx)
 	}
 	if !fresh || k.state.Fence > k.fence {
@@ -177,8 +182,6 @@
 		k.publish()
 		return true
 	}
-	k.takeSlots()
-	k.settleLoads()
 	if k.now().Before(k.start) {
 		k.awaitStart()
 	} else {
@@ -191,6 +194,25 @@
 	return true
 }
 
+// takeIntents reads the intents in doubt. One that was settled by an earlier
+// owner keeps its memory until the engine's state, which lags, shows what the
+// order did.
+func (k *keeper) takeIntents() {
+	now := k.p.Ledger.InDoubt(k.runner)
+	for _, in := range k.intents {
+		still := slices.ContainsFunc(now, func(n Intent) bool { return n.Offset == in.Offset })
+		if _, doubted := k.doubts[in.Replica]; still || doubted || in.Fence == k.fence {
+			continue
+		}
+		d := doubt{model: in.Model, until: k.now().Add(driftMargin)}
+		if !in.Unload {
+			d.bytes = in.Bytes
+		}
+		k.doubts[in.Replica] = d
+	}
+	k.intents = now
+}
+
 // takeState takes over the polled state and reports whether it is recent.
 func (k *keeper) takeState() bool {
 	k.mu.Lock()
@@ -274,6 +296,17 @@
 	return k.draining
 }
 
+// quiet reports whether the engine has shown the effect of every order, so that
+// the next owner sees it too.
+func (k *keeper) quiet() bool {
+	for _, l := range k.loads {
+		if l.phase == ordered && !l.seen {
+			return false
+		}
+	}
+	return len(k.doubts) == 0
+}
+
 func (k *keeper) requestDrain() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/drplace/keeper_order.go
+++ b/drplace/keeper_order.go
@@ -85,7 +85,7 @@
 			return
 		}
 	}
-	k.intents = k.p.Ledger.InDoubt(k.runner)
+	k.takeIntents()
 }
 
 // unload orders the unload of a replica, unless the order was sent recently or
--- a/drplace/ledger_test.go
+++ b/drplace/ledger_test.go
@@ -92,8 +92,21 @@
 	is.True(l.add(giveUp("r", 12, false)))    // 22
 	is.True(l.add(own("r", "c", 12)))         // 23
 	is.True(!l.Owner("r").Clean)              // a's lease may still run
-	l.Apply(drlog.Record{Offset: 24, Data: []byte("\xff")})
-	is.Equal(l.Offset(), uint64(24))
+	is.True(!l.add(release("m", "s", 8, 0)))  // nobody owns s
+	l.Apply(drlog.Record{Offset: 25, Data: []byte("\xff")})
+	is.Equal(l.Offset(), uint64(25))
+}
+
+// Guards against a release that an owner appended before it was superseded:
+// its successor may have loaded the model under the same right.
+func TestLedgerRejectsReleaseOfFormerOwner(t *testing.T) {
+	is := is.New(t)
+	l := newLedgerLog()
+	is.True(l.add(own("r", "a", 0)))         // 1
+	is.True(l.add(grant("m", "r", 1, 1)))    // 2
+	is.True(l.add(own("r", "b", 1)))         // 3
+	is.True(!l.add(release("m", "r", 2, 1))) // by a
+	is.True(l.add(release("m", "r", 2, 3)))  // by b
 }
 
 // Guards against a snapshot that loses state or differs between VMs.
--- a/drplace/owner.go
+++ b/drplace/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	keepers  map[string]*keeper // by runner, the newest
 	active   map[uint64]bool    // fences under which orders may be on their way
 	claiming drset.Set[string]
+	orphans  map[string]time.Time // runners without owner, since when
 	draining bool
 	changed  chan struct{} // closed when a keeper publishes or ends
 	work     sync.WaitGroup
@@ -34,7 +36,7 @@
 	return &Owner{
 		p: p, speeds: newSpeeds(), pokes: make(chan struct{}, 1),
 		keepers: make(map[string]*keeper), active: make(map[uint64]bool),
-		claiming: make(drset.Set[string]), changed: make(chan struct{}),
+		claiming: make(drset.Set[string]), orphans: make(map[string]time.Time), changed: make(chan struct{}),
 	}
 }
 
@@ -115,6 +117,11 @@
 	own := o.p.Ledger.Owner(b.VM)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if own.VM != "" && present.Has(own.VM) {
+		delete(o.orphans, b.VM)
+	} else if _, known := o.orphans[b.VM]; !known {
+		o.orphans[b.VM] = o.p.Clock.Now()
+	}
 	if own.VM == self.VM && own.Incarnation == self.Incarnation {
 		if k := o.keepers[b.VM]; k == nil || k.fence != own.Fence {
 			o.start(ctx, b, fencing, own)
@@ -125,7 +132,7 @@
 	if o.draining || o.claiming.Has(b.VM) || o.p.logDown() || !restarted && own.VM != "" && present.Has(own.VM) {
 		return
 	}
-	if !restarted && !o.preferred(b, self) {
+	if !restarted && !o.preferred(b, self, o.p.Clock.Since(o.orphans[b.VM])) {
 		return
 	}
 	o.claiming.Add(b.VM)
@@ -133,8 +140,10 @@
 }
 
 // preferred reports whether this VM ranks first for the runner among the
-// candidates of the runner's zone, or among all if the zone has none.
-func (o *Owner) preferred(b drmember.Backend, self drmember.Member) bool {
+// candidates of the runner's zone, or among all if the zone has none. For each
+// claimPause that the runner has been without owner, the next VM in rank may
+// claim it too, in case those before cannot.
+func (o *Owner) preferred(b drmember.Backend, self drmember.Member, orphaned time.Duration) bool {
 	all := o.p.View.Candidates()
 	var near []drmember.Member
 	for _, m := range all {
@@ -145,7 +154,12 @@
 	if len(near) == 0 {
 		near = all
 	}
-	return first("runner/"+b.VM, near, self.VM)
+	ranked := drmember.Rank("runner/"+b.VM, near)
+	if len(near) < len(all) {
+		ranked = append(ranked, drmember.Rank("runner/"+b.VM, all)...)
+	}
+	i := slices.IndexFunc(ranked, func(m drmember.Member) bool { return m.VM == self.VM })
+	return i >= 0 && orphaned >= time.Duration(i)*claimPause
 }
 
 // claim appends an own record. Whether it was accepted shows in the ledger; a
--- a/drplace/place_test.go
+++ b/drplace/place_test.go
@@ -313,6 +313,63 @@
 	})
 }
 
+// Guards against loading under a right whose release may still arrive.
+func TestLateRelease(t *testing.T) {
+	c := newCluster(2, 1, true)
+	c.model("m", 4, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		leaving := func(is bool) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.engines["r0"].leaving = is
+			c.engines["r0"].bump()
+		}
+		c.mu.Lock()
+		c.delay = 1
+		c.mu.Unlock()
+		leaving(true)
+		time.Sleep(300 * time.Millisecond)
+		leaving(false)
+		is.Equal(len(c.late), 1)
+		_, err := c.wake("vm00", "m", "", 20*time.Second)
+		is.NoErr(err)
+		c.flush()
+		is.NoErr(c.check())
+		is.Equal(len(c.truth.Rights("m")), 1)
+	})
+}
+
+// Guards against handing a runner over while an order may still arrive that the
+// next owner does not know of.
+func TestDrainWaitsForOrderInDoubt(t *testing.T) {
+	c := newCluster(2, 1, false)
+	c.model("a", 6, 1, 1)
+	c.model("b", 6, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		c.engines["r0"].delay = 1
+		old := c.owner("r0")
+		_, _ = old.place.owner.wake(context.Background(), &drpb.PlacementWake{Runner: "r0", Model: "a"})
+		time.Sleep(100 * time.Millisecond)
+		go old.drain(context.Background())
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.wake(c.other(old), "b", "", time.Minute)
+			done <- err
+		}()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			is.NoErr(c.check())
+		}
+		is.NoErr(<-done)
+	})
+}
+
 // Guards against models that never scale to idle.
 func TestIdleTimeout(t *testing.T) {
 	c := newCluster(2, 1, true)
@@ -410,7 +467,7 @@
 		c.settle()
 		old := c.owner("r0")
 		before := c.kinds["*drpb.PlacementRecord_Own"]
-		old.place.Drain(context.Background())
+		old.drain(context.Background())
 		old.kill()
 		time.Sleep(5 * time.Second)
 		is.True(c.owner("r0") != nil && c.owner("r0") != old)
--- a/drplace/property_test.go
+++ b/drplace/property_test.go
@@ -27,7 +27,10 @@
 	faultResume
 	faultLoseAppends
 	faultFlush
+	faultDelayAppends
 	faultLoseOrder
+	faultDelayOrder
+	faultWakeAll
 	faultEngineRestart
 	faultLogDown
 	faultLogUp
@@ -107,6 +110,12 @@
 		if !v.dead && !v.paused {
 			go func() { _, _ = c.wake(v.member.VM, model, adapter, 20*time.Second) }()
 		}
+	case faultWakeAll:
+		if !v.dead && !v.paused {
+			for m := range 4 {
+				go func() { _, _ = c.wake(v.member.VM, fmt.Sprintf("m%d", m), "", 10*time.Second) }()
+			}
+		}
 	case faultKill:
 		v.kill()
 	case faultStart:
@@ -131,7 +140,7 @@
 		if !v.dead && !v.paused {
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			go func() {
-				v.place.Drain(ctx)
+				v.drain(ctx)
 				cancel()
 			}()
 		}
@@ -146,6 +155,10 @@
 	switch f.Kind {
 	case faultLoseAppends:
 		c.lose = f.Thing + 1
+	case faultDelayAppends:
+		c.delay = f.Thing + 1
+	case faultDelayOrder:
+		e.delay = 1 + f.Wait%2
 	case faultLoseOrder:
 		e.lose = 1 + f.Wait%2
 	case faultLogDown:
