Shorten the pause after a slot changes holder

Cause: a new slot holder waited 16 s from the first demand, which delayed cold starts after a VM died; all slots went to the VM that started first. Change: loans of 6 s, the wait runs from the takeover, a holder with more than its share loses slots; tests of lease, takeover wait and order in flight.

--- a/drplace/cluster_test.go
+++ b/drplace/cluster_test.go
@@ -52,18 +52,20 @@
 }
 
 type testVM struct {
-	c           *cluster
-	member      drmember.Member
-	place       *Place
-	ledger      *Ledger
-	applied     int
-	confirmed   time.Time
-	handlers    map[string]drpeer.Handler
-	cancel      context.CancelFunc
-	ended       chan struct{}
-	dead        bool
-	paused      bool
-	leaving     bool
+	c         *cluster
+	member    drmember.Member
+	place     *Place
+	ledger    *Ledger
+	applied   int
+	confirmed time.Time
+	handlers  map[string]drpeer.Handler
+	cancel    context.CancelFunc
+	ended     chan struct{}
+	dead      bool
+	paused    bool
+	leaving   bool
+	// pauseAt names a point at which the VM pauses itself once.
+	pauseAt     string
 	silentSince time.Time
 	resumed     chan struct{}
 }
@@ -187,6 +189,20 @@
 	v.place.Drain(ctx)
 }
 
+// reach pauses the VM if it is to pause at this point.
+func (v *testVM) reach(point string) {
+	v.c.mu.Lock()
+	hit := v.pauseAt == point
+	if hit {
+		v.pauseAt = ""
+	}
+	v.c.mu.Unlock()
+	if hit {
+		v.pause()
+	}
+	v.gate()
+}
+
 // gate blocks while the VM is paused; what passes it has an effect outside.
 func (v *testVM) gate() {
 	for {
@@ -325,6 +341,7 @@
 			return ctx.Err()
 		}
 	}
+	j.v.reach("folded")
 	return nil
 }
 
--- a/drplace/config.go
+++ b/drplace/config.go
@@ -116,8 +116,9 @@
 	demandJitter = 400 * time.Millisecond
 	// slotHold is how long a holder lets a taker wait for a slot.
 	slotHold = 250 * time.Millisecond
-	// Loans end unless renewed; the owner renews at a third.
-	loadLoan    = 15 * time.Second
+	// Loans end unless renewed; the owner renews at a third. They are short,
+	// because they delay the next holder of a slot.
+	loadLoan    = 6 * time.Second
 	adapterLoan = 3 * time.Second
 )
 
--- a/drplace/engine_test.go
+++ b/drplace/engine_test.go
@@ -18,6 +18,7 @@
 	name     string
 	memory   int64
 	took     time.Duration
+	lag      time.Duration // age of reports if longer than testLag
 	fence    uint64
 	version  uint64
 	instance int
@@ -76,7 +77,7 @@
 		}
 		changed := t.changed
 		t.c.mu.Unlock()
-		time.Sleep(testLag)
+		time.Sleep(max(t.lag, testLag))
 		if over || after == 0 || s.Version != after {
 			t.v.gate()
 			return s, nil
@@ -92,7 +93,7 @@
 }
 
 func (t *testClient) Order(_ context.Context, o drengine.Order) error {
-	t.v.gate() // a paused VM's order arrives when it resumes, however late
+	t.v.reach("order") // a paused VM's order arrives when it resumes, however late
 	select {
 	case <-t.gone:
 		return drverdict.New(drverdict.NotRun, drverdict.Unavailable, "process ended")
--- a/drplace/place_test.go
+++ b/drplace/place_test.go
@@ -85,10 +85,12 @@
 			c.startAll()
 			c.settle()
 			old := c.owner("r0")
+			before := c.kinds["*drpb.PlacementRecord_Own"]
 			old.pause()
 			go func() { _, _ = old.place.owner.wake(context.Background(), wakeOf("r0", "a")) }()
 			time.Sleep(20 * time.Second)
 			is.True(c.owner("r0") != old)
+			t.Logf("fencing=%v own records for one takeover: %d", fencing, c.kinds["*drpb.PlacementRecord_Own"]-before)
 			if !fencing {
 				is.Equal(len(c.truth.InDoubt("r0")), 0) // paused before the intent
 			}
@@ -114,30 +116,80 @@
 		is := is.New(t)
 		c.startAll()
 		c.settle()
+		c.engines["r0"].lag = 500 * time.Millisecond // the log is faster
 		old := c.owner("r0")
+		old.pauseAt = "order"
 		go func() { _, _ = old.place.owner.wake(context.Background(), wakeOf("r0", "a")) }()
-		for len(c.truth.InDoubt("r0")) == 0 {
-			time.Sleep(100 * time.Microsecond)
-		}
-		old.pause() // between the intent and the order
 		time.Sleep(20 * time.Second)
 		is.True(c.owner("r0") != old)
 		is.Equal(len(c.truth.InDoubt("r0")), 1)
 		_, err := c.wake(c.other(old), "b", "", 10*time.Second)
 		is.Equal(drverdict.ReasonOf(err), drverdict.NoCapacity) // a may still arrive
 		is.Equal(drverdict.Of(err), drverdict.NotRun)
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.wake(c.other(old), "b", "", 2*time.Minute)
+			done <- err
+		}()
+		time.Sleep(time.Second)
 		old.resume()
-		for range 50 {
-			time.Sleep(100 * time.Millisecond)
+		for range 10_000 {
+			time.Sleep(time.Millisecond)
 			is.NoErr(c.check())
 		}
+		is.Equal(c.loadsOf("a"), 1) // the late order arrived
 		is.Equal(len(c.truth.InDoubt("r0")), 0)
-		_, err = c.wake(c.other(nil), "b", "", 20*time.Second)
-		is.NoErr(err)
+		is.NoErr(<-done)
 		is.NoErr(c.check())
 	})
 }
 
+// Guards against a new owner that sends orders while the lease of the old one
+// may still run.
+func TestTakeoverWaitsOutLease(t *testing.T) {
+	c := newCluster(2, 1, false)
+	c.model("a", 6, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		old := c.owner("r0")
+		old.kill()
+		go func() { _, _ = c.wake(c.other(old), "a", "", time.Minute) }()
+		for c.owner("r0") == old {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(takeoverWait - 50*time.Millisecond)
+		is.Equal(c.loadsOf("a"), 0)
+		time.Sleep(2 * time.Second)
+		is.Equal(c.loadsOf("a"), 1)
+	})
+}
+
+// Guards against an order that is sent after the lease has expired, although
+// its intent was accepted before.
+func TestNoOrderAfterLease(t *testing.T) {
+	c := newCluster(2, 1, false)
+	c.model("a", 6, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		old := c.owner("r0")
+		old.pauseAt = "folded"
+		go func() { _, _ = old.place.owner.wake(context.Background(), wakeOf("r0", "a")) }()
+		time.Sleep(time.Second)
+		is.Equal(len(c.truth.InDoubt("r0")), 1)
+		c.mu.Lock()
+		c.logDown = true // the takeover cannot be read
+		c.mu.Unlock()
+		time.Sleep(lease)
+		old.resume()
+		time.Sleep(5 * time.Second)
+		is.Equal(c.loadsOf("a"), 0)
+	})
+}
+
 // Guards against duplicate rights or owners when the log's answers are lost or
 // records arrive late.
 func TestLostAnswers(t *testing.T) {
--- a/drplace/slots.go
+++ b/drplace/slots.go
@@ -45,34 +45,46 @@
 	return loadLoan
 }
 
-// run takes over slots whose holder is gone.
+// run takes over slots whose holder is gone, and slots of a holder that has
+// more than its share because it started first.
 func (s *Slots) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		self := s.p.View.Self()
-		candidates := s.p.View.Candidates()
-		alive := make(drset.Set[string], len(candidates))
-		for _, m := range candidates {
-			alive.Add(m.VM)
+		s.review(ctx)
+		if s.p.Clock.Sleep(ctx, tick) != nil {
+			return
 		}
-		for kind := range slotKinds {
-			held := make(map[uint32]Slot)
-			for _, t := range s.p.Ledger.Slots(kind) {
-				held[t.Number] = t
-			}
-			for n := range kind.count() {
-				t := held[n]
-				restarted := t.VM == self.VM && t.Incarnation != self.Incarnation
-				if t.VM != "" && alive.Has(t.VM) && !restarted {
-					continue
-				}
-				if !restarted && !first(slotName(kind, n), candidates, self.VM) {
-					continue
-				}
-				s.take(ctx, kind, n, t.Offset)
+	}
+}
+
+func (s *Slots) review(ctx context.Context) {
+	self := s.p.View.Self()
+	candidates := s.p.View.Candidates()
+	if s.p.logDown() || len(candidates) == 0 {
+		return
+	}
+	alive := make(drset.Set[string], len(candidates))
+	for _, m := range candidates {
+		alive.Add(m.VM)
+	}
+	for kind := range slotKinds {
+		held := make(map[uint32]Slot)
+		holds := make(map[string]int)
+		for _, t := range s.p.Ledger.Slots(kind) {
+			held[t.Number] = t
+			holds[t.VM]++
+			if t.VM == self.VM {
+				s.noticeHeld(t)
 			}
 		}
-		if s.p.Clock.Sleep(ctx, tick) != nil {
-			return
+		share := (int(kind.count()) + len(candidates) - 1) / len(candidates)
+		for n := range kind.count() {
+			t := held[n]
+			restarted := t.VM == self.VM && t.Incarnation != self.Incarnation
+			kept := alive.Has(t.VM) && (holds[t.VM] <= share || t.VM == self.VM) && !restarted
+			if kept || !restarted && !first(slotName(kind, n), candidates, self.VM) {
+				continue
+			}
+			s.take(ctx, kind, n, t.Offset)
 		}
 	}
 }
@@ -149,15 +161,22 @@
 	return 0, wait, s.freed
 }
 
-// lending returns the state of a held slot. A new holder waits until the loans
-// of the earlier one have ended.
+// noticeHeld starts the wait of a new holder before the first loan is asked for.
+func (s *Slots) noticeHeld(t Slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lending(t, s.p.Clock.Now())
+}
+
+// lending returns the state of a held slot. A new holder waits until most loans
+// of the earlier one have ended, which has been silent for about half a loan.
 func (s *Slots) lending(t Slot, now time.Time) *lending {
 	k := slotKey{t.Kind, t.Number}
 	n := s.lent[k]
 	if n == nil || n.offset != t.Offset {
 		n = &lending{offset: t.Offset, from: now}
 		if !t.Clean {
-			n.from = now.Add(t.Kind.loan() + driftMargin)
+			n.from = now.Add(t.Kind.loan() / 2)
 		}
 		s.lent[k] = n
 	}
@@ -223,11 +242,16 @@
 	}
 }
 
-// holders returns the VMs that hold slots of a kind, in random order.
+// holders returns the live VMs that hold slots of a kind, in random order.
 func (s *Slots) holders(kind SlotKind) []string {
-	vms := make(drset.Set[string])
+	held, vms := make(drset.Set[string]), make(drset.Set[string])
 	for _, t := range s.p.Ledger.Slots(kind) {
-		vms.Add(t.VM)
+		held.Add(t.VM)
+	}
+	for _, m := range s.p.View.Candidates() {
+		if held.Has(m.VM) {
+			vms.Add(m.VM)
+		}
 	}
 	hs := drset.Sorted(vms)
 	rand.Shuffle(len(hs), func(i, j int) { hs[i], hs[j] = hs[j], hs[i] })
