Add fleet-wide token limits

Each account's rate and burst is split into 8 shares that VMs hold through the stream shares; entry VMs borrow tokens from holders by debit before credit.

--- /dev/null
+++ b/drlimit/demand.go
@@ -0,0 +1,34 @@
+package drlimit
+
+import (
+	"math"
+	"time"
+)
+
+// demandDecay is the time constant of the measured demand. It covers a few
+// borrow requests, so that the demand follows a burst without oscillating.
+const demandDecay = time.Second
+
+// demand is the exponentially weighted rate at which tokens are asked for.
+type demand struct {
+	rate float64 // tokens per second
+	at   time.Time
+}
+
+func (d *demand) add(tokens float64, now time.Time) {
+	d.decay(now)
+	d.rate += tokens / demandDecay.Seconds()
+}
+
+func (d *demand) decay(now time.Time) {
+	if e := now.Sub(d.at); e > 0 {
+		d.rate *= math.Exp(-e.Seconds() / demandDecay.Seconds())
+		d.at = now
+	}
+}
+
+// in returns the tokens that are expected to be asked for within span.
+func (d *demand) in(span time.Duration, now time.Time) float64 {
+	d.decay(now)
+	return d.rate * span.Seconds()
+}
--- /dev/null
+++ b/drlimit/fleet_test.go
@@ -0,0 +1,365 @@
+package drlimit
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drlog"
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// fleet is a set of VMs with an in-memory network and log. It runs in a
+// synctest bubble, whose clock is virtual.
+type fleet struct {
+	mu      sync.Mutex
+	vms     []*vm
+	limits  map[string]drconfig.Limit
+	records []drlog.Record
+	logDown bool
+	random  *rand.Rand
+	// faults is the probability of each fault of a message.
+	faults   float64
+	messages int
+	group    sync.WaitGroup
+}
+
+type vm struct {
+	fleet    *fleet
+	member   drmember.Member
+	shares   *Shares
+	holder   *Holder
+	limiter  *Limiter
+	handlers map[string]drpeer.Handler
+	messages int
+	dead     bool
+	leaving  bool
+	gone     bool
+	paused   chan struct{} // closed on resume; nil if running
+	stop     context.CancelFunc
+}
+
+func newFleet(n int, policy Policy, seed uint64, limits map[string]drconfig.Limit) *fleet {
+	f := &fleet{limits: limits, random: rand.New(rand.NewPCG(seed, 1))}
+	f.vms = make([]*vm, n)
+	for i := range n {
+		f.start(i, drmember.Member{VM: fmt.Sprintf("vm-%02d", i), Incarnation: 1}, policy)
+	}
+	return f
+}
+
+// start starts a process on the VM with index i.
+func (f *fleet) start(i int, m drmember.Member, policy Policy) {
+	v := &vm{fleet: f, member: m, shares: NewShares(), handlers: make(map[string]drpeer.Handler)}
+	v.holder = NewHolder(HolderConfig{
+		Clock: drclock.System{}, View: v, Shares: v.shares, Journal: v, Limits: f, Recorder: drtimeline.Discard{},
+	})
+	v.holder.Register(v)
+	v.limiter = New(Config{
+		Clock: drclock.System{}, View: v, Shares: v.shares, Limits: f, Caller: v, Holder: v.holder, Policy: policy,
+	})
+	f.set(func() {
+		for _, r := range f.records {
+			v.shares.Apply(r)
+		}
+		f.vms[i] = v
+	})
+	var ctx context.Context
+	ctx, v.stop = context.WithCancel(context.Background())
+	f.group.Go(func() { v.holder.Run(ctx) })
+}
+
+func (f *fleet) close() {
+	for _, v := range f.vms {
+		f.resume(v)
+		v.stop()
+		v.limiter.Close()
+	}
+	f.group.Wait()
+}
+
+func (f *fleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fleet) pause(v *vm) { f.set(func() { v.paused = make(chan struct{}) }) }
+
+func (f *fleet) resume(v *vm) {
+	f.set(func() {
+		if v.paused != nil {
+			close(v.paused)
+			v.paused = nil
+		}
+	})
+}
+
+// kill ends the process of v; the list forgets it only with gone.
+func (f *fleet) kill(v *vm) {
+	f.set(func() { v.dead = true })
+	v.stop()
+}
+
+// restart replaces the process of v by a new one.
+func (f *fleet) restart(v *vm, policy Policy) {
+	v.limiter.Close()
+	m := v.member
+	m.Incarnation++
+	f.start(slices.Index(f.vms, v), m, policy)
+}
+
+func (f *fleet) Limit(account string) (drconfig.Limit, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l, ok := f.limits[account]
+	return l, ok
+}
+
+func (f *fleet) Accounts() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var as []string
+	for a := range f.limits {
+		as = append(as, a)
+	}
+	slices.Sort(as)
+	return as
+}
+
+func (v *vm) Handle(method string, h drpeer.Handler) { v.handlers[method] = h }
+
+func (v *vm) Self() drmember.Member              { return v.member }
+func (v *vm) Members() []drmember.Member         { return v.Candidates() }
+func (v *vm) Backends(string) []drmember.Backend { return nil }
+
+func (v *vm) Candidates() []drmember.Member {
+	var ms []drmember.Member
+	v.fleet.set(func() {
+		for _, o := range v.fleet.vms {
+			if o != nil && !o.dead && !o.leaving {
+				ms = append(ms, o.member)
+			}
+		}
+	})
+	return ms
+}
+
+func (v *vm) Gone(name string) bool {
+	gone := false
+	v.fleet.set(func() {
+		for _, o := range v.fleet.vms {
+			gone = gone || o != nil && o.member.VM == name && o.gone
+		}
+	})
+	return gone
+}
+
+func (v *vm) Append(_ context.Context, data []byte) (uint64, error) {
+	time.Sleep(5 * time.Millisecond)
+	f := v.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.logDown {
+		return 0, drverdict.New(drverdict.NotRun, drverdict.LogUnavailable, "log down")
+	}
+	r := drlog.Record{Offset: uint64(len(f.records) + 1), Time: time.Now(), Data: data}
+	f.records = append(f.records, r)
+	for _, o := range f.vms {
+		if o != nil {
+			o.shares.Apply(r)
+		}
+	}
+	return r.Offset, nil
+}
+
+func (v *vm) WaitFor(context.Context, uint64) error { return nil }
+func (v *vm) Confirmed() time.Time                  { return time.Now() }
+
+// travel takes one way of a message, which may get lost or late.
+func (f *fleet) travel(ctx context.Context, ends ...*vm) error {
+	late := time.Millisecond
+	lost := false
+	f.set(func() {
+		if f.random.Float64() < f.faults {
+			late += time.Duration(f.random.IntN(1500)) * time.Millisecond
+		}
+		lost = f.random.Float64() < f.faults
+	})
+	time.Sleep(late)
+	for _, e := range ends {
+		var p chan struct{}
+		f.set(func() { p, lost = e.paused, lost || e.dead })
+		if p != nil {
+			<-p
+		}
+	}
+	if lost {
+		<-ctx.Done()
+	}
+	return nil
+}
+
+func (v *vm) Call(ctx context.Context, name, method string, req, resp proto.Message) error {
+	f := v.fleet
+	var to *vm
+	repeat := false
+	f.set(func() {
+		f.messages++
+		v.messages++
+		for _, o := range f.vms {
+			if o != nil && o.member.VM == name {
+				to = o
+			}
+		}
+		repeat = f.random.Float64() < f.faults
+	})
+	body, err := proto.Marshal(req)
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	f.group.Go(func() {
+		f.travel(ctx, v, to)
+		dead := false
+		var h drpeer.Handler
+		f.set(func() { dead, h = to.dead, to.handlers[method] })
+		if dead {
+			return
+		}
+		if repeat {
+			h(ctx, drpeer.Sender{VM: v.member.VM}, body)
+		}
+		m, err := h(ctx, drpeer.Sender{VM: v.member.VM}, body)
+		f.travel(ctx, to, v)
+		if ctx.Err() == nil && err == nil {
+			b, _ := proto.Marshal(m)
+			err = proto.Unmarshal(b, resp)
+			done <- err
+		}
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return drverdict.Wrap(drverdict.MayHaveRun, drverdict.Unavailable, ctx.Err(), "no answer")
+	}
+}
+
+// busiest returns the messages that the busiest VM sent.
+func (f *fleet) busiest() int {
+	n := 0
+	for _, v := range f.vms {
+		n = max(n, v.messages)
+	}
+	return n
+}
+
+// admission is an admitted request, with what it used in the end.
+type admission struct {
+	at   time.Time
+	used float64
+}
+
+// excess returns by how much the admissions exceed rate·window + burst in the
+// worst window. It is the level of a leaky bucket over the burst.
+func excess(as []admission, limit drconfig.Limit) float64 {
+	slices.SortFunc(as, func(a, b admission) int { return a.at.Compare(b.at) })
+	level, worst := 0.0, -limit.Burst
+	for i, a := range as {
+		if i > 0 {
+			level = max(0, level-limit.Rate*a.at.Sub(as[i-1].at).Seconds())
+		}
+		level += a.used
+		worst = max(worst, level-limit.Burst)
+	}
+	return worst
+}
+
+// load sends Poisson arrivals of one account.
+type load struct {
+	account string
+	limit   drconfig.Limit
+	factor  float64 // of the rate
+	size    float64 // mean tokens, uniform from half to one and a half
+	vm      int     // -1 for a random one
+	settle  bool
+}
+
+// outcome counts what became of a load.
+type outcome struct {
+	sent, refused, inRate int
+	admitted              []admission
+	tokens, ideal         float64
+	waits                 []time.Duration
+}
+
+// run sends load for a time and waits for the answers.
+func (f *fleet) run(t *testing.T, l load, seed uint64, d time.Duration) *outcome {
+	t.Helper()
+	r := rand.New(rand.NewPCG(seed, 2))
+	ideal := NewIdeal(l.limit, time.Now())
+	o := &outcome{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	start := time.Now()
+	for {
+		time.Sleep(time.Duration(r.ExpFloat64() * l.size / (l.limit.Rate * l.factor) * float64(time.Second)))
+		if time.Since(start) > d {
+			break
+		}
+		tokens := l.size * (0.5 + r.Float64())
+		used, took := tokens, time.Duration(r.IntN(3000))*time.Millisecond
+		if l.settle {
+			used = tokens * r.Float64()
+		}
+		n := l.vm
+		if n < 0 {
+			n = r.IntN(len(f.vms))
+		}
+		var v *vm
+		f.set(func() { v = f.vms[n] })
+		within := ideal.Admit(time.Now(), tokens, maxWait)
+		o.sent++
+		if within {
+			o.ideal += used
+		}
+		wg.Go(func() {
+			at := time.Now()
+			res, err := v.limiter.Reserve(context.Background(), l.account, tokens, at.Add(time.Minute))
+			now := time.Now()
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				o.refused++
+				if within {
+					o.inRate++
+				}
+				return
+			}
+			o.admitted = append(o.admitted, admission{now, used})
+			o.tokens += used
+			o.waits = append(o.waits, now.Sub(at))
+			if l.settle {
+				wg.Go(func() {
+					time.Sleep(took)
+					res.Settle(used)
+				})
+			}
+		})
+	}
+	wg.Wait()
+	slices.Sort(o.waits)
+	return o
+}
--- /dev/null
+++ b/drlimit/holder.go
@@ -0,0 +1,294 @@
+package drlimit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// HolderConfig configures a Holder.
+type HolderConfig struct {
+	Clock    drclock.Clock
+	View     drmember.View
+	Shares   *Shares
+	Journal  Journal
+	Limits   Limits
+	Recorder drtimeline.Recorder
+}
+
+// Holder refills and lends the shares that this VM holds, and acquires shares
+// that no VM holds. It is safe for concurrent use.
+type Holder struct {
+	config   HolderConfig
+	self     process
+	mu       sync.Mutex
+	accounts map[string]*holding
+	// releasing holds the shares that are being given up, with the offset
+	// of the change that gave them to this VM. They are not lent any more.
+	releasing map[shareKey]uint64
+	draining  bool
+}
+
+// NewHolder returns a holder that lends what the fold gives it.
+func NewHolder(c HolderConfig) *Holder {
+	m := c.View.Self()
+	return &Holder{
+		config: c, self: process{m.VM, m.Incarnation},
+		accounts: make(map[string]*holding), releasing: make(map[shareKey]uint64),
+	}
+}
+
+// Register registers the handlers for calls from other VMs.
+func (h *Holder) Register(r drpeer.Registry) {
+	r.Handle(methodBorrow, h.handleBorrow)
+	r.Handle(methodReturn, h.handleReturn)
+}
+
+func (h *Holder) handleBorrow(_ context.Context, _ drpeer.Sender, body []byte) (proto.Message, error) {
+	var m drpb.BorrowRequest
+	if err := proto.Unmarshal(body, &m); err != nil {
+		return nil, drverdict.Wrap(drverdict.NotRun, drverdict.MalformedRequest, err, "borrow request")
+	}
+	return h.borrow(m.GetAccount(), m.GetTokens()), nil
+}
+
+func (h *Holder) handleReturn(_ context.Context, _ drpeer.Sender, body []byte) (proto.Message, error) {
+	var m drpb.ReturnRequest
+	if err := proto.Unmarshal(body, &m); err != nil {
+		return nil, drverdict.Wrap(drverdict.NotRun, drverdict.MalformedRequest, err, "return request")
+	}
+	h.takeBack(&m)
+	return &drpb.ReturnReply{}, nil
+}
+
+// borrow lends up to tokens of an account.
+func (h *Holder) borrow(account string, tokens float64) *drpb.BorrowReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.config.Clock.Now()
+	b, shares := h.bucket(account, now)
+	if b == nil {
+		return &drpb.BorrowReply{Incarnation: h.self.incarnation}
+	}
+	id, amount := b.lend(tokens, now)
+	return &drpb.BorrowReply{
+		Loan: id, Incarnation: h.self.incarnation, Tokens: amount,
+		Level: b.level, Shares: uint32(shares),
+	}
+}
+
+func (h *Holder) takeBack(m *drpb.ReturnRequest) {
+	if m.GetIncarnation() != h.self.incarnation {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.config.Clock.Now()
+	b, _ := h.bucket(m.GetAccount(), now)
+	if b == nil {
+		return
+	}
+	for _, p := range m.GetParts() {
+		b.report(report{p.GetLoan(), p.GetSequence(), p.GetUnused(), p.GetUsed(), p.GetRefund()}, now)
+	}
+}
+
+// bucket returns the up-to-date bucket of an account and its number of
+// shares; nil if this VM lends nothing of it. The caller holds h.mu.
+func (h *Holder) bucket(account string, now time.Time) (*bucket, int) {
+	limit, ok := h.config.Limits.Limit(account)
+	shares := h.config.Shares.held(account, h.self)
+	for k, offset := range h.releasing {
+		if k.account == account && h.holds(k, offset) {
+			shares--
+		}
+	}
+	if !ok || shares <= 0 || h.draining {
+		// Shares that come back later start empty.
+		delete(h.accounts, account)
+		return nil, 0
+	}
+	e := h.accounts[account]
+	if e == nil {
+		e = &holding{bucket: newBucket(limit, 0, now)}
+		h.accounts[account] = e
+	}
+	active := e.update(shares, now)
+	e.bucket.update(limit, float64(active)/ShareCount, now)
+	return e.bucket, active
+}
+
+// holds reports whether this VM holds a share by the change at offset.
+func (h *Holder) holds(k shareKey, offset uint64) bool {
+	return h.config.Shares.holder(k.account, k.share) == shareHolder{h.self, offset}
+}
+
+// Run acquires shares until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	for {
+		if err := h.balance(ctx); err != nil && ctx.Err() == nil {
+			h.config.Recorder.Record(drtimeline.Event{Name: "shares-not-acquired", Detail: fmt.Sprintf("error=%q", err)})
+		}
+		h.start()
+		if h.config.Clock.Sleep(ctx, acquireInterval) != nil {
+			return
+		}
+	}
+}
+
+// start begins to refill buckets of new shares before they are first asked.
+func (h *Holder) start() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.config.Clock.Now()
+	for _, a := range h.config.Limits.Accounts() {
+		h.bucket(a, now)
+	}
+}
+
+// balance appends claims for the shares that this VM should take and gives up
+// shares of which it has too many.
+func (h *Holder) balance(ctx context.Context) error {
+	h.mu.Lock()
+	draining := h.draining
+	h.mu.Unlock()
+	if draining {
+		return nil
+	}
+	var changes []*drpb.ShareChange
+	candidates := h.config.View.Candidates()
+	for _, a := range h.config.Limits.Accounts() {
+		changes = append(changes, h.claims(a, candidates)...)
+		h.release(a, len(candidates))
+	}
+	h.mu.Lock()
+	for k, offset := range h.releasing {
+		if h.holds(k, offset) {
+			changes = append(changes, h.change(k, offset, true))
+		} else {
+			delete(h.releasing, k)
+		}
+	}
+	h.mu.Unlock()
+	return h.append(ctx, changes)
+}
+
+// claims returns claims for the shares of an account that are without holder
+// for certain. They go to the candidates with the fewest shares, among these
+// by rendezvous hashing, so that a failure takes as few shares as possible.
+// VMs whose views differ may claim the same share; the log decides. The shares
+// of an earlier process on this VM are claimed at once: that process is gone,
+// whatever the list says.
+func (h *Holder) claims(account string, candidates []drmember.Member) []*drpb.ShareChange {
+	counts := make(map[string]int)
+	var free []shareKey
+	for s := range uint32(ShareCount) {
+		k := shareKey{account, s}
+		old := h.config.Shares.holder(account, s)
+		if old.vm == "" || h.config.View.Gone(old.vm) || old.vm == h.self.vm && old.incarnation < h.self.incarnation {
+			free = append(free, k)
+		} else {
+			counts[old.vm]++
+		}
+	}
+	var changes []*drpb.ShareChange
+	for _, k := range free {
+		ranked := drmember.Rank(fmt.Sprintf("%s/%d", account, k.share), candidates)
+		if len(ranked) == 0 {
+			return nil
+		}
+		best := ranked[0].VM
+		for _, m := range ranked {
+			if counts[m.VM] < counts[best] {
+				best = m.VM
+			}
+		}
+		counts[best]++
+		old := h.config.Shares.holder(account, k.share)
+		if best == h.self.vm || old.vm == h.self.vm {
+			changes = append(changes, h.change(k, old.offset, false))
+		}
+	}
+	return changes
+}
+
+// release begins to give up one share of an account if this VM has more than
+// its part of them, as the first VM of a starting fleet does. Lending stops
+// before the log is asked, so that two VMs never refill the same share.
+func (h *Holder) release(account string, candidates int) {
+	fair := (ShareCount + max(1, candidates) - 1) / max(1, candidates)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var held []shareKey
+	for _, k := range h.config.Shares.keysOf(h.self) {
+		if k.account != account {
+			continue
+		}
+		if _, ok := h.releasing[k]; ok {
+			return
+		}
+		held = append(held, k)
+	}
+	if len(held) > fair {
+		k := held[len(held)-1]
+		h.releasing[k] = h.config.Shares.holder(k.account, k.share).offset
+	}
+}
+
+func (h *Holder) change(k shareKey, basedOn uint64, release bool) *drpb.ShareChange {
+	return &drpb.ShareChange{
+		Account: k.account, Share: k.share, Vm: h.self.vm, Incarnation: h.self.incarnation,
+		BasedOn: basedOn, Release: release,
+	}
+}
+
+func (h *Holder) append(ctx context.Context, changes []*drpb.ShareChange) error {
+	if len(changes) == 0 {
+		return nil
+	}
+	data, err := proto.Marshal(&drpb.ShareEntry{Changes: changes})
+	if err != nil {
+		return err
+	}
+	offset, err := h.config.Journal.Append(ctx, data)
+	if err != nil {
+		return err
+	}
+	return h.config.Journal.WaitFor(ctx, offset)
+}
+
+// Drain stops lending and gives up all shares. It returns once the log shows
+// that they are given up, or with the error of ctx.
+func (h *Holder) Drain(ctx context.Context) error {
+	h.mu.Lock()
+	h.draining = true
+	clear(h.accounts)
+	h.mu.Unlock()
+	var last error
+	for {
+		var changes []*drpb.ShareChange
+		for _, k := range h.config.Shares.keysOf(h.self) {
+			changes = append(changes, h.change(k, h.config.Shares.holder(k.account, k.share).offset, true))
+		}
+		if len(changes) == 0 {
+			return nil
+		}
+		if last = h.append(ctx, changes); last == nil {
+			continue
+		}
+		if err := h.config.Clock.Sleep(ctx, minPause); err != nil {
+			return errors.Join(err, last)
+		}
+	}
+}
--- /dev/null
+++ b/drlimit/limiter.go
@@ -0,0 +1,113 @@
+package drlimit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// Config configures a Limiter.
+type Config struct {
+	Clock  drclock.Clock
+	View   drmember.View
+	Shares *Shares
+	Limits Limits
+	Caller drpeer.Caller
+	// Holder lends the shares of this VM without a call.
+	Holder *Holder
+	Policy Policy
+}
+
+// Limiter admits requests on an entry VM. It is safe for concurrent use.
+type Limiter struct {
+	config   Config
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+	mu       sync.Mutex
+	accounts map[string]*account
+}
+
+// New returns a limiter without borrowed tokens.
+func New(c Config) *Limiter {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Limiter{config: c, ctx: ctx, cancel: cancel, accounts: make(map[string]*account)}
+}
+
+// Close stops borrowing and waits for calls to end. Requests that wait are
+// refused at their own deadlines.
+func (l *Limiter) Close() {
+	l.mu.Lock()
+	l.cancel()
+	l.mu.Unlock()
+	l.group.Wait()
+}
+
+// Reserve takes tokens from the account's limit, waiting for a limited time.
+// A zero deadline means none. Errors are *drverdict.Error with verdict NotRun:
+// OverRate if the tokens did not arrive in time or never can, NotAllowed if
+// the account has no limit, Deadline or CallerGone if ctx ended.
+func (l *Limiter) Reserve(ctx context.Context, name string, tokens float64, deadline time.Time) (*Reservation, error) {
+	limit, ok := l.config.Limits.Limit(name)
+	if !ok {
+		return nil, drverdict.New(drverdict.NotRun, drverdict.NotAllowed, "client account %q has no token limit", name)
+	}
+	if !(tokens >= 0) {
+		return nil, drverdict.New(drverdict.NotRun, drverdict.MalformedRequest, "cannot reserve %g tokens", tokens)
+	}
+	if limit = l.local(limit); tokens > limit.Burst+epsilon {
+		return nil, drverdict.New(drverdict.NotRun, drverdict.OverRate,
+			"request needs %.0f tokens, more than the burst of %.0f tokens of client account %q; it can never be admitted",
+			tokens, limit.Burst, name)
+	}
+	a, ok := l.account(name)
+	if !ok {
+		return nil, drverdict.New(drverdict.NotRun, drverdict.Draining, "the entry VM is stopping")
+	}
+	now := l.config.Clock.Now()
+	wait := maxWait
+	if !deadline.IsZero() {
+		wait = max(0, min(wait, deadline.Sub(now)/waitFraction))
+	}
+	return a.reserve(ctx, tokens, limit, now, wait)
+}
+
+// local returns the limit that this VM can use in the best case.
+func (l *Limiter) local(limit drconfig.Limit) drconfig.Limit {
+	if l.config.Policy == EqualShares {
+		n := float64(max(1, len(l.config.View.Members())))
+		return drconfig.Limit{Rate: limit.Rate / n, Burst: limit.Burst / n}
+	}
+	return limit
+}
+
+func (l *Limiter) account(name string) (*account, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return nil, false
+	}
+	a := l.accounts[name]
+	if a == nil {
+		a = newAccount(l, name)
+		l.accounts[name] = a
+	}
+	return a, true
+}
+
+// run starts f unless the limiter is closed.
+func (l *Limiter) run(f func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return false
+	}
+	l.group.Go(f)
+	return true
+}
--- /dev/null
+++ b/drlimit/limiter_test.go
@@ -0,0 +1,275 @@
+package drlimit
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+var testLimit = drconfig.Limit{Rate: 10_000, Burst: 20_000}
+
+// inRateTarget is the stated target for refusals of requests within the rate.
+const inRateTarget = 0.001
+
+// report logs measured figures and checks the rate.
+func (o *outcome) report(t *testing.T, name string, f *fleet, l load, d time.Duration) {
+	t.Helper()
+	p := func(q float64) time.Duration {
+		if len(o.waits) == 0 {
+			return 0
+		}
+		return o.waits[int(q*float64(len(o.waits)-1))]
+	}
+	e := excess(o.admitted, l.limit)
+	var total, busiest int
+	f.set(func() { total, busiest = f.messages, f.busiest() })
+	t.Logf("%-32s sent=%d refused=%d in-rate-refused=%d (%.3f%%) served=%.1f%% of rate (ideal %.1f%%) wait p50=%v p99=%v excess=%.0f messages/s per VM mean=%.1f max=%.1f",
+		name, o.sent, o.refused, o.inRate, 100*float64(o.inRate)/float64(o.sent), 100*o.tokens/d.Seconds()/l.limit.Rate,
+		100*o.ideal/d.Seconds()/l.limit.Rate, p(0.5), p(0.99), e,
+		float64(total)/d.Seconds()/float64(len(f.vms)), float64(busiest)/d.Seconds())
+	if e > 1 {
+		t.Errorf("%s: admitted %.1f tokens over the rate", name, e)
+	}
+}
+
+const warmUp = 10 * time.Second // shares are acquired and buckets fill
+
+// Guards against refusals of requests within the rate when all of them arrive
+// at one VM, and against admissions over the rate.
+func TestSkewedArrivals(t *testing.T) {
+	const d = 20 * time.Second
+	for _, c := range []struct {
+		name   string
+		policy Policy
+		settle bool
+		burst  float64
+	}{
+		{"lending", Lending, false, 20_000},
+		{"lending, unused returned", Lending, true, 20_000},
+		{"lending, burst of one second", Lending, false, 10_000},
+		{"equal-shares", EqualShares, false, 20_000},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			limit := drconfig.Limit{Rate: 10_000, Burst: c.burst}
+			f := newFleet(16, c.policy, 1, map[string]drconfig.Limit{"a": limit})
+			defer f.close()
+			time.Sleep(warmUp)
+			l := load{"a", limit, 0.95, 100, 3, c.settle}
+			o := f.run(t, l, 1, d)
+			o.report(t, c.name, f, l, d)
+			if c.policy == Lending && float64(o.inRate) > inRateTarget*float64(o.sent) {
+				t.Errorf("%s: %d of %d refused within the rate", c.name, o.inRate, o.sent)
+			}
+		})
+	}
+}
+
+// Guards against an account far over its rate that costs another account
+// tokens, and against giving it more than its rate or much less.
+func TestOtherAccountOverRate(t *testing.T) {
+	const d = 5 * time.Second
+	for _, p := range []Policy{Lending, EqualShares} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(16, p, 1, map[string]drconfig.Limit{"a": testLimit, "b": testLimit})
+			defer f.close()
+			time.Sleep(warmUp)
+			la := load{"a", testLimit, 0.95, 100, 3, false}
+			lb := load{"b", testLimit, 10, 100, -1, false}
+			done := make(chan *outcome)
+			go func() { done <- f.run(t, lb, 2, d) }()
+			oa := f.run(t, la, 1, d)
+			ob := <-done
+			oa.report(t, p.String()+" in rate", f, la, d)
+			ob.report(t, p.String()+" ten times the rate", f, lb, d)
+			if p == Lending && float64(oa.inRate) > inRateTarget*float64(oa.sent) {
+				t.Errorf("%d of %d refused within the rate", oa.inRate, oa.sent)
+			}
+		})
+	}
+}
+
+// Guards against tokens created by failures of holders, and reports what
+// each failure costs.
+func TestHolderFailures(t *testing.T) {
+	const d = 20 * time.Second
+	for _, c := range []struct {
+		name string
+		fail func(f *fleet, v *vm)
+	}{
+		{"holder killed, then gone", func(f *fleet, v *vm) {
+			f.kill(v)
+			time.Sleep(5 * time.Second)
+			f.set(func() { v.gone = true })
+		}},
+		{"holder paused for 5 s", func(f *fleet, v *vm) {
+			f.pause(v)
+			time.Sleep(5 * time.Second)
+			f.resume(v)
+		}},
+		{"holder restarted", func(f *fleet, v *vm) {
+			f.kill(v)
+			time.Sleep(time.Second)
+			f.restart(v, Lending)
+		}},
+		{"holder drained", func(f *fleet, v *vm) {
+			f.set(func() { v.leaving = true })
+			_ = v.holder.Drain(context.Background())
+		}},
+		{"log down", func(f *fleet, _ *vm) { f.set(func() { f.logDown = true }) }},
+		{"log down, holder killed", func(f *fleet, v *vm) {
+			f.set(func() { f.logDown = true })
+			f.kill(v)
+		}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(16, Lending, 1, map[string]drconfig.Limit{"a": testLimit})
+			defer f.close()
+			time.Sleep(warmUp)
+			var victim *vm
+			for _, v := range f.vms[1:] {
+				if f.vms[0].shares.held("a", v.holder.self) > 0 {
+					victim = v
+					break
+				}
+			}
+			f.group.Go(func() {
+				time.Sleep(3 * time.Second)
+				c.fail(f, victim)
+			})
+			l := load{"a", testLimit, 0.95, 100, 0, false}
+			o := f.run(t, l, 1, d)
+			o.report(t, c.name, f, l, d)
+		})
+	}
+}
+
+// Guards against more admissions than the rate allows, under lost, late and
+// repeated messages, pauses, restarts and changes of the limit.
+func TestNeverOverRate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		faults := rapid.Float64Range(0, 0.3).Draw(rt, "faults")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 7), 4, 8).Draw(rt, "steps")
+		settle := rapid.Bool().Draw(rt, "settle")
+		synctest.Test(t, func(t *testing.T) {
+			limit := drconfig.Limit{Rate: 2000, Burst: 3000}
+			f := newFleet(4, Lending, seed, map[string]drconfig.Limit{"a": limit})
+			defer f.close()
+			f.set(func() { f.faults = faults })
+			time.Sleep(3 * time.Second)
+			f.group.Go(func() {
+				for _, s := range steps {
+					f.step(s)
+					time.Sleep(time.Second)
+				}
+			})
+			l := load{"a", limit, 2, 100, -1, settle}
+			o := f.run(t, l, seed, 8*time.Second)
+			if e := excess(o.admitted, limit); e > 1 {
+				t.Errorf("seed %d, faults %.2f, steps %v: %.1f tokens over the rate", seed, faults, steps, e)
+			}
+		})
+	})
+}
+
+// step applies one fault of the property test.
+func (f *fleet) step(s int) {
+	v := f.vms[s%len(f.vms)]
+	switch s {
+	case 0, 1:
+		f.pause(v)
+		time.Sleep(700 * time.Millisecond)
+		f.resume(v)
+	case 2, 3:
+		f.kill(v)
+		f.restart(v, Lending)
+	case 4:
+		f.set(func() { f.logDown = !f.logDown })
+	case 5:
+		f.set(func() { f.limits["a"] = drconfig.Limit{Rate: 500, Burst: 1000} })
+	case 6:
+		f.set(func() { f.limits["a"] = drconfig.Limit{Rate: 2000, Burst: 3000} })
+	}
+}
+
+// Guards against a wait for something that cannot happen, and against a
+// Retry-After after which the request is refused again.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3, Lending, 1, map[string]drconfig.Limit{"a": {Rate: 100, Burst: 1000}})
+		defer f.close()
+		time.Sleep(30 * time.Second)
+		reserve := func(tokens float64, timeout time.Duration) error {
+			_, err := f.vms[0].limiter.Reserve(t.Context(), "a", tokens, time.Now().Add(timeout))
+			return err
+		}
+		start := time.Now()
+		err := reserve(1001, time.Minute)
+		is.Equal(drverdict.ReasonOf(err), drverdict.OverRate)
+		is.Equal(drverdict.Of(err), drverdict.NotRun)
+		is.Equal(time.Since(start), time.Duration(0))
+
+		is.NoErr(reserve(1000, time.Minute)) // the whole burst, from all holders
+
+		start = time.Now()
+		err = reserve(800, 5*time.Second)
+		is.Equal(drverdict.ReasonOf(err), drverdict.OverRate)
+		is.True(time.Since(start) <= 500*time.Millisecond) // a tenth of the time left
+		e, ok := errors.AsType[*drverdict.Error](err)
+		is.True(ok)
+		is.True(e.RetryAfter > 6*time.Second && e.RetryAfter <= 8*time.Second)
+		time.Sleep(e.RetryAfter)
+		is.NoErr(reserve(800, time.Minute))
+
+		is.Equal(drverdict.ReasonOf(func() error {
+			_, err := f.vms[0].limiter.Reserve(t.Context(), "none", 1, time.Time{})
+			return err
+		}()), drverdict.NotAllowed)
+	})
+}
+
+// Guards against requests of one account overtaking each other.
+func TestWaitersAreServedInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, Lending, 1, map[string]drconfig.Limit{"a": {Rate: 100, Burst: 100}})
+		defer f.close()
+		time.Sleep(10 * time.Second)
+		admitted := make([]time.Time, 10)
+		var wg sync.WaitGroup
+		for i := range admitted {
+			tokens := []float64{90, 10}[i%2]
+			wg.Go(func() {
+				if _, err := f.vms[0].limiter.Reserve(context.Background(), "a", tokens, time.Time{}); err == nil {
+					admitted[i] = time.Now()
+				}
+			})
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		n := 0
+		var last time.Time
+		for i, at := range admitted {
+			if at.IsZero() {
+				continue
+			}
+			if at.Before(last) {
+				t.Errorf("request %d was admitted before an earlier one", i)
+			}
+			last = at
+			n++
+		}
+		if n < 4 {
+			t.Errorf("%d requests admitted, want at least 4", n)
+		}
+	})
+}
--- /dev/null
+++ b/drlimit/waiter.go
@@ -0,0 +1,10 @@
+package drlimit
+
+import "time"
+
+// waiter is a request that waits for tokens.
+type waiter struct {
+	tokens  float64
+	until   time.Time
+	granted chan *Reservation
+}
