Add the fair queue of a model

Start-time fair queueing between accounts and priorities, with a bounded credit for accounts that used less than their part, refusal of the largest backlog when the queue is full, and refusal before or at the deadline.

--- /dev/null
+++ b/drqueue/queue_test.go
@@ -0,0 +1,347 @@
+package drqueue
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newQueue(p Policy, count int) *Queue {
+	return New(Config{
+		Clock: drclock.System{}, Recorder: drtimeline.Discard{}, Policy: p, Model: "m",
+		MaxCount: count, MaxBytes: 1 << 20,
+	})
+}
+
+// simulate sends Poisson arrivals at the given tokens/s for each account to a
+// server of 8 slots with 1000 tokens/s each. It returns the sorted queue waits
+// and answer times of account "a", and how many of its requests were refused;
+// these count with the time until the refusal.
+func simulate(p Policy, rates map[string]float64, span time.Duration) (waits, totals []time.Duration, refused int) {
+	const slots, slotRate, size = 8, 1000.0, 100.0
+	q := newQueue(p, 1000)
+	q.SetWindow(slots)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i, a := range slices.Sorted(maps.Keys(rates)) {
+		wg.Go(func() {
+			r := rand.New(rand.NewPCG(7, uint64(i)))
+			start := time.Now()
+			for {
+				time.Sleep(time.Duration(r.ExpFloat64() * size / rates[a] * float64(time.Second)))
+				if time.Since(start) > span {
+					return
+				}
+				cost := size * (0.5 + r.Float64())
+				served := cost * (0.5 + r.Float64()/2)
+				wg.Go(func() {
+					at := time.Now()
+					release, err := q.Enqueue(context.Background(), Item{
+						Account: a, Cost: cost, Bytes: 10, Deadline: at.Add(5 * time.Second),
+					})
+					wait := time.Since(at)
+					if err == nil {
+						time.Sleep(time.Duration(served / slotRate * float64(time.Second)))
+						release(served)
+					}
+					if a == "a" {
+						mu.Lock()
+						defer mu.Unlock()
+						waits, totals = append(waits, wait), append(totals, time.Since(at))
+						if err != nil {
+							refused++
+						}
+					}
+				})
+			}
+		})
+	}
+	wg.Wait()
+	slices.Sort(waits)
+	slices.Sort(totals)
+	return waits, totals, refused
+}
+
+func p99(w []time.Duration) time.Duration { return w[int(0.99*float64(len(w)-1))] }
+
+// maxRise is the stated bound on what another account's overload may do to
+// an account's p99.
+const maxRise = 1.1
+
+// isolation measures what "b" at ten times its share (a quarter of 8000
+// tokens/s) does to "a". In the contended case "c" is backlogged already; in
+// the calm case the server is not full without "b", so that "a" also loses
+// the use of free slots, which no queue can prevent.
+func isolation(t testing.TB, p Policy, name string, c float64, span time.Duration) (rise float64) {
+	without := map[string]float64{"a": 1000, "c": c, "d": 1000}
+	with := map[string]float64{"a": 1000, "b": 20_000, "c": c, "d": 1000}
+	w0, t0, r0 := simulate(p, without, span)
+	w1, t1, r1 := simulate(p, with, span)
+	rise = float64(p99(w1)) / float64(max(1, p99(w0)))
+	t.Logf("%v, %s: n=%d p99 queue wait %v to %v (%.2f times), p99 answer time %v to %v (%.2f times), refused %d to %d",
+		p, name, len(w0), p99(w0), p99(w1), rise, p99(t0), p99(t1), float64(p99(t1))/float64(p99(t0)), r0, r1)
+	return rise
+}
+
+// Guards against an account whose overload delays another account.
+func TestOverloadIsolation(t *testing.T) {
+	for _, p := range []Policy{Fair, FirstCome} {
+		synctest.Test(t, func(t *testing.T) {
+			if p == FirstCome {
+				isolation(t, p, "contended", 9000, 30*time.Second)
+				return
+			}
+			isolation(t, p, "calm", 1500, 30*time.Second)
+			// Long enough for a p99 of some 2000 requests.
+			if rise := isolation(t, p, "contended", 9000, 200*time.Second); rise > maxRise {
+				t.Errorf("p99 queue wait rose %.2f times", rise)
+			}
+		})
+	}
+}
+
+// Guards against classes and weights that are ignored, and against classes
+// that starve.
+func TestWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newQueue(Fair, 10_000)
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		served := make(map[string]int)
+		total := 0
+		for i := range 1000 {
+			for _, it := range []Item{
+				{Account: "i", Priority: drconfig.Interactive},
+				{Account: "d", Priority: drconfig.Draft},
+				{Account: "b", Priority: drconfig.Batch},
+				{Account: "w", Priority: drconfig.Batch, Weight: 3},
+			} {
+				it.Cost = 10
+				wg.Go(func() {
+					release, err := q.Enqueue(t.Context(), it)
+					if err != nil {
+						t.Error(i, err)
+						return
+					}
+					mu.Lock()
+					if total++; total <= 960 {
+						served[it.Account]++
+					}
+					mu.Unlock()
+					time.Sleep(time.Millisecond)
+					release(10)
+				})
+			}
+		}
+		synctest.Wait()
+		q.SetWindow(1)
+		wg.Wait()
+		near := func(name string, want int) { is.True(served[name] >= want-2 && served[name] <= want+2) }
+		near("i", 960*16/24)
+		near("d", 960*4/24)
+		near("b", 960*1/24)
+		near("w", 960*3/24)
+	})
+}
+
+// Guards against an account that gains by announcing less than it uses.
+func TestServedTokensAreCharged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(Fair, 10_000)
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		tokens := map[string]float64{}
+		done := 0
+		for range 400 {
+			for _, a := range []string{"honest", "low"} {
+				wg.Go(func() {
+					cost := map[string]float64{"honest": 100, "low": 1}[a]
+					release, err := q.Enqueue(t.Context(), Item{Account: a, Cost: cost})
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					mu.Lock()
+					if done++; done <= 400 {
+						tokens[a] += 100
+					}
+					mu.Unlock()
+					time.Sleep(time.Millisecond)
+					release(100)
+				})
+			}
+		}
+		synctest.Wait()
+		q.SetWindow(1)
+		wg.Wait()
+		if tokens["low"] > 1.05*tokens["honest"] {
+			t.Errorf("served %v", tokens)
+		}
+	})
+}
+
+// Guards against a full queue that refuses newcomers because of one account's
+// backlog.
+func TestFullQueueRefusesTheLargestBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		q := newQueue(Fair, 10)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		refused := map[string]int{}
+		enqueue := func(a string) {
+			wg.Go(func() {
+				release, err := q.Enqueue(t.Context(), Item{Account: a, Cost: 1, Bytes: 1})
+				if err != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					is.Equal(drverdict.ReasonOf(err), drverdict.QueueFull)
+					is.Equal(drverdict.Of(err), drverdict.NotRun)
+					refused[a]++
+					return
+				}
+				release(1)
+			})
+			synctest.Wait()
+		}
+		for range 12 {
+			enqueue("flood")
+		}
+		is.Equal(refused["flood"], 2)
+		for range 3 {
+			enqueue("newcomer")
+		}
+		is.Equal(refused["flood"], 5)
+		is.Equal(refused["newcomer"], 0)
+		_, err := q.Enqueue(t.Context(), Item{Account: "x", Bytes: 2 << 20})
+		is.Equal(drverdict.ReasonOf(err), drverdict.TooLarge)
+		q.SetWindow(1)
+		wg.Wait()
+	})
+}
+
+// Guards against requests that wait past their deadline, whose caller is
+// gone, or whose key was withdrawn.
+func TestWaitingItemsLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newQueue(Fair, 10)
+		start := time.Now()
+		_, err := q.Enqueue(t.Context(), Item{Account: "a", Deadline: start.Add(3 * time.Second)})
+		is.Equal(drverdict.ReasonOf(err), drverdict.Deadline)
+		is.Equal(drverdict.Of(err), drverdict.NotRun)
+		is.Equal(time.Since(start), 3*time.Second)
+
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		_, err = q.Enqueue(ctx, Item{Account: "a"})
+		is.Equal(drverdict.ReasonOf(err), drverdict.CallerGone)
+
+		withdrawn := drverdict.New(drverdict.NotRun, drverdict.InvalidKey, "key withdrawn")
+		time.AfterFunc(time.Second, func() {
+			is.Equal(q.RemoveIf(func(i Item) bool { return i.KeyID == "k" }, withdrawn), 1)
+		})
+		_, err = q.Enqueue(t.Context(), Item{Account: "a", KeyID: "k"})
+		is.True(errors.Is(err, withdrawn))
+		waiting, running := q.Len()
+		is.Equal(waiting+running, 0)
+	})
+}
+
+// Guards against a request that waits although its deadline cannot be met.
+func TestEarlyRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := newQueue(Fair, 1000)
+		q.SetWindow(1)
+		var wg sync.WaitGroup
+		for range 100 {
+			wg.Go(func() {
+				release, err := q.Enqueue(t.Context(), Item{Account: "a", Cost: 10})
+				is.NoErr(err)
+				time.Sleep(100 * time.Millisecond)
+				release(10)
+			})
+		}
+		time.Sleep(5 * time.Second) // half of them are left: 5 s of work
+		start := time.Now()
+		_, err := q.Enqueue(t.Context(), Item{Account: "a", Cost: 10, Deadline: start.Add(2 * time.Second)})
+		is.Equal(drverdict.ReasonOf(err), drverdict.Deadline)
+		is.Equal(time.Since(start), time.Duration(0))
+		// Another account is served next, so its deadline can be met.
+		release, err := q.Enqueue(t.Context(), Item{Account: "b", Cost: 10, Deadline: start.Add(2 * time.Second)})
+		is.NoErr(err)
+		release(10)
+		wg.Wait()
+	})
+}
+
+// Guards against items that are lost, granted beyond the window, or granted
+// after their deadline, under random operations.
+func TestEveryItemIsServedOrRefused(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		n := rapid.IntRange(1, 80).Draw(rt, "items")
+		window := rapid.IntRange(1, 4).Draw(rt, "window")
+		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 0))
+			q := newQueue(Fair, 20)
+			q.SetWindow(window)
+			var wg sync.WaitGroup
+			for range n {
+				it := Item{
+					Account: fmt.Sprint(r.IntN(4)), Weight: r.IntN(3), Cost: 10 * r.Float64(), Bytes: int64(r.IntN(100)),
+					Priority: []drconfig.Priority{drconfig.Interactive, drconfig.Draft, drconfig.Batch}[r.IntN(3)],
+					Deadline: time.Now().Add(time.Duration(r.IntN(500)) * time.Millisecond),
+				}
+				hold, gone := time.Duration(r.IntN(100))*time.Millisecond, time.Duration(1+r.IntN(500))*time.Millisecond
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), gone)
+					defer cancel()
+					release, err := q.Enqueue(ctx, it)
+					if time.Now().After(it.Deadline) {
+						t.Error("answered after the deadline")
+					}
+					if err != nil {
+						if drverdict.Of(err) != drverdict.NotRun {
+							t.Error(err)
+						}
+						return
+					}
+					if _, running := q.Len(); running > window {
+						t.Errorf("%d running", running)
+					}
+					time.Sleep(hold)
+					release(20 * r64(hold))
+				})
+				time.Sleep(time.Duration(r.IntN(20)) * time.Millisecond)
+			}
+			wg.Wait()
+			waiting, running := q.Len()
+			if waiting+running != 0 || len(q.flows) > 12 {
+				t.Errorf("%d waiting, %d running, %d flows are left", waiting, running, len(q.flows))
+			}
+		})
+	})
+}
+
+func r64(d time.Duration) float64 { return float64(d%7) / 7 }
