--- /dev/null
+++ b/dronce/batch.go
@@ -0,0 +1,19 @@
+package dronce
+
+import "github.com/dotterelridge/dotterelridge/drpb"
+
+// batch is a number of entries that are appended as one record.
+type batch struct {
+	entry drpb.OnceEntry
+	size  int
+	// done is closed when err is set.
+	done chan struct{}
+	err  error
+}
+
+func (b *batch) add(e *drpb.OnceEntry) {
+	b.entry.Intents = append(b.entry.Intents, e.GetIntents()...)
+	b.entry.Outcomes = append(b.entry.Outcomes, e.GetOutcomes()...)
+	b.entry.Abandons = append(b.entry.Abandons, e.GetAbandons()...)
+	b.size++
+}
--- /dev/null
+++ b/dronce/call.go
@@ -0,0 +1,20 @@
+package dronce
+
+import (
+	"bytes"
+
+	"github.com/dotterelridge/dotterelridge/drpb"
+)
+
+// Call identifies a call that must run at most once.
+type Call struct {
+	Account string
+	// Key is the Idempotency-Key.
+	Key string
+	// Fingerprint is a hash of the request. A key is bound to it.
+	Fingerprint []byte
+}
+
+func sameFingerprint(i *drpb.OnceIntent, fingerprint []byte) bool {
+	return bytes.Equal(i.GetFingerprint(), fingerprint)
+}
--- /dev/null
+++ b/dronce/main_test.go
@@ -0,0 +1,19 @@
+package dronce
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("20261204")
+	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("30")
+	}
+	os.Exit(m.Run())
+}
