--- /dev/null
+++ b/drroute/caller.go
@@ -0,0 +1,95 @@
+package drroute
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+const (
+	// maxAnswer bounds the body of a plain service's response in bytes.
+	maxAnswer   = 8 << 20
+	dialTimeout = 2 * time.Second
+	callBuffer  = 8 << 10
+)
+
+// Caller sends a call to the plain service at address. Errors are
+// *drverdict.Error; NotRun only if no byte was sent.
+type Caller interface {
+	Call(ctx context.Context, address string, c Call) (Answer, error)
+}
+
+// HTTPCaller is a Caller over HTTP/1.1. It opens a connection for each call: a
+// kept-alive connection that the server closes meanwhile would leave it open
+// whether a call has run.
+type HTTPCaller struct{}
+
+// Call implements Caller.
+func (HTTPCaller) Call(ctx context.Context, address string, c Call) (Answer, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return Answer{}, drverdict.Wrap(drverdict.NotRun, drverdict.Unavailable, err, "connect to backend server")
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	a, err := exchange(conn, address, c)
+	if err != nil {
+		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+			return Answer{}, drverdict.Wrap(drverdict.Ran, drverdict.BackendFailed, err, "response too large")
+		}
+		reason := drverdict.BackendFailed
+		if ctx.Err() != nil {
+			reason = drverdict.ReasonOf(context.Cause(ctx))
+		}
+		return Answer{}, drverdict.Wrap(drverdict.MayHaveRun, reason, err, "call backend server")
+	}
+	return a, nil
+}
+
+func exchange(conn net.Conn, address string, c Call) (Answer, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.SetMethod(c.Method)
+	req.SetRequestURI(c.Target)
+	req.SetHost(address)
+	for _, f := range c.Header {
+		req.Header.Add(f.Name, f.Value)
+	}
+	req.SetBodyRaw(c.Body)
+	req.SetConnectionClose()
+	w := bufio.NewWriterSize(conn, callBuffer)
+	if err := req.Write(w); err != nil {
+		return Answer{}, err
+	}
+	if err := w.Flush(); err != nil {
+		return Answer{}, err
+	}
+	res.SkipBody = c.Method == fasthttp.MethodHead
+	rd := bufio.NewReaderSize(conn, callBuffer)
+	for {
+		if err := res.ReadLimitBody(rd, maxAnswer); err != nil {
+			return Answer{}, err
+		}
+		if res.StatusCode() >= fasthttp.StatusOK {
+			break
+		}
+		if res.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			return Answer{}, errors.New("backend server switched protocols")
+		}
+	}
+	a := Answer{Status: res.StatusCode(), Body: append([]byte(nil), res.Body()...)}
+	for k, v := range res.Header.All() {
+		a.Header = append(a.Header, Field{string(k), string(v)})
+	}
+	return a, nil
+}
--- /dev/null
+++ b/drroute/prefixes.go
@@ -0,0 +1,122 @@
+package drroute
+
+import (
+	"encoding/binary"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dotterelridge/dotterelridge/drengine"
+)
+
+const (
+	// prefixBlock is the size of the prompt blocks that engines cache, in
+	// bytes.
+	prefixBlock = 256
+	// maxPrefixBlocks bounds the map of one runner to about 2 MB.
+	maxPrefixBlocks = 32768
+	// maxPromptBlocks bounds the work per request.
+	maxPromptBlocks = 256
+	maxPrefixMaps   = 16384
+)
+
+// PrefixBlocks returns the hash chain of the prompt's full blocks: each hash
+// is xxhash64 of the previous hash (8 bytes, big endian, 0 at first) and the
+// block.
+func PrefixBlocks(prompt string) []uint64 {
+	n := min(len(prompt)/prefixBlock, maxPromptBlocks)
+	out := make([]uint64, n)
+	var prev [8]byte
+	var d xxhash.Digest
+	for i := range out {
+		d.Reset()
+		_, _ = d.Write(prev[:])
+		_, _ = d.WriteString(prompt[i*prefixBlock : (i+1)*prefixBlock])
+		out[i] = d.Sum64()
+		binary.BigEndian.PutUint64(prev[:], out[i])
+	}
+	return out
+}
+
+type prefixKey struct {
+	model string
+	block uint64
+}
+
+type prefixMap struct {
+	seq    uint64
+	blocks map[prefixKey]struct{}
+}
+
+// prefixes is an approximate view of the engines' prefix caches. It only
+// influences scores, so wrong entries cost time but no correctness.
+type prefixes struct {
+	mu    sync.RWMutex
+	byVM  map[string]*prefixMap
+	limit int
+}
+
+func newPrefixes() *prefixes {
+	return &prefixes{byVM: make(map[string]*prefixMap), limit: maxPrefixBlocks}
+}
+
+// apply takes events of the engine at addr. A gap in the sequence means that
+// evictions may be missing, so the map is dropped.
+func (p *prefixes) apply(addr string, events []drengine.CacheEvent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.byVM[addr]
+	if m == nil {
+		if len(p.byVM) >= maxPrefixMaps {
+			clear(p.byVM)
+		}
+		m = &prefixMap{blocks: make(map[prefixKey]struct{})}
+		p.byVM[addr] = m
+	}
+	for _, e := range events {
+		if e.Seq <= m.seq && m.seq != 0 {
+			continue
+		}
+		if e.Seq != m.seq+1 {
+			clear(m.blocks)
+		}
+		m.seq = e.Seq
+		for _, b := range e.Evicted {
+			delete(m.blocks, prefixKey{e.Model, b})
+		}
+		for _, b := range e.Added {
+			if len(m.blocks) >= p.limit {
+				clear(m.blocks)
+			}
+			m.blocks[prefixKey{e.Model, b}] = struct{}{}
+		}
+	}
+}
+
+func (p *prefixes) drop(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.byVM, addr)
+}
+
+// hit returns the part of the prompt, from 0 to 1, that the engine at addr
+// has cached.
+func (p *prefixes) hit(addr, model string, blocks []uint64) float64 {
+	if len(blocks) == 0 {
+		return 0
+	}
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	m := p.byVM[addr]
+	if m == nil {
+		return 0
+	}
+	n := 0
+	for _, b := range blocks {
+		if _, ok := m.blocks[prefixKey{model, b}]; !ok {
+			break
+		}
+		n++
+	}
+	return float64(n) / float64(len(blocks))
+}
--- /dev/null
+++ b/drroute/router.go
@@ -0,0 +1,227 @@
+// Package drroute chooses backend servers for requests and carries requests
+// over the failures of backend servers: retries by verdict and within a
+// budget, resumption of token streams, ejection of failing servers, and
+// blocking of requests that crash servers.
+package drroute
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+const (
+	// prefixWeight and zoneWeight are in units of one waiting request: a
+	// fully cached prompt saves about two average prefills, and a hop to
+	// another zone costs far less than one.
+	prefixWeight = 2.0
+	zoneWeight   = 0.25
+	// runningWeight prefers the emptier batch among runners without waiting
+	// requests.
+	runningWeight = 0.5
+
+	// placeRecheck bounds how long a change of residency goes unnoticed by a
+	// request that waits for a place.
+	placeRecheck = 50 * time.Millisecond
+	// maxAttempts bounds the dispatches of one request.
+	maxAttempts = 6
+	// probeTimeout bounds the calls that find out what became of a stream.
+	probeTimeout = 2 * time.Second
+	cacheWait    = 2 * time.Second
+	cachePause   = time.Second
+)
+
+// Config configures a Router.
+type Config struct {
+	Clock     drclock.Clock
+	Zone      string
+	Policy    Policy
+	Residency Residency
+	Engines   Engines
+	Waker     Waker
+	Suspects  *Suspects
+	Recorder  drtimeline.Recorder
+}
+
+// Router runs generations on engines. It is safe for concurrent use.
+type Router struct {
+	Config
+	ejector  *Ejector
+	budget   *budget
+	windows  *windows
+	prefixes *prefixes
+}
+
+// New returns a Router.
+func New(c Config) *Router {
+	return &Router{
+		Config: c, ejector: NewEjector(c.Clock), budget: newBudget(c.Clock),
+		windows: newWindows(), prefixes: newPrefixes(),
+	}
+}
+
+// FollowCache keeps the prefix map of the engine at address up to date until
+// ctx ends.
+func (r *Router) FollowCache(ctx context.Context, address string) {
+	defer r.prefixes.drop(address)
+	var after uint64
+	for ctx.Err() == nil {
+		es, err := r.Engines.Engine(address).CacheEvents(ctx, after, cacheWait)
+		if err != nil {
+			r.prefixes.drop(address)
+			after = 0
+			_ = r.Clock.Sleep(ctx, cachePause)
+			continue
+		}
+		if len(es) > 0 {
+			after = es[len(es)-1].Seq
+			r.prefixes.apply(address, es)
+		}
+	}
+}
+
+// Generate starts a generation and returns its stream once an engine accepted
+// it. The stream survives failures of engines. ctx bounds the whole
+// generation; the caller must close the stream. Errors carry a verdict.
+func (r *Router) Generate(ctx context.Context, q Request) (*Stream, error) {
+	s := &Stream{
+		router: r, ctx: ctx, request: q, fingerprint: q.fingerprint(),
+		blocks: PrefixBlocks(q.Prompt), failed: make(map[string]string),
+	}
+	r.budget.request()
+	if err := s.open(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// place waits until s may run on some runner and takes a place there.
+func (r *Router) place(s *Stream) (Runner, *Run, error) {
+	for {
+		if err := s.ended(); err != nil {
+			return Runner{}, nil, err
+		}
+		if err := r.Suspects.Check(s.fingerprint); err != nil {
+			return Runner{}, nil, err
+		}
+		free, idle := r.windows.wait(), r.Suspects.Changed()
+		candidates := r.candidates(s)
+		if len(candidates) == 0 {
+			x, err := r.wake(s)
+			if err != nil {
+				return Runner{}, nil, err
+			}
+			candidates = []Runner{x}
+		}
+		for _, x := range candidates {
+			run, err := r.take(s, x)
+			if run != nil || err != nil {
+				return x, run, err
+			}
+		}
+		t := r.Clock.NewTimer(placeRecheck)
+		select {
+		case <-free:
+		case <-idle:
+		case <-t.C():
+		case <-s.ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+func (r *Router) take(s *Stream, x Runner) (*Run, error) {
+	if !r.windows.acquire(x) {
+		return nil, nil
+	}
+	run, err := r.Suspects.Begin(s.ctx, s.fingerprint, x.Address, x.Instance)
+	if run == nil {
+		r.windows.undo(x.Address)
+	}
+	return run, err
+}
+
+// wake has the model loaded because no usable runner has it.
+func (r *Router) wake(s *Stream) (Runner, error) {
+	deadline, ok := s.ctx.Deadline()
+	if !ok {
+		deadline = r.Clock.Now().Add(time.Minute)
+	}
+	x, err := r.Waker.Wake(s.ctx, s.request.Model, s.request.Adapter, deadline)
+	if err != nil {
+		if ended := s.ended(); ended != nil {
+			return x, ended
+		}
+		// The wake-up did not run, but an earlier attempt may have.
+		return x, s.raise(err)
+	}
+	if instance, failed := s.failed[x.Address]; failed && instance == x.Instance {
+		// The failure may be news to the owner of the runner.
+		_ = r.Clock.Sleep(s.ctx, placeRecheck)
+	}
+	return x, nil
+}
+
+// candidates returns the runners that may take s, best first.
+func (r *Router) candidates(s *Stream) []Runner {
+	all := r.Residency.Runners(s.request.Model, s.request.Adapter)
+	all = slices.DeleteFunc(slices.Clone(all), func(x Runner) bool { return x.Leaving })
+	all = usable(r.ejector, all, func(x Runner) string { return x.Address }, func(x Runner) bool {
+		instance, failed := s.failed[x.Address]
+		return failed && instance == x.Instance
+	})
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	if r.Policy == Random {
+		return all
+	}
+	scores := make(map[string]float64, len(all))
+	for _, x := range all {
+		scores[x.Address] = r.score(s, x)
+	}
+	slices.SortStableFunc(all, func(a, b Runner) int { return cmp.Compare(scores[a.Address], scores[b.Address]) })
+	return all
+}
+
+// score is the expected delay on a runner in units of a waiting request.
+func (r *Router) score(s *Stream, x Runner) float64 {
+	v := float64(x.Waiting + r.windows.load(x))
+	v += runningWeight * float64(x.Running) / float64(max(x.Capacity, 1))
+	v -= prefixWeight * r.prefixes.hit(x.Address, s.request.Model, s.blocks)
+	if x.Zone != r.Zone {
+		v += zoneWeight
+	}
+	return v
+}
+
+// within returns a context that ends with ctx, with cancel, or after d unless
+// keep was called before.
+func within(ctx context.Context, c drclock.Clock, d time.Duration) (sub context.Context, keep func(), cancel context.CancelFunc) {
+	sub, cancel = context.WithCancel(ctx)
+	kept := make(chan struct{})
+	t := c.NewTimer(d)
+	go func() {
+		defer t.Stop()
+		select {
+		case <-t.C():
+			cancel()
+		case <-kept:
+		case <-sub.Done():
+		}
+	}()
+	return sub, func() { close(kept) }, cancel
+}
+
+// contextError returns the error of a request whose context ended.
+func contextError(ctx context.Context, v drverdict.Verdict) error {
+	if ctx.Err() == nil {
+		return nil
+	}
+	cause := context.Cause(ctx)
+	return drverdict.Wrap(v, drverdict.ReasonOf(cause), cause, "request ended")
+}
--- /dev/null
+++ b/drroute/services.go
@@ -0,0 +1,173 @@
+package drroute
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// Backends lists the backend servers of a fleet; drmember.View implements it.
+type Backends interface {
+	Backends(fleet string) []drmember.Backend
+}
+
+// ServicesConfig configures Services.
+type ServicesConfig struct {
+	Clock    drclock.Clock
+	Zone     string
+	Backends Backends
+	Caller   Caller
+	Suspects *Suspects
+	Recorder drtimeline.Recorder
+}
+
+// Services calls plain services. It is safe for concurrent use.
+type Services struct {
+	ServicesConfig
+	ejector  *Ejector
+	budget   *budget
+	mu       sync.Mutex
+	inflight map[string]int
+}
+
+// NewServices returns a Services.
+func NewServices(c ServicesConfig) *Services {
+	return &Services{
+		ServicesConfig: c, ejector: NewEjector(c.Clock), budget: newBudget(c.Clock),
+		inflight: make(map[string]int),
+	}
+}
+
+// Call sends c to a backend server of the fleet. A failure with NotRun is
+// retried on another server, one with MayHaveRun only if c is repeatable.
+// Errors carry the verdict over all attempts.
+func (s *Services) Call(ctx context.Context, fleet string, c Call) (Answer, error) {
+	s.budget.request()
+	f := c.fingerprint()
+	failed := make(map[string]bool)
+	verdict := drverdict.NotRun
+	var last error
+	for attempt := 0; ; attempt++ {
+		if attempt > 0 && (attempt >= maxAttempts || !s.budget.retry()) {
+			return Answer{}, drverdict.Wrap(verdict, drverdict.BackendFailed, last, "no further attempt")
+		}
+		b, run, err := s.place(ctx, fleet, f, failed, verdict)
+		if err != nil {
+			if last != nil && drverdict.ReasonOf(err) == drverdict.NoCapacity {
+				err = drverdict.Wrap(verdict, drverdict.BackendFailed, last, "no other backend server")
+			}
+			return Answer{}, err
+		}
+		a, err := s.try(ctx, b, run, c)
+		if err == nil {
+			return a, nil
+		}
+		last = err
+		verdict = max(verdict, drverdict.Of(err))
+		failed[b.Address] = true
+		if ended := contextError(ctx, verdict); ended != nil {
+			return Answer{}, ended
+		}
+		if blocked := s.Suspects.Check(f); blocked != nil {
+			return Answer{}, blocked
+		}
+		if verdict == drverdict.Ran || verdict != drverdict.NotRun && !c.Repeatable {
+			return Answer{}, drverdict.Wrap(verdict, drverdict.BackendFailed, err, "call failed and may not be repeated")
+		}
+		s.Recorder.Record(drtimeline.Event{Name: "call-retried", RequestID: c.ID, Account: c.Account, Backend: b.Address})
+	}
+}
+
+func (s *Services) try(ctx context.Context, b drmember.Backend, run *Run, c Call) (Answer, error) {
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.inflight[b.Address]--; s.inflight[b.Address] <= 0 {
+			delete(s.inflight, b.Address)
+		}
+	}()
+	defer run.End()
+	a, err := s.Caller.Call(ctx, b.Address, c)
+	switch {
+	case err == nil:
+		s.ejector.Success(b.Address)
+		run.Succeed()
+	case drverdict.Of(err) == drverdict.Ran:
+		run.Succeed()
+	case ctx.Err() != nil:
+	case drverdict.Of(err) == drverdict.NotRun:
+		s.ejector.Failure(b.Address)
+	default:
+		s.ejector.Failure(b.Address)
+		run.Crash(ctx)
+	}
+	return a, err
+}
+
+// place waits until the call may run on some server and takes a place there.
+func (s *Services) place(ctx context.Context, fleet string, f Fingerprint, failed map[string]bool, v drverdict.Verdict) (drmember.Backend, *Run, error) {
+	for {
+		changed := s.Suspects.Changed()
+		if err := contextError(ctx, v); err != nil {
+			return drmember.Backend{}, nil, err
+		}
+		bs := s.candidates(fleet, failed)
+		if len(bs) == 0 {
+			return drmember.Backend{}, nil, drverdict.New(drverdict.NotRun, drverdict.NoCapacity,
+				"fleet %q has no usable backend server", fleet).WithRetryAfter(ejectFirst)
+		}
+		for _, b := range bs {
+			run, err := s.Suspects.Begin(ctx, f, b.Address, "")
+			if err != nil {
+				return b, nil, err
+			}
+			if run != nil {
+				s.mu.Lock()
+				s.inflight[b.Address]++
+				s.mu.Unlock()
+				return b, run, nil
+			}
+		}
+		t := s.Clock.NewTimer(placeRecheck)
+		select {
+		case <-changed:
+		case <-t.C():
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// candidates returns the usable servers, least in flight first, then those in
+// the own zone.
+func (s *Services) candidates(fleet string, failed map[string]bool) []drmember.Backend {
+	bs := slices.DeleteFunc(slices.Clone(s.Backends.Backends(fleet)), func(b drmember.Backend) bool {
+		return b.Leaving
+	})
+	bs = usable(s.ejector, bs, func(b drmember.Backend) string { return b.Address },
+		func(b drmember.Backend) bool { return failed[b.Address] })
+	rand.Shuffle(len(bs), func(i, j int) { bs[i], bs[j] = bs[j], bs[i] })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slices.SortStableFunc(bs, func(a, b drmember.Backend) int {
+		if c := cmp.Compare(s.inflight[a.Address], s.inflight[b.Address]); c != 0 {
+			return c
+		}
+		return cmp.Compare(s.distance(a), s.distance(b))
+	})
+	return bs
+}
+
+func (s *Services) distance(b drmember.Backend) int {
+	if b.Zone == s.Zone {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/drroute/stream.go
@@ -0,0 +1,308 @@
+package drroute
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/dotterelridge/dotterelridge/drengine"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// maxResumes bounds resumptions on the same engine without a new token.
+const maxResumes = 2
+
+// Stream delivers the tokens of one generation in order, each index once, over
+// as many engines as it takes. It implements drengine.TokenStream. It is for one
+// goroutine; others interrupt it through the context given to Generate.
+type Stream struct {
+	router      *Router
+	ctx         context.Context
+	request     Request
+	fingerprint Fingerprint
+	blocks      []uint64
+	failed      map[string]string // address → instance
+
+	attempts   int
+	resumes    int // since the last token
+	dispatched bool
+	delivered  []string
+	base       int // tokens that the current attempt was given as prefix
+	id         string
+	runner     Runner
+	engine     drengine.Engine
+
+	run    *Run // nil while no engine holds the generation
+	tokens drengine.TokenStream
+	cancel func()
+	done   bool
+}
+
+// ended returns the error of a request whose context ended or which was
+// closed, nil otherwise.
+func (s *Stream) ended() error {
+	v := drverdict.NotRun
+	if s.dispatched {
+		v = drverdict.MayHaveRun
+	}
+	return contextError(s.ctx, v)
+}
+
+// raise gives err at least the verdict that earlier attempts imply.
+func (s *Stream) raise(err error) error {
+	if !s.dispatched || drverdict.Of(err) != drverdict.NotRun {
+		return err
+	}
+	return drverdict.Wrap(drverdict.MayHaveRun, drverdict.ReasonOf(err), err, "after an earlier attempt")
+}
+
+// open dispatches the generation, from the first token not yet delivered.
+func (s *Stream) open() error {
+	for {
+		x, run, err := s.router.place(s)
+		if err != nil {
+			return err
+		}
+		s.attempts++
+		s.id = fmt.Sprintf("%s.%d", s.request.ID, s.attempts)
+		s.runner, s.base, s.resumes = x, len(s.delivered), 0
+		s.engine = s.router.Engines.Engine(x.Address)
+		err = s.connect(run, func(ctx context.Context) (drengine.TokenStream, error) {
+			return s.engine.Generate(ctx, drengine.Generation{
+				ID: s.id, Model: s.request.Model, Adapter: s.request.Adapter,
+				Prompt: s.request.Prompt, Prefix: s.delivered,
+				MaxTokens: s.request.MaxTokens, Priority: s.request.Priority,
+			})
+		})
+		if err == nil {
+			s.dispatched = true
+			s.record("generation-dispatched", "")
+			return nil
+		}
+		if drverdict.Of(err) != drverdict.NotRun {
+			s.dispatched = true
+		}
+		if ended := s.ended(); ended != nil {
+			s.leave(false)
+			return ended
+		}
+		if err := s.abandon(err); err != nil {
+			return err
+		}
+	}
+}
+
+// connect opens a stream of the engine and makes it the current one.
+func (s *Stream) connect(run *Run, open func(context.Context) (drengine.TokenStream, error)) error {
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.run, s.cancel, s.tokens = run, cancel, nil
+	ts, err := open(ctx)
+	if err != nil {
+		cancel()
+		return err
+	}
+	s.tokens = ts
+	stop := context.AfterFunc(ctx, func() { ts.Close() })
+	s.cancel = func() {
+		stop()
+		cancel()
+		ts.Close()
+	}
+	return nil
+}
+
+// Next returns the next token; see drengine.TokenStream. The last token counts
+// the tokens of the whole generation. Errors carry a verdict.
+func (s *Stream) Next() (drengine.Token, error) {
+	if s.done {
+		return drengine.Token{}, io.EOF
+	}
+	for {
+		t, err := s.read()
+		if err == nil {
+			var ok bool
+			if t, ok, err = s.accept(t); ok {
+				return t, nil
+			}
+			if err == nil {
+				continue
+			}
+		}
+		if ended := s.ended(); ended != nil {
+			return drengine.Token{}, ended
+		}
+		if n := s.request.MaxTokens; n > 0 && len(s.delivered) >= n {
+			// Only the final line was lost.
+			s.finish()
+			return drengine.Token{Index: n, Done: true, FinishReason: "length", CompletionTokens: n}, nil
+		}
+		if err := s.recover(err); err != nil {
+			return drengine.Token{}, err
+		}
+	}
+}
+
+func (s *Stream) read() (drengine.Token, error) {
+	if s.tokens == nil {
+		return drengine.Token{}, io.ErrUnexpectedEOF
+	}
+	t, err := s.tokens.Next()
+	if err == io.EOF { //nolint:errorlint // an unwrapped EOF before Done
+		err = io.ErrUnexpectedEOF
+	}
+	return t, err
+}
+
+// accept checks t against what was delivered. It returns false without an
+// error for a token to skip, with an error for a stream to leave.
+func (s *Stream) accept(t drengine.Token) (drengine.Token, bool, error) {
+	next := len(s.delivered)
+	if t.Done {
+		if n := t.CompletionTokens; n != 0 && n != next && n != next-s.base {
+			return t, false, fmt.Errorf("engine counted %d tokens, %d were delivered", n, next)
+		}
+		s.finish()
+		t.Index, t.CompletionTokens = next, next
+		return t, true, nil
+	}
+	if t.Index == next {
+		s.delivered = append(s.delivered, t.Text)
+		s.resumes = 0
+		return t, true, nil
+	}
+	if t.Index >= 0 && t.Index < next && s.delivered[t.Index] == t.Text {
+		return t, false, nil // delivered before the stream was resumed
+	}
+	return t, false, fmt.Errorf("token index %d does not continue the stream at %d", t.Index, next)
+}
+
+func (s *Stream) finish() {
+	s.done = true
+	s.router.ejector.Success(s.runner.Address)
+	s.leave(true)
+}
+
+// leave gives up the place on the current runner.
+func (s *Stream) leave(success bool) {
+	run := s.run
+	if run == nil {
+		return
+	}
+	s.cancel()
+	s.run, s.tokens = nil, nil
+	if success {
+		run.Succeed()
+	} else {
+		run.End()
+	}
+	s.router.windows.release(s.runner.Address)
+}
+
+// recover continues a broken stream: on the same engine if that still holds
+// the generation, else on another.
+func (s *Stream) recover(cause error) error {
+	s.record("stream-broken", cause.Error())
+	for s.resumes < maxResumes {
+		s.resumes++
+		if s.resume() == nil {
+			return nil
+		}
+		if ended := s.ended(); ended != nil {
+			return ended
+		}
+	}
+	if err := s.abandon(cause); err != nil {
+		return err
+	}
+	return s.open()
+}
+
+func (s *Stream) resume() error {
+	s.cancel()
+	return s.connect(s.run, func(ctx context.Context) (drengine.TokenStream, error) {
+		sub, keep, cancel := within(ctx, s.router.Clock, probeTimeout)
+		ts, err := s.engine.Resume(sub, s.id, len(s.delivered))
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		keep()
+		return ts, nil
+	})
+}
+
+// abandon leaves a runner that failed with cause. It returns an error if the
+// request must not be tried elsewhere.
+func (s *Stream) abandon(cause error) error {
+	s.failed[s.runner.Address] = s.runner.Instance
+	overloaded := drverdict.Of(cause) == drverdict.NotRun && drverdict.ReasonOf(cause) == drverdict.NoCapacity
+	if !overloaded {
+		s.router.ejector.Failure(s.runner.Address)
+	}
+	if drverdict.Of(cause) != drverdict.NotRun && s.crashed() {
+		s.router.prefixes.drop(s.runner.Address)
+		s.record("backend-crashed", "")
+		s.run.Crash(s.ctx)
+	} else if drverdict.Of(cause) != drverdict.NotRun {
+		s.cancelGeneration()
+	}
+	s.leave(false)
+	if err := s.router.Suspects.Check(s.fingerprint); err != nil {
+		return err
+	}
+	if s.attempts >= maxAttempts || !s.router.budget.retry() {
+		if _, ok := cause.(*drverdict.Error); ok && !s.dispatched { //nolint:errorlint // keep the engine's own reason
+			return cause
+		}
+		v := drverdict.NotRun
+		if s.dispatched {
+			v = drverdict.MayHaveRun
+		}
+		return drverdict.Wrap(v, drverdict.BackendFailed, cause, "no further attempt")
+	}
+	s.record("generation-retried", fmt.Sprintf("delivered=%d", len(s.delivered)))
+	return nil
+}
+
+// crashed reports whether the engine process that held the generation is gone
+// although it was not leaving.
+func (s *Stream) crashed() bool {
+	for _, x := range s.router.Residency.Runners(s.request.Model, s.request.Adapter) {
+		if x.Address == s.runner.Address && x.Leaving {
+			return false
+		}
+	}
+	ctx, _, cancel := within(context.WithoutCancel(s.ctx), s.router.Clock, probeTimeout)
+	defer cancel()
+	st, err := s.engine.State(ctx, 0, 0, 0)
+	if err != nil {
+		return true
+	}
+	return !st.Leaving && s.runner.Instance != "" && st.Instance != s.runner.Instance
+}
+
+// cancelGeneration frees the engine from the generation, at best effort.
+func (s *Stream) cancelGeneration() {
+	ctx, _, cancel := within(context.WithoutCancel(s.ctx), s.router.Clock, probeTimeout)
+	defer cancel()
+	_ = s.engine.Cancel(ctx, s.id)
+}
+
+// Close ends the stream and cancels the generation unless it is complete.
+func (s *Stream) Close() error {
+	s.done = true
+	if s.run != nil {
+		s.cancel()
+		s.cancelGeneration()
+		s.leave(false)
+	}
+	return nil
+}
+
+func (s *Stream) record(name, detail string) {
+	s.router.Recorder.Record(drtimeline.Event{
+		Name: name, RequestID: s.request.ID, Account: s.request.Account,
+		Model: s.request.Model, Backend: s.runner.Address, Detail: detail,
+	})
+}
