--- /dev/null
+++ b/drgate/completion.go
@@ -0,0 +1,162 @@
+package drgate
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// completion is a decoded request body of either completions endpoint.
+// Members that are not listed are ignored.
+type completion struct {
+	Model               string          `json:"model"`
+	Messages            []message       `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	N                   *int            `json:"n"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	Stop json.RawMessage `json:"stop"`
+
+	chat      bool
+	prompt    string
+	maxTokens int // 0 if not stated
+	stops     []string
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+func malformed(format string, args ...any) error {
+	return drverdict.New(drverdict.NotRun, drverdict.MalformedRequest, format, args...)
+}
+
+// decodeCompletion parses and validates a body.
+func decodeCompletion(body []byte, chat bool) (*completion, error) {
+	c := &completion{chat: chat}
+	if err := json.Unmarshal(body, c); err != nil {
+		return nil, malformed("the body is not valid JSON for this endpoint")
+	}
+	if c.Model == "" {
+		return nil, malformed("the member %q is missing", "model")
+	}
+	if c.N != nil && *c.N != 1 {
+		return nil, malformed("only n=1 is supported")
+	}
+	for _, n := range []*int{c.MaxTokens, c.MaxCompletionTokens} {
+		if n == nil {
+			continue
+		}
+		if *n < 1 {
+			return nil, malformed("the bound on tokens must be positive")
+		}
+		c.maxTokens = *n
+	}
+	var err error
+	if chat {
+		c.prompt, err = renderChat(c.Messages)
+	} else {
+		c.prompt, err = oneText(c.Prompt, "prompt")
+	}
+	if err != nil {
+		return nil, err
+	}
+	c.stops, err = decodeStops(c.Stop)
+	return c, err
+}
+
+// renderChat joins messages into the prompt form of the engines.
+func renderChat(ms []message) (string, error) {
+	if len(ms) == 0 {
+		return "", malformed("the member %q is missing or empty", "messages")
+	}
+	var b strings.Builder
+	for _, m := range ms {
+		text, err := content(m.Content)
+		if err != nil {
+			return "", err
+		}
+		if m.Role == "" || strings.ContainsAny(m.Role, ":\n") {
+			return "", malformed("a message has no valid role")
+		}
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(text)
+		b.WriteByte('\n')
+	}
+	b.WriteString("assistant:")
+	return b.String(), nil
+}
+
+// content decodes the content of a message: a string, null, or text parts.
+func content(raw json.RawMessage) (string, error) {
+	var s *string
+	if len(raw) == 0 || json.Unmarshal(raw, &s) == nil {
+		if s == nil {
+			return "", nil
+		}
+		return *s, nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(raw, &parts) != nil {
+		return "", malformed("the content of a message is neither a string nor a list of parts")
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", malformed("only content parts of type text are supported")
+		}
+		b.WriteString(p.Text)
+	}
+	return b.String(), nil
+}
+
+// oneText decodes a string or a list of exactly one string.
+func oneText(raw json.RawMessage, name string) (string, error) {
+	var s string
+	if json.Unmarshal(raw, &s) == nil && len(raw) > 0 && raw[0] == '"' {
+		return s, nil
+	}
+	var list []string
+	if json.Unmarshal(raw, &list) == nil && len(list) == 1 {
+		return list[0], nil
+	}
+	return "", malformed("the member %q must be one string", name)
+}
+
+func decodeStops(raw json.RawMessage) ([]string, error) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return nil, nil
+	}
+	var one string
+	stops := []string{}
+	if json.Unmarshal(raw, &one) == nil {
+		stops = append(stops, one)
+	} else if json.Unmarshal(raw, &stops) != nil {
+		return nil, malformed("the member %q is neither a string nor a list of strings", "stop")
+	}
+	if len(stops) > maxStops {
+		return nil, malformed("more than %d stop sequences", maxStops)
+	}
+	for _, s := range stops {
+		if s == "" || len(s) > maxStopBytes {
+			return nil, malformed("a stop sequence must have 1 to %d bytes", maxStopBytes)
+		}
+	}
+	return stops, nil
+}
+
+// promptTokens estimates the prompt's tokens as its bytes divided by four,
+// rounded up. The engine's count replaces the estimate at settlement.
+func (c *completion) promptTokens() int {
+	return (len(c.prompt) + bytesPerToken - 1) / bytesPerToken
+}
--- /dev/null
+++ b/drgate/config.go
@@ -0,0 +1,83 @@
+package drgate
+
+import (
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+)
+
+const (
+	// DefaultTimeout is the deadline of requests for which neither the caller
+	// nor the declarations state one. It covers a cold start.
+	DefaultTimeout = 2 * time.Minute
+	// MaxTimeout bounds Request-Timeout.
+	MaxTimeout = time.Hour
+
+	defaultMaxHeader   = 16 << 10 // bytes
+	defaultMaxBody     = 1 << 20  // bytes; about 250,000 tokens of prompt
+	defaultReadTimeout = 20 * time.Second
+	defaultIdleTimeout = 75 * time.Second
+	// writeGrace is how long past its deadline a request may take to write
+	// its last bytes to a slow caller.
+	writeGrace = 10 * time.Second
+	// recordTimeout bounds the recording of an outcome after the request's
+	// own deadline or its caller is gone.
+	recordTimeout = 5 * time.Second
+	// maxRecorded is the largest answer body that is kept for replay.
+	maxRecorded = 16 << 10
+	// maxIdempotencyKey bounds Idempotency-Key in bytes.
+	maxIdempotencyKey = 255
+	maxRequestID      = 128
+	maxStops          = 16
+	maxStopBytes      = 256
+	// unstatedTokens bounds the output when neither the request nor the
+	// model states a bound.
+	unstatedTokens = 1024
+	// bytesPerToken estimates prompt tokens before the engine counts them.
+	bytesPerToken = 4
+	// retryAfter is advised where an error that passes states no time.
+	retryAfter = time.Second
+)
+
+// engineUrgency translates priorities for engines; the same weights as in the
+// queues.
+var engineUrgency = map[drconfig.Priority]int{
+	drconfig.Interactive: 16, drconfig.Draft: 4, drconfig.Batch: 1,
+}
+
+// Config configures a Server. Zero sizes and timeouts take defaults.
+type Config struct {
+	Clock     drclock.Clock
+	Directory Directory
+	Limiter   Limiter
+	Queue     Queue
+	Once      Once
+	Generator Generator
+	Services  Caller
+	Freshness Freshness
+	Recorder  drtimeline.Recorder
+
+	// MaxHeader and MaxBody are in bytes.
+	MaxHeader   int
+	MaxBody     int
+	ReadTimeout time.Duration
+	IdleTimeout time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxHeader == 0 {
+		c.MaxHeader = defaultMaxHeader
+	}
+	if c.MaxBody == 0 {
+		c.MaxBody = defaultMaxBody
+	}
+	if c.ReadTimeout == 0 {
+		c.ReadTimeout = defaultReadTimeout
+	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = defaultIdleTimeout
+	}
+	return c
+}
--- /dev/null
+++ b/drgate/once.go
@@ -0,0 +1,32 @@
+package drgate
+
+import (
+	"context"
+
+	"github.com/dotterelridge/dotterelridge/drroute"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// Once runs keyed calls at most once.
+type Once interface {
+	// Begin returns an attempt that may be dispatched once, or the recorded
+	// answer of an earlier one, or an error with the reason KeyReused,
+	// CallInProgress, OutcomeUnknown, KeyExpired, LogUnavailable or Deadline.
+	Begin(ctx context.Context, account, key string, f drroute.Fingerprint) (Attempt, *Record, error)
+}
+
+// Attempt is the right to dispatch a call once. Exactly one of its methods is
+// called.
+type Attempt interface {
+	// Finish records the outcome; rec is nil if there was no answer.
+	Finish(ctx context.Context, v drverdict.Verdict, rec *Record) error
+	// Abandon frees the key after a call that certainly did not run.
+	Abandon(ctx context.Context) error
+}
+
+// Record is a recorded answer.
+type Record struct {
+	Answer drroute.Answer
+	// Truncated says that the body was too large to be recorded.
+	Truncated bool
+}
--- a/drroute/call.go
+++ b/drroute/call.go
@@ -14,6 +14,9 @@
 	Body   []byte
 	// Repeatable calls may be executed more than once.
 	Repeatable bool
+	// Proceed is asked right before each dispatch unless it is nil. Its error
+	// ends the call.
+	Proceed func() error
 }
 
 func (c Call) fingerprint() Fingerprint {
--- a/drroute/router.go
+++ b/drroute/router.go
@@ -149,11 +149,7 @@
 
 // wake has the model loaded because no usable runner has it.
 func (r *Router) wake(s *Stream) (Runner, error) {
-	deadline, ok := s.ctx.Deadline()
-	if !ok {
-		deadline = r.Clock.Now().Add(time.Minute)
-	}
-	x, err := r.Waker.Wake(s.ctx, s.request.Model, s.request.Adapter, deadline)
+	x, err := r.Waker.Wake(s.ctx, s.request.Model, s.request.Adapter, s.request.Deadline)
 	if err != nil {
 		if ended := s.ended(); ended != nil {
 			return x, ended
--- a/drroute/services.go
+++ b/drroute/services.go
@@ -65,6 +65,13 @@
 			}
 			return Answer{}, err
 		}
+		if c.Proceed != nil {
+			if err := c.Proceed(); err != nil {
+				s.leave(b)
+				run.End()
+				return Answer{}, drverdict.Wrap(verdict, drverdict.ReasonOf(err), err, "not dispatched")
+			}
+		}
 		a, err := s.try(ctx, b, run, c)
 		if err == nil {
 			return a, nil
@@ -86,13 +93,7 @@
 }
 
 func (s *Services) try(ctx context.Context, b drmember.Backend, run *Run, c Call) (Answer, error) {
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.inflight[b.Address]--; s.inflight[b.Address] <= 0 {
-			delete(s.inflight, b.Address)
-		}
-	}()
+	defer s.leave(b)
 	defer run.End()
 	a, err := s.Caller.Call(ctx, b.Address, c)
 	switch {
@@ -111,6 +112,14 @@
 	return a, err
 }
 
+func (s *Services) leave(b drmember.Backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inflight[b.Address]--; s.inflight[b.Address] <= 0 {
+		delete(s.inflight, b.Address)
+	}
+}
+
 // place waits until the call may run on some server and takes a place there.
 func (s *Services) place(ctx context.Context, fleet string, f Fingerprint, failed map[string]bool, v drverdict.Verdict) (drmember.Backend, *Run, error) {
 	for {
--- a/drroute/stream.go
+++ b/drroute/stream.go
@@ -302,7 +302,7 @@
 
 func (s *Stream) record(name, detail string) {
 	s.router.Recorder.Record(drtimeline.Event{
-		Name: name, RequestID: s.request.ID, Account: s.request.Account,
+		Name: name, RequestID: s.request.RequestID, Account: s.request.Account,
 		Model: s.request.Model, Backend: s.runner.Address, Detail: detail,
 	})
 }
