--- /dev/null
+++ b/drroute/router_test.go
@@ -0,0 +1,243 @@
+package drroute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drengine"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func expected(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "t%d ", i)
+	}
+	return b.String()
+}
+
+// Guards against lost, doubled or crossed tokens when a stream breaks at any
+// index, with the generation kept or lost by the engine, and against engines
+// that send late, early or foreign tokens.
+func TestBrokenStreamContinuesExactly(t *testing.T) {
+	const length = 12
+	faults := map[string]func(e *fakeEngine, t drengine.Token) (drengine.Token, error){
+		"reset": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) { return t, errors.New("reset") },
+		"crash": func(e *fakeEngine, t drengine.Token) (drengine.Token, error) {
+			e.crash()
+			return t, errors.New("reset")
+		},
+		"late":  func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) { t.Index--; return t, nil },
+		"early": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) { t.Index++; return t, nil },
+		"crossed": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) {
+			return drengine.Token{Index: 0, Text: "foreign"}, nil
+		},
+		"cut short": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) {
+			return drengine.Token{Done: true, CompletionTokens: length + 7}, nil
+		},
+	}
+	for name, fault := range faults {
+		for at := range length + 1 {
+			t.Run(fmt.Sprintf("%s at %d", name, at), func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(length, "e1", "e2")
+				seen, broken := 0, false
+				f.edit = func(e *fakeEngine, tok drengine.Token) (drengine.Token, error) {
+					if seen++; seen == at+1 && !broken {
+						broken = true
+						if name != "early" && name != "late" || !tok.Done {
+							return fault(e, tok)
+						}
+					}
+					return tok, nil
+				}
+				if name == "crossed" && at == 0 {
+					return // token 0 cannot be told from a foreign token 0
+				}
+				text, err := collect(context.Background(), soleRouter(f), "g", "p")
+				is.NoErr(err)
+				is.Equal(text, expected(length))
+			})
+		}
+	}
+}
+
+// Guards against work for leaving runners (I11) and against failing a request
+// that an engine refused without running it.
+func TestGenerateAvoidsLeavingAndRefusingRunners(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, "e1", "e2", "e3")
+	f.engines["e1"].leaving = true
+	f.engines["e2"].refuse = drverdict.New(drverdict.NotRun, drverdict.NoCapacity, "full")
+	r := soleRouter(f)
+	for i := range 5 {
+		text, err := collect(context.Background(), r, fmt.Sprint("g", i), "p")
+		is.NoErr(err)
+		is.Equal(text, expected(2))
+	}
+	is.Equal(f.engines["e1"].dispatch, 0)
+	is.Equal(f.engines["e3"].dispatch, 5)
+
+	f.engines["e3"].leaving = true
+	_, err := collect(context.Background(), r, "last", "p")
+	is.Equal(drverdict.Of(err), drverdict.NotRun) // nothing ran, so the refusal says so (I9)
+}
+
+// Guards against a cancelled request that keeps its engine busy.
+func TestCancelReachesTheEngine(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(50, "e1")
+	r := soleRouter(f)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s, err := r.Generate(ctx, Request{ID: "g", Model: "m", MaxTokens: 100})
+	is.NoErr(err)
+	_, err = s.Next()
+	is.NoErr(err)
+	cancel(drverdict.New(drverdict.MayHaveRun, drverdict.CallerGone, "gone"))
+	for err == nil {
+		_, err = s.Next()
+	}
+	is.Equal(drverdict.ReasonOf(err), drverdict.CallerGone)
+	is.NoErr(s.Close())
+	is.Equal(f.engines["e1"].cancelled, 1)
+	is.Equal(r.windows.byAddr["e1"].inflight, 0)
+}
+
+// Guards against a poisonous request that crashes more than two servers
+// through any VM, and against refusing the innocent requests beside it.
+func TestPoisonStopsAfterTwoCrashes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(20, "e1", "e2", "e3", "e4")
+	f.poison = "poison"
+	n := &network{}
+	var routers []*Router
+	for _, vm := range []string{"vm-1", "vm-2", "vm-3"} {
+		s := n.join(drclock.System{}, vm)
+		defer s.Close()
+		routers = append(routers, newRouter(f, s))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range 30 {
+		wg.Go(func() {
+			text, err := collect(ctx, routers[i%3], fmt.Sprint("g", i), fmt.Sprint("innocent", i))
+			if err != nil || text != expected(20) {
+				t.Errorf("innocent request %d: %v", i, err)
+			}
+		})
+	}
+	for i := range 3 { // the caller resends through other VMs
+		_, err := collect(ctx, routers[i], fmt.Sprint("p", i), "poison")
+		is.Equal(drverdict.ReasonOf(err), drverdict.CrashesBackend)
+		is.Equal(drverdict.Of(err), drverdict.Ran)
+	}
+	wg.Wait()
+	is.Equal(f.crashes, 2)
+}
+
+// Guards against retries that multiply the load when every server fails.
+func TestBudgetBoundsRetries(t *testing.T) {
+	is := is.New(t)
+	c := drclock.NewFake(time.Unix(0, 0))
+	b := newBudget(c)
+	retries := 0
+	for range 1000 {
+		b.request()
+		if b.retry() {
+			retries++
+		}
+	}
+	is.True(retries <= 100+retryBurst)
+	is.True(!b.retry())
+	c.Advance(time.Second)
+	is.True(b.retry())
+}
+
+// Guards against ejection that empties a fleet or never ends.
+func TestEjectionSparesHalfAndExpires(t *testing.T) {
+	is := is.New(t)
+	c := drclock.NewFake(time.Unix(0, 0))
+	e := NewEjector(c)
+	fleet := []string{"a", "b", "c", "d", "e"}
+	fail := func(a string, n int) {
+		for range n {
+			e.Failure(a)
+		}
+	}
+	for _, a := range fleet {
+		fail(a, ejectAfter)
+	}
+	is.Equal(len(e.Usable(fleet)), 3)
+	is.Equal(len(e.Usable(fleet[:1])), 1)
+	c.Advance(ejectFirst)
+	is.Equal(len(e.Usable(fleet)), 5)
+	fail("a", 1)
+	c.Advance(ejectFirst)
+	is.Equal(len(e.Usable(fleet)), 4) // the second period is twice as long
+	c.Advance(ejectFirst)
+	for range 10 {
+		fail("a", 1)
+		c.Advance(ejectMax)
+		is.Equal(len(e.Usable(fleet)), 5)
+	}
+	e.Success("a")
+	fail("a", ejectAfter-1)
+	is.Equal(len(e.Usable(fleet)), 5)
+}
+
+// Guards against a window that ignores the engine's reports.
+func TestWindowFollowsReports(t *testing.T) {
+	is := is.New(t)
+	w := newWindows()
+	r := Runner{Address: "e", Capacity: 16, Version: 1}
+	limit := func() int { w.load(r); return w.byAddr["e"].limit }
+	is.Equal(limit(), 16)
+	r.Version, r.Waiting = 2, 3
+	is.Equal(limit(), 8)
+	is.Equal(limit(), 8) // a report counts once
+	r.Version, r.Waiting = 3, 0
+	is.Equal(limit(), 9)
+	for w.acquire(r) {
+	}
+	is.Equal(w.byAddr["e"].inflight, 9)
+}
+
+// Guards against stale prefix blocks after lost events and unbounded memory.
+func TestPrefixesDropOnGap(t *testing.T) {
+	is := is.New(t)
+	p := newPrefixes()
+	p.limit = 4
+	blocks := PrefixBlocks(strings.Repeat("x", 3*prefixBlock+7))
+	is.Equal(len(blocks), 3)
+	p.apply("e", []drengine.CacheEvent{{Seq: 1, Model: "m", Added: blocks}})
+	is.Equal(p.hit("e", "m", blocks), 1.0)
+	is.Equal(p.hit("e", "other", blocks), 0.0)
+	p.apply("e", []drengine.CacheEvent{{Seq: 2, Model: "m", Evicted: blocks[1:2]}})
+	is.True(p.hit("e", "m", blocks) < 0.5)
+	p.apply("e", []drengine.CacheEvent{{Seq: 4, Model: "m", Added: []uint64{9}}})
+	is.Equal(p.hit("e", "m", blocks), 0.0)
+	p.apply("e", []drengine.CacheEvent{{Seq: 5, Model: "m", Added: []uint64{1, 2, 3, 4, 5, 6}}})
+	is.True(len(p.byVM["e"].blocks) <= 4)
+}
+
+// BenchmarkGenerate measures the router's cost per request of 100 tokens.
+func BenchmarkGenerate(b *testing.B) {
+	r := soleRouter(newFleet(100, "e1", "e2", "e3"))
+	for i := range b.N {
+		if _, err := collect(context.Background(), r, fmt.Sprint(i), "prompt"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/drroute/services_test.go
@@ -0,0 +1,140 @@
+package drroute
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// fakeServices are plain services whose first failures are scripted.
+type fakeServices struct {
+	mu       sync.Mutex
+	backends []drmember.Backend
+	errs     []error
+	calls    []string
+}
+
+func (f *fakeServices) Backends(string) []drmember.Backend { return f.backends }
+
+func (f *fakeServices) Call(_ context.Context, addr string, _ Call) (Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, addr)
+	if len(f.errs) > 0 {
+		err := f.errs[0]
+		f.errs = f.errs[1:]
+		return Answer{}, err
+	}
+	return Answer{Status: 200}, nil
+}
+
+func newServices(f *fakeServices) *Services {
+	for i := range 4 {
+		f.backends = append(f.backends, drmember.Backend{Address: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%2)})
+	}
+	return NewServices(ServicesConfig{
+		Clock: drclock.System{}, Zone: "z1", Backends: f, Caller: f,
+		Suspects: (&network{}).join(drclock.System{}, "vm"), Recorder: drtimeline.Discard{},
+	})
+}
+
+// Guards against repeating a call that may have run (I10) and against giving
+// up on one that certainly did not.
+func TestRetryByVerdict(t *testing.T) {
+	for _, tt := range []struct {
+		verdict    drverdict.Verdict
+		repeatable bool
+		calls      int
+		ok         bool
+	}{
+		{drverdict.NotRun, false, 2, true},
+		{drverdict.NotRun, true, 2, true},
+		{drverdict.MayHaveRun, false, 1, false},
+		{drverdict.MayHaveRun, true, 2, true},
+		{drverdict.Ran, false, 1, false},
+		{drverdict.Ran, true, 1, false},
+	} {
+		t.Run(fmt.Sprint(tt.verdict, tt.repeatable), func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeServices{errs: []error{drverdict.New(tt.verdict, drverdict.BackendFailed, "x")}}
+			s := newServices(f)
+			_, err := s.Call(context.Background(), "fleet", Call{Method: "POST", Repeatable: tt.repeatable})
+			is.Equal(err == nil, tt.ok)
+			is.Equal(len(f.calls), tt.calls)
+			if !tt.ok {
+				is.Equal(drverdict.Of(err), tt.verdict)
+			}
+			is.Equal(len(s.inflight), 0)
+			is.Equal(len(s.Suspects.running), 0)
+		})
+	}
+}
+
+// Guards against new work for leaving servers and for busy or distant ones
+// while better ones exist.
+func TestServicesPreferIdleAndNear(t *testing.T) {
+	is := is.New(t)
+	f := &fakeServices{}
+	s := newServices(f)
+	f.backends[1].Leaving = true
+	for range 8 {
+		_, err := s.Call(context.Background(), "fleet", Call{Method: "GET"})
+		is.NoErr(err)
+	}
+	for _, a := range f.calls {
+		is.Equal(a, "s3")
+	}
+	s.inflight["s3"] = 1
+	_, err := s.Call(context.Background(), "fleet", Call{Method: "GET"})
+	is.NoErr(err)
+	is.True(f.calls[8] != "s3" && f.calls[8] != "s1")
+}
+
+// Guards against a false "not run" for a call that was sent (I9), and against
+// a refused connection that counts as sent.
+func TestHTTPCallerVerdicts(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	replies := []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ncut", "HTTP/1.1 201 Created\r\nContent-Length: 2\r\nX-A: b\r\n\r\nok"}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		for _, reply := range replies {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			var req fasthttp.Request
+			if err := req.Read(bufio.NewReader(c)); err != nil {
+				t.Error(err)
+			}
+			fmt.Fprint(c, reply)
+			c.Close()
+		}
+	}()
+	call := Call{Method: "POST", Target: "/bookings?a=1", Body: []byte("x")}
+	for range 2 {
+		_, err = HTTPCaller{}.Call(context.Background(), l.Addr().String(), call)
+		is.Equal(drverdict.Of(err), drverdict.MayHaveRun)
+	}
+	a, err := HTTPCaller{}.Call(context.Background(), l.Addr().String(), call)
+	is.NoErr(err)
+	is.Equal(a.Status, 201)
+	is.Equal(string(a.Body), "ok")
+	<-served
+	l.Close()
+	_, err = HTTPCaller{}.Call(context.Background(), l.Addr().String(), call)
+	is.Equal(drverdict.Of(err), drverdict.NotRun)
+}
--- a/drroute/stream.go
+++ b/drroute/stream.go
@@ -119,6 +119,9 @@
 		return drengine.Token{}, io.EOF
 	}
 	for {
+		if ended := s.ended(); ended != nil {
+			return drengine.Token{}, ended
+		}
 		t, err := s.read()
 		if err == nil {
 			var ok bool
--- /dev/null
+++ b/drroute/suspects_test.go
@@ -0,0 +1,78 @@
+package drroute
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+)
+
+// Guards against two suspects sharing a server, on one VM or on two.
+func TestSuspectsRunApart(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c := drclock.NewFake(time.Unix(0, 0))
+	n := &network{}
+	a, b := n.join(c, "vm-a"), n.join(c, "vm-b")
+	x, y := Fingerprint{1}, Fingerprint{2}
+	rx, err := a.Begin(ctx, x, "s1", "i1")
+	is.NoErr(err)
+	_, err = a.Begin(ctx, y, "s1", "i1")
+	is.NoErr(err)
+	rx.Crash(ctx)
+
+	rx, err = a.Begin(ctx, x, "s2", "")
+	is.NoErr(err)
+	is.True(rx != nil)
+	for _, s := range []*Suspects{a, b} {
+		ry, err := s.Begin(ctx, y, "s2", "")
+		is.NoErr(err)
+		is.True(ry == nil) // x is on trial there
+		dup, err := s.Begin(ctx, x, "s3", "")
+		is.NoErr(err)
+		is.True(dup == nil) // x runs already
+	}
+	rx.Succeed()
+	a.Close()
+	ry, err := b.Begin(ctx, y, "s2", "")
+	is.NoErr(err)
+	is.True(ry != nil)
+	ry.Crash(ctx)
+	is.True(a.Check(y) != nil)
+	is.True(b.Check(y) != nil)
+	is.NoErr(a.Check(x))
+	c.Advance(suspectLife + time.Second)
+	is.NoErr(a.Check(y))
+}
+
+// Guards against a strike read late from the log that undoes a clearance, and
+// against one that a restarted VM does not accept from its former self.
+func TestLateStrikeDoesNotUndoClearance(t *testing.T) {
+	is := is.New(t)
+	s := (&network{}).join(drclock.NewFake(time.Unix(0, 0)), "vm-a")
+	x := Fingerprint{1}
+	strike := Notice{Kind: Strike, ID: "c1", VM: "vm-a", Fingerprints: []Fingerprint{x}}
+	s.Observe(strike)
+	is.True(s.find(x) != nil)
+	s.Observe(Notice{Kind: Clear, VM: "vm-b", Fingerprints: []Fingerprint{x}})
+	s.Observe(strike)
+	is.True(s.find(x) == nil)
+}
+
+// Guards against unbounded memory under a flood of crashes.
+func TestSuspectsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := (&network{}).join(drclock.NewFake(time.Unix(0, 0)), "vm-a")
+	for i := range maxSuspects + 100 {
+		f := NewFingerprint("a", fmt.Sprint(i), nil)
+		s.Observe(Notice{Kind: Strike, ID: fmt.Sprint(i), VM: "vm-b", Fingerprints: []Fingerprint{f}})
+		s.Observe(Notice{Kind: Trial, ID: fmt.Sprint(i), VM: "vm-b", Fingerprints: []Fingerprint{f}})
+	}
+	is.Equal(len(s.records), maxSuspects)
+	is.Equal(s.order.Len(), maxSuspects)
+	is.True(len(s.trials) <= maxTrials)
+}
