--- /dev/null
+++ b/drgate/fake_test.go
@@ -0,0 +1,279 @@
+package drgate
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drengine"
+	"github.com/dotterelridge/dotterelridge/drroute"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+const testKey = "sk-test-0123456789"
+
+// fakeSystem stands in for everything behind the gate.
+type fakeSystem struct {
+	mu        sync.Mutex
+	withdrawn chan struct{}
+	isolated  bool
+	tokens    []string
+	// next, if set, runs before each token.
+	next        func(ctx context.Context, index int) error
+	generateErr error
+	limitErr    error
+	queueErr    error
+	onceErr     error
+	callErr     error
+	record      *Record
+	answer      drroute.Answer
+	onCall      func()
+	onQueue     func() // the item then waits until its request ends
+
+	request  drroute.Request
+	calls    []drroute.Call
+	reserved int
+	settled  []float64
+	enqueued int
+	released int
+	closed   int
+	outcomes []string
+	items    []Item
+}
+
+func newSystem() *fakeSystem {
+	return &fakeSystem{withdrawn: make(chan struct{}), tokens: []string{"Hei", " på", " deg"},
+		answer: drroute.Answer{Status: 201, Body: []byte("booked"), Header: []drroute.Field{
+			{Name: "Connection", Value: "X-Hop"}, {Name: "X-Hop", Value: "1"}, {Name: "X-Kept", Value: "2"}}}}
+}
+
+func (f *fakeSystem) Authenticate(key string) (Identity, error) {
+	if key != testKey {
+		return Identity{}, drverdict.New(drverdict.NotRun, drverdict.InvalidKey, "unknown key")
+	}
+	return Identity{Account: "anna", Withdrawn: f.withdrawn}, nil
+}
+
+func (f *fakeSystem) Model(_, name string) (Model, error) {
+	switch name {
+	case "m", "adapter":
+		return Model{Model: "m", DefaultMaxTokens: 50, MaxTokens: 80, Priority: drconfig.Draft}, nil
+	case "secret":
+		return Model{}, drverdict.New(drverdict.NotRun, drverdict.NotAllowed, "not selected")
+	}
+	return Model{}, drverdict.New(drverdict.NotRun, drverdict.UnknownModel, "no such model")
+}
+
+func (f *fakeSystem) Models(string) []string { return []string{"m", "adapter"} }
+
+func (f *fakeSystem) Route(path string) (drconfig.Route, error) {
+	for _, n := range []string{"bookings", "open", "barred"} {
+		if path == "/"+n || strings.HasPrefix(path, "/"+n+"/") {
+			return drconfig.Route{Name: n, Path: "/" + n, Fleet: "app", Open: n == "open"}, nil
+		}
+	}
+	return drconfig.Route{}, drverdict.New(drverdict.NotRun, drverdict.UnknownRoute, "no route")
+}
+
+func (f *fakeSystem) MayUse(_ string, r drconfig.Route) bool { return r.Name != "barred" }
+func (f *fakeSystem) Isolated() bool                         { return f.isolated }
+
+func (f *fakeSystem) Reserve(context.Context, string, float64, time.Time) (Reservation, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.limitErr != nil {
+		return nil, f.limitErr
+	}
+	f.reserved++
+	return f, nil
+}
+
+func (f *fakeSystem) Settle(used float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settled = append(f.settled, used)
+}
+
+func (f *fakeSystem) Enqueue(ctx context.Context, i Item) (func(float64), error) {
+	if f.onQueue != nil {
+		f.onQueue()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.queueErr != nil {
+		return nil, f.queueErr
+	}
+	f.items = append(f.items, i)
+	f.enqueued++
+	return func(float64) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.released++
+	}, nil
+}
+
+func (f *fakeSystem) Generate(ctx context.Context, q drroute.Request) (drengine.TokenStream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.request = q
+	if f.generateErr != nil {
+		return nil, f.generateErr
+	}
+	return &fakeTokens{ctx: ctx, system: f}, nil
+}
+
+type fakeTokens struct {
+	ctx    context.Context
+	system *fakeSystem
+	at     int
+}
+
+func (t *fakeTokens) Next() (drengine.Token, error) {
+	f := t.system
+	if f.next != nil {
+		if err := f.next(t.ctx, t.at); err != nil {
+			return drengine.Token{}, err
+		}
+	}
+	if t.at == len(f.tokens) {
+		return drengine.Token{Done: true, FinishReason: "stop", PromptTokens: 7, CompletionTokens: t.at}, nil
+	}
+	t.at++
+	return drengine.Token{Index: t.at - 1, Text: f.tokens[t.at-1]}, nil
+}
+
+func (t *fakeTokens) Close() error {
+	t.system.mu.Lock()
+	defer t.system.mu.Unlock()
+	t.system.closed++
+	return nil
+}
+
+func (f *fakeSystem) Call(_ context.Context, _ string, c drroute.Call) (drroute.Answer, error) {
+	if c.Proceed != nil {
+		if err := c.Proceed(); err != nil {
+			return drroute.Answer{}, err
+		}
+	}
+	f.mu.Lock()
+	f.calls = append(f.calls, c)
+	f.mu.Unlock()
+	if f.onCall != nil {
+		f.onCall()
+	}
+	return f.answer, f.callErr
+}
+
+func (f *fakeSystem) Begin(context.Context, string, string, drroute.Fingerprint) (Attempt, *Record, error) {
+	if f.onceErr != nil || f.record != nil {
+		return nil, f.record, f.onceErr
+	}
+	return f, nil, nil
+}
+
+func (f *fakeSystem) Finish(_ context.Context, v drverdict.Verdict, rec *Record) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outcomes = append(f.outcomes, fmt.Sprintf("%s recorded=%t", v, rec != nil && !rec.Truncated))
+	return nil
+}
+
+func (f *fakeSystem) Abandon(context.Context) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outcomes = append(f.outcomes, "abandoned")
+	return nil
+}
+
+func newServer(f *fakeSystem) *Server {
+	return New(Config{Clock: drclock.System{}, Directory: f, Limiter: f, Queue: f, Once: f, Generator: f, Services: f,
+		Freshness: f, Recorder: drtimeline.Discard{}, MaxHeader: 2048, MaxBody: 4096})
+}
+
+// doneConn reports the caller's disconnect, as the socket bridge does.
+type doneConn struct {
+	net.Conn
+	done chan struct{}
+}
+
+func (c doneConn) Done() <-chan struct{} { return c.done }
+
+// caller is a client connection to a server.
+type caller struct {
+	net.Conn
+	rd   *bufio.Reader
+	gone chan struct{}
+}
+
+func dial(t testing.TB, s *Server) *caller {
+	client, server := net.Pipe()
+	c := &caller{Conn: client, rd: bufio.NewReader(client), gone: make(chan struct{})}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = s.ServeConn(doneConn{server, c.gone})
+	}()
+	t.Cleanup(func() {
+		client.Close()
+		<-served
+	})
+	return c
+}
+
+// send writes a request; each header is "Name: value".
+func (c *caller) send(method, target, body string, headers ...string) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: gate\r\n", method, target)
+	for _, h := range headers {
+		b.WriteString(h + "\r\n")
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	go io.WriteString(c.Conn, b.String())
+}
+
+func (c *caller) receive(t testing.TB) *fasthttp.Response {
+	t.Helper()
+	res := &fasthttp.Response{}
+	if err := res.Read(c.rd); err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+// do sends one request with the test key on a new connection.
+func do(t testing.TB, s *Server, method, target, body string, headers ...string) *fasthttp.Response {
+	t.Helper()
+	c := dial(t, s)
+	c.send(method, target, body, append(headers, "Authorization: Bearer "+testKey)...)
+	return c.receive(t)
+}
+
+// idle waits until every request has ended and is settled.
+func idle(t testing.TB, s *Server) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		n := s.running
+		s.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("a request did not end")
+}
--- /dev/null
+++ b/drgate/server_test.go
@@ -0,0 +1,361 @@
+package drgate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drroute"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+func TestMain(m *testing.M) {
+	// The HTTP library keeps one goroutine per process for the Date header.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+const chatBody = `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}],"user":"u","logit_bias":{}}`
+
+func failure(v drverdict.Verdict, r drverdict.Reason) error { return drverdict.New(v, r, "scripted") }
+
+// Guards against a refusal that differs from the table in docs/design.md,
+// section 5, and against limits that are not settled exactly once.
+func TestRefusals(t *testing.T) {
+	const chat, once = "/v1/chat/completions", "Idempotency-Key: k1"
+	nr, mr := drverdict.NotRun, drverdict.MayHaveRun
+	for _, tt := range []struct {
+		method, target, body string
+		headers              []string
+		script               func(f *fakeSystem)
+		status               int
+		suffix, run          string
+	}{
+		{"POST", chat, "{", nil, nil, 400, "malformed-request", "not-run"},
+		{"POST", chat, strings.Replace(chatBody, `"m"`, `"m","n":2`, 1), nil, nil, 400, "malformed-request", "not-run"},
+		{"POST", chat, chatBody, []string{"Request-Timeout: soon"}, nil, 400, "malformed-request", "not-run"},
+		{"POST", chat, chatBody, []string{"Priority: first"}, nil, 400, "malformed-request", "not-run"},
+		{"POST", chat, chatBody, []string{"Authorization: Bearer other"}, nil, 401, "invalid-key", "not-run"},
+		{"GET", "/nowhere", "", []string{"Authorization: Bearer other"}, nil, 401, "invalid-key", "not-run"},
+		{"POST", "/open/x", "", []string{"Authorization: Bearer other", once}, nil, 401, "invalid-key", "not-run"},
+		{"POST", chat, strings.Replace(chatBody, `"m"`, `"secret"`, 1), nil, nil, 403, "not-allowed", "not-run"},
+		{"GET", "/barred", "", nil, nil, 403, "not-allowed", "not-run"},
+		{"POST", chat, strings.Replace(chatBody, `"m"`, `"x"`, 1), nil, nil, 404, "unknown-model", "not-run"},
+		{"GET", "/nowhere", "", nil, nil, 404, "unknown-route", "not-run"},
+		{"POST", "/bookings", "", []string{once}, func(f *fakeSystem) { f.onceErr = failure(nr, drverdict.KeyReused) }, 409, "key-reused", "not-run"},
+		{"POST", "/bookings", "", []string{once}, func(f *fakeSystem) { f.onceErr = failure(mr, drverdict.CallInProgress) }, 409, "call-in-progress", "may-have-run"},
+		{"POST", "/bookings", "", []string{once}, func(f *fakeSystem) { f.onceErr = failure(mr, drverdict.OutcomeUnknown) }, 409, "outcome-unknown", "may-have-run"},
+		{"POST", "/bookings", "", []string{once}, func(f *fakeSystem) { f.record = &Record{Truncated: true} }, 409, "outcome-unknown", "may-have-run"},
+		{"POST", "/bookings", "", []string{once}, func(f *fakeSystem) { f.onceErr = failure(mr, drverdict.KeyExpired) }, 409, "key-expired", "may-have-run"},
+		{"POST", chat, strings.Repeat(" ", 5000), nil, nil, 413, "too-large", "not-run"},
+		{"POST", chat, "", []string{"X-Long: " + strings.Repeat("x", 3000)}, nil, 413, "too-large", "not-run"},
+		{"POST", chat, chatBody, nil, func(f *fakeSystem) { f.generateErr = failure(drverdict.Ran, drverdict.CrashesBackend) }, 422, "crashes-backend", "ran"},
+		{"POST", chat, chatBody, nil, func(f *fakeSystem) { f.limitErr = failure(nr, drverdict.OverRate) }, 429, "over-rate", "not-run"},
+		{"POST", chat, chatBody, nil, func(f *fakeSystem) { f.queueErr = failure(nr, drverdict.QueueFull) }, 429, "queue-full", "not-run"},
+		{"POST", chat, chatBody, nil, func(f *fakeSystem) { f.generateErr = failure(mr, drverdict.BackendFailed) }, 502, "backend-failed", "may-have-run"},
+		{"POST", chat, chatBody, nil, func(f *fakeSystem) { f.next = func(context.Context, int) error { panic("scripted") } }, 502, "backend-failed", "may-have-run"},
+		{"POST", "/bookings", "", nil, func(f *fakeSystem) { f.callErr = failure(mr, drverdict.BackendFailed) }, 502, "backend-failed", "may-have-run"},
+		{"POST", chat, chatBody, nil, func(f *fakeSystem) { f.generateErr = failure(nr, drverdict.Unavailable) }, 503, "no-capacity", "not-run"},
+		{"POST", "/bookings", "", []string{once}, func(f *fakeSystem) { f.onceErr = failure(nr, drverdict.LogUnavailable) }, 503, "log-unavailable", "not-run"},
+		{"GET", "/v1/models", "", nil, func(f *fakeSystem) { f.isolated = true }, 503, "isolated", "not-run"},
+		{"POST", chat, chatBody, nil, func(f *fakeSystem) { f.queueErr = failure(nr, drverdict.Deadline) }, 504, "deadline", "not-run"},
+		{"POST", chat, chatBody, []string{"Request-Timeout: 0.02"}, func(f *fakeSystem) {
+			f.next = func(ctx context.Context, _ int) error { <-ctx.Done(); return ctx.Err() }
+		}, 504, "deadline", "may-have-run"},
+	} {
+		t.Run(fmt.Sprint(tt.status, tt.suffix), func(t *testing.T) {
+			is := is.New(t)
+			f := newSystem()
+			if tt.script != nil {
+				tt.script(f)
+			}
+			s := newServer(f)
+			c := dial(t, s)
+			headers := append([]string{"X-Request-Id: id-1"}, tt.headers...)
+			if !strings.Contains(fmt.Sprint(headers), "Authorization") {
+				headers = append(headers, "Authorization: Bearer "+testKey)
+			}
+			c.send(tt.method, tt.target, tt.body, headers...)
+			res := c.receive(t)
+			is.Equal(res.StatusCode(), tt.status)
+			is.Equal(string(res.Header.ContentType()), "application/problem+json")
+			var p problem
+			is.NoErr(json.Unmarshal(res.Body(), &p))
+			is.Equal(p.Type, problemType+tt.suffix)
+			is.Equal(p.Run, tt.run)
+			is.Equal(p.Status, tt.status)
+			is.True(p.Title != "")
+			is.Equal(p.RequestID, string(res.Header.Peek("X-Request-Id")))
+			is.Equal(p.RequestID == "id-1", tt.status != 413)
+			if tt.status == 429 || tt.status == 503 {
+				is.True(len(res.Header.Peek("Retry-After")) > 0)
+			}
+			idle(t, s)
+			is.Equal(len(f.settled), f.reserved)
+			is.Equal(f.released, f.enqueued)
+			if tt.run == "not-run" && f.reserved > 0 {
+				is.Equal(f.settled[0], 0.0) // the account pays for nothing
+			}
+		})
+	}
+}
+
+// Guards against a wrong body, usage or priority of a whole completion.
+func TestWholeCompletion(t *testing.T) {
+	is := is.New(t)
+	f := newSystem()
+	s := newServer(f)
+	res := do(t, s, "POST", "/v1/chat/completions", chatBody, "Priority: interactive", "X-Request-Id: id-1")
+	is.Equal(res.StatusCode(), 200)
+	var out reply
+	is.NoErr(json.Unmarshal(res.Body(), &out))
+	is.Equal(out.Choices[0].Message.Content, "Hei på deg")
+	is.Equal(*out.Usage, usage{7, 3, 10})
+	is.Equal(f.request.Prompt, "user: hi\nassistant:")
+	is.Equal(f.request.MaxTokens, 50)
+	is.Equal(f.items[0].Priority, drconfig.Draft) // capped
+	is.True(f.request.ID != "id-1")               // resends must not share a generation
+	idle(t, s)
+	is.Equal(f.settled, []float64{10})
+	is.Equal(f.closed, 1)
+
+	res = do(t, s, "POST", "/v1/completions", `{"model":"adapter","prompt":"x","max_tokens":900,"stop":["å d"]}`)
+	is.NoErr(json.Unmarshal(res.Body(), &out))
+	is.Equal(*out.Choices[0].Text, "Hei p")
+	is.Equal(f.request.MaxTokens, 80)
+	res = do(t, s, "GET", "/v1/models", "")
+	is.True(strings.Contains(string(res.Body()), `"adapter"`))
+}
+
+// line reads the next non-empty line of a chunked body's events.
+func (c *caller) line(t *testing.T) string {
+	t.Helper()
+	for {
+		l, err := c.rd.ReadString('\n')
+		if err != nil {
+			return ""
+		}
+		if l = strings.TrimSpace(l); strings.HasPrefix(l, "data: ") || strings.HasPrefix(l, "event: ") {
+			return l
+		}
+	}
+}
+
+const streamBody = `{"model":"m","prompt":"x","stream":true,"stream_options":{"include_usage":true}}`
+
+// Guards against tokens that are held back until the stream ends, and against
+// a missing usage or [DONE].
+func TestStreamFlushesEachToken(t *testing.T) {
+	is := is.New(t)
+	f := newSystem()
+	step := make(chan struct{})
+	f.next = func(context.Context, int) error { <-step; return nil }
+	s := newServer(f)
+	c := dial(t, s)
+	c.send("POST", "/v1/completions", streamBody, "Authorization: Bearer "+testKey)
+	for _, want := range f.tokens {
+		step <- struct{}{}
+		is.True(strings.Contains(c.line(t), `"text":"`+want+`"`))
+	}
+	step <- struct{}{}
+	is.True(strings.Contains(c.line(t), `"finish_reason":"stop"`))
+	is.True(strings.Contains(c.line(t), `"total_tokens":10`))
+	is.Equal(c.line(t), "data: [DONE]")
+	idle(t, s)
+	is.Equal(f.settled, []float64{10})
+}
+
+// Guards against streams that end without an error event after a failure, a
+// panic or the withdrawal of the key (I6), that end with [DONE], or that leave
+// the engine or the limits engaged, also when the caller disconnects.
+func TestStreamEndsEarly(t *testing.T) {
+	for name, want := range map[string]string{
+		"failure": `"status":502`, "panic": `"status":502`, "withdrawn": `"status":403`, "gone": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newSystem()
+			reached := make(chan struct{})
+			f.next = func(ctx context.Context, i int) error {
+				if i == 0 {
+					return nil
+				}
+				switch name {
+				case "failure":
+					return failure(drverdict.MayHaveRun, drverdict.BackendFailed)
+				case "panic":
+					panic("scripted")
+				}
+				close(reached)
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			s := newServer(f)
+			c := dial(t, s)
+			c.send("POST", "/v1/completions", streamBody, "Authorization: Bearer "+testKey)
+			is.True(strings.Contains(c.line(t), "Hei"))
+			start := time.Now()
+			switch name {
+			case "withdrawn":
+				<-reached
+				close(f.withdrawn)
+			case "gone":
+				<-reached
+				close(c.gone)
+				c.Close()
+			}
+			if want != "" {
+				is.Equal(c.line(t), "event: error")
+				l := c.line(t)
+				is.True(strings.Contains(l, want))
+				is.True(strings.Contains(l, `"run":"may-have-run"`))
+				is.True(strings.Contains(l, problemType))
+				c.send("GET", "/v1/models", "", "Connection: close", "Authorization: Bearer "+testKey)
+				is.True(!strings.Contains(c.line(t), "[DONE]"))
+			}
+			idle(t, s)
+			is.True(time.Since(start) < time.Second)
+			is.Equal(f.closed, 1)
+			is.Equal(f.settled, []float64{2}) // one token of prompt, one of output
+			is.Equal(f.released, 1)
+		})
+	}
+}
+
+// Guards against a request that stays queued after its key was withdrawn or
+// its deadline passed, or is refused with a wrong verdict (I3, I6, I9).
+func TestQueuedRequestEnds(t *testing.T) {
+	for status, run := range map[int]func(f *fakeSystem){
+		401: func(f *fakeSystem) { close(f.withdrawn) }, 504: func(*fakeSystem) {},
+	} {
+		is := is.New(t)
+		f := newSystem()
+		f.onQueue = func() { run(f) }
+		s := newServer(f)
+		timeout := "Request-Timeout: 9"
+		if status == 504 {
+			timeout = "Request-Timeout: 0.03"
+		}
+		start := time.Now()
+		res := do(t, s, "POST", "/v1/completions", streamBody, timeout)
+		is.Equal(res.StatusCode(), status)
+		is.True(strings.Contains(string(res.Body()), `"run":"not-run"`))
+		is.True(time.Since(start) < time.Second)
+		idle(t, s)
+		is.Equal(f.settled, []float64{0})
+	}
+}
+
+// Guards against a paid call that is interrupted by the withdrawal of the key
+// or by the caller's disconnect, whose outcome is lost, or whose answer is
+// shown to the withdrawn key.
+func TestPaidCallRunsToCompletion(t *testing.T) {
+	is := is.New(t)
+	f := newSystem()
+	s := newServer(f)
+	f.onCall = func() { close(f.withdrawn); time.Sleep(20 * time.Millisecond) }
+	res := do(t, s, "POST", "/bookings", "x", "Idempotency-Key: k")
+	is.Equal(res.StatusCode(), 403)
+	is.True(strings.Contains(string(res.Body()), `"run":"may-have-run"`))
+	is.True(!strings.Contains(string(res.Body()), "booked"))
+	is.Equal(f.outcomes, []string{"ran recorded=true"})
+}
+
+// Guards against wrong at-most-once records and replays.
+func TestKeyedCalls(t *testing.T) {
+	is := is.New(t)
+	f := newSystem()
+	s := newServer(f)
+	res := do(t, s, "POST", "/bookings/7?a=1", "x", "Idempotency-Key: k")
+	is.Equal(res.StatusCode(), 201)
+	is.Equal(string(res.Body()), "booked")
+	is.Equal(string(res.Header.Peek("X-Kept")), "2")
+	is.Equal(len(res.Header.Peek("X-Hop")), 0)
+	is.Equal(f.calls[0].Target, "/bookings/7?a=1")
+	is.True(!f.calls[0].Repeatable)
+	f.callErr = failure(drverdict.NotRun, drverdict.Unavailable)
+	is.Equal(do(t, s, "POST", "/bookings", "x", "Idempotency-Key: k").StatusCode(), 503)
+	f.callErr = failure(drverdict.MayHaveRun, drverdict.BackendFailed)
+	is.Equal(do(t, s, "POST", "/bookings", "x", "Idempotency-Key: k").StatusCode(), 502)
+	f.callErr, f.answer.Body = nil, make([]byte, maxRecorded+1)
+	is.Equal(do(t, s, "POST", "/bookings", "x", "Idempotency-Key: k").StatusCode(), 201)
+	is.Equal(f.outcomes, []string{"ran recorded=true", "abandoned", "may-have-run recorded=false", "ran recorded=false"})
+
+	f.record = &Record{Answer: drroute.Answer{Status: 202, Body: []byte("again")}}
+	n := len(f.calls)
+	res = do(t, s, "POST", "/bookings", "x", "Idempotency-Key: k")
+	is.Equal(res.StatusCode(), 202)
+	is.Equal(string(res.Header.Peek("Idempotency-Replayed")), "true")
+	is.Equal(len(f.calls), n)
+	is.Equal(do(t, s, "GET", "/bookings", "", "Idempotency-Key: k").StatusCode(), 201) // repeatable
+}
+
+// Guards against a shutdown that cuts a stream (I12) or refuses requests on
+// kept-alive connections before the listener is closed.
+func TestDrainCompletesStreams(t *testing.T) {
+	is := is.New(t)
+	f := newSystem()
+	step := make(chan struct{})
+	f.next = func(_ context.Context, i int) error {
+		if i == 1 {
+			<-step
+		}
+		return nil
+	}
+	s := newServer(f)
+	kept := dial(t, s)
+	kept.send("GET", "/v1/models", "", "Authorization: Bearer "+testKey)
+	is.True(!kept.receive(t).ConnectionClose())
+	c := dial(t, s)
+	c.send("POST", "/v1/completions", streamBody, "Authorization: Bearer "+testKey)
+	is.True(strings.Contains(c.line(t), "Hei"))
+	s.StartDrain()
+	kept.send("GET", "/v1/models", "", "Authorization: Bearer "+testKey)
+	is.True(kept.receive(t).ConnectionClose())
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	is.True(s.Drain(ctx) != nil) // the stream still runs
+	close(step)
+	last := ""
+	for l := c.line(t); l != ""; l = c.line(t) {
+		if last = l; l == "data: [DONE]" {
+			break
+		}
+	}
+	is.Equal(last, "data: [DONE]")
+	go func() { _, _ = c.rd.WriteTo(discard{}) }()
+	ctx, cancel = context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.NoErr(s.Drain(ctx))
+	is.NoErr(s.Close())
+}
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// BenchmarkRequest measures the gate's cost of a whole completion of one token
+// and, by comparison with a longer one, of each token of a stream.
+func BenchmarkRequest(b *testing.B) {
+	for _, n := range []int{1, 101} {
+		b.Run(fmt.Sprint("streamed-tokens=", n), func(b *testing.B) {
+			f := newSystem()
+			f.tokens = make([]string, n)
+			for i := range f.tokens {
+				f.tokens[i] = "word "
+			}
+			s := newServer(f)
+			c := dial(b, s)
+			for range b.N {
+				c.send("POST", "/v1/completions", streamBody, "Authorization: Bearer "+testKey)
+				c.receive(b)
+			}
+		})
+	}
+}
--- a/drroute/budget.go
+++ b/drroute/budget.go
@@ -26,7 +26,7 @@
 }
 
 func newBudget(c drclock.Clock) *budget {
-	return &budget{clock: c, level: retryBurst / 2, last: c.Now()}
+	return &budget{clock: c, level: retryBurst, last: c.Now()}
 }
 
 // request counts a first attempt.
--- a/drroute/fake_test.go
+++ b/drroute/fake_test.go
@@ -21,6 +21,9 @@
 	engines map[string]*fakeEngine
 	poison  string // prompt that crashes an engine at its second token
 	crashes int
+	hidden  map[string]bool // engines without the model
+	woken   string          // address that a wake-up gives, none if empty
+	wakes   int
 	// edit may replace or break a token as the engine sends it.
 	edit func(e *fakeEngine, t drengine.Token) (drengine.Token, error)
 }
@@ -40,12 +43,21 @@
 	defer f.mu.Unlock()
 	var out []Runner
 	for a, e := range f.engines {
+		if f.hidden[a] {
+			continue
+		}
 		out = append(out, Runner{Address: a, Zone: "z", Instance: fmt.Sprint(e.instance), Capacity: 8, Leaving: e.leaving})
 	}
 	return out
 }
 
 func (f *fakeFleet) Wake(context.Context, string, string, time.Time) (Runner, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wakes++
+	if e := f.engines[f.woken]; e != nil {
+		return Runner{Address: f.woken, Instance: fmt.Sprint(e.instance)}, nil
+	}
 	return Runner{}, drverdict.New(drverdict.NotRun, drverdict.NoCapacity, "no runner")
 }
 
@@ -96,6 +108,15 @@
 	return nil
 }
 
+func (e *fakeEngine) CacheEvents(ctx context.Context, _ uint64, _ time.Duration) ([]drengine.CacheEvent, error) {
+	select {
+	case es := <-e.events:
+		return es, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // crash restarts the engine process. The fleet's lock is held.
 func (e *fakeEngine) crash() {
 	e.instance++
--- a/drroute/router.go
+++ b/drroute/router.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// Places returns how many generations may run at once on the runners that have
+// the model loaded: the sum of their dispatch windows, 0 if there are none. A
+// queue that lets more through only moves the waiting into the router, where
+// it is not fair.
+func (r *Router) Places(model, adapter string) int {
+	n := 0
+	for _, x := range r.Residency.Runners(model, adapter) {
+		if !x.Leaving {
+			n += r.windows.size(x)
+		}
+	}
+	return n
+}
+
 // Generate starts a generation and returns its stream once an engine accepted
 // it. The stream survives failures of engines. ctx bounds the whole
 // generation; the caller must close the stream. Errors carry a verdict.
--- a/drroute/router_test.go
+++ b/drroute/router_test.go
@@ -40,10 +40,10 @@
 		},
 		"late":  func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) { t.Index--; return t, nil },
 		"early": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) { t.Index++; return t, nil },
-		"crossed": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) {
+		"crossed": func(*fakeEngine, drengine.Token) (drengine.Token, error) {
 			return drengine.Token{Index: 0, Text: "foreign"}, nil
 		},
-		"cut short": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) {
+		"cut short": func(*fakeEngine, drengine.Token) (drengine.Token, error) {
 			return drengine.Token{Done: true, CompletionTokens: length + 7}, nil
 		},
 	}
@@ -202,7 +202,7 @@
 	is := is.New(t)
 	w := newWindows()
 	r := Runner{Address: "e", Capacity: 16, Version: 1}
-	limit := func() int { w.load(r); return w.byAddr["e"].limit }
+	limit := func() int { return w.size(r) }
 	is.Equal(limit(), 16)
 	r.Version, r.Waiting = 2, 3
 	is.Equal(limit(), 8)
@@ -232,6 +232,71 @@
 	is.True(len(p.byVM["e"].blocks) <= 4)
 }
 
+// Guards against a prefix map that outlives the connection to its engine.
+func TestFollowCache(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, "e1")
+	f.engines["e1"].events = make(chan []drengine.CacheEvent)
+	r := soleRouter(f)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.FollowCache(ctx, "e1"); close(done) }()
+	blocks := PrefixBlocks(strings.Repeat("x", prefixBlock))
+	f.engines["e1"].events <- []drengine.CacheEvent{{Seq: 1, Model: "m", Added: blocks}}
+	f.engines["e1"].events <- nil // the first batch was applied
+	is.Equal(r.prefixes.hit("e1", "m", blocks), 1.0)
+	cancel()
+	<-done
+	is.Equal(r.prefixes.hit("e1", "m", blocks), 0.0)
+}
+
+// Guards against requests that overfill a runner, or that wait for a place
+// without an end or with a false verdict (I3, I9).
+func TestFullRunnerMakesRequestsWait(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5, "e1")
+	r := soleRouter(f)
+	q := Request{ID: "g", Model: "m", MaxTokens: 100}
+	var held []*Stream
+	for range r.Places("m", "") {
+		s, err := r.Generate(context.Background(), q)
+		is.NoErr(err)
+		held = append(held, s)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := r.Generate(ctx, q)
+	is.Equal(drverdict.Of(err), drverdict.NotRun)
+	is.Equal(drverdict.ReasonOf(err), drverdict.Deadline)
+	go held[0].Close()
+	s, err := r.Generate(context.Background(), q)
+	is.NoErr(err)
+	for _, x := range append(held[1:], s) {
+		is.NoErr(x.Close())
+	}
+}
+
+// Guards against a request that fails although its model can be loaded again
+// after the only replica crashed.
+func TestLostReplicaIsWokenAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, "e1", "e2")
+	f.hidden = map[string]bool{"e2": true}
+	f.edit = func(e *fakeEngine, t drengine.Token) (drengine.Token, error) {
+		if e.addr == "e1" && t.Index == 3 {
+			e.crash()
+			f.hidden["e1"] = true
+			f.woken = "e2"
+			return t, errors.New("reset")
+		}
+		return t, nil
+	}
+	text, err := collect(context.Background(), soleRouter(f), "g", "p")
+	is.NoErr(err)
+	is.Equal(text, expected(6))
+	is.Equal(f.wakes, 1)
+}
+
 // BenchmarkGenerate measures the router's cost per request of 100 tokens.
 func BenchmarkGenerate(b *testing.B) {
 	r := soleRouter(newFleet(100, "e1", "e2", "e3"))
--- a/drroute/window.go
+++ b/drroute/window.go
@@ -64,6 +64,13 @@
 	return w.get(r).sent
 }
 
+// size returns the requests that may be in flight to r.
+func (w *windows) size(r Runner) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.get(r).limit
+}
+
 // acquire takes a place in the window of r.
 func (w *windows) acquire(r Runner) bool {
 	w.mu.Lock()
