--- a/drgate/fake_test.go
+++ b/drgate/fake_test.go
@@ -162,7 +162,7 @@
 	return nil
 }
 
-func (f *fakeSystem) Call(_ context.Context, _ string, c drroute.Call) (drroute.Answer, error) {
+func (f *fakeSystem) Call(ctx context.Context, _ string, c drroute.Call) (drroute.Answer, error) {
 	if c.Proceed != nil {
 		if err := c.Proceed(); err != nil {
 			return drroute.Answer{}, err
@@ -174,6 +174,9 @@
 	if f.onCall != nil {
 		f.onCall()
 	}
+	if ctx.Err() != nil {
+		return drroute.Answer{}, failure(drverdict.MayHaveRun, drverdict.BackendFailed)
+	}
 	return f.answer, f.callErr
 }
 
--- a/drroute/router_test.go
+++ b/drroute/router_test.go
@@ -39,7 +39,9 @@
 			return t, errors.New("reset")
 		},
 		"late":  func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) { t.Index--; return t, nil },
-		"early": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) { t.Index++; return t, nil },
+		"early": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) {
+			return drengine.Token{Index: t.Index + 1, Text: fmt.Sprintf("t%d ", t.Index+1)}, nil
+		},
 		"crossed": func(*fakeEngine, drengine.Token) (drengine.Token, error) {
 			return drengine.Token{Index: 0, Text: "foreign"}, nil
 		},
@@ -109,6 +111,7 @@
 		_, err = s.Next()
 	}
 	is.Equal(drverdict.ReasonOf(err), drverdict.CallerGone)
+	is.Equal(drverdict.Of(err), drverdict.MayHaveRun)
 	is.NoErr(s.Close())
 	is.Equal(f.engines["e1"].cancelled, 1)
 	is.Equal(r.windows.byAddr["e1"].inflight, 0)
