drroute: leave an engine that is silent and does not answer probes

A reclaimed VM closes no connection, so a stream read from it until the request's deadline. Each stream now probes its engine after 2 s of silence and goes elsewhere after two failed probes.

--- a/drroute/fake_test.go
+++ b/drroute/fake_test.go
@@ -67,6 +67,7 @@
 	addr      string
 	instance  int
 	leaving   bool
+	hung      bool  // neither answers nor closes connections
 	refuse    error // of Generate
 	gens      map[string]drengine.Generation
 	dispatch  int
@@ -77,6 +78,9 @@
 func (e *fakeEngine) State(context.Context, uint64, uint64, time.Duration) (drengine.State, error) {
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
+	if e.hung {
+		return drengine.State{}, drverdict.New(drverdict.NotRun, drverdict.Unavailable, "no answer")
+	}
 	return drengine.State{Instance: fmt.Sprint(e.instance)}, nil
 }
 
@@ -88,17 +92,17 @@
 	}
 	e.dispatch++
 	e.gens[g.ID] = g
-	return &fakeStream{engine: e, gen: g, instance: e.instance, at: len(g.Prefix)}, nil
+	return &fakeStream{engine: e, gen: g, instance: e.instance, at: len(g.Prefix), end: make(chan struct{})}, nil
 }
 
 func (e *fakeEngine) Resume(_ context.Context, id string, from int) (drengine.TokenStream, error) {
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
 	g, ok := e.gens[id]
-	if !ok {
+	if !ok || e.hung {
 		return nil, drverdict.New(drverdict.NotRun, drverdict.Unavailable, "no such generation")
 	}
-	return &fakeStream{engine: e, gen: g, instance: e.instance, at: from}, nil
+	return &fakeStream{engine: e, gen: g, instance: e.instance, at: from, end: make(chan struct{})}, nil
 }
 
 func (e *fakeEngine) Cancel(context.Context, string) error {
@@ -130,12 +134,18 @@
 	instance int
 	at       int
 	closed   bool
+	end      chan struct{}
 }
 
 func (s *fakeStream) Next() (drengine.Token, error) {
 	f := s.engine.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if s.engine.hung {
+		f.mu.Unlock()
+		<-s.end
+		f.mu.Lock()
+	}
 	if f.poison != "" && s.gen.Prompt == f.poison && s.at > 0 && s.instance == s.engine.instance {
 		s.engine.crash()
 	}
@@ -162,6 +172,9 @@
 func (s *fakeStream) Close() error {
 	s.engine.fleet.mu.Lock()
 	defer s.engine.fleet.mu.Unlock()
+	if !s.closed {
+		close(s.end)
+	}
 	s.closed = true
 	return nil
 }
--- a/drroute/router.go
+++ b/drroute/router.go
@@ -32,9 +32,14 @@
 	// maxAttempts bounds the dispatches of one request.
 	maxAttempts = 6
 	// probeTimeout bounds the calls that find out what became of a stream.
-	probeTimeout = 2 * time.Second
-	cacheWait    = 2 * time.Second
-	cachePause   = time.Second
+	probeTimeout = time.Second
+	// stallCheck is how long a stream may be silent before its engine is
+	// probed, stallProbes how many failed probes in a row end it. A reclaimed
+	// VM closes no connection, so reading from it would last to the deadline.
+	stallCheck  = 2 * time.Second
+	stallProbes = 2
+	cacheWait   = 2 * time.Second
+	cachePause  = time.Second
 )
 
 // Config configures a Router.
--- a/drroute/router_test.go
+++ b/drroute/router_test.go
@@ -38,7 +38,7 @@
 			e.crash()
 			return t, errors.New("reset")
 		},
-		"late":  func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) { t.Index--; return t, nil },
+		"late": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) { t.Index--; return t, nil },
 		"early": func(_ *fakeEngine, t drengine.Token) (drengine.Token, error) {
 			return drengine.Token{Index: t.Index + 1, Text: fmt.Sprintf("t%d ", t.Index+1)}, nil
 		},
@@ -253,6 +253,41 @@
 	is.Equal(r.prefixes.hit("e1", "m", blocks), 0.0)
 }
 
+// Guards against a stream that waits until its deadline for a VM that was
+// reclaimed without closing its connections.
+func TestSilentEngineIsLeft(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, "e1", "e2")
+	f.edit = func(e *fakeEngine, t drengine.Token) (drengine.Token, error) {
+		if t.Index == 2 && !f.engines["e1"].hung && !f.engines["e2"].hung {
+			e.hung = true
+		}
+		return t, nil
+	}
+	c := drclock.NewFake(time.Unix(0, 0))
+	r := newRouter(f, (&network{}).join(c, "vm-1"))
+	r.Clock = c
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		text, err := collect(context.Background(), r, "g", "p")
+		is.NoErr(err)
+		is.Equal(text, expected(6))
+	}()
+	for range 10 * stallProbes {
+		select {
+		case <-done:
+		case <-time.After(5 * time.Millisecond):
+			c.Advance(stallCheck)
+		}
+	}
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the stream hangs")
+	}
+}
+
 // Guards against requests that overfill a runner, or that wait for a place
 // without an end or with a false verdict (I3, I9).
 func TestFullRunnerMakesRequestsWait(t *testing.T) {
--- a/drroute/stream.go
+++ b/drroute/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 
 	"github.com/dotterelridge/dotterelridge/drengine"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
@@ -37,6 +38,8 @@
 	tokens drengine.TokenStream
 	cancel func()
 	done   bool
+
+	progress atomic.Int64 // lines read
 }
 
 // ended returns the error of a request whose context ended or which was
@@ -103,6 +106,7 @@
 		return err
 	}
 	s.tokens = ts
+	go s.watch(ctx, s.engine, s.runner.Instance, cancel)
 	stop := context.AfterFunc(ctx, func() { ts.Close() })
 	s.cancel = func() {
 		stop()
@@ -112,6 +116,29 @@
 	return nil
 }
 
+// watch ends the current stream, by cancel, when it is silent and its engine
+// does not respond.
+func (s *Stream) watch(ctx context.Context, e drengine.Engine, instance string, cancel func()) {
+	seen, failed := int64(-1), 0
+	for s.router.Clock.Sleep(ctx, stallCheck) == nil {
+		if n := s.progress.Load(); n != seen {
+			seen, failed = n, 0
+			continue
+		}
+		if st, err := s.probe(ctx, e); err == nil && (instance == "" || st.Instance == instance) {
+			failed = 0
+		} else if failed++; failed == stallProbes {
+			cancel()
+		}
+	}
+}
+
+func (s *Stream) probe(ctx context.Context, e drengine.Engine) (drengine.State, error) {
+	ctx, _, cancel := within(ctx, s.router.Clock, probeTimeout)
+	defer cancel()
+	return e.State(ctx, 0, 0, 0)
+}
+
 // Next returns the next token; see drengine.TokenStream. The last token counts
 // the tokens of the whole generation. Errors carry a verdict.
 func (s *Stream) Next() (drengine.Token, error) {
@@ -151,6 +178,7 @@
 		return drengine.Token{}, io.ErrUnexpectedEOF
 	}
 	t, err := s.tokens.Next()
+	s.progress.Add(1)
 	if err == io.EOF { //nolint:errorlint // an unwrapped EOF before Done
 		err = io.ErrUnexpectedEOF
 	}
@@ -206,7 +234,7 @@
 // the generation, else on another.
 func (s *Stream) recover(cause error) error {
 	s.record("stream-broken", cause.Error())
-	for s.resumes < maxResumes {
+	if s.resumes < maxResumes {
 		s.resumes++
 		if s.resume() == nil {
 			return nil
@@ -276,9 +304,7 @@
 			return false
 		}
 	}
-	ctx, _, cancel := within(context.WithoutCancel(s.ctx), s.router.Clock, probeTimeout)
-	defer cancel()
-	st, err := s.engine.State(ctx, 0, 0, 0)
+	st, err := s.probe(context.WithoutCancel(s.ctx), s.engine)
 	if err != nil {
 		return true
 	}
