Wire the entry VM, the demo and the commands

Cause: the packages had no process that runs them together. Placement reports now carry the engine's instance, which the router needs to tell a crashed engine from a slow one.

--- /dev/null
+++ b/drcommand/desired.go
@@ -0,0 +1,77 @@
+package drcommand
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/dotterelridge/dotterelridge/dradmin"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+)
+
+// difference is what would bring the configuration in force to the declared
+// objects.
+type difference struct {
+	offset  uint64
+	current drconfig.Config
+	puts    drconfig.Objects
+	deletes []drconfig.Ref
+}
+
+// compare loads the declarations and compares them with the configuration in
+// force.
+func compare(ctx context.Context, env environment, client *dradmin.Client, prune bool, paths []string) (difference, error) {
+	inForce, err := client.Objects(ctx)
+	if err != nil {
+		return difference{}, err
+	}
+	d := difference{offset: inForce.Offset}
+	var objects drconfig.Objects
+	for _, o := range inForce.Objects {
+		object, problems := drconfig.DecodeObject(drconfig.Ref{Kind: drconfig.Kind(o.Kind), Name: o.Name}, o.Object)
+		if len(problems) > 0 {
+			return d, fmt.Errorf("the entry VM sent an object that this version cannot read: %v", problems[0])
+		}
+		objects = append(objects, object)
+	}
+	d.current = drconfig.Config{}.With(objects...)
+	desired, problems := drconfig.LoadOnto(d.current, paths...)
+	if len(problems) > 0 {
+		writeProblems(env, problems)
+		return d, fmt.Errorf("%w: %d problems in the declarations", errRejected, len(problems))
+	}
+	d.puts, d.deletes = drconfig.Diff(d.current, desired, prune)
+	return d, nil
+}
+
+// write prints one line for each object: + for new, ~ for changed, - for
+// deleted ones.
+func (d difference) write(env environment) {
+	for _, o := range d.puts {
+		mark := "+"
+		if _, ok := d.current.Object(o.Ref()); ok {
+			mark = "~"
+		}
+		fmt.Fprintln(env.out, mark, o.Ref())
+	}
+	for _, r := range d.deletes {
+		fmt.Fprintln(env.out, "-", r)
+	}
+	if len(d.puts)+len(d.deletes) == 0 {
+		fmt.Fprintf(env.out, "no difference at offset %d\n", d.offset)
+	}
+}
+
+// change returns the change that brings the difference about.
+func (d difference) change(id, author string) dradmin.Change {
+	c := dradmin.Change{ID: id, BasedOn: d.offset, Author: author}
+	for _, o := range d.puts {
+		r := o.Ref()
+		c.Puts = append(c.Puts, dradmin.ObjectDocument{
+			ObjectName: dradmin.ObjectName{Kind: string(r.Kind), Name: r.Name}, Object: drconfig.EncodeObject(o),
+		})
+	}
+	for _, r := range d.deletes {
+		c.Deletes = append(c.Deletes, dradmin.ObjectName{Kind: string(r.Kind), Name: r.Name})
+	}
+	return c
+}
--- /dev/null
+++ b/drcommand/options.go
@@ -0,0 +1,104 @@
+package drcommand
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+)
+
+// Defaults of the options.
+const (
+	defaultAdmin     = "http://127.0.0.1:9090"
+	defaultWait      = 13 * time.Second // the bound for a change to be in force everywhere
+	defaultTimeout   = 20 * time.Second
+	defaultLoadRate  = 50.0
+	defaultLoadFor   = 10 * time.Second
+	maxPaths         = 1000                  // files and folders of one command
+	tokenEnvironment = "DOTTERELRIDGE_TOKEN" // keeps the token out of process lists
+)
+
+// newFlags returns a flag set that prints usage to env.err.
+func newFlags(env environment, name, arguments string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(env.err)
+	fs.Usage = func() {
+		fmt.Fprintf(env.err, "usage: dotterelridge %s [options] %s\n\noptions:\n", name, arguments)
+		fs.PrintDefaults()
+	}
+	return fs
+}
+
+// parse parses args and checks the number of positional arguments.
+func parse(fs *flag.FlagSet, args []string, minArgs, maxArgs int) error {
+	if err := fs.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return err
+		}
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	if n := fs.NArg(); n < minArgs || n > maxArgs {
+		fs.Usage()
+		return fmt.Errorf("%w: %d arguments given", errUsage, n)
+	}
+	return nil
+}
+
+// adminOptions say which admin server to call.
+type adminOptions struct {
+	address string
+	token   string
+	timeout time.Duration
+}
+
+func (o *adminOptions) register(fs *flag.FlagSet) {
+	fs.StringVar(&o.address, "admin", defaultAdmin, "address of the admin server of any entry VM")
+	fs.StringVar(&o.token, "token", "", "operator token; taken from $"+tokenEnvironment+" if empty")
+	fs.DurationVar(&o.timeout, "timeout", defaultTimeout, "give up after this time")
+}
+
+// resolve fills in the token from the environment.
+func (o *adminOptions) resolve() {
+	if o.token == "" {
+		o.token = os.Getenv(tokenEnvironment)
+	}
+}
+
+// timeValue is a flag holding an RFC 3339 time or a duration before now.
+type timeValue struct {
+	t   *time.Time
+	now func() time.Time
+}
+
+// String implements flag.Value.
+func (v timeValue) String() string {
+	if v.t == nil || v.t.IsZero() {
+		return ""
+	}
+	return v.t.Format(time.RFC3339Nano)
+}
+
+// Set implements flag.Value.
+func (v timeValue) Set(s string) error {
+	if d, err := time.ParseDuration(s); err == nil {
+		*v.t = v.now().Add(-d)
+		return nil
+	}
+	t, err := time.Parse(time.RFC3339Nano, s)
+	if err != nil {
+		return fmt.Errorf("%q is neither an RFC 3339 time nor a duration", s)
+	}
+	*v.t = t
+	return nil
+}
+
+func registerFilter(fs *flag.FlagSet, f *drtimeline.Filter, now func() time.Time) {
+	fs.StringVar(&f.RequestID, "request-id", "", "only events of this request")
+	fs.StringVar(&f.Account, "account", "", "only events of this client account")
+	fs.StringVar(&f.Model, "model", "", "only events of this model")
+	fs.Var(timeValue{&f.From, now}, "from", "only events from this time: RFC 3339, or a duration before now such as 5m")
+	fs.Var(timeValue{&f.To, now}, "to", "only events before this time")
+}
--- /dev/null
+++ b/drcommand/status.go
@@ -0,0 +1,89 @@
+package drcommand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/dotterelridge/dotterelridge/dradmin"
+)
+
+func runStatus(ctx context.Context, env environment, args []string) error {
+	fs := newFlags(env, "status", "")
+	var admin adminOptions
+	admin.register(fs)
+	asJSON := fs.Bool("json", false, "print JSON")
+	if err := parse(fs, args, 0, 0); err != nil {
+		return err
+	}
+	admin.resolve()
+	ctx, cancel := context.WithTimeout(ctx, admin.timeout)
+	defer cancel()
+	st, err := dradmin.NewClient(admin.address, admin.token).Status(ctx)
+	if err != nil {
+		return err
+	}
+	if *asJSON {
+		return json.NewEncoder(env.out).Encode(st)
+	}
+	return writeStatus(env, st)
+}
+
+func writeStatus(env environment, st dradmin.Status) error {
+	w := tabwriter.NewWriter(env.out, 0, 0, 2, ' ', 0)
+	row := func(cells ...any) {
+		for i, c := range cells {
+			if i > 0 {
+				fmt.Fprint(w, "\t")
+			}
+			fmt.Fprint(w, c)
+		}
+		fmt.Fprintln(w)
+	}
+	row("VM", "ZONE", "READY", "FRESHNESS", "CONFIG", "PLACEMENT", "VERSION")
+	row(st.VM, st.Zone, readiness(st), st.Freshness, st.ConfigOffset, st.PlacementOffset, st.Version)
+	row()
+	row("MEMBER", "ZONE", "STATE")
+	for _, m := range st.Members {
+		row(m.VM, m.Zone, m.State)
+	}
+	row()
+	row("RUNNER", "OWNER", "FENCE", "MEMORY", "LOADED")
+	for _, r := range st.Runners {
+		row(r.Runner, r.Owner, r.Fence, memory(r), strings.Join(r.Loaded, ","))
+	}
+	row()
+	row("MODEL", "DECIDED", "RIGHTS")
+	for _, m := range st.Models {
+		row(m.Model, m.Decided, strings.Join(m.Rights, ","))
+	}
+	row()
+	row("ACCOUNT", "RATE/S", "BURST", "SHARES-HELD")
+	for _, l := range st.Limits {
+		row(l.Account, l.Rate, l.Burst, l.Shares)
+	}
+	row()
+	row("QUEUE", "WAITING", "RUNNING")
+	for _, q := range st.Queues {
+		row(q.Model, q.Waiting, q.Running)
+	}
+	return w.Flush()
+}
+
+func readiness(st dradmin.Status) string {
+	if st.Ready {
+		return "yes"
+	}
+	return "no: " + st.Reason
+}
+
+// memory shows used and total GiB where the reporting VM owns the runner.
+func memory(r dradmin.RunnerStatus) string {
+	if r.MemoryBytes == 0 {
+		return "-"
+	}
+	const gib = 1 << 30
+	return fmt.Sprintf("%.1f/%.1f GiB", float64(r.UsedBytes)/gib, float64(r.MemoryBytes)/gib)
+}
--- /dev/null
+++ b/drcommand/timeline.go
@@ -0,0 +1,43 @@
+package drcommand
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/dradmin"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+)
+
+func runTimeline(ctx context.Context, env environment, args []string) error {
+	fs := newFlags(env, "timeline", "")
+	var admin adminOptions
+	admin.register(fs)
+	var filter drtimeline.Filter
+	registerFilter(fs, &filter, time.Now)
+	format := fs.String("format", "text", "text, json or html")
+	if err := parse(fs, args, 0, 0); err != nil {
+		return err
+	}
+	admin.resolve()
+	ctx, cancel := context.WithTimeout(ctx, admin.timeout)
+	defer cancel()
+	doc, err := dradmin.NewClient(admin.address, admin.token).Timeline(ctx, filter)
+	if err != nil {
+		return err
+	}
+	if len(doc.Missing) > 0 {
+		fmt.Fprintf(env.err, "no events from %s\n", strings.Join(doc.Missing, ", "))
+	}
+	switch *format {
+	case "text":
+		return drtimeline.WriteText(env.out, doc.Events)
+	case "json":
+		return drtimeline.WriteJSON(env.out, doc.Events)
+	case "html":
+		return drtimeline.WriteHTML(env.out, doc.Events)
+	default:
+		return fmt.Errorf("%w: unknown format %q", errUsage, *format)
+	}
+}
--- /dev/null
+++ b/drcommand/version.go
@@ -0,0 +1,17 @@
+package drcommand
+
+import (
+	"context"
+	"fmt"
+)
+
+// Version is the version of this program. Release builds set it with -ldflags.
+var Version = "0.1.0-dev"
+
+func runVersion(_ context.Context, env environment, args []string) error {
+	if err := parse(newFlags(env, "version", ""), args, 0, 0); err != nil {
+		return err
+	}
+	fmt.Fprintln(env.out, "dotterelridge", Version)
+	return nil
+}
--- a/drconfig/load.go
+++ b/drconfig/load.go
@@ -23,13 +23,35 @@
 // LoadOnto is Load for objects that are added to an existing configuration,
 // to which they may refer.
 func LoadOnto(base Config, paths ...string) (Objects, []drjson.Problem) {
-	var l loader
+	l := loader{walkDir: filepath.WalkDir, readFile: os.ReadFile}
 	for _, p := range paths {
 		l.walk(p)
 	}
 	return l.finish(base)
 }
 
+// LoadFS is Load for paths in fsys.
+func LoadFS(fsys fs.FS, paths ...string) (Objects, []drjson.Problem) {
+	l := loader{
+		walkDir:  func(root string, fn fs.WalkDirFunc) error { return fs.WalkDir(fsys, root, fn) },
+		readFile: func(name string) ([]byte, error) { return fs.ReadFile(fsys, name) },
+	}
+	for _, p := range paths {
+		l.walk(p)
+	}
+	return l.finish(Config{})
+}
+
+// DecodeObject decodes the JSON of one object, without its kind. References
+// to other objects are not checked; see Change.ApplyTo.
+func DecodeObject(r Ref, src []byte) (Object, []drjson.Problem) {
+	n, problems := drjson.Parse(r.String(), src)
+	if problems != nil {
+		return nil, problems
+	}
+	return decodeObject(r.Kind, n)
+}
+
 // Parse reads declarations from src. The file name is used in problems only.
 func Parse(file string, src []byte) (Objects, []drjson.Problem) {
 	var l loader
@@ -39,20 +61,22 @@
 
 // loader collects declarations and where they were made.
 type loader struct {
+	walkDir  func(root string, fn fs.WalkDirFunc) error
+	readFile func(name string) ([]byte, error)
 	objects  Objects
 	declared map[Ref]drjson.Node
 	problems []drjson.Problem
 }
 
 func (l *loader) walk(root string) {
-	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+	err := l.walkDir(root, func(path string, d fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
 		if d.IsDir() || path != root && !slices.Contains(extensions, filepath.Ext(path)) {
 			return nil
 		}
-		src, err := os.ReadFile(path)
+		src, err := l.readFile(path)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/drdemo/platform.go
@@ -0,0 +1,158 @@
+package drdemo
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drstandin"
+)
+
+// Platform holds the stand-ins of a deployment's outside systems.
+type Platform struct {
+	Log      *drstandin.Log
+	List     *drstandin.VMList
+	Store    *drstandin.WeightStore
+	Engines  []*drstandin.Engine
+	Services []*drstandin.Service
+}
+
+// PlatformConfig configures a Platform.
+type PlatformConfig struct {
+	Deployment Deployment
+	// LogAddress and ListAddress are the listeners' addresses; a free port of
+	// 127.0.0.1 if empty.
+	LogAddress, ListAddress string
+	// TokenInterval is the time between the tokens of the engines, 0 for the
+	// stand-in's default.
+	TokenInterval time.Duration
+	// Poison is the text in a prompt that crashes the engine that runs it.
+	Poison string
+	// ListLag is how late the VM list shows changes.
+	ListLag time.Duration
+	// Retention is how long the log keeps records; 0 for ever.
+	Retention time.Duration
+}
+
+// NewPlatform starts the stand-ins.
+func NewPlatform(c PlatformConfig) (*Platform, error) {
+	objects, err := c.Deployment.Objects()
+	if err != nil {
+		return nil, err
+	}
+	catalogue := newCatalogue(objects)
+	p := &Platform{
+		Log:   drstandin.NewLog(drstandin.LogConfig{Address: c.LogAddress, RetainAge: c.Retention}),
+		Store: drstandin.NewWeightStore(drstandin.WeightStoreConfig{Catalogue: catalogue, LoadRate: c.Deployment.LoadsPerSecond}),
+	}
+	if err := p.Log.Start(); err != nil {
+		return nil, fmt.Errorf("log: %w", err)
+	}
+	if err := p.Store.Start(); err != nil {
+		return nil, fmt.Errorf("weight store: %w", err)
+	}
+	var vms []drstandin.VM
+	for n := range c.Deployment.Runners {
+		e := drstandin.NewEngine(p.engineConfig(c, catalogue, n))
+		if err := e.Start(); err != nil {
+			return nil, fmt.Errorf("engine %d: %w", n, err)
+		}
+		p.Engines = append(p.Engines, e)
+		vms = append(vms, backend(c.Deployment, c.Deployment.RunnerFleet, n, e.Address()))
+	}
+	for n := range c.Deployment.Services {
+		s := drstandin.NewService(drstandin.ServiceConfig{Name: fmt.Sprintf("%s-%d", c.Deployment.ServiceFleet, n+1)})
+		if err := s.Start(); err != nil {
+			return nil, fmt.Errorf("service %d: %w", n, err)
+		}
+		p.Services = append(p.Services, s)
+		vms = append(vms, backend(c.Deployment, c.Deployment.ServiceFleet, n, s.Address()))
+	}
+	p.List = drstandin.NewVMList(drstandin.VMListConfig{Address: c.ListAddress, VMs: vms, Lag: c.ListLag})
+	if err := p.List.Start(); err != nil {
+		return nil, fmt.Errorf("VM list: %w", err)
+	}
+	return p, nil
+}
+
+func backend(d Deployment, fleet string, n int, address string) drstandin.VM {
+	return drstandin.VM{
+		ID: fmt.Sprintf("%s-%d", fleet, n+1), Role: "backend", Fleet: fleet, Zone: d.zone(n), Address: address, State: "live",
+	}
+}
+
+// newCatalogue lists the checkpoints of all declared models and adapters.
+func newCatalogue(objects drconfig.Objects) []drstandin.Checkpoint {
+	var cs []drstandin.Checkpoint
+	for _, o := range objects {
+		switch x := o.(type) {
+		case drconfig.Model:
+			cs = append(cs, drstandin.Checkpoint{
+				Name: x.Name, Bytes: x.Bytes, Remote: drstandin.Duration(remoteLoad),
+				Disk: drstandin.Duration(diskLoad), Memory: drstandin.Duration(memoryLoad),
+			})
+		case drconfig.Adapter:
+			cs = append(cs, drstandin.Checkpoint{Name: x.Name, Base: x.Base, Bytes: x.Bytes})
+		}
+	}
+	return cs
+}
+
+// The disk cache of each engine holds every fourth model, from a different
+// start, so that the caches are uneven.
+const (
+	diskCacheStep = 4
+	diskCacheSize = 8
+)
+
+func (p *Platform) engineConfig(c PlatformConfig, catalogue []drstandin.Checkpoint, n int) drstandin.EngineConfig {
+	ec := drstandin.EngineConfig{
+		Name: fmt.Sprintf("%s-%d", c.Deployment.RunnerFleet, n+1), ChecksFence: c.Deployment.ChecksFencing,
+		TokenInterval: c.TokenInterval, Poison: c.Poison, WeightStore: p.Store.Address(), Catalogue: catalogue,
+	}
+	models := 0
+	for _, x := range catalogue {
+		if x.Base != "" {
+			continue
+		}
+		if models%diskCacheStep == n%diskCacheStep && len(ec.CachedDisk) < diskCacheSize {
+			ec.CachedDisk = append(ec.CachedDisk, x.Name)
+		}
+		models++
+	}
+	return ec
+}
+
+// AddEntry shows an entry VM in the list.
+func (p *Platform) AddEntry(vm, zone, address string) error {
+	return p.List.Change(drstandin.VMChange{Op: "add", VM: drstandin.VM{ID: vm, Role: "entry", Zone: zone, Address: address, State: "live"}})
+}
+
+// RemoveEntry takes an entry VM off the list.
+func (p *Platform) RemoveEntry(vm string) error {
+	return p.List.Change(drstandin.VMChange{Op: "remove", VM: drstandin.VM{ID: vm}})
+}
+
+// Loads returns how many loads the engines have started.
+func (p *Platform) Loads() int {
+	n := 0
+	for _, e := range p.Engines {
+		n += e.Counts().Loads
+	}
+	return n
+}
+
+// Close stops the stand-ins.
+func (p *Platform) Close() {
+	for _, e := range p.Engines {
+		e.Close()
+	}
+	for _, s := range p.Services {
+		s.Close()
+	}
+	if p.List != nil {
+		p.List.Close()
+	}
+	p.Store.Close()
+	p.Log.Close()
+}
--- a/drlimit/shares.go
+++ b/drlimit/shares.go
@@ -107,6 +107,17 @@
 	return s.counts[account][p]
 }
 
+// HeldBy returns how many shares of the account a VM holds.
+func (s *Shares) HeldBy(account, vm string) int {
+	n := 0
+	for _, h := range s.holders(account) {
+		if h.vm == vm {
+			n += h.shares
+		}
+	}
+	return n
+}
+
 // holder returns the holder of one share.
 func (s *Shares) holder(account string, share uint32) shareHolder {
 	s.mu.RLock()
--- /dev/null
+++ b/drmetric/page.go
@@ -0,0 +1,21 @@
+package drmetric
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/prometheus/common/expfmt"
+)
+
+// ContentType is the media type of the page.
+var ContentType = string(expfmt.NewFormat(expfmt.TypeTextPlain))
+
+// Write writes all metrics as a Prometheus text page.
+func (m *Metrics) Write(w io.Writer) error {
+	for _, f := range m.Families() {
+		if _, err := expfmt.MetricFamilyToText(w, f); err != nil {
+			return fmt.Errorf("write metric %s: %w", f.GetName(), err)
+		}
+	}
+	return nil
+}
--- a/drplace/keeper_status.go
+++ b/drplace/keeper_status.go
@@ -128,7 +128,7 @@
 // publish makes the status visible to wake-ups and subscribers.
 func (k *keeper) publish() {
 	s := &drpb.PlacementStatus{
-		Runner: k.runner, Fence: k.fence, Leaving: k.leaving(),
+		Runner: k.runner, Instance: k.state.Instance, Fence: k.fence, Leaving: k.leaving(),
 		Capacity: uint32(k.state.Capacity), Running: uint32(k.state.Running), Waiting: uint32(k.state.Waiting),
 		MemoryBytes: k.state.MemoryBytes, ReservedBytes: k.reserved(),
 		CachedMemory: k.state.Cached.Memory, CachedDisk: k.state.Cached.Disk,
@@ -187,7 +187,7 @@
 	if proto.Equal(old, s) {
 		return true
 	}
-	residency := old.Leaving == s.Leaving && slices.EqualFunc(old.Loaded, s.Loaded, func(a, b *drpb.PlacementStatus_Replica) bool {
+	residency := old.Leaving == s.Leaving && old.Instance == s.Instance && slices.EqualFunc(old.Loaded, s.Loaded, func(a, b *drpb.PlacementStatus_Replica) bool {
 		return proto.Equal(a, b)
 	})
 	if next := k.statusAt.Add(loadReportPeriod); residency && k.now().Before(next) {
--- a/drplace/residency.go
+++ b/drplace/residency.go
@@ -60,6 +60,7 @@
 		if e != nil && !t.Excess && !e.status.Leaving && e.loaded.Has(key{model, adapter}) && now.Sub(e.at) < residencyMaxAge {
 			ss = append(ss, RunnerStatus{
 				Runner: t.Runner, Address: e.backend.Address, Zone: e.backend.Zone, Fence: e.status.Fence,
+				Instance: e.status.Instance, Version: e.status.Version,
 				Capacity: int(e.status.Capacity), Running: int(e.status.Running), Waiting: int(e.status.Waiting), At: e.at,
 			})
 		}
--- a/drplace/runner_status.go
+++ b/drplace/runner_status.go
@@ -8,6 +8,10 @@
 	Address string
 	Zone    string
 	Fence   uint64
+	// Instance changes when the engine process restarts.
+	Instance string
+	// Version grows with each report.
+	Version uint64
 	// Capacity, Running and Waiting are the engine's own report.
 	Capacity, Running, Waiting int
 	// At is the local time at which the report arrived.
--- /dev/null
+++ b/drserve/catalogue.go
@@ -0,0 +1,60 @@
+package drserve
+
+import (
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drplace"
+)
+
+// catalogue is the part of the configuration that placement needs.
+type catalogue struct{ fold *drconfig.Fold }
+
+// Offset implements drplace.Catalogue.
+func (c catalogue) Offset() uint64 { return c.fold.Current().Offset() }
+
+// Models implements drplace.Catalogue.
+func (c catalogue) Models() []string {
+	cfg := c.fold.Current()
+	var names []string
+	for _, m := range cfg.Models() {
+		if cfg.Replicas(m.Name).Max > 0 {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// Model implements drplace.Catalogue.
+func (c catalogue) Model(name string) (drplace.ModelSpec, bool) {
+	cfg := c.fold.Current()
+	m, ok := cfg.Model(name)
+	if !ok {
+		return drplace.ModelSpec{}, false
+	}
+	r := cfg.Replicas(name)
+	return drplace.ModelSpec{
+		Name: name, Fleet: m.Fleet, Bytes: m.Bytes, Min: r.Min, Max: r.Max, IdleTimeout: cfg.IdleTimeout(name),
+	}, true
+}
+
+// Adapter implements drplace.Catalogue.
+func (c catalogue) Adapter(name string) (drplace.AdapterSpec, bool) {
+	a, ok := c.fold.Current().Adapter(name)
+	return drplace.AdapterSpec{Name: a.Name, Base: a.Base, Bytes: a.Bytes}, ok
+}
+
+// EngineFleets implements drplace.Catalogue.
+func (c catalogue) EngineFleets() []string {
+	var names []string
+	for _, f := range c.fold.Current().Fleets() {
+		if f.Kind == drconfig.EngineFleet {
+			names = append(names, f.Name)
+		}
+	}
+	return names
+}
+
+// ChecksFencing implements drplace.Catalogue.
+func (c catalogue) ChecksFencing(fleet string) bool {
+	f, ok := c.fold.Current().Fleet(fleet)
+	return ok && f.ChecksFencing
+}
--- /dev/null
+++ b/drserve/config.go
@@ -0,0 +1,48 @@
+// Package drserve runs one entry VM: it wires the packages together from the
+// settings, and starts, drains and stops them.
+package drserve
+
+import (
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drlimit"
+	"github.com/dotterelridge/dotterelridge/drplace"
+	"github.com/dotterelridge/dotterelridge/drqueue"
+	"github.com/dotterelridge/dotterelridge/drroute"
+	"github.com/dotterelridge/dotterelridge/drsettings"
+)
+
+const (
+	// refreshPeriod is how often queue windows follow the engines' reports.
+	refreshPeriod = 100 * time.Millisecond
+	// inForceTimeout bounds the question to one VM about its configuration.
+	inForceTimeout = 2 * time.Second
+	// submitPoll is how often the result of a change is looked for.
+	submitPoll = 20 * time.Millisecond
+	// snapshotEvery is the number of records between snapshots of a stream.
+	snapshotEvery = 1000
+)
+
+// Policies selects baselines for comparison measurements. The zero value is
+// the product's behaviour.
+type Policies struct {
+	Place drplace.Policy
+	Limit drlimit.Policy
+	Queue drqueue.Policy
+	Route drroute.Policy
+}
+
+// Config configures a VM.
+type Config struct {
+	Settings drsettings.Settings
+	Clock    drclock.Clock
+	Version  string
+	// Incarnation grows with each process on the same VM; the start time in
+	// nanoseconds serves.
+	Incarnation uint64
+	Policies    Policies
+	// Block, if not nil, cuts the direction to another VM while it returns
+	// true. Tests use it to inject network faults.
+	Block func(vm string) bool
+}
--- /dev/null
+++ b/drserve/operations.go
@@ -0,0 +1,224 @@
+package drserve
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/dradmin"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drlog"
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+const (
+	methodTimeline = "Timeline"
+	methodInForce  = "InForce"
+)
+
+// operations is what the admin server acts through.
+type operations struct{ v *VM }
+
+// Ready implements dradmin.Backend.
+func (o operations) Ready() (bool, string) {
+	v := o.v
+	switch {
+	case !v.started.Load():
+		return false, "starting"
+	case v.draining.Load():
+		return false, "draining"
+	}
+	for _, f := range v.followers {
+		select {
+		case <-f.Ready():
+		default:
+			return false, "stream " + f.Stream() + " is not read yet"
+		}
+	}
+	if v.freshness.State() == drlog.Isolated {
+		return false, "isolated"
+	}
+	return true, ""
+}
+
+// WriteMetrics implements dradmin.Backend.
+func (o operations) WriteMetrics(w io.Writer) error { return o.v.metrics.Write(w) }
+
+// Objects implements dradmin.Backend.
+func (o operations) Objects() (dradmin.Objects, error) {
+	c := o.v.fold.Current()
+	out := dradmin.Objects{Offset: o.v.fold.Offset()}
+	for _, x := range c.Objects() {
+		r := x.Ref()
+		out.Objects = append(out.Objects, dradmin.ObjectDocument{
+			ObjectName: dradmin.ObjectName{Kind: string(r.Kind), Name: r.Name}, Object: drconfig.EncodeObject(x),
+		})
+	}
+	return out, nil
+}
+
+// Submit implements dradmin.Backend. A change whose append has no certain
+// result is looked for until ctx ends; its id makes a repeat harmless.
+func (o operations) Submit(ctx context.Context, c dradmin.Change) (dradmin.ChangeResult, error) {
+	v := o.v
+	change, problems := decodeChange(c)
+	if len(problems) == 0 {
+		if _, ok := v.fold.Result(c.ID); !ok {
+			_, ps := change.ApplyTo(v.fold.Current())
+			for _, p := range ps {
+				problems = append(problems, p.String())
+			}
+		}
+	}
+	if len(problems) > 0 {
+		return dradmin.ChangeResult{Problems: problems}, nil
+	}
+	_, err := v.configLog.Append(ctx, change.Encode())
+	if err != nil && drverdict.Of(err) == drverdict.NotRun {
+		return dradmin.ChangeResult{}, err
+	}
+	for {
+		if r, ok := v.fold.Result(c.ID); ok {
+			v.events.Record(drtimeline.Event{Name: "config-changed", Detail: "change=" + c.ID})
+			return dradmin.ChangeResult{Offset: r.Offset, Accepted: r.Accepted, Problems: r.Problems}, nil
+		}
+		if serr := v.Clock.Sleep(ctx, submitPoll); serr != nil {
+			return dradmin.ChangeResult{}, drverdict.New(drverdict.MayHaveRun, drverdict.LogUnavailable,
+				"the result of change %q is unknown; send it again with the same id", c.ID)
+		}
+	}
+}
+
+func decodeChange(c dradmin.Change) (drconfig.Change, []string) {
+	change := drconfig.Change{ID: c.ID, BasedOn: c.BasedOn, Author: c.Author}
+	var problems []string
+	for _, p := range c.Puts {
+		o, ps := drconfig.DecodeObject(drconfig.Ref{Kind: drconfig.Kind(p.Kind), Name: p.Name}, p.Object)
+		for _, x := range ps {
+			problems = append(problems, x.String())
+		}
+		if len(ps) == 0 {
+			change.Puts = append(change.Puts, o)
+		}
+	}
+	for _, d := range c.Deletes {
+		change.Deletes = append(change.Deletes, drconfig.Ref{Kind: drconfig.Kind(d.Kind), Name: d.Name})
+	}
+	return change, problems
+}
+
+// InForce implements dradmin.Backend.
+func (o operations) InForce(ctx context.Context) dradmin.InForce {
+	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
+	defer cancel()
+	answers := o.v.askAll(func(vm string) (dradmin.VMOffset, error) {
+		var reply drpb.OperateInForceReply
+		err := o.v.node.Call(ctx, vm, methodInForce, &drpb.OperateInForceRequest{}, &reply)
+		return dradmin.VMOffset{VM: vm, Offset: reply.Offset}, err
+	}, func(vm string, err error) dradmin.VMOffset { return dradmin.VMOffset{VM: vm, Error: err.Error()} })
+	return dradmin.InForce{VMs: answers}
+}
+
+// askAll asks every live VM at the same time and returns the answers by VM.
+func (v *VM) askAll(ask func(vm string) (dradmin.VMOffset, error), failed func(string, error) dradmin.VMOffset) []dradmin.VMOffset {
+	var mu sync.Mutex
+	var answers []dradmin.VMOffset
+	v.eachLive(func(vm string) {
+		a, err := ask(vm)
+		if err != nil {
+			a = failed(vm, err)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		answers = append(answers, a)
+	})
+	slices.SortFunc(answers, func(a, b dradmin.VMOffset) int { return strings.Compare(a.VM, b.VM) })
+	return answers
+}
+
+// eachLive calls f for every VM that is not unreachable, this one included, at
+// the same time, and returns when all calls have.
+func (v *VM) eachLive(f func(vm string)) {
+	var calls sync.WaitGroup
+	for _, m := range v.members.Members() {
+		if m.State != drmember.Unreachable {
+			calls.Go(func() { f(m.VM) })
+		}
+	}
+	calls.Wait()
+}
+
+// Timeline implements dradmin.Backend.
+func (o operations) Timeline(ctx context.Context, f drtimeline.Filter) ([]drtimeline.Event, []string) {
+	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
+	defer cancel()
+	request := &drpb.OperateTimelineRequest{
+		RequestId: f.RequestID, Account: f.Account, Model: f.Model, FromMs: millis(f.From), ToMs: millis(f.To),
+	}
+	var mu sync.Mutex
+	var lists [][]drtimeline.Event
+	var missing []string
+	o.v.eachLive(func(vm string) {
+		var reply drpb.OperateTimelineReply
+		err := o.v.node.Call(ctx, vm, methodTimeline, request, &reply)
+		var es []drtimeline.Event
+		if err == nil {
+			err = json.Unmarshal(reply.Events, &es)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			missing = append(missing, vm)
+			return
+		}
+		lists = append(lists, es)
+	})
+	slices.Sort(missing)
+	return drtimeline.Merge(f, lists...), missing
+}
+
+// millis returns t in milliseconds since 1970, 0 for the zero time.
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func fromMillis(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+// registerOperations registers the handlers for other VMs' questions.
+func (v *VM) registerOperations(r drpeer.Registry) {
+	r.Handle(methodInForce, func(context.Context, drpeer.Sender, []byte) (proto.Message, error) {
+		return &drpb.OperateInForceReply{Offset: v.fold.Offset()}, nil
+	})
+	r.Handle(methodTimeline, func(_ context.Context, _ drpeer.Sender, body []byte) (proto.Message, error) {
+		var q drpb.OperateTimelineRequest
+		if err := proto.Unmarshal(body, &q); err != nil {
+			return nil, err
+		}
+		f := drtimeline.Filter{
+			RequestID: q.RequestId, Account: q.Account, Model: q.Model, From: fromMillis(q.FromMs), To: fromMillis(q.ToMs),
+		}
+		events, err := json.Marshal(drtimeline.Merge(f, v.ring.Events()))
+		if err != nil {
+			return nil, err
+		}
+		return &drpb.OperateTimelineReply{Events: events}, nil
+	})
+}
--- /dev/null
+++ b/drserve/residency.go
@@ -0,0 +1,43 @@
+package drserve
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drplace"
+	"github.com/dotterelridge/dotterelridge/drroute"
+)
+
+// residency adapts placement to the router.
+type residency struct {
+	place   *drplace.Place
+	engines *engines
+}
+
+// Runners implements drroute.Residency.
+func (r residency) Runners(model, adapter string) []drroute.Runner {
+	var rs []drroute.Runner
+	for _, s := range r.place.Residency().Loaded(model, adapter) {
+		r.engines.name(s.Address, s.Runner)
+		rs = append(rs, drroute.Runner{
+			VM: s.Runner, Address: s.Address, Zone: s.Zone, Instance: s.Instance, Version: s.Version,
+			Capacity: s.Capacity, Running: s.Running, Waiting: s.Waiting,
+		})
+	}
+	return rs
+}
+
+// Wake implements drroute.Waker.
+func (r residency) Wake(ctx context.Context, model, adapter string, deadline time.Time) (drroute.Runner, error) {
+	l, err := r.place.Waker().Wake(ctx, model, adapter, deadline)
+	if err != nil {
+		return drroute.Runner{}, err
+	}
+	r.engines.name(l.Address, l.Runner)
+	for _, x := range r.Runners(model, adapter) {
+		if x.VM == l.Runner {
+			return x, nil
+		}
+	}
+	return drroute.Runner{VM: l.Runner, Address: l.Address}, nil
+}
--- /dev/null
+++ b/drserve/status.go
@@ -0,0 +1,38 @@
+package drserve
+
+import (
+	"github.com/dotterelridge/dotterelridge/dradmin"
+)
+
+// Status implements dradmin.Backend.
+func (o operations) Status() dradmin.Status {
+	v := o.v
+	ready, reason := o.Ready()
+	s := dradmin.Status{
+		VM: v.Settings.VM, Zone: v.Settings.Zone, Version: v.Version, Ready: ready, Reason: reason,
+		Freshness: v.freshness.State().String(), ConfigOffset: v.fold.Offset(), PlacementOffset: v.ledger.Offset(),
+		Queues: v.queues.status(),
+	}
+	for _, m := range v.members.Members() {
+		s.Members = append(s.Members, dradmin.MemberStatus{VM: m.VM, Zone: m.Zone, State: m.State.String()})
+	}
+	for _, r := range v.ledger.Runners() {
+		owner := v.ledger.Owner(r)
+		s.Runners = append(s.Runners, dradmin.RunnerStatus{Runner: r, Owner: owner.VM, Fence: owner.Fence})
+	}
+	c := v.fold.Current()
+	for _, m := range c.Models() {
+		decided, _ := v.ledger.Decided(m.Name)
+		ms := dradmin.ModelStatus{Model: m.Name, Decided: decided}
+		for _, r := range v.ledger.Rights(m.Name) {
+			ms.Rights = append(ms.Rights, r.Runner)
+		}
+		s.Models = append(s.Models, ms)
+	}
+	for _, a := range c.Accounts() {
+		if l, ok := c.Limit(a.Name); ok {
+			s.Limits = append(s.Limits, dradmin.LimitStatus{Account: a.Name, Rate: l.Rate, Burst: l.Burst, Shares: v.shares.HeldBy(a.Name, v.Settings.VM)})
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/drserve/strikes.go
@@ -0,0 +1,126 @@
+package drserve
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drlog"
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drroute"
+)
+
+const (
+	methodStrike = "Strike"
+	// strikeAppendTimeout bounds the append of a strike, which nobody waits for.
+	strikeAppendTimeout = 10 * time.Second
+)
+
+// strikes carries notices about suspects between VMs and through the log.
+type strikes struct {
+	caller  drpeer.Caller
+	view    drmember.View
+	journal journal
+	// suspects receives the notices; set before the first one arrives.
+	suspects *drroute.Suspects
+	appends  sync.WaitGroup
+}
+
+// Broadcast implements drroute.Broadcaster.
+func (s *strikes) Broadcast(ctx context.Context, n drroute.Notice) error {
+	p := encodeNotice(n)
+	if n.Kind == drroute.Strike {
+		s.appends.Go(func() { s.append(p) })
+	}
+	var calls sync.WaitGroup
+	errs := make(chan error, len(s.view.Members()))
+	for _, m := range s.view.Candidates() {
+		if m.VM == s.view.Self().VM {
+			continue
+		}
+		calls.Go(func() {
+			if err := s.caller.Call(ctx, m.VM, methodStrike, p, &drpb.SuspectAck{}); err != nil {
+				select {
+				case errs <- err:
+				default:
+				}
+			}
+		})
+	}
+	calls.Wait()
+	select {
+	case err := <-errs:
+		return err
+	default:
+		return nil
+	}
+}
+
+func (s *strikes) append(p *drpb.SuspectNotice) {
+	ctx, cancel := context.WithTimeout(context.Background(), strikeAppendTimeout)
+	defer cancel()
+	entry, err := proto.Marshal(p)
+	if err == nil {
+		// Without the log, the broadcast alone reaches the VMs that live now.
+		_, _ = s.journal.Append(ctx, entry)
+	}
+}
+
+// register registers the handler for other VMs' notices.
+func (s *strikes) register(r drpeer.Registry) {
+	r.Handle(methodStrike, func(_ context.Context, _ drpeer.Sender, body []byte) (proto.Message, error) {
+		var p drpb.SuspectNotice
+		if err := proto.Unmarshal(body, &p); err != nil {
+			return nil, err
+		}
+		s.suspects.Observe(decodeNotice(&p))
+		return &drpb.SuspectAck{}, nil
+	})
+}
+
+// Apply implements drlog.Folder.
+func (s *strikes) Apply(r drlog.Record) {
+	var p drpb.SuspectNotice
+	if proto.Unmarshal(r.Data, &p) == nil {
+		s.suspects.Observe(decodeNotice(&p))
+	}
+}
+
+// Snapshot implements drlog.Folder. Strikes expire after an hour, so a VM that
+// starts from a snapshot only misses those that the log no longer retains.
+func (s *strikes) Snapshot() []byte { return nil }
+
+// Restore implements drlog.Folder.
+func (s *strikes) Restore(uint64, []byte) error { return nil }
+
+func encodeNotice(n drroute.Notice) *drpb.SuspectNotice {
+	p := &drpb.SuspectNotice{Kind: uint32(n.Kind), Id: n.ID, Vm: n.VM, Backend: n.Backend}
+	for _, f := range n.Fingerprints {
+		p.Fingerprints = append(p.Fingerprints, f[:])
+	}
+	for _, f := range n.Blocked {
+		p.Blocked = append(p.Blocked, f[:])
+	}
+	return p
+}
+
+func decodeNotice(p *drpb.SuspectNotice) drroute.Notice {
+	return drroute.Notice{
+		Kind: drroute.NoticeKind(p.Kind), ID: p.Id, VM: p.Vm, Backend: p.Backend,
+		Fingerprints: decodeFingerprints(p.Fingerprints), Blocked: decodeFingerprints(p.Blocked),
+	}
+}
+
+func decodeFingerprints(bs [][]byte) []drroute.Fingerprint {
+	var fs []drroute.Fingerprint
+	for _, b := range bs {
+		if len(b) == len(drroute.Fingerprint{}) {
+			fs = append(fs, drroute.Fingerprint(b))
+		}
+	}
+	return fs
+}
--- /dev/null
+++ b/drserve/vm.go
@@ -0,0 +1,276 @@
+package drserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dotterelridge/dotterelridge/dradmin"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drgate"
+	"github.com/dotterelridge/dotterelridge/drlimit"
+	"github.com/dotterelridge/dotterelridge/drlog"
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drmetric"
+	"github.com/dotterelridge/dotterelridge/drnet"
+	"github.com/dotterelridge/dotterelridge/dronce"
+	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drplace"
+	"github.com/dotterelridge/dotterelridge/drroute"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+)
+
+// VM is one entry VM.
+type VM struct {
+	Config
+	hybrid  *drtimeline.HybridClock
+	ring    *drtimeline.Ring
+	events  drtimeline.Recorder
+	metrics *drmetric.Metrics
+	tls     tlsConfigs
+
+	dialer  *drnet.Dialer
+	node    *drpeer.Node
+	members *drmember.Membership
+
+	log       *drlog.HTTP
+	relay     *drlog.PeerRelay
+	freshness *drlog.Freshness
+	followers []*drlog.Follower
+
+	fold       *drconfig.Fold
+	ledger     *drplace.Ledger
+	shares     *drlimit.Shares
+	partitions [dronce.PartitionCount]*dronce.Partition
+	configLog  journal
+
+	place   *drplace.Place
+	holder  *drlimit.Holder
+	limiter *drlimit.Limiter
+	home    *dronce.Home
+	once    *dronce.Once
+	strikes *strikes
+	router  *drroute.Router
+	queues  *queues
+	gate    *drgate.Server
+	admin   *dradmin.Server
+
+	callers, peers, operators *drnet.Server
+
+	draining atomic.Bool
+	started  atomic.Bool
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// New wires an entry VM without starting it.
+func New(c Config) (*VM, error) {
+	v := &VM{Config: c, metrics: drmetric.New()}
+	v.metrics.RegisterProcess()
+	v.hybrid = drtimeline.NewHybridClock(c.Clock)
+	v.ring = drtimeline.NewRing(v.hybrid, c.Settings.VM, c.Settings.TimelineEvents)
+	v.events = recorder{ring: v.ring}
+	var err error
+	if v.tls, err = newTLSConfigs(c.Settings.TLS, c.Clock); err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	if v.dialer, err = drnet.NewDialer(drnet.Config{Clock: c.Clock, TLS: v.tls.dial}); err != nil {
+		return nil, fmt.Errorf("dialer: %w", err)
+	}
+	v.newPeers()
+	v.newStreams()
+	v.newCore()
+	v.newGate()
+	v.register()
+	return v, nil
+}
+
+// newPeers makes the calls between VMs and the membership.
+func (v *VM) newPeers() {
+	s := v.Settings
+	v.node = drpeer.New(drpeer.Config{
+		VM: s.VM, Incarnation: v.Incarnation,
+		Addresses: func(vm string) (string, bool) { return v.members.Address(vm) },
+		Dialer:    v.dialer, Clock: v.Clock, Hybrid: v.hybrid, Block: v.Block,
+	})
+	v.members = drmember.New(drmember.Config{
+		Self:   drmember.Member{VM: s.VM, Zone: s.Zone, Address: s.Addresses.Peers, Incarnation: v.Incarnation},
+		Lister: drmember.NewHTTPLister("http://"+s.VMListAddress, nil),
+		Peers:  v.node, Seeds: s.Seeds, Clock: v.Clock, Events: v.events,
+	})
+}
+
+// newStreams makes the folds of the log's streams and their followers.
+func (v *VM) newStreams() {
+	v.log = drlog.NewHTTP(drlog.HTTPConfig{Address: v.Settings.LogAddress, Clock: v.Clock})
+	v.relay = drlog.NewPeerRelay(drlog.PeerRelayConfig{
+		Caller: v.node, Self: v.Settings.VM, Members: v.reachable, Clock: v.Clock,
+	})
+	v.fold, v.ledger, v.shares = drconfig.NewFold(), drplace.NewLedger(), drlimit.NewShares()
+	for i := range v.partitions {
+		v.partitions[i] = dronce.NewPartition(dronce.Window(time.Duration(v.Settings.Retention)))
+	}
+	v.strikes = &strikes{caller: v.node, view: v.members}
+	v.strikes.suspects = drroute.NewSuspects(v.Clock, v.Settings.VM, v.strikes)
+}
+
+// follow adds a follower of the stream and returns its journal.
+func (v *VM) follow(stream string, f drlog.Folder) journal {
+	follower := drlog.NewFollower(drlog.FollowerConfig{
+		Log: v.log, Stream: stream, Folder: f, Clock: v.Clock, Peers: v.relay,
+		Retention: time.Duration(v.Settings.Retention), SnapshotEvery: snapshotEvery,
+		IsSnapshotter: func() bool { return v.isHome("snapshot/" + stream) },
+		Events:        v.events,
+	})
+	v.relay.Add(follower)
+	v.followers = append(v.followers, follower)
+	return journal{log: v.log, follower: follower}
+}
+
+// newCore makes limits, placement, at-most-once execution and routing.
+func (v *VM) newCore() {
+	v.configLog = v.follow(drlog.StreamConfig, v.fold)
+	v.freshness = drlog.NewFreshness(drlog.FreshnessConfig{
+		Followers: v.followers[:1], Peers: v.relay, Members: v.counted, Self: v.Settings.VM,
+		Clock: v.Clock, ServeWithoutLog: time.Duration(v.Settings.ServeWithoutLog), Events: v.events,
+	})
+	engines := newEngines(v.Clock)
+	v.place = drplace.New(drplace.Config{
+		Policy: v.Policies.Place, Clock: v.Clock, Ledger: v.ledger, Journal: v.follow(drlog.StreamPlacement, v.ledger),
+		Catalogue: catalogue{v.fold}, View: v.members, Caller: v.node, Recorder: v.events,
+		Dial: engines.dial, LoadsPerSecond: v.Settings.WeightStoreLoads,
+	})
+	engines.residency = v.place.Residency()
+	v.holder = drlimit.NewHolder(drlimit.HolderConfig{
+		Clock: v.Clock, View: v.members, Shares: v.shares, Journal: v.follow(drlog.StreamShares, v.shares),
+		Limits: accountLimits{v.fold}, Recorder: v.events,
+	})
+	v.limiter = drlimit.New(drlimit.Config{
+		Clock: v.Clock, View: v.members, Shares: v.shares, Limits: accountLimits{v.fold}, Caller: v.node,
+		Holder: v.holder, Policy: v.Policies.Limit,
+	})
+	v.newOnce()
+	v.strikes.journal = v.follow(drlog.StreamSuspects, v.strikes)
+	r := residency{place: v.place, engines: engines}
+	v.router = drroute.New(drroute.Config{
+		Clock: v.Clock, Zone: v.Settings.Zone, Policy: v.Policies.Route, Residency: r, Engines: engines, Waker: r,
+		Suspects: v.strikes.suspects, Recorder: v.events,
+	})
+}
+
+func (v *VM) newOnce() {
+	var journals [dronce.PartitionCount]dronce.Journal
+	for i, p := range v.partitions {
+		journals[i] = v.follow(fmt.Sprint(drlog.StreamOncePrefix, i), p)
+	}
+	v.home = dronce.NewHome(dronce.HomeConfig{Clock: v.Clock, View: v.members, Partitions: v.partitions, Journals: journals})
+	v.once = dronce.New(dronce.Config{
+		Clock: v.Clock, View: v.members, Caller: v.node, Home: v.home, Partitions: v.partitions, Recorder: v.events,
+	})
+}
+
+// newGate makes the callers' and operators' servers.
+func (v *VM) newGate() {
+	v.queues = &queues{
+		clock: v.Clock, events: v.events, fold: v.fold, policy: v.Policies.Queue,
+		maxBytes: int64(v.Settings.Limits.QueueBytes), places: v.router.Places, demand: v.demand,
+		queues: newQueueMap(),
+	}
+	services := drroute.NewServices(drroute.ServicesConfig{
+		Clock: v.Clock, Zone: v.Settings.Zone, Backends: v.members, Caller: drroute.HTTPCaller{},
+		Suspects: v.strikes.suspects, Recorder: v.events,
+	})
+	v.gate = drgate.New(drgate.Config{
+		Clock: v.Clock, Directory: newDirectory(v.fold, v.Settings.Secret.Bytes()), Limiter: limiter{v.limiter},
+		Queue: v.queues, Once: once{v.once}, Generator: drgate.GeneratorOf(v.router), Services: services,
+		Freshness: freshness{v.freshness}, Recorder: v.events, MaxBody: int(v.Settings.Limits.MaxBody),
+	})
+	var tokens []string
+	for _, t := range v.Settings.OperatorTokens {
+		tokens = append(tokens, string(t.Token.Bytes()))
+	}
+	v.admin = dradmin.New(dradmin.Config{Backend: operations{v}, Clock: v.Clock, OperatorTokens: tokens})
+}
+
+func (v *VM) register() {
+	v.members.Register(v.node)
+	v.relay.Register(v.node)
+	v.place.Register(v.node)
+	v.holder.Register(v.node)
+	v.home.Register(v.node)
+	v.strikes.register(v.node)
+	v.registerOperations(v.node)
+}
+
+// Start listens and runs until Drain or Close.
+func (v *VM) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	if err := v.listen(); err != nil {
+		cancel()
+		return errors.Join(err, v.closeListeners(ctx))
+	}
+	v.running.Go(func() { v.members.Run(ctx) })
+	for _, f := range v.followers {
+		v.running.Go(func() { _ = f.Run(ctx) })
+	}
+	v.running.Go(func() { _ = v.freshness.Run(ctx) })
+	v.running.Go(func() { v.place.Run(ctx) })
+	v.running.Go(func() { v.holder.Run(ctx) })
+	v.running.Go(func() { v.refreshQueues(ctx) })
+	v.running.Go(func() { v.followCaches(ctx) })
+	v.started.Store(true)
+	v.events.Record(drtimeline.Event{Name: "vm-started", Detail: "zone=" + v.Settings.Zone})
+	return nil
+}
+
+func (v *VM) listen() error {
+	a, s := v.Settings.Addresses, v.Settings
+	var err error
+	if v.peers, err = drnet.Listen(drnet.Config{Address: a.Peers, Clock: v.Clock, TLS: v.tls.peers, Handler: v.node.ServeConn}); err != nil {
+		return fmt.Errorf("peers' listener: %w", err)
+	}
+	if v.operators, err = drnet.Listen(drnet.Config{Address: a.Admin, Clock: v.Clock, TLS: v.tls.operators, Handler: v.admin.ServeConn}); err != nil {
+		return fmt.Errorf("admin listener: %w", err)
+	}
+	v.callers, err = drnet.Listen(drnet.Config{
+		Address: a.Callers, Clock: v.Clock, TLS: v.tls.callers, MaxConnections: s.Limits.Connections,
+		Handler: func(c net.Conn) {
+			if err := v.gate.ServeConn(c); err != nil {
+				log.WithFields(log.Fields{"event": "caller-connection-ended", "error": err}).Debug("")
+			}
+		},
+	})
+	if err != nil {
+		return fmt.Errorf("callers' listener: %w", err)
+	}
+	return nil
+}
+
+func (v *VM) refreshQueues(ctx context.Context) {
+	for v.Clock.Sleep(ctx, refreshPeriod) == nil {
+		v.queues.refresh()
+	}
+}
+
+// demand asks for another replica without holding up the caller.
+func (v *VM) demand(model string) {
+	v.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), inForceTimeout)
+		defer cancel()
+		// A refusal means that the selectors allow no more replicas now.
+		_ = v.place.Waker().Demand(ctx, model)
+	})
+}
+
+// CallersAddress returns the address that callers connect to.
+func (v *VM) CallersAddress() string { return v.callers.Addr().String() }
+
+// AdminAddress returns the address that operators connect to.
+func (v *VM) AdminAddress() string { return v.operators.Addr().String() }
--- a/drsettings/reference.go
+++ b/drsettings/reference.go
@@ -56,7 +56,7 @@
 		return "list of " + typeName(t.Elem()) + "s"
 	case reflect.Bool:
 		return "true or false"
-	case reflect.Int:
+	case reflect.Int, reflect.Float64:
 		return "number"
 	}
 	return "string"
--- a/main.go
+++ b/main.go
@@ -1,4 +1,12 @@
 // Command dotterelridge serves rarely used language models.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/dotterelridge/dotterelridge/drcommand"
+)
+
+func main() {
+	os.Exit(drcommand.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
