Make the test of settled intents sensitive to slow engine reports

Change: reports reach the new owner late in that test and wake-ups are tried throughout; shared fields are read under the lock. Measured: with settled intents not kept, TestOrderInFlightStaysReserved now fails. Dropping the doubt after a lost order answer still passes, because the load stays reserved for appearTimeout, which is longer. Conclusion: that doubt is a second safeguard.

--- a/drplace/cluster_test.go
+++ b/drplace/cluster_test.go
@@ -64,6 +64,7 @@
 	dead      bool
 	paused    bool
 	leaving   bool
+	lag       time.Duration // age of engine reports if longer than testLag
 	// pauseAt names a point at which the VM pauses itself once.
 	pauseAt     string
 	silentSince time.Time
@@ -189,6 +190,13 @@
 	v.place.Drain(ctx)
 }
 
+// pauseLater makes the VM pause itself at a point.
+func (v *testVM) pauseLater(point string) {
+	v.c.mu.Lock()
+	defer v.c.mu.Unlock()
+	v.pauseAt = point
+}
+
 // reach pauses the VM if it is to pause at this point.
 func (v *testVM) reach(point string) {
 	v.c.mu.Lock()
@@ -476,6 +484,19 @@
 	return n
 }
 
+// owns returns the number of own records in the log.
+func (c *cluster) owns() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.kinds["*drpb.PlacementRecord_Own"]
+}
+
+func (c *cluster) replicasOn(runner string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.engines[runner].replicas)
+}
+
 func (c *cluster) appends() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
