--- a/drlimit/limit.go
+++ b/drlimit/limit.go
@@ -72,6 +72,4 @@
 	Append(ctx context.Context, entry []byte) (uint64, error)
 	// WaitFor blocks until the record at offset has been folded.
 	WaitFor(ctx context.Context, offset uint64) error
-	// Confirmed returns when the head of the stream was last confirmed.
-	Confirmed() time.Time
 }
--- a/dronce/home.go
+++ b/dronce/home.go
@@ -20,7 +20,9 @@
 	Clock      drclock.Clock
 	View       drmember.View
 	Partitions [PartitionCount]*Partition
-	Journals   [PartitionCount]Journal
+	// Journals may be nil for partitions that this VM does not follow. It
+	// then refuses to be their home.
+	Journals [PartitionCount]Journal
 }
 
 // Home appends the intents, outcomes and abandons of other VMs in batches and
@@ -81,6 +83,9 @@
 		return nil, drverdict.New(drverdict.NotRun, drverdict.MalformedRequest, "intent lacks key, attempt or VM")
 	}
 	n := PartitionOf(i.GetAccount(), i.GetKey())
+	if h.config.Journals[n] == nil {
+		return nil, notFollowed(n)
+	}
 	p := h.config.Partitions[n]
 	if !p.Complete() {
 		return nil, drverdict.New(drverdict.NotRun, drverdict.Conflict, "partition %d misses records", n)
@@ -102,6 +107,10 @@
 	return nil, drverdict.New(drverdict.MayHaveRun, drverdict.Unavailable, "attempt %s did not get the key", i.GetAttempt())
 }
 
+func notFollowed(n int) error {
+	return drverdict.New(drverdict.NotRun, drverdict.Unavailable, "this VM does not follow partition %d", n)
+}
+
 // status says who has the key of an intent, nil if nobody.
 func (h *Home) status(p *Partition, i *drpb.OnceIntent) *drpb.OnceReserveReply {
 	winner, outcome, ok := p.lookup(i.GetAccount(), i.GetKey())
@@ -146,7 +155,11 @@
 	default:
 		return nil, drverdict.New(drverdict.NotRun, drverdict.MalformedRequest, "finish request without attempt")
 	}
-	if err := h.batchers[PartitionOf(k.account, k.key)].add(ctx, &e); err != nil {
+	n := PartitionOf(k.account, k.key)
+	if h.config.Journals[n] == nil {
+		return nil, notFollowed(n)
+	}
+	if err := h.batchers[n].add(ctx, &e); err != nil {
 		return nil, err
 	}
 	return &drpb.OnceFinishReply{}, nil
--- a/dronce/once.go
+++ b/dronce/once.go
@@ -73,8 +73,6 @@
 	Append(ctx context.Context, entry []byte) (uint64, error)
 	// WaitFor blocks until the record at offset has been folded.
 	WaitFor(ctx context.Context, offset uint64) error
-	// Confirmed returns when the head of the stream was last confirmed.
-	Confirmed() time.Time
 }
 
 // Window returns for how long calls are remembered if the log retains records
@@ -255,17 +253,25 @@
 	case <-changed:
 	case <-t.C():
 	case <-ctx.Done():
-		return drverdict.New(drverdict.MayHaveRun, drverdict.CallInProgress,
-			"the first attempt with this Idempotency-Key is still running").WithRetryAfter(inProgressRetryAfter)
+		return inProgress(ctx.Err())
 	}
 	return nil
 }
 
+func inProgress(cause error) error {
+	return drverdict.New(drverdict.MayHaveRun, drverdict.CallInProgress,
+		"the first attempt with this Idempotency-Key is still running: %w", cause).WithRetryAfter(inProgressRetryAfter)
+}
+
 // refusal classifies the failure of a reservation. The attempt was not
 // dispatched, but an earlier one with the same key may have been.
 func (o *Once) refusal(ctx context.Context, p *Partition, a *Attempt, err error) error {
-	winner, _, ok := p.lookup(a.call.Account, a.call.Key)
-	if ok && winner.GetAttempt() != a.id || errors.Is(err, errIncomplete) {
+	winner, outcome, ok := p.lookup(a.call.Account, a.call.Key)
+	ok = ok && winner.GetAttempt() != a.id
+	if ok && outcome == nil && !o.config.Home.died(winner) {
+		return inProgress(err)
+	}
+	if ok || errors.Is(err, errIncomplete) {
 		return drverdict.Wrap(drverdict.MayHaveRun, drverdict.OutcomeUnknown, err, "an earlier attempt may have run")
 	}
 	if ctx.Err() != nil {
--- a/dronce/partition.go
+++ b/dronce/partition.go
@@ -226,6 +226,9 @@
 		p.completeAt = fromNanos(m.GetCompleteSinceNs())
 	}
 	for _, c := range m.GetCalls() {
+		if c.GetIntent() == nil {
+			continue
+		}
 		k := callKey{c.GetIntent().GetAccount(), c.GetIntent().GetKey()}
 		p.calls[k] = &call{c.GetIntent(), c.GetOutcome(), fromNanos(c.GetTimeNs())}
 		p.order = append(p.order, expiry{fromNanos(c.GetTimeNs()), k, c.GetIntent().GetAttempt()})
--- a/drqueue/queue.go
+++ b/drqueue/queue.go
@@ -338,19 +338,25 @@
 
 // grant starts items while the window allows.
 func (q *Queue) grant() {
+	now := q.config.Clock.Now()
 	for q.running < q.window {
 		f := q.pick()
 		if f == nil {
 			return
 		}
 		e := f.entries[0]
+		if d := e.item.Deadline; !d.IsZero() && now.After(d) {
+			// Its timer has not run yet, for example after a pause.
+			q.refuse(e, q.deadline("deadline passed %v ago", now.Sub(d)))
+			continue
+		}
 		f.remove(e)
 		q.count--
 		q.bytes -= e.item.Bytes
 		q.virtual = max(q.virtual, f.next)
 		f.next += e.item.Cost / f.weight
 		f.running++
-		q.rate.start(q.running, q.config.Clock.Now())
+		q.rate.start(q.running, now)
 		q.running++
 		e.granted <- nil
 	}
