--- a/dradmin/document.go
+++ b/dradmin/document.go
@@ -20,8 +20,9 @@
 	// ID makes the change idempotent: a repeated ID has the first result.
 	ID string `json:"id"`
 	// BasedOn is the configuration offset that the change was made against.
-	BasedOn uint64           `json:"based-on"`
-	Author  string           `json:"author"`
+	BasedOn uint64 `json:"based-on"`
+	// Author is set by the server to the name of the operator's token.
+	Author  string           `json:"author,omitempty"`
 	Puts    []ObjectDocument `json:"puts,omitempty"`
 	Deletes []ObjectName     `json:"deletes,omitempty"`
 }
--- a/dradmin/server.go
+++ b/dradmin/server.go
@@ -30,23 +30,32 @@
 type Config struct {
 	Backend Backend
 	Clock   drclock.Clock
-	// OperatorTokens admit operators. Health, readiness and metrics need none.
-	OperatorTokens []string
+	// Operators may act. Health, readiness and metrics need no token.
+	Operators []Operator
 }
 
+// Operator is somebody who may act, by name and token.
+type Operator struct{ Name, Token string }
+
 // Server is the admin HTTP server.
 type Server struct {
-	backend Backend
-	clock   drclock.Clock
-	tokens  [][sha256.Size]byte
-	http    *fasthttp.Server
+	backend   Backend
+	clock     drclock.Clock
+	operators []operator
+	http      *fasthttp.Server
+}
+
+// operator keeps the hash of a token, which takes constant time to compare.
+type operator struct {
+	name  string
+	token [sha256.Size]byte
 }
 
 // New returns a server; connections are given to ServeConn.
 func New(c Config) *Server {
 	s := &Server{backend: c.Backend, clock: c.Clock}
-	for _, t := range c.OperatorTokens {
-		s.tokens = append(s.tokens, sha256.Sum256([]byte(t)))
+	for _, o := range c.Operators {
+		s.operators = append(s.operators, operator{name: o.Name, token: sha256.Sum256([]byte(o.Token))})
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -79,16 +88,17 @@
 			fail(rc, fasthttp.StatusInternalServerError, err)
 		}
 	default:
-		if !s.authorized(rc) {
+		operator, ok := s.authorized(rc)
+		if !ok {
 			rc.Response.Header.Set("WWW-Authenticate", "Bearer")
 			fail(rc, fasthttp.StatusUnauthorized, drverdict.New(drverdict.NotRun, drverdict.InvalidKey, "operator token is missing or unknown"))
 			return
 		}
-		s.operate(rc, path)
+		s.operate(rc, path, operator)
 	}
 }
 
-func (s *Server) operate(rc *fasthttp.RequestCtx, path string) {
+func (s *Server) operate(rc *fasthttp.RequestCtx, path, operator string) {
 	ctx, cancel := drclock.WithTimeout(context.Background(), s.clock, requestTimeout)
 	defer cancel()
 	switch method := string(rc.Method()); {
@@ -106,7 +116,7 @@
 	case path == "/v1/timeline" && method == fasthttp.MethodGet:
 		s.timeline(ctx, rc)
 	case path == "/v1/changes" && method == fasthttp.MethodPost:
-		s.change(ctx, rc)
+		s.change(ctx, rc, operator)
 	default:
 		fail(rc, fasthttp.StatusNotFound, drverdict.New(drverdict.NotRun, drverdict.UnknownRoute, "no admin route %s %s", method, path))
 	}
@@ -121,7 +131,9 @@
 	rc.SetBodyString("ready\n")
 }
 
-func (s *Server) change(ctx context.Context, rc *fasthttp.RequestCtx) {
+// change submits a change in the name of the operator, whatever author the
+// body states.
+func (s *Server) change(ctx context.Context, rc *fasthttp.RequestCtx, operator string) {
 	var c Change
 	if err := json.Unmarshal(rc.PostBody(), &c); err != nil {
 		fail(rc, fasthttp.StatusBadRequest, drverdict.New(drverdict.NotRun, drverdict.MalformedRequest, "change is not valid JSON: %v", err))
@@ -131,6 +143,7 @@
 		fail(rc, fasthttp.StatusBadRequest, drverdict.New(drverdict.NotRun, drverdict.MalformedRequest, "change has no id"))
 		return
 	}
+	c.Author = operator
 	res, err := s.backend.Submit(ctx, c)
 	if err != nil {
 		fail(rc, fasthttp.StatusServiceUnavailable, err)
@@ -172,17 +185,21 @@
 	reply(rc, TimelineDocument{Events: es, Missing: missing})
 }
 
-func (s *Server) authorized(rc *fasthttp.RequestCtx) bool {
+// authorized returns the name of the operator whose token the request carries.
+func (s *Server) authorized(rc *fasthttp.RequestCtx) (string, bool) {
 	token, ok := strings.CutPrefix(string(rc.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
 	if !ok {
-		return false
+		return "", false
 	}
 	sum := sha256.Sum256([]byte(token))
-	match := 0
-	for _, t := range s.tokens {
-		match |= subtle.ConstantTimeCompare(sum[:], t[:])
+	match := -1
+	for i, o := range s.operators {
+		match = subtle.ConstantTimeSelect(subtle.ConstantTimeCompare(sum[:], o.token[:]), i, match)
+	}
+	if match < 0 {
+		return "", false
 	}
-	return match == 1
+	return s.operators[match].name, true
 }
 
 func reply(rc *fasthttp.RequestCtx, v any) {
@@ -202,7 +219,7 @@
 }
 
 // problemPrefix precedes the reason in a problem's type.
-const problemPrefix = "https://dotterelridge.example/problems/"
+const problemPrefix = "https://dotterelridge.dev/problems/"
 
 func fail(rc *fasthttp.RequestCtx, status int, err error) {
 	rc.Response.Reset()
--- a/drcommand/apply.go
+++ b/drcommand/apply.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,7 +26,6 @@
 	prune := fs.Bool("prune", false, "delete objects that are not declared, of the declared kinds")
 	wait := fs.Bool("wait", false, "wait until the change is in force on every live entry VM")
 	waitFor := fs.Duration("wait-for", defaultWait, "how long -wait waits")
-	author := fs.String("author", os.Getenv("USER"), "author recorded with the change")
 	id := fs.String("change-id", "", "id that makes the change idempotent; random if empty")
 	if err := parse(fs, args, 1, maxPaths); err != nil {
 		return err
@@ -46,7 +44,7 @@
 	d.write(env)
 	offset := d.offset
 	if len(d.puts)+len(d.deletes) > 0 {
-		res, err := submit(sctx, client, d.change(*id, *author))
+		res, err := submit(sctx, client, d.change(*id))
 		if err != nil {
 			return err
 		}
--- a/drcommand/desired.go
+++ b/drcommand/desired.go
@@ -62,8 +62,8 @@
 }
 
 // change returns the change that brings the difference about.
-func (d difference) change(id, author string) dradmin.Change {
-	c := dradmin.Change{ID: id, BasedOn: d.offset, Author: author}
+func (d difference) change(id string) dradmin.Change {
+	c := dradmin.Change{ID: id, BasedOn: d.offset}
 	for _, o := range d.puts {
 		r := o.Ref()
 		c.Puts = append(c.Puts, dradmin.ObjectDocument{
--- a/drdemo/cluster.go
+++ b/drdemo/cluster.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	change := dradmin.Change{ID: "demo-" + k.Deployment.Name, Author: "demo"}
+	change := dradmin.Change{ID: "demo-" + k.Deployment.Name}
 	for _, o := range objects {
 		r := o.Ref()
 		change.Puts = append(change.Puts, dradmin.ObjectDocument{
--- a/drgate/complete.go
+++ b/drgate/complete.go
@@ -8,12 +8,14 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelridge/dotterelridge/drconfig"
 	"github.com/dotterelridge/dotterelridge/drengine"
 	"github.com/dotterelridge/dotterelridge/drroute"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
@@ -26,6 +28,10 @@
 	usage  usage
 	finish string
 	head   reply
+	// cold says that no loaded replica was known at the arrival.
+	cold bool
+	// last is the time of the last token.
+	last time.Time
 }
 
 // priorities in ascending urgency.
@@ -71,10 +77,11 @@
 		return err
 	}
 	bound := outputBound(body.maxTokens, m)
+	cold := !r.server.Loaded(m.Model, m.Adapter)
 	if err := r.admit(m, p, body, bound); err != nil {
 		return err
 	}
-	g := &generation{request: r, body: body, stop: stopper{stops: body.stops}}
+	g := &generation{request: r, body: body, cold: cold, stop: stopper{stops: body.stops}}
 	g.usage.Prompt = body.promptTokens()
 	g.tokens, err = r.server.Generator.Generate(r.ctx, drroute.Request{
 		ID: r.unique, RequestID: r.id, Account: r.identity.Account, Model: m.Model, Adapter: m.Adapter,
@@ -83,6 +90,9 @@
 	if err != nil {
 		return g.failed(err)
 	}
+	if cold {
+		r.server.Meter.ColdStart(r.age())
+	}
 	return g.respond()
 }
 
@@ -112,14 +122,19 @@
 	}
 	r.bill.reservation = res
 	release, err := s.Queue.Enqueue(r.ctx, Item{
-		Account: r.identity.Account, Model: m.Model, Adapter: m.Adapter, Priority: p,
+		RequestID: r.id, Account: r.identity.Account, Model: m.Model, Adapter: m.Adapter, Priority: p,
 		Tokens: cost, Bytes: len(body.prompt), Deadline: r.deadline,
 	})
 	if err != nil {
 		return r.admission(err, drverdict.QueueFull)
 	}
 	r.bill.release = release
-	return r.ended(drverdict.NotRun)
+	if err := r.ended(drverdict.NotRun); err != nil {
+		return err
+	}
+	s.Meter.Admitted(p, r.age())
+	r.note(drtimeline.Event{Name: drtimeline.RequestAdmitted, Took: r.age()})
+	return nil
 }
 
 // failed returns the error to show and charges the tokens used so far.
@@ -168,6 +183,7 @@
 		return g.stop.push(t.Text) + g.stop.flush(), nil
 	}
 	g.usage.Completion++
+	g.measure()
 	g.charge()
 	text := g.stop.push(t.Text)
 	if g.stop.stopped {
@@ -176,6 +192,21 @@
 	return text, nil
 }
 
+// measure takes the time of a token.
+func (g *generation) measure() {
+	now := g.server.Clock.Now()
+	switch {
+	case !g.last.IsZero():
+		g.server.Meter.NextToken(now.Sub(g.last))
+	default:
+		if !g.cold {
+			g.server.Meter.FirstToken(now.Sub(g.arrived))
+		}
+		g.note(drtimeline.Event{Name: drtimeline.FirstToken, Took: now.Sub(g.arrived)})
+	}
+	g.last = now
+}
+
 func (g *generation) charge() {
 	g.usage.Total = g.usage.Prompt + g.usage.Completion
 	g.bill.used = float64(g.usage.Total)
@@ -236,7 +267,7 @@
 	out.Choices, out.Usage = []choice{c}, &g.usage
 	g.http.Response.Header.SetContentType("application/json")
 	g.http.Response.SetBody(out.json())
-	g.record("request-served", fmt.Sprintf("tokens=%d", g.usage.Completion))
+	g.served(fasthttp.StatusOK)
 	return nil
 }
 
@@ -246,7 +277,7 @@
 	defer g.tokens.Close()
 	defer func() {
 		if p := recover(); p != nil {
-			g.record("request-panicked", fmt.Sprint(p))
+			g.record(drtimeline.RequestPanicked, fmt.Sprintf("error=%q", fmt.Sprint(p)))
 			g.fail(w, drverdict.New(drverdict.MayHaveRun, drverdict.Internal, "internal error"))
 		}
 	}()
@@ -277,7 +308,7 @@
 		}
 	}
 	if writeEvent(w, "", []byte("[DONE]")) == nil {
-		g.record("request-served", fmt.Sprintf("tokens=%d", g.usage.Completion))
+		g.served(fasthttp.StatusOK)
 	}
 }
 
@@ -334,5 +365,6 @@
 	}
 	r.http.Response.Header.SetContentType("application/json")
 	r.http.Response.SetBody(b)
+	r.served(fasthttp.StatusOK)
 	return nil
 }
--- a/drgate/config.go
+++ b/drgate/config.go
@@ -58,6 +58,11 @@
 	Services  Caller
 	Freshness Freshness
 	Recorder  drtimeline.Recorder
+	// Meter takes measurements; nil drops them.
+	Meter Meter
+	// Loaded reports whether a replica is known to be loaded; nil means
+	// always. It only sorts measurements into warm and cold.
+	Loaded func(model, adapter string) bool
 
 	// MaxHeader and MaxBody are in bytes.
 	MaxHeader   int
@@ -67,6 +72,12 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Meter == nil {
+		c.Meter = noMeter{}
+	}
+	if c.Loaded == nil {
+		c.Loaded = func(string, string) bool { return true }
+	}
 	if c.MaxHeader == 0 {
 		c.MaxHeader = defaultMaxHeader
 	}
--- a/drgate/fake_test.go
+++ b/drgate/fake_test.go
@@ -180,7 +180,7 @@
 	return f.answer, f.callErr
 }
 
-func (f *fakeSystem) Begin(context.Context, string, string, drroute.Fingerprint) (Attempt, *Record, error) {
+func (f *fakeSystem) Begin(context.Context, KeyedCall) (Attempt, *Record, error) {
 	if f.onceErr != nil || f.record != nil {
 		return nil, f.record, f.onceErr
 	}
--- a/drgate/once.go
+++ b/drgate/once.go
@@ -12,7 +12,15 @@
 	// Begin returns an attempt that may be dispatched once, or the recorded
 	// answer of an earlier one, or an error with the reason KeyReused,
 	// CallInProgress, OutcomeUnknown, KeyExpired, LogUnavailable or Deadline.
-	Begin(ctx context.Context, account, key string, f drroute.Fingerprint) (Attempt, *Record, error)
+	Begin(ctx context.Context, c KeyedCall) (Attempt, *Record, error)
+}
+
+// KeyedCall identifies a call that carries an Idempotency-Key.
+type KeyedCall struct {
+	RequestID   string
+	Account     string
+	Key         string
+	Fingerprint drroute.Fingerprint
 }
 
 // Attempt is the right to dispatch a call once. Exactly one of its methods is
--- a/drgate/queue.go
+++ b/drgate/queue.go
@@ -9,10 +9,11 @@
 
 // Item is a request that waits for its turn.
 type Item struct {
-	Account  string
-	Model    string
-	Adapter  string
-	Priority drconfig.Priority
+	RequestID string
+	Account   string
+	Model     string
+	Adapter   string
+	Priority  drconfig.Priority
 	// Tokens is the expected cost, Bytes the memory that the request holds.
 	Tokens   float64
 	Bytes    int
--- a/drgate/request.go
+++ b/drgate/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"strings"
 	"time"
 
@@ -39,6 +38,7 @@
 	key      string
 	identity Identity
 	model    string
+	arrived  time.Time
 
 	// ctx ends at the deadline, when the caller disconnects and when its key
 	// is withdrawn.
@@ -56,7 +56,7 @@
 func newID() string { return uuid.NewString() }
 
 func newRequest(s *Server, ctx *fasthttp.RequestCtx) *request {
-	r := &request{server: s, http: ctx, unique: newID()}
+	r := &request{server: s, http: ctx, unique: newID(), arrived: s.Clock.Now()}
 	r.id = string(ctx.Request.Header.Peek(headerRequestID))
 	if !validID(r.id) {
 		r.id = r.unique
@@ -128,6 +128,7 @@
 // begin starts the context of the request. Standard is the deadline of
 // requests that state none.
 func (r *request) begin(standard time.Duration) error {
+	r.record(drtimeline.RequestReceived, "")
 	d := standard
 	if d <= 0 {
 		d = DefaultTimeout
@@ -221,13 +222,30 @@
 }
 
 func (r *request) logRefusal(p problem) {
-	r.record("request-refused", fmt.Sprintf("status=%d run=%s type=%s", p.Status, p.Run, strings.TrimPrefix(p.Type, problemType)))
+	reason := strings.TrimPrefix(p.Type, problemType)
+	r.server.Meter.Ended(p.Status, reason)
+	r.note(drtimeline.Event{
+		Name: drtimeline.RequestRefused, Status: p.Status, Reason: reason, Took: r.age(), Detail: "run=" + p.Run,
+	})
+}
+
+// served counts and records a complete response.
+func (r *request) served(status int) {
+	r.server.Meter.Ended(status, "")
+	r.note(drtimeline.Event{Name: drtimeline.RequestServed, Status: status, Took: r.age(), Tokens: int(r.bill.used)})
 }
 
+// age returns the time since the arrival.
+func (r *request) age() time.Duration { return r.server.Clock.Since(r.arrived) }
+
 func (r *request) record(name, detail string) {
-	r.server.Recorder.Record(drtimeline.Event{
-		Name: name, RequestID: r.id, Account: r.identity.Account, Model: r.model, Detail: detail,
-	})
+	r.note(drtimeline.Event{Name: name, Detail: detail})
+}
+
+// note records e for the request.
+func (r *request) note(e drtimeline.Event) {
+	e.RequestID, e.Account, e.Model = r.id, r.identity.Account, r.model
+	r.server.Recorder.Record(e)
 }
 
 // end settles the request and frees what it holds.
@@ -237,5 +255,8 @@
 		defer r.stop()
 		defer r.cancel(nil)
 	}
+	if r.bill.used > 0 {
+		r.server.Meter.Used(r.identity.Account, r.bill.used)
+	}
 	r.bill.settle()
 }
--- a/drgate/route.go
+++ b/drgate/route.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drconfig"
 	"github.com/dotterelridge/dotterelridge/drroute"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
@@ -120,7 +122,7 @@
 		return malformed("Idempotency-Key contains the caller's key")
 	}
 	f := drroute.NewFingerprint(r.identity.Account, c.Method+" "+c.Target, c.Body)
-	attempt, rec, err := r.server.Once.Begin(r.ctx, r.identity.Account, key, f)
+	attempt, rec, err := r.server.Once.Begin(r.ctx, KeyedCall{RequestID: r.id, Account: r.identity.Account, Key: key, Fingerprint: f})
 	switch {
 	case err != nil:
 		// The verdict of Begin concerns the key, not only this request.
@@ -190,7 +192,7 @@
 		err = attempt.Finish(ctx, v, rec)
 	}
 	if err != nil {
-		r.record("outcome-not-recorded", err.Error())
+		r.record(drtimeline.OutcomeNotRecorded, fmt.Sprintf("error=%q", err))
 	}
 }
 
@@ -216,6 +218,6 @@
 		res.SkipBody = true
 	}
 	res.SetBody(a.Body)
-	r.record("request-served", "")
+	r.served(a.Status)
 	return nil
 }
--- a/drgate/server.go
+++ b/drgate/server.go
@@ -172,7 +172,11 @@
 	p.write(&ctx.Response)
 	ctx.Response.Header.Set(headerRequestID, id)
 	ctx.SetConnectionClose()
-	s.Recorder.Record(drtimeline.Event{Name: "request-refused", RequestID: id, Detail: fmt.Sprintf("status=%d", p.Status)})
+	reason := drverdict.ReasonOf(e).String()
+	s.Meter.Ended(p.Status, reason)
+	s.Recorder.Record(drtimeline.Event{
+		Name: drtimeline.RequestRefused, RequestID: id, Status: p.Status, Reason: reason, Detail: "run=" + p.Run,
+	})
 }
 
 // handle serves one request.
@@ -190,7 +194,7 @@
 	}
 	defer func() {
 		if p := recover(); p != nil {
-			s.Recorder.Record(drtimeline.Event{Name: "request-panicked", RequestID: r.id, Detail: fmt.Sprint(p)})
+			r.record(drtimeline.RequestPanicked, fmt.Sprintf("error=%q", fmt.Sprint(p)))
 			r.refuse(drverdict.New(drverdict.MayHaveRun, drverdict.Internal, "internal error"))
 			ctx.SetConnectionClose()
 		}
--- a/drlimit/account.go
+++ b/drlimit/account.go
@@ -89,6 +89,7 @@
 	}
 	a.grant(a.limiter.config.Clock.Now())
 	have := a.available()
+	inRate := a.held(a.limiter.config.Clock.Now()) >= ahead+w.tokens
 	a.mu.Unlock()
 	a.wake()
 	if err := ctx.Err(); err != nil {
@@ -98,9 +99,22 @@
 		}
 		return nil, drverdict.Wrap(drverdict.NotRun, reason, err, "waiting for tokens")
 	}
+	if inRate {
+		a.limiter.config.Meter.RefusedInRate(a.name)
+	}
 	return nil, a.overRate(w.tokens, ahead+w.tokens-have, limit)
 }
 
+// held estimates the tokens that are left here and with all holders, also with
+// those that do not answer. It is called with a.mu held.
+func (a *account) held(now time.Time) float64 {
+	sum := a.available()
+	for _, s := range a.sources {
+		sum += s.estimate(a.limit.Rate, a.limit.Burst, now)
+	}
+	return sum
+}
+
 // overRate returns the refusal of a request that lacks tokens. Retry-After is
 // the time in which the rate makes up for what is missing.
 func (a *account) overRate(tokens, missing float64, limit drconfig.Limit) error {
--- a/drlimit/holder.go
+++ b/drlimit/holder.go
@@ -138,7 +138,7 @@
 func (h *Holder) Run(ctx context.Context) {
 	for {
 		if err := h.balance(ctx); err != nil && ctx.Err() == nil {
-			h.config.Recorder.Record(drtimeline.Event{Name: "shares-not-acquired", Detail: fmt.Sprintf("error=%q", err)})
+			h.config.Recorder.Record(drtimeline.Event{Name: drtimeline.SharesNotAcquired, Detail: fmt.Sprintf("error=%q", err)})
 		}
 		h.start()
 		if h.config.Clock.Sleep(ctx, acquireInterval) != nil {
--- a/drlimit/limiter.go
+++ b/drlimit/limiter.go
@@ -22,6 +22,8 @@
 	// Holder lends the shares of this VM without a call.
 	Holder *Holder
 	Policy Policy
+	// Meter takes measurements; nil drops them.
+	Meter Meter
 }
 
 // Limiter admits requests on an entry VM. It is safe for concurrent use.
@@ -36,6 +38,9 @@
 
 // New returns a limiter without borrowed tokens.
 func New(c Config) *Limiter {
+	if c.Meter == nil {
+		c.Meter = noMeter{}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Limiter{config: c, ctx: ctx, cancel: cancel, accounts: make(map[string]*account)}
 }
--- a/drlimit/pump.go
+++ b/drlimit/pump.go
@@ -157,6 +157,7 @@
 		defer a.mu.Unlock()
 		s.answered(reply.GetTokens(), reply.GetLevel(), int(reply.GetShares()), err == nil, now)
 		if err == nil && reply.GetTokens() > 0 {
+			l.config.Meter.Borrowed(a.name, reply.GetTokens())
 			o := &lot{
 				holder: process{p.vm, reply.GetIncarnation()}, loan: reply.GetLoan(),
 				sentAt: sentAt, left: reply.GetTokens(),
@@ -202,6 +203,7 @@
 			requests[l.holder] = r
 		}
 		a.sequence++
+		a.limiter.config.Meter.Returned(a.name, l.unused+l.refund)
 		r.Parts = append(r.Parts, &drpb.ReturnPart{
 			Loan: l.loan, Sequence: a.sequence, Unused: l.unused, Used: l.used, Refund: l.refund,
 		})
--- a/drlog/follower.go
+++ b/drlog/follower.go
@@ -118,7 +118,7 @@
 			break
 		}
 		if !failing {
-			f.note("log-read-failed", "error=%q", err)
+			f.note(drtimeline.LogReadFailed, "error=%q", err)
 		}
 		wait, failing = 0, true
 		f.ReadPeers(ctx)
@@ -215,7 +215,7 @@
 	switch {
 	case !ok:
 		f.partial = f.partial || isNewer(r.Data)
-		f.note("log-record-skipped", "offset=%d", r.Offset)
+		f.note(drtimeline.LogRecordSkipped, "offset=%d", r.Offset)
 	case part != nil:
 		if s := f.assembler.add(part, r.Time); s != nil && s.covers < r.Offset {
 			f.policy.covered(s.covers, s.time)
@@ -258,7 +258,7 @@
 		return
 	}
 	f.scan = &scan{first: gap.First, next: gap.First}
-	f.note("log-gap", "held=%d first=%d next=%d", f.offset, gap.First, gap.Next)
+	f.note(drtimeline.LogGap, "held=%d first=%d next=%d", f.offset, gap.First, gap.Next)
 }
 
 // restoreScanned restores a state that joins the scanned records and applies
@@ -283,10 +283,10 @@
 		return false
 	}
 	if err := f.config.Folder.Restore(covers, data); err != nil {
-		f.note("log-snapshot-rejected", "covers=%d error=%q", covers, err)
+		f.note(drtimeline.LogSnapshotRejected, "covers=%d error=%q", covers, err)
 		return false
 	}
-	f.note("log-snapshot-restored", "held=%d covers=%d", f.offset, covers)
+	f.note(drtimeline.LogSnapshotRestored, "held=%d covers=%d", f.offset, covers)
 	f.offset = covers
 	f.tail.clear()
 	f.assembler = assembler{}
--- a/drlog/follower_snapshot.go
+++ b/drlog/follower_snapshot.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
@@ -21,7 +22,7 @@
 			continue
 		}
 		if err := f.writeSnapshotIfDue(ctx); err != nil {
-			f.note("log-snapshot-failed", "error=%q", err)
+			f.note(drtimeline.LogSnapshotFailed, "error=%q", err)
 		}
 	}
 }
@@ -40,7 +41,7 @@
 	if err := f.writeSnapshot(ctx, offset, data); err != nil {
 		return err
 	}
-	f.note("log-snapshot-written", "covers=%d bytes=%d", offset, len(data))
+	f.note(drtimeline.LogSnapshotWritten, "covers=%d bytes=%d", offset, len(data))
 	return nil
 }
 
--- a/drlog/freshness.go
+++ b/drlog/freshness.go
@@ -143,7 +143,7 @@
 	f.last = state
 	f.mu.Unlock()
 	if changed {
-		f.config.Events.Record(drtimeline.Event{Name: "log-freshness", Detail: "state=" + state.String()})
+		f.config.Events.Record(drtimeline.Event{Name: drtimeline.LogFreshness, Detail: "state=" + state.String()})
 	}
 }
 
--- a/drmember/membership.go
+++ b/drmember/membership.go
@@ -164,10 +164,16 @@
 	return s
 }
 
+// stateEvents are the events of a change to a state.
+var stateEvents = map[State]string{
+	Alive: drtimeline.MemberAlive, Suspect: drtimeline.MemberSuspect,
+	Unreachable: drtimeline.MemberUnreachable, Leaving: drtimeline.MemberLeaving,
+}
+
 // enter changes the state of r.
 func (m *Membership) enter(r *record, s State, now time.Time) {
 	if r.State != s {
-		m.event("member-"+s.String(), r.VM)
+		m.event(stateEvents[s], r.VM)
 	}
 	r.State, r.since = s, now
 	m.changed(r)
@@ -207,7 +213,7 @@
 	if !ok {
 		r = &record{Member: Member{VM: o.GetVm()}, since: now}
 		m.records[r.VM] = r
-		m.event("member-joined", r.VM)
+		m.event(drtimeline.MemberJoined, r.VM)
 	} else if r.older(o) {
 		return
 	}
@@ -241,7 +247,7 @@
 	if r, ok := m.gone[o.GetVm()]; ok {
 		delete(m.gone, r.VM)
 		m.records[r.VM] = r
-		m.event("member-returned", r.VM)
+		m.event(drtimeline.MemberReturned, r.VM)
 	}
 	m.observe(o, m.config.Clock.Now())
 	if r, ok := m.records[o.GetVm()]; ok {
--- a/drmember/poll.go
+++ b/drmember/poll.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
 )
 
 // errEmptyList is returned for a list without entry VMs. This process runs on
@@ -29,7 +30,7 @@
 	}
 	if err != nil {
 		if m.pollOK {
-			m.event("vm-list-unavailable", m.self.VM)
+			m.event(drtimeline.VMListUnavailable, m.self.VM)
 		}
 		m.pollOK = false
 		return err
@@ -75,7 +76,7 @@
 		if r, ok = m.records[v.ID]; !ok {
 			r = &record{Member: Member{VM: v.ID}, since: now}
 			m.records[v.ID] = r
-			m.event("member-joined", v.ID)
+			m.event(drtimeline.MemberJoined, v.ID)
 		}
 		r.Zone, r.Address = v.Zone, v.Address
 		delete(m.gone, v.ID)
@@ -83,7 +84,7 @@
 	r.listed, r.everListed = true, true
 	leaving := v.State == stateLeaving
 	if leaving && !r.listLeaving {
-		m.event("member-leaving", v.ID)
+		m.event(drtimeline.MemberLeaving, v.ID)
 	}
 	r.listLeaving = leaving
 }
@@ -111,7 +112,7 @@
 			if r.absent > m.config.ListLag+m.config.ListMargin {
 				m.forget(vm)
 				m.gone[vm], r.since = r, now
-				m.event("member-gone", vm)
+				m.event(drtimeline.MemberGone, vm)
 			}
 		}
 	}
--- a/drnet/bench_test.go
+++ b/drnet/bench_test.go
@@ -25,7 +25,7 @@
 		b.Fatal(err)
 	}
 	if bridge {
-		l, err := newLoops(2)
+		l, err := newLoops(2, nil)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/drnet/config.go
+++ b/drnet/config.go
@@ -46,6 +46,8 @@
 	// MaxConnections bounds the open connections of a Server; further ones
 	// are closed at once. 0 means no bound.
 	MaxConnections int
+	// Traffic, if not nil, counts the bytes of the connections.
+	Traffic *Traffic
 }
 
 func (c Config) withDefaults() Config {
--- a/drnet/conn.go
+++ b/drnet/conn.go
@@ -58,6 +58,8 @@
 	local, remote net.Addr
 	onClose       func(*conn)
 
+	traffic *Traffic
+
 	mu     sync.Mutex
 	gc     gnet.Conn
 	fd     int
@@ -110,6 +112,7 @@
 	if err != nil || len(data) == 0 {
 		return false
 	}
+	c.traffic.addReceived(len(data))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -284,6 +287,7 @@
 	if err != nil {
 		return 0, c.opError("write", os.NewSyscallError("write", err))
 	}
+	c.traffic.addSent(n)
 	return n, nil
 }
 
--- a/drnet/dialer.go
+++ b/drnet/dialer.go
@@ -15,7 +15,7 @@
 
 // NewDialer returns a dialer. Close it to end its event loops.
 func NewDialer(config Config) (*Dialer, error) {
-	l, err := newLoops(config.Loops)
+	l, err := newLoops(config.Loops, config.Traffic)
 	if err != nil {
 		return nil, err
 	}
--- a/drnet/loops.go
+++ b/drnet/loops.go
@@ -17,7 +17,8 @@
 // loops is a group of gnet event loops that serves connections made elsewhere.
 type loops struct {
 	gnet.BuiltinEventEngine
-	client *gnet.Client
+	client  *gnet.Client
+	traffic *Traffic // nil if nothing is counted
 
 	// mu is held for reading while a connection is added, because gnet does
 	// not answer once its loops have stopped.
@@ -28,11 +29,11 @@
 	conns   map[*conn]struct{}
 }
 
-func newLoops(n int) (*loops, error) {
+func newLoops(n int, t *Traffic) (*loops, error) {
 	if n <= 0 {
 		n = min(maxLoops, runtime.NumCPU())
 	}
-	l := &loops{conns: make(map[*conn]struct{})}
+	l := &loops{conns: make(map[*conn]struct{}), traffic: t}
 	c, err := gnet.NewClient(l, gnet.WithOptions(gnet.Options{
 		NumEventLoop: n, Multicore: n > 1, ReadBufferCap: readChunk, Logger: quiet{},
 	}))
@@ -55,7 +56,7 @@
 		return nil, net.ErrClosed
 	}
 	c := newConn(nc.LocalAddr(), nc.RemoteAddr())
-	c.onClose = l.remove
+	c.onClose, c.traffic = l.remove, l.traffic
 	l.connsMu.Lock()
 	l.conns[c] = struct{}{}
 	l.connsMu.Unlock()
--- a/drnet/server.go
+++ b/drnet/server.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", config.Address, err)
 	}
-	l, err := newLoops(config.Loops)
+	l, err := newLoops(config.Loops, config.Traffic)
 	if err != nil {
 		_ = ln.Close()
 		return nil, err
--- a/dronce/call.go
+++ b/dronce/call.go
@@ -8,7 +8,9 @@
 
 // Call identifies a call that must run at most once.
 type Call struct {
-	Account string
+	// RequestID appears in events.
+	RequestID string
+	Account   string
 	// Key is the Idempotency-Key.
 	Key string
 	// Fingerprint is a hash of the request. A key is bound to it.
--- a/dronce/once.go
+++ b/dronce/once.go
@@ -374,7 +374,9 @@
 				}
 			}
 			if o.config.Clock.Sleep(o.ctx, pause) != nil {
-				o.config.Recorder.Record(drtimeline.Event{Name: "once-not-recorded", Account: c.Account})
+				o.config.Recorder.Record(drtimeline.Event{
+					Name: drtimeline.OnceNotRecorded, RequestID: c.RequestID, Account: c.Account,
+				})
 				return
 			}
 		}
--- a/dronce/once_test.go
+++ b/dronce/once_test.go
@@ -37,7 +37,7 @@
 	r.key = key
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	a, answer, err := n.once.Begin(ctx, Call{"acme", key, []byte("f")})
+	a, answer, err := n.once.Begin(ctx, Call{Account: "acme", Key: key, Fingerprint: []byte("f")})
 	if !n.gate() {
 		return r, false
 	}
@@ -191,7 +191,7 @@
 		begin := func(vm int, key, fingerprint string, timeout time.Duration) (*Attempt, *Answer, error) {
 			ctx, cancel := context.WithTimeout(t.Context(), timeout)
 			defer cancel()
-			return w.node(vm).once.Begin(ctx, Call{"acme", key, []byte(fingerprint)})
+			return w.node(vm).once.Begin(ctx, Call{Account: "acme", Key: key, Fingerprint: []byte(fingerprint)})
 		}
 		refused := func(v drverdict.Verdict, r drverdict.Reason) func(*Attempt, *Answer, error) {
 			return func(a *Attempt, answer *Answer, err error) {
@@ -302,7 +302,7 @@
 		defer w.close()
 		clear(w.node(0).home.config.Journals[:])
 		for i := range 20 { // some of them have vm-00 as first home
-			_, _, err := w.node(0).once.Begin(t.Context(), Call{"acme", fmt.Sprint(i), nil})
+			_, _, err := w.node(0).once.Begin(t.Context(), Call{Account: "acme", Key: fmt.Sprint(i), Fingerprint: nil})
 			is.NoErr(err)
 		}
 		_, err := w.node(0).home.reserve(t.Context(), &drpb.OnceIntent{Account: "a", Key: "k", Attempt: "x", Vm: "v"})
@@ -321,7 +321,7 @@
 				p.MarkGap()
 			}
 		}
-		_, _, err := w.node(0).once.Begin(t.Context(), Call{"acme", "k", nil})
+		_, _, err := w.node(0).once.Begin(t.Context(), Call{Account: "acme", Key: "k", Fingerprint: nil})
 		is.Equal(drverdict.ReasonOf(err), drverdict.OutcomeUnknown)
 		is.Equal(drverdict.Of(err), drverdict.MayHaveRun)
 
@@ -377,7 +377,7 @@
 			n := w.node(r.IntN(vms))
 			wg.Go(func() {
 				at := time.Now()
-				a, _, err := n.once.Begin(t.Context(), Call{"acme", fmt.Sprint(i), nil})
+				a, _, err := n.once.Begin(t.Context(), Call{Account: "acme", Key: fmt.Sprint(i), Fingerprint: nil})
 				if err != nil || a.Start(t.Context()) != nil {
 					t.Error(err)
 					return
--- a/drplace/keeper.go
+++ b/drplace/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelridge/dotterelridge/drmember"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drset"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
@@ -239,7 +240,7 @@
 // engineRestarted forgets what belonged to the engine's earlier process. What
 // was wanted is loaded again without a pause.
 func (k *keeper) engineRestarted() {
-	k.p.record("engine-restarted", k.runner, key{}, "")
+	k.p.record(drtimeline.EngineRestarted, k.runner, key{}, "")
 	for ky, l := range k.loads {
 		if l.phase == ordered {
 			l.end()
--- a/drplace/keeper_load.go
+++ b/drplace/keeper_load.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drengine"
 	"github.com/dotterelridge/dotterelridge/drset"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
@@ -59,7 +60,7 @@
 	delete(k.failures, ky)
 	k.o.speeds.observe(ky, l.from, l.bytes, took)
 	k.used(ky)
-	k.p.record("load-ended", k.runner, ky, "took="+took.String())
+	k.p.note(drtimeline.Event{Name: drtimeline.LoadEnded, Took: took}, k.runner, ky)
 }
 
 // loadFailed makes the next attempt wait, twice as long after each failure.
@@ -73,7 +74,7 @@
 	}
 	f.until = k.now().Add(min(backoffFirst<<min(f.count, 10), backoffLast))
 	f.count++
-	k.p.record("load-failed", k.runner, ky, "")
+	k.p.record(drtimeline.LoadFailed, k.runner, ky, "")
 }
 
 // serveWants starts the loads that wake-ups ask for, models before adapters.
@@ -261,7 +262,7 @@
 		return err
 	}
 	l.phase, l.since = ordered, k.now()
-	k.p.record("load-ordered", k.runner, l.key, "replica="+l.replica)
+	k.p.record(drtimeline.LoadOrdered, k.runner, l.key, "replica="+l.replica)
 	return nil
 }
 
@@ -348,7 +349,7 @@
 				continue
 			}
 		}
-		k.unload(ctx, r)
+		k.unload(ctx, r, causeNoRight)
 	}
 }
 
@@ -367,7 +368,7 @@
 			k.due(end)
 			continue
 		}
-		k.unload(ctx, r)
+		k.unload(ctx, r, causeIdle)
 	}
 }
 
--- a/drplace/keeper_memory.go
+++ b/drplace/keeper_memory.go
@@ -135,7 +135,7 @@
 		return false, false
 	}
 	for _, r := range chosen {
-		k.unload(ctx, r)
+		k.unload(ctx, r, causeMemory)
 	}
 	return false, true
 }
--- a/drplace/keeper_order.go
+++ b/drplace/keeper_order.go
@@ -6,9 +6,17 @@
 
 	"github.com/dotterelridge/dotterelridge/drengine"
 	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
+// Causes of unloads.
+const (
+	causeIdle    = "idle"
+	causeMemory  = "memory"
+	causeNoRight = "no-right"
+)
+
 // order sends an order. An error with verdict NotRun means that it has no
 // effect; after another error it may take effect until its doubt ends.
 func (k *keeper) order(ctx context.Context, ky key, o drengine.Order) error {
@@ -29,7 +37,9 @@
 		k.doubts[o.Replica] = d
 	}
 	if err != nil {
-		k.p.record("order-failed", k.runner, ky, "op="+string(o.Op)+" reason="+drverdict.ReasonOf(err).String())
+		k.p.note(drtimeline.Event{
+			Name: drtimeline.OrderFailed, Reason: drverdict.ReasonOf(err).String(), Detail: "op=" + string(o.Op),
+		}, k.runner, ky)
 	}
 	return err
 }
@@ -90,7 +100,7 @@
 
 // unload orders the unload of a replica, unless the order was sent recently or
 // a load of the same replica may still arrive after it.
-func (k *keeper) unload(ctx context.Context, r drengine.Replica) {
+func (k *keeper) unload(ctx context.Context, r drengine.Replica, cause string) {
 	if at, ok := k.unloads[r.ID]; ok && k.now().Sub(at) < quarantine {
 		return
 	}
@@ -105,6 +115,6 @@
 	err := k.order(ctx, ky, o)
 	if err == nil || drverdict.Of(err) != drverdict.NotRun {
 		k.unloads[r.ID] = k.now()
-		k.p.record("unload-ordered", k.runner, ky, "replica="+r.ID)
+		k.p.note(drtimeline.Event{Name: drtimeline.UnloadOrdered, Reason: cause, Detail: "replica=" + r.ID}, k.runner, ky)
 	}
 }
--- a/drplace/keeper_release.go
+++ b/drplace/keeper_release.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
@@ -47,7 +48,7 @@
 		Model: model, Runner: k.runner, Grant: r.Grant, Fence: k.fence,
 	}}})
 	if done {
-		k.p.record("right-released", k.runner, key{model: model}, "")
+		k.p.record(drtimeline.RightReleased, k.runner, key{model: model}, "")
 	}
 	return done
 }
--- /dev/null
+++ b/drplace/owned.go
@@ -0,0 +1,50 @@
+package drplace
+
+import (
+	"slices"
+	"strings"
+)
+
+// OwnedRunner is what this VM knows about a runner that it owns.
+type OwnedRunner struct {
+	Runner string
+	Fence  uint64
+	// MemoryBytes is the runner's memory; ReservedBytes are loaded, loading or
+	// possibly loaded by an order on its way.
+	MemoryBytes, ReservedBytes int64
+	// Running is the number of generations by the engine's own report.
+	Running int
+	// Loaded names the loaded models, and adapters as MODEL+ADAPTER, sorted.
+	Loaded []string
+}
+
+// Owned returns the runners that this VM owns and has heard of, sorted.
+func (p *Place) Owned() []OwnedRunner {
+	p.owner.mu.Lock()
+	keepers := make([]*keeper, 0, len(p.owner.keepers))
+	for _, k := range p.owner.keepers {
+		keepers = append(keepers, k)
+	}
+	p.owner.mu.Unlock()
+	var out []OwnedRunner
+	for _, k := range keepers {
+		s := k.published()
+		if s == nil {
+			continue
+		}
+		r := OwnedRunner{
+			Runner: s.Runner, Fence: s.Fence, MemoryBytes: s.MemoryBytes, ReservedBytes: s.ReservedBytes, Running: int(s.Running),
+		}
+		for _, l := range s.Loaded {
+			name := l.Model
+			if l.Adapter != "" {
+				name += "+" + l.Adapter
+			}
+			r.Loaded = append(r.Loaded, name)
+		}
+		slices.Sort(r.Loaded)
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b OwnedRunner) int { return strings.Compare(a.Runner, b.Runner) })
+	return out
+}
--- a/drplace/owner.go
+++ b/drplace/owner.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drpeer"
 	"github.com/dotterelridge/dotterelridge/drset"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
@@ -190,7 +191,7 @@
 	k := newKeeper(o, b, fencing, own)
 	o.keepers[b.VM] = k
 	o.active[own.Fence] = true
-	o.p.record("runner-owned", b.VM, key{}, "")
+	o.p.record(drtimeline.RunnerOwned, b.VM, key{}, "")
 	o.work.Go(func() {
 		k.run(ctx)
 		o.mu.Lock()
--- a/drplace/place.go
+++ b/drplace/place.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -127,8 +128,14 @@
 }
 
 func (p *Place) record(name, runner string, k key, detail string) {
+	p.note(drtimeline.Event{Name: name, Detail: detail}, runner, k)
+}
+
+// note records e with the runner and what it concerns there.
+func (p *Place) note(e drtimeline.Event, runner string, k key) {
+	e.Backend, e.Model = runner, k.model
 	if k.adapter != "" {
-		detail += " adapter=" + k.adapter
+		e.Detail = strings.TrimSpace(e.Detail + " adapter=" + k.adapter)
 	}
-	p.Recorder.Record(drtimeline.Event{Name: name, Backend: runner, Model: k.model, Detail: detail})
+	p.Recorder.Record(e)
 }
--- a/drplace/planner.go
+++ b/drplace/planner.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drpeer"
 	"github.com/dotterelridge/dotterelridge/drset"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
@@ -173,7 +174,7 @@
 	if l.p.Ledger.RightsOn(b.VM)[m.Name].Grant != at {
 		return drverdict.New(drverdict.NotRun, drverdict.Conflict, "grant of model %q on runner %q was superseded", m.Name, b.VM)
 	}
-	l.p.record("right-granted", b.VM, key{model: m.Name}, "")
+	l.p.record(drtimeline.RightGranted, b.VM, key{model: m.Name}, "")
 	return nil
 }
 
--- a/drqueue/item.go
+++ b/drqueue/item.go
@@ -8,7 +8,9 @@
 
 // Item is a request in the queue.
 type Item struct {
-	Account string
+	// RequestID appears in events.
+	RequestID string
+	Account   string
 	// KeyID is the id of the key that the request carries, for RemoveIf.
 	KeyID string
 	// Weight of the account under contention; 1 if not positive.
--- a/drqueue/queue.go
+++ b/drqueue/queue.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -107,8 +106,8 @@
 	}
 	if err != nil {
 		q.config.Recorder.Record(drtimeline.Event{
-			Name: "queue-refused", Account: item.Account, Model: q.config.Model,
-			Detail: fmt.Sprintf("reason=%v waited=%v", drverdict.ReasonOf(err), q.config.Clock.Since(now)),
+			Name: drtimeline.QueueRefused, RequestID: item.RequestID, Account: item.Account, Model: q.config.Model,
+			Reason: drverdict.ReasonOf(err).String(), Took: q.config.Clock.Since(now),
 		})
 		return nil, err
 	}
@@ -301,6 +300,13 @@
 	return q.count, q.running
 }
 
+// Bytes returns the memory of the waiting requests.
+func (q *Queue) Bytes() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.bytes
+}
+
 // EstimatedWait returns how long an item would wait if it was enqueued now;
 // false if too few items were served to tell.
 func (q *Queue) EstimatedWait(i Item) (time.Duration, bool) {
--- a/drroute/ejector.go
+++ b/drroute/ejector.go
@@ -45,8 +45,9 @@
 }
 
 // Failure counts a failure of the server at addr. After a period of ejection
-// one further failure suffices to eject it again, for twice as long.
-func (e *Ejector) Failure(addr string) {
+// one further failure suffices to eject it again, for twice as long. It returns
+// how long the server is ejected from now on, 0 if the failure did not eject it.
+func (e *Ejector) Failure(addr string) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	h := e.state[addr]
@@ -59,14 +60,15 @@
 	}
 	now := e.clock.Now()
 	if now.Before(h.until) {
-		return
+		return 0
 	}
 	h.failures++
 	if h.failures < ejectAfter {
-		return
+		return 0
 	}
 	h.period = min(max(2*h.period, ejectFirst), ejectMax)
 	h.until = now.Add(h.period)
+	return h.period
 }
 
 // Usable returns the servers of a fleet that are not ejected. It never leaves
--- a/drroute/router.go
+++ b/drroute/router.go
@@ -168,7 +168,14 @@
 
 // wake has the model loaded because no usable runner has it.
 func (r *Router) wake(s *Stream) (Runner, error) {
+	start := r.Clock.Now()
+	s.note(drtimeline.Event{Name: drtimeline.WakeRequested}, "")
 	x, err := r.Waker.Wake(s.ctx, s.request.Model, s.request.Adapter, s.request.Deadline)
+	answered := drtimeline.Event{Name: drtimeline.WakeAnswered, Took: r.Clock.Since(start)}
+	if err != nil {
+		answered.Reason = drverdict.ReasonOf(err).String()
+	}
+	s.note(answered, x.Address)
 	if err != nil {
 		if ended := s.ended(); ended != nil {
 			return x, ended
--- a/drroute/services.go
+++ b/drroute/services.go
@@ -54,8 +54,9 @@
 	failed := make(map[string]bool)
 	verdict := drverdict.NotRun
 	var last error
+	var from drmember.Backend // of the last failure
 	for attempt := 0; ; attempt++ {
-		if attempt > 0 && (attempt >= maxAttempts || !s.budget.retry()) {
+		if attempt > 0 && (attempt >= maxAttempts || !s.retry(from, c)) {
 			return Answer{}, drverdict.Wrap(verdict, drverdict.BackendFailed, last, "no further attempt")
 		}
 		b, run, err := s.place(ctx, fleet, f, failed, verdict)
@@ -72,11 +73,12 @@
 				return Answer{}, drverdict.Wrap(verdict, drverdict.ReasonOf(err), err, "not dispatched")
 			}
 		}
+		s.record(drtimeline.CallDispatched, b, c)
 		a, err := s.try(ctx, b, run, c)
 		if err == nil {
 			return a, nil
 		}
-		last = err
+		last, from = err, b
 		verdict = max(verdict, drverdict.Of(err))
 		failed[b.Address] = true
 		if ended := contextError(ctx, verdict); ended != nil {
@@ -88,7 +90,27 @@
 		if verdict == drverdict.Ran || verdict != drverdict.NotRun && !c.Repeatable {
 			return Answer{}, drverdict.Wrap(verdict, drverdict.BackendFailed, err, "call failed and may not be repeated")
 		}
-		s.Recorder.Record(drtimeline.Event{Name: "call-retried", RequestID: c.ID, Account: c.Account, Backend: b.Address})
+	}
+}
+
+// retry reports whether the budget allows a retry after a failure of b.
+func (s *Services) retry(b drmember.Backend, c Call) bool {
+	if !s.budget.retry() {
+		s.record(drtimeline.RetryRefused, b, c)
+		return false
+	}
+	s.record(drtimeline.CallRetried, b, c)
+	return true
+}
+
+func (s *Services) record(name string, b drmember.Backend, c Call) {
+	s.Recorder.Record(drtimeline.Event{Name: name, RequestID: c.ID, Account: c.Account, Backend: b.Address})
+}
+
+// failure counts a failure of b.
+func (s *Services) failure(b drmember.Backend) {
+	if d := s.ejector.Failure(b.Address); d > 0 {
+		s.Recorder.Record(drtimeline.Event{Name: drtimeline.BackendEjected, Backend: b.Address, Detail: "for=" + d.String()})
 	}
 }
 
@@ -104,9 +126,9 @@
 		run.Succeed()
 	case ctx.Err() != nil:
 	case drverdict.Of(err) == drverdict.NotRun:
-		s.ejector.Failure(b.Address)
+		s.failure(b)
 	default:
-		s.ejector.Failure(b.Address)
+		s.failure(b)
 		run.Crash(ctx)
 	}
 	return a, err
--- a/drroute/stream.go
+++ b/drroute/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 
 	"github.com/dotterelridge/dotterelridge/drengine"
@@ -80,7 +81,7 @@
 		})
 		if err == nil {
 			s.dispatched = true
-			s.record("generation-dispatched", "")
+			s.record(drtimeline.GenerationDispatched, "")
 			return nil
 		}
 		if drverdict.Of(err) != drverdict.NotRun {
@@ -233,7 +234,7 @@
 // recover continues a broken stream: on the same engine if that still holds
 // the generation, else on another.
 func (s *Stream) recover(cause error) error {
-	s.record("stream-broken", cause.Error())
+	s.record(drtimeline.StreamBroken, fmt.Sprintf("error=%q", cause))
 	if s.resumes < maxResumes {
 		s.resumes++
 		if s.resume() == nil {
@@ -269,11 +270,13 @@
 	s.failed[s.runner.Address] = s.runner.Instance
 	overloaded := drverdict.Of(cause) == drverdict.NotRun && drverdict.ReasonOf(cause) == drverdict.NoCapacity
 	if !overloaded {
-		s.router.ejector.Failure(s.runner.Address)
+		if d := s.router.ejector.Failure(s.runner.Address); d > 0 {
+			s.record(drtimeline.BackendEjected, "for="+d.String())
+		}
 	}
 	if drverdict.Of(cause) != drverdict.NotRun && s.crashed() {
 		s.router.prefixes.drop(s.runner.Address)
-		s.record("backend-crashed", "")
+		s.record(drtimeline.BackendCrashed, "")
 		s.run.Crash(s.ctx)
 	} else if drverdict.Of(cause) != drverdict.NotRun {
 		s.cancelGeneration()
@@ -282,7 +285,7 @@
 	if err := s.router.Suspects.Check(s.fingerprint); err != nil {
 		return err
 	}
-	if s.attempts >= maxAttempts || !s.router.budget.retry() {
+	if s.attempts >= maxAttempts || !s.retry() {
 		if _, ok := cause.(*drverdict.Error); ok && !s.dispatched { //nolint:errorlint // keep the engine's own reason
 			return cause
 		}
@@ -292,10 +295,19 @@
 		}
 		return drverdict.Wrap(v, drverdict.BackendFailed, cause, "no further attempt")
 	}
-	s.record("generation-retried", fmt.Sprintf("delivered=%d", len(s.delivered)))
+	s.record(drtimeline.GenerationRetried, fmt.Sprintf("delivered=%d", len(s.delivered)))
 	return nil
 }
 
+// retry reports whether the budget allows a retry.
+func (s *Stream) retry() bool {
+	ok := s.router.budget.retry()
+	if !ok {
+		s.record(drtimeline.RetryRefused, "")
+	}
+	return ok
+}
+
 // crashed reports whether the engine process that held the generation is gone
 // although it was not leaving.
 func (s *Stream) crashed() bool {
@@ -330,8 +342,14 @@
 }
 
 func (s *Stream) record(name, detail string) {
-	s.router.Recorder.Record(drtimeline.Event{
-		Name: name, RequestID: s.request.RequestID, Account: s.request.Account,
-		Model: s.request.Model, Backend: s.runner.Address, Detail: detail,
-	})
+	s.note(drtimeline.Event{Name: name, Detail: detail}, s.runner.Address)
+}
+
+// note records e for the request, which concerns the backend server.
+func (s *Stream) note(e drtimeline.Event, backend string) {
+	e.RequestID, e.Account, e.Model, e.Backend = s.request.RequestID, s.request.Account, s.request.Model, backend
+	if a := s.request.Adapter; a != "" {
+		e.Detail = strings.TrimSpace(e.Detail + " adapter=" + a)
+	}
+	s.router.Recorder.Record(e)
 }
--- a/drserve/drain.go
+++ b/drserve/drain.go
@@ -18,7 +18,7 @@
 // early with an error if ctx ends.
 func (v *VM) Drain(ctx context.Context) error {
 	v.draining.Store(true)
-	v.events.Record(drtimeline.Event{Name: "drain-started"})
+	v.events.Record(drtimeline.Event{Name: drtimeline.DrainStarted})
 	if err := v.Clock.Sleep(ctx, time.Duration(v.Settings.DrainNotice)); err != nil {
 		return errors.Join(err, v.Close())
 	}
@@ -30,9 +30,9 @@
 	v.members.Leave(hctx)
 	v.place.Drain(hctx)
 	if herr := v.holder.Drain(hctx); herr != nil {
-		v.events.Record(drtimeline.Event{Name: "hand-over-failed", Detail: "what=shares"})
+		v.events.Record(drtimeline.Event{Name: drtimeline.HandOverFailed, Detail: "what=shares"})
 	}
-	v.events.Record(drtimeline.Event{Name: "drain-finished"})
+	v.events.Record(drtimeline.Event{Name: drtimeline.DrainFinished})
 	return errors.Join(err, v.Close())
 }
 
@@ -49,7 +49,7 @@
 	v.strikes.appends.Wait()
 	err = errors.Join(err, v.node.Close(), v.closeListeners(ctx))
 	v.running.Wait()
-	v.log.Close()
+	v.client.Close()
 	return errors.Join(err, v.dialer.Close())
 }
 
--- /dev/null
+++ b/drserve/measure.go
@@ -0,0 +1,94 @@
+package drserve
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drlog"
+	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drmetric"
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+)
+
+// idleSample is how often idle accelerators are looked for. It is the period
+// at which engines report their load at the latest.
+const idleSample = time.Second
+
+// registerMetrics registers the metrics that are read when the page is
+// written.
+func (v *VM) registerMetrics() {
+	m, start := v.metrics, v.Clock.Now()
+	m.GaugeFunc(drmetric.Queued, func() int64 { n, _ := v.queues.held(); return int64(n) })
+	m.GaugeFunc(drmetric.QueuedBytes, func() int64 { _, b := v.queues.held(); return b })
+	for _, f := range v.followers {
+		m.GaugeFunc(drmetric.FollowerLag, func() int64 { return int64(v.Clock.Since(later(f.Confirmed(), start))) }, f.Stream())
+		m.GaugeFunc(drmetric.FollowerOffset, func() int64 { return int64(f.Offset()) }, f.Stream())
+	}
+	m.GaugeFunc(drmetric.ConfigOffset, func() int64 { return int64(v.fold.Current().Offset()) })
+	for _, s := range []drmember.State{drmember.Alive, drmember.Suspect, drmember.Unreachable, drmember.Leaving} {
+		m.GaugeFunc(drmetric.Peers, func() int64 { return v.countMembers(s) }, s.String())
+	}
+	m.CounterFunc(drmetric.PeerBytes, v.traffic.Sent, "sent")
+	m.CounterFunc(drmetric.PeerBytes, v.traffic.Received, "received")
+	m.GaugeFunc(drmetric.CallerConnections, func() int64 {
+		if !v.started.Load() {
+			return 0
+		}
+		return int64(v.callers.Connections())
+	})
+	m.CounterFunc(drmetric.TimelineOverwrites, v.ring.Overwritten)
+	m.RegisterProcess()
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// countMembers counts the other entry VMs in a state.
+func (v *VM) countMembers(s drmember.State) int64 {
+	var n int64
+	for _, m := range v.members.Members() {
+		if m.State == s && m.VM != v.Settings.VM {
+			n++
+		}
+	}
+	return n
+}
+
+// measureIdle adds up the time in which owned runners have a model loaded and
+// run nothing.
+func (v *VM) measureIdle(ctx context.Context) {
+	idle, last := v.metrics.Counter(drmetric.IdleAccelerator), v.Clock.Now()
+	for v.Clock.Sleep(ctx, idleSample) == nil {
+		now := v.Clock.Now()
+		for _, r := range v.place.Owned() {
+			if len(r.Loaded) > 0 && r.Running == 0 {
+				idle.Inc(int64(now.Sub(last)))
+			}
+		}
+		last = now
+	}
+}
+
+// configFold counts and records the changes that the fold takes in.
+type configFold struct {
+	*drconfig.Fold
+	vm *VM
+}
+
+// Apply implements drlog.Folder.
+func (f *configFold) Apply(r drlog.Record) {
+	before := f.Current().Offset()
+	f.Fold.Apply(r)
+	result := "rejected" // also a repeat of an earlier change
+	if after := f.Current().Offset(); after != before {
+		result = "accepted"
+		f.vm.events.Record(drtimeline.Event{Name: drtimeline.ConfigApplied, Detail: fmt.Sprintf("offset=%d", after)})
+	}
+	f.vm.metrics.Counter(drmetric.ConfigChanges, result).Inc(1)
+}
--- /dev/null
+++ b/drserve/measured_log.go
@@ -0,0 +1,46 @@
+package drserve
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drlog"
+	"github.com/dotterelridge/dotterelridge/drmetric"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// measuredLog counts the calls of the log.
+type measuredLog struct {
+	log     drlog.Log
+	metrics *drmetric.Metrics
+}
+
+// Append implements drlog.Appender.
+func (l measuredLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	offset, err := l.log.Append(ctx, stream, data)
+	result := "appended"
+	switch {
+	case err == nil:
+	case drverdict.Of(err) == drverdict.NotRun:
+		result = "failed"
+	default:
+		result = "unknown"
+	}
+	l.metrics.Counter(drmetric.LogAppends, stream, result).Inc(1)
+	return offset, err
+}
+
+// Read implements drlog.Reader. A read that ends with the process is not
+// counted; the answer that records are no longer retained is a read.
+func (l measuredLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (drlog.Page, error) {
+	p, err := l.log.Read(ctx, stream, from, limit, wait)
+	_, gap := errors.AsType[*drlog.GapError](err)
+	switch {
+	case err == nil || gap:
+		l.metrics.Counter(drmetric.LogReads, stream, "read").Inc(1)
+	case !errors.Is(context.Cause(ctx), context.Canceled):
+		l.metrics.Counter(drmetric.LogReads, stream, "failed").Inc(1)
+	}
+	return p, err
+}
--- /dev/null
+++ b/drserve/meter.go
@@ -0,0 +1,74 @@
+package drserve
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drmetric"
+)
+
+// meter implements the meters of the gate and the limiter. The series that
+// every request touches are looked up once.
+type meter struct {
+	m          *drmetric.Metrics
+	firstToken func(time.Duration)
+	nextToken  func(time.Duration)
+	coldStart  func(time.Duration)
+}
+
+func newMeter(m *drmetric.Metrics) *meter {
+	observer := func(name string) func(time.Duration) {
+		h := m.Histogram(name)
+		return func(d time.Duration) { h.Update(int64(d)) }
+	}
+	return &meter{
+		m: m, firstToken: observer(drmetric.TimeToFirstToken), nextToken: observer(drmetric.InterTokenLatency),
+		coldStart: observer(drmetric.ColdStartWait),
+	}
+}
+
+// Ended implements drgate.Meter.
+func (m *meter) Ended(status int, reason string) {
+	m.m.Counter(drmetric.Requests, strconv.Itoa(status)).Inc(1)
+	if reason != "" {
+		m.m.Counter(drmetric.Refusals, reason).Inc(1)
+	}
+}
+
+// Admitted implements drgate.Meter.
+func (m *meter) Admitted(p drconfig.Priority, wait time.Duration) {
+	m.m.Observe(drmetric.QueueWait, wait, string(p))
+}
+
+// ColdStart implements drgate.Meter.
+func (m *meter) ColdStart(wait time.Duration) { m.coldStart(wait) }
+
+// FirstToken implements drgate.Meter.
+func (m *meter) FirstToken(wait time.Duration) { m.firstToken(wait) }
+
+// NextToken implements drgate.Meter.
+func (m *meter) NextToken(gap time.Duration) { m.nextToken(gap) }
+
+// Used implements drgate.Meter.
+func (m *meter) Used(account string, tokens float64) {
+	m.count(drmetric.ServedTokens, account, tokens)
+}
+
+// Borrowed implements drlimit.Meter.
+func (m *meter) Borrowed(account string, tokens float64) {
+	m.count(drmetric.BorrowedTokens, account, tokens)
+}
+
+// Returned implements drlimit.Meter.
+func (m *meter) Returned(account string, tokens float64) {
+	m.count(drmetric.ReturnedTokens, account, tokens)
+}
+
+// RefusedInRate implements drlimit.Meter.
+func (m *meter) RefusedInRate(account string) { m.count(drmetric.InRateRefusals, account, 1) }
+
+func (m *meter) count(name, account string, n float64) {
+	m.m.Counter(name, account).Inc(int64(math.Round(n)))
+}
--- a/drserve/once.go
+++ b/drserve/once.go
@@ -4,17 +4,30 @@
 	"context"
 
 	"github.com/dotterelridge/dotterelridge/drgate"
+	"github.com/dotterelridge/dotterelridge/drmetric"
 	"github.com/dotterelridge/dotterelridge/dronce"
 	"github.com/dotterelridge/dotterelridge/drroute"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
 // once adapts dronce.Once to the gate.
-type once struct{ o *dronce.Once }
+type once struct {
+	o       *dronce.Once
+	metrics *drmetric.Metrics
+}
 
 // Begin implements drgate.Once.
-func (a once) Begin(ctx context.Context, account, key string, f drroute.Fingerprint) (drgate.Attempt, *drgate.Record, error) {
-	at, ans, err := a.o.Begin(ctx, dronce.Call{Account: account, Key: key, Fingerprint: f[:]})
+func (a once) Begin(ctx context.Context, c drgate.KeyedCall) (drgate.Attempt, *drgate.Record, error) {
+	at, ans, err := a.o.Begin(ctx, dronce.Call{
+		RequestID: c.RequestID, Account: c.Account, Key: c.Key, Fingerprint: c.Fingerprint[:],
+	})
+	result := "granted"
+	if err != nil {
+		result = drverdict.ReasonOf(err).String()
+	} else if ans != nil {
+		result = "replayed"
+	}
+	a.metrics.Counter(drmetric.OnceCalls, result).Inc(1)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/drserve/operations.go
+++ b/drserve/operations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"slices"
 	"strings"
@@ -17,6 +18,7 @@
 	"github.com/dotterelridge/dotterelridge/drmember"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drset"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
@@ -81,6 +83,7 @@
 		}
 	}
 	if len(problems) > 0 {
+		o.noteChange(c, false)
 		return dradmin.ChangeResult{Problems: problems}, nil
 	}
 	_, err := v.configLog.Append(ctx, change.Encode())
@@ -89,7 +92,7 @@
 	}
 	for {
 		if r, ok := v.fold.Result(c.ID); ok {
-			v.events.Record(drtimeline.Event{Name: "config-changed", Detail: "change=" + c.ID})
+			o.noteChange(c, r.Accepted)
 			return dradmin.ChangeResult{Offset: r.Offset, Accepted: r.Accepted, Problems: r.Problems}, nil
 		}
 		if serr := v.Clock.Sleep(ctx, submitPoll); serr != nil {
@@ -99,6 +102,15 @@
 	}
 }
 
+// noteChange records what became of an operator's change.
+func (o operations) noteChange(c dradmin.Change, accepted bool) {
+	name := drtimeline.ConfigRejected
+	if accepted {
+		name = drtimeline.ConfigChanged
+	}
+	o.v.events.Record(drtimeline.Event{Name: name, Detail: fmt.Sprintf("change=%q author=%q", c.ID, c.Author)})
+}
+
 func decodeChange(c dradmin.Change) (drconfig.Change, []string) {
 	change := drconfig.Change{ID: c.ID, BasedOn: c.BasedOn, Author: c.Author}
 	var problems []string
@@ -158,10 +170,34 @@
 	calls.Wait()
 }
 
-// Timeline implements dradmin.Backend.
+// Timeline implements dradmin.Backend. With a request id, the result includes
+// what happened to the request's model meanwhile: a load serves all requests
+// that wait for it and so carries no request id.
 func (o operations) Timeline(ctx context.Context, f drtimeline.Filter) ([]drtimeline.Event, []string) {
 	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
 	defer cancel()
+	events, missing := o.collect(ctx, f)
+	if f.RequestID == "" || len(events) == 0 {
+		return events, missing
+	}
+	lists := [][]drtimeline.Event{events}
+	first, last := events[0].Stamp.Time(), events[len(events)-1].Stamp.Time()
+	models := make(drset.Set[string])
+	for _, e := range events {
+		if e.Model != "" {
+			models.Add(e.Model)
+		}
+	}
+	for _, m := range drset.Sorted(models) {
+		es, _ := o.collect(ctx, drtimeline.Filter{Model: m, From: first, To: last.Add(time.Millisecond)})
+		lists = append(lists, slices.DeleteFunc(es, func(e drtimeline.Event) bool { return e.RequestID != "" }))
+	}
+	return drtimeline.Merge(drtimeline.Filter{}, lists...), missing
+}
+
+// collect returns the selected events of all live VMs, and the VMs that did
+// not answer.
+func (o operations) collect(ctx context.Context, f drtimeline.Filter) ([]drtimeline.Event, []string) {
 	request := &drpb.OperateTimelineRequest{
 		RequestId: f.RequestID, Account: f.Account, Model: f.Model, FromMs: millis(f.From), ToMs: millis(f.To),
 	}
--- a/drserve/queues.go
+++ b/drserve/queues.go
@@ -47,6 +47,7 @@
 	queue.SetWindow(q.window(i.Model))
 	release, err := queue.Enqueue(ctx, drqueue.Item{
 		Account: i.Account, Weight: weight, Priority: i.Priority, Cost: i.Tokens, Bytes: int64(i.Bytes), Deadline: i.Deadline,
+		RequestID: i.RequestID,
 	})
 	if err != nil {
 		return nil, err
@@ -96,6 +97,18 @@
 	return slices.Collect(maps.Keys(q.queues))
 }
 
+// held returns the number and the memory of the waiting requests.
+func (q *queues) held() (count int, bytes int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, x := range q.queues {
+		waiting, _ := x.Len()
+		count += waiting
+		bytes += x.Bytes()
+	}
+	return count, bytes
+}
+
 // status returns the queues that hold requests.
 func (q *queues) status() []dradmin.QueueStatus {
 	q.mu.Lock()
--- a/drserve/recorder.go
+++ b/drserve/recorder.go
@@ -3,22 +3,69 @@
 import (
 	"github.com/apex/log"
 
+	"github.com/dotterelridge/dotterelridge/drmetric"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 )
 
-// recorder keeps events in the ring and logs each as one line.
-type recorder struct{ ring *drtimeline.Ring }
+// recorder keeps events in the ring, counts those that have a metric, and logs
+// each as one line.
+type recorder struct {
+	ring    *drtimeline.Ring
+	metrics *drmetric.Metrics
+	vm      string
+}
 
 // Record implements drtimeline.Recorder.
 func (r recorder) Record(e drtimeline.Event) {
 	r.ring.Record(e)
-	fields := log.Fields{"event": e.Name}
-	for name, value := range map[string]string{
-		"request-id": e.RequestID, "account": e.Account, "model": e.Model, "backend": e.Backend, "detail": e.Detail,
-	} {
-		if value != "" {
-			fields[name] = value
-		}
+	r.count(e)
+	level, ok := drtimeline.LevelOf(e.Name)
+	if !ok {
+		level = drtimeline.Warn
+	}
+	l, err := log.ParseLevel(string(level))
+	if err != nil || !enabled(l) {
+		return
+	}
+	fields := log.Fields{"event": e.Name, "vm": r.vm}
+	for _, a := range e.Attributes() {
+		fields[a.Key] = a.Value
+	}
+	entry := log.WithFields(fields)
+	switch l {
+	case log.DebugLevel:
+		entry.Debug("")
+	case log.InfoLevel:
+		entry.Info("")
+	case log.WarnLevel:
+		entry.Warn("")
+	default:
+		entry.Error("")
+	}
+}
+
+// enabled spares the fields of events that are not logged.
+func enabled(l log.Level) bool {
+	logger, ok := log.Log.(*log.Logger)
+	return !ok || l >= logger.Level
+}
+
+// count counts the events that have a metric.
+func (r recorder) count(e drtimeline.Event) {
+	m := r.metrics
+	switch e.Name {
+	case drtimeline.LoadEnded:
+		m.Counter(drmetric.Loads, "loaded").Inc(1)
+		m.Observe(drmetric.LoadTime, e.Took)
+	case drtimeline.LoadFailed:
+		m.Counter(drmetric.Loads, "failed").Inc(1)
+	case drtimeline.UnloadOrdered:
+		m.Counter(drmetric.Evictions, e.Reason).Inc(1)
+	case drtimeline.GenerationRetried, drtimeline.CallRetried:
+		m.Counter(drmetric.Retries, "allowed").Inc(1)
+	case drtimeline.RetryRefused:
+		m.Counter(drmetric.Retries, "over-budget").Inc(1)
+	case drtimeline.BackendEjected:
+		m.Counter(drmetric.Ejections).Inc(1)
 	}
-	log.WithFields(fields).Info("")
 }
--- a/drserve/status.go
+++ b/drserve/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/dotterelridge/dotterelridge/dradmin"
+	"github.com/dotterelridge/dotterelridge/drplace"
 )
 
 // Status implements dradmin.Backend.
@@ -16,9 +17,16 @@
 	for _, m := range v.members.Members() {
 		s.Members = append(s.Members, dradmin.MemberStatus{VM: m.VM, Zone: m.Zone, State: m.State.String()})
 	}
+	owned := make(map[string]drplace.OwnedRunner)
+	for _, r := range v.place.Owned() {
+		owned[r.Runner] = r
+	}
 	for _, r := range v.ledger.Runners() {
-		owner := v.ledger.Owner(r)
-		s.Runners = append(s.Runners, dradmin.RunnerStatus{Runner: r, Owner: owner.VM, Fence: owner.Fence})
+		owner, own := v.ledger.Owner(r), owned[r]
+		s.Runners = append(s.Runners, dradmin.RunnerStatus{
+			Runner: r, Owner: owner.VM, Fence: owner.Fence,
+			MemoryBytes: own.MemoryBytes, UsedBytes: own.ReservedBytes, Loaded: own.Loaded,
+		})
 	}
 	c := v.fold.Current()
 	for _, m := range c.Models() {
--- a/drserve/strikes.go
+++ b/drserve/strikes.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drlog"
 	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drmetric"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drpeer"
 	"github.com/dotterelridge/dotterelridge/drroute"
@@ -25,6 +26,7 @@
 	caller  drpeer.Caller
 	view    drmember.View
 	journal journal
+	metrics *drmetric.Metrics
 	// suspects receives the notices; set before the first one arrives.
 	suspects *drroute.Suspects
 	appends  sync.WaitGroup
@@ -34,6 +36,7 @@
 func (s *strikes) Broadcast(ctx context.Context, n drroute.Notice) error {
 	p := encodeNotice(n)
 	if n.Kind == drroute.Strike {
+		s.metrics.Counter(drmetric.Strikes).Inc(int64(len(n.Fingerprints)))
 		s.appends.Go(func() { s.append(p) })
 	}
 	var calls sync.WaitGroup
--- a/drserve/vm.go
+++ b/drserve/vm.go
@@ -33,13 +33,16 @@
 	ring    *drtimeline.Ring
 	events  drtimeline.Recorder
 	metrics *drmetric.Metrics
+	meter   *meter
+	traffic drnet.Traffic // between entry VMs
 	tls     tlsConfigs
 
 	dialer  *drnet.Dialer
 	node    *drpeer.Node
 	members *drmember.Membership
 
-	log       *drlog.HTTP
+	client    *drlog.HTTP
+	log       drlog.Log
 	relay     *drlog.PeerRelay
 	freshness *drlog.Freshness
 	followers []*drlog.Follower
@@ -72,15 +75,15 @@
 // New wires an entry VM without starting it.
 func New(c Config) (*VM, error) {
 	v := &VM{Config: c, metrics: drmetric.New()}
-	v.metrics.RegisterProcess()
+	v.meter = newMeter(v.metrics)
 	v.hybrid = drtimeline.NewHybridClock(c.Clock)
 	v.ring = drtimeline.NewRing(v.hybrid, c.Settings.VM, c.Settings.TimelineEvents)
-	v.events = recorder{ring: v.ring}
+	v.events = recorder{ring: v.ring, metrics: v.metrics, vm: c.Settings.VM}
 	var err error
 	if v.tls, err = newTLSConfigs(c.Settings.TLS, c.Clock); err != nil {
 		return nil, fmt.Errorf("tls: %w", err)
 	}
-	if v.dialer, err = drnet.NewDialer(drnet.Config{Clock: c.Clock, TLS: v.tls.dial}); err != nil {
+	if v.dialer, err = drnet.NewDialer(drnet.Config{Clock: c.Clock, TLS: v.tls.dial, Traffic: &v.traffic}); err != nil {
 		return nil, fmt.Errorf("dialer: %w", err)
 	}
 	v.newPeers()
@@ -88,6 +91,7 @@
 	v.newCore()
 	v.newGate()
 	v.register()
+	v.registerMetrics()
 	return v, nil
 }
 
@@ -108,7 +112,8 @@
 
 // newStreams makes the folds of the log's streams and their followers.
 func (v *VM) newStreams() {
-	v.log = drlog.NewHTTP(drlog.HTTPConfig{Address: v.Settings.LogAddress, Clock: v.Clock})
+	v.client = drlog.NewHTTP(drlog.HTTPConfig{Address: v.Settings.LogAddress, Clock: v.Clock})
+	v.log = measuredLog{log: v.client, metrics: v.metrics}
 	v.relay = drlog.NewPeerRelay(drlog.PeerRelayConfig{
 		Caller: v.node, Self: v.Settings.VM, Members: v.reachable, Clock: v.Clock,
 	})
@@ -116,7 +121,7 @@
 	for i := range v.partitions {
 		v.partitions[i] = dronce.NewPartition(dronce.Window(time.Duration(v.Settings.Retention)))
 	}
-	v.strikes = &strikes{caller: v.node, view: v.members}
+	v.strikes = &strikes{caller: v.node, view: v.members, metrics: v.metrics}
 	v.strikes.suspects = drroute.NewSuspects(v.Clock, v.Settings.VM, v.strikes)
 }
 
@@ -135,7 +140,7 @@
 
 // newCore makes limits, placement, at-most-once execution and routing.
 func (v *VM) newCore() {
-	v.configLog = v.follow(drlog.StreamConfig, v.fold)
+	v.configLog = v.follow(drlog.StreamConfig, &configFold{Fold: v.fold, vm: v})
 	v.freshness = drlog.NewFreshness(drlog.FreshnessConfig{
 		Followers: v.followers[:1], Peers: v.relay, Members: v.counted, Self: v.Settings.VM,
 		Clock: v.Clock, ServeWithoutLog: time.Duration(v.Settings.ServeWithoutLog), Events: v.events,
@@ -153,7 +158,7 @@
 	})
 	v.limiter = drlimit.New(drlimit.Config{
 		Clock: v.Clock, View: v.members, Shares: v.shares, Limits: accountLimits{v.fold}, Caller: v.node,
-		Holder: v.holder, Policy: v.Policies.Limit,
+		Holder: v.holder, Policy: v.Policies.Limit, Meter: v.meter,
 	})
 	v.newOnce()
 	v.strikes.journal = v.follow(drlog.StreamSuspects, v.strikes)
@@ -188,14 +193,15 @@
 	})
 	v.gate = drgate.New(drgate.Config{
 		Clock: v.Clock, Directory: newDirectory(v.fold, v.Settings.Secret.Bytes()), Limiter: limiter{v.limiter},
-		Queue: v.queues, Once: once{v.once}, Generator: drgate.GeneratorOf(v.router), Services: services,
+		Queue: v.queues, Once: once{v.once, v.metrics}, Generator: drgate.GeneratorOf(v.router), Services: services,
 		Freshness: freshness{v.freshness}, Recorder: v.events, MaxBody: int(v.Settings.Limits.MaxBody),
+		Meter: v.meter, Loaded: v.loaded,
 	})
-	var tokens []string
+	var operators []dradmin.Operator
 	for _, t := range v.Settings.OperatorTokens {
-		tokens = append(tokens, string(t.Token.Bytes()))
+		operators = append(operators, dradmin.Operator{Name: t.Name, Token: string(t.Token.Bytes())})
 	}
-	v.admin = dradmin.New(dradmin.Config{Backend: operations{v}, Clock: v.Clock, OperatorTokens: tokens})
+	v.admin = dradmin.New(dradmin.Config{Backend: operations{v}, Clock: v.Clock, Operators: operators})
 }
 
 func (v *VM) register() {
@@ -225,15 +231,16 @@
 	v.running.Go(func() { v.holder.Run(ctx) })
 	v.running.Go(func() { v.refreshQueues(ctx) })
 	v.running.Go(func() { v.followCaches(ctx) })
+	v.running.Go(func() { v.measureIdle(ctx) })
 	v.started.Store(true)
-	v.events.Record(drtimeline.Event{Name: "vm-started", Detail: "zone=" + v.Settings.Zone})
+	v.events.Record(drtimeline.Event{Name: drtimeline.VMStarted, Detail: "zone=" + v.Settings.Zone})
 	return nil
 }
 
 func (v *VM) listen() error {
 	a, s := v.Settings.Addresses, v.Settings
 	var err error
-	if v.peers, err = drnet.Listen(drnet.Config{Address: a.Peers, Clock: v.Clock, TLS: v.tls.peers, Handler: v.node.ServeConn}); err != nil {
+	if v.peers, err = drnet.Listen(drnet.Config{Address: a.Peers, Clock: v.Clock, TLS: v.tls.peers, Traffic: &v.traffic, Handler: v.node.ServeConn}); err != nil {
 		return fmt.Errorf("peers' listener: %w", err)
 	}
 	if v.operators, err = drnet.Listen(drnet.Config{Address: a.Admin, Clock: v.Clock, TLS: v.tls.operators, Handler: v.admin.ServeConn}); err != nil {
@@ -269,6 +276,11 @@
 	})
 }
 
+// loaded reports whether this VM knows a loaded replica.
+func (v *VM) loaded(model, adapter string) bool {
+	return len(v.place.Residency().Loaded(model, adapter)) > 0
+}
+
 // CallersAddress returns the address that callers connect to.
 func (v *VM) CallersAddress() string { return v.callers.Addr().String() }
 
--- a/drsettings/load.go
+++ b/drsettings/load.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"math"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -179,6 +180,9 @@
 	if time.Duration(s.Retention) < minRetention {
 		l.report([]string{"retention"}, "%s is less than %s", s.Retention, minRetention)
 	}
+	if r := s.WeightStoreLoads; !(r >= 0) || math.IsInf(r, 0) {
+		l.report([]string{"weight-store-loads"}, "%g is not a number from 0", r)
+	}
 	if s.Limits.MaxBody < 1 {
 		l.report([]string{"limits", "max-body"}, "is 0")
 	}
--- a/drsettings/settings_test.go
+++ b/drsettings/settings_test.go
@@ -73,6 +73,8 @@
 		{`"1MiB"`, `0`, `f:8:25: limits.max-body: is 0`},
 		{`"1MiB"`, `"1MiB", "connections": 0`, `f:8:48: limits.connections: 0 is less than 1`},
 		{`"limits"`, `"retention": "5s", "limits"`, `f:8:15: retention: 5s is less than 1m0s`},
+		{`"limits"`, `"weight-store-loads": -0.5, "limits"`, `f:8:24: weight-store-loads: -0.5 is not a number from 0`},
+		{`"limits"`, `"weight-store-loads": NaN, "limits"`, `f:8:24: invalid literal: NaN`},
 		{`"limits"`, `"timeline-events": -1, "limits"`, `f:8:21: timeline-events: -1 is not in 16 to 1048576`},
 		{`"limits"`, `"log-level": "inf", "limits"`, `f:8:15: log-level: unknown level "inf"; did you mean "info"?`},
 		{`"limits"`, `"drain-notice": 5, "limits"`, `f:8:18: want a duration with a unit such as "5s", got 5`},
--- /dev/null
+++ b/drtimeline/description_test.go
@@ -0,0 +1,100 @@
+package drtimeline_test
+
+import (
+	"flag"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drtimeline"
+)
+
+var update = flag.Bool("update", false, "write the reference page")
+
+// Guards against a reference page that differs from the code.
+func TestReference(t *testing.T) {
+	is := is.New(t)
+	const page = "../docs/events.md"
+	if *update {
+		is.NoErr(os.WriteFile(page, []byte(drtimeline.Reference()), 0o644))
+	}
+	got, err := os.ReadFile(page)
+	is.NoErr(err)
+	is.Equal(string(got), drtimeline.Reference()) // run go generate ./drtimeline
+}
+
+// Guards against events that are recorded under a name that the reference page
+// does not list, and against listed names that nothing records.
+func TestNamesAreDescribedAndUsed(t *testing.T) {
+	is := is.New(t)
+	constants := make(map[string]bool) // described constant → used
+	names := make(map[string]bool)
+	set := token.NewFileSet()
+	file, err := parser.ParseFile(set, "name.go", nil, 0)
+	is.NoErr(err)
+	ast.Inspect(file, func(n ast.Node) bool {
+		if v, ok := n.(*ast.ValueSpec); ok && len(v.Values) == 1 {
+			if l, ok := v.Values[0].(*ast.BasicLit); ok {
+				constants[v.Names[0].Name] = false
+				names[strings.Trim(l.Value, `"`)] = true
+			}
+		}
+		return true
+	})
+	is.Equal(len(drtimeline.Descriptions), len(constants))
+	for _, d := range drtimeline.Descriptions {
+		is.True(names[d.Name])
+	}
+	is.NoErr(filepath.WalkDir("..", func(path string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		f, err := parser.ParseFile(set, path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			switch n := n.(type) {
+			case *ast.SelectorExpr:
+				if x, ok := n.X.(*ast.Ident); ok && x.Name == "drtimeline" {
+					if _, ok := constants[n.Sel.Name]; ok {
+						constants[n.Sel.Name] = true
+					}
+				}
+			case *ast.CompositeLit:
+				checkEvent(t, set, n)
+			}
+			return true
+		})
+		return nil
+	}))
+	for name, used := range constants {
+		if !used {
+			t.Errorf("nothing records %s", name)
+		}
+	}
+}
+
+// checkEvent reports an event whose name is a literal.
+func checkEvent(t *testing.T, set *token.FileSet, c *ast.CompositeLit) {
+	s, ok := c.Type.(*ast.SelectorExpr)
+	if !ok || s.Sel.Name != "Event" {
+		return
+	}
+	for _, x := range c.Elts {
+		kv, ok := x.(*ast.KeyValueExpr)
+		if !ok {
+			continue
+		}
+		if _, literal := kv.Value.(*ast.BasicLit); literal && kv.Key.(*ast.Ident).Name == "Name" {
+			t.Errorf("%s: the event's name is no constant of drtimeline", set.Position(kv.Pos()))
+		}
+	}
+}
--- a/drtimeline/merge_test.go
+++ b/drtimeline/merge_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -37,7 +38,7 @@
 
 func ExampleWriteText() {
 	_ = drtimeline.WriteText(os.Stdout, []drtimeline.Event{
-		{Stamp: at(1000), VM: "vm-a", Name: "load-started", Model: "roster", Backend: "runner-3"},
+		{Stamp: at(1000), VM: "vm-a", Name: "load-started", Model: "roster", Backend: "runner-3", Took: 1500 * time.Millisecond},
 	})
-	// Output: 00:00:01.000 vm-a       load-started         model=roster backend=runner-3
+	// Output: 00:00:01.000 vm-a       load-started          model=roster backend=runner-3 took=1.5s
 }
--- a/drtimeline/ring.go
+++ b/drtimeline/ring.go
@@ -10,6 +10,7 @@
 	events []Event
 	next   int
 	full   bool
+	lost   int64
 }
 
 // NewRing returns a ring of size events for the process on vm.
@@ -22,6 +23,9 @@
 	e.Stamp, e.VM = r.clock.Now(), r.vm
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.full {
+		r.lost++
+	}
 	r.events[r.next] = e
 	r.next++
 	if r.next == len(r.events) {
@@ -39,3 +43,10 @@
 	}
 	return append(es, r.events[:r.next]...)
 }
+
+// Overwritten returns how many events have left the ring.
+func (r *Ring) Overwritten() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost
+}
--- a/drtimeline/ring_test.go
+++ b/drtimeline/ring_test.go
@@ -33,4 +33,5 @@
 	is.Equal(es[0].Name, "b")
 	is.Equal(es[1].Name, "c")
 	is.True(es[0].Stamp < es[1].Stamp)
+	is.Equal(r.Overwritten(), int64(1))
 }
