--- /dev/null
+++ b/drprocess/caller_test.go
@@ -0,0 +1,248 @@
+package drprocess
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drstandin"
+)
+
+// deadlineMargin is what a response may take to arrive after its deadline.
+const deadlineMargin = time.Second
+
+// question is a request for a completion.
+type question struct {
+	key, model, prompt string
+	tokens             int
+	stream             bool
+	timeout            time.Duration
+	// event, if not nil, is called at each event of a stream.
+	event func(n int)
+}
+
+// call is a call of a plain service.
+type call struct {
+	key, method, path, body, idempotencyKey string
+	timeout                                 time.Duration
+}
+
+// answer is what a caller received.
+type answer struct {
+	status  int
+	id      string
+	text    string // of the completion
+	body    []byte
+	usage   int // tokens
+	done    bool
+	problem *problem
+	replay  bool
+	err     error // of the connection
+	took    time.Duration
+}
+
+// problem is an RFC 9457 refusal.
+type problem struct {
+	Type   string `json:"type"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	Run    string `json:"run"`
+}
+
+func (p *problem) is(suffix string) bool { return p != nil && strings.HasSuffix(p.Type, "/"+suffix) }
+
+func (a answer) String() string {
+	if a.problem != nil {
+		return fmt.Sprintf("%d %s run=%s %s after %s", a.status, a.problem.Type, a.problem.Run, a.problem.Detail, a.took)
+	}
+	return fmt.Sprintf("status %d, done %v, error %v, %q after %s", a.status, a.done, a.err, a.text, a.took)
+}
+
+// reply is the OpenAI shape of responses and events.
+type reply struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage struct {
+		Total int `json:"total_tokens"`
+	} `json:"usage"`
+}
+
+// ask sends a question to v and reads the whole answer.
+func (c *cluster) ask(v *vm, q question) answer {
+	if q.timeout == 0 {
+		q.timeout = 20 * time.Second
+	}
+	body, err := json.Marshal(map[string]any{
+		"model": q.model, "prompt": q.prompt, "max_tokens": q.tokens, "stream": q.stream,
+		"stream_options": map[string]bool{"include_usage": q.stream},
+	})
+	if err != nil {
+		return answer{err: err}
+	}
+	a := c.send(v, http.MethodPost, "/v1/completions", body, q.timeout, map[string]string{
+		"Authorization": "Bearer " + q.key, "Content-Type": "application/json",
+	}, func(a *answer, r io.Reader) { a.read(r, q) })
+	return a
+}
+
+// call calls a plain service through v.
+func (c *cluster) call(v *vm, q call) answer {
+	if q.timeout == 0 {
+		q.timeout = 10 * time.Second
+	}
+	header := map[string]string{"Authorization": "Bearer " + q.key}
+	if q.idempotencyKey != "" {
+		header["Idempotency-Key"] = q.idempotencyKey
+	}
+	return c.send(v, q.method, q.path, []byte(q.body), q.timeout, header, func(a *answer, r io.Reader) {
+		a.body, a.err = io.ReadAll(r)
+		a.done = a.err == nil
+	})
+}
+
+func (c *cluster) send(
+	v *vm, method, path string, body []byte, timeout time.Duration, header map[string]string, read func(*answer, io.Reader),
+) (a answer) {
+	begin := time.Now()
+	defer func() { a.took = time.Since(begin) }()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+2*deadlineMargin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.callers+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	req.Header.Set("Request-Timeout", fmt.Sprint(timeout.Seconds()))
+	res, err := c.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer res.Body.Close()
+	a.status, a.id = res.StatusCode, res.Header.Get("X-Request-Id")
+	a.replay = res.Header.Get("Idempotency-Replayed") == "true"
+	if res.Header.Get("Content-Type") == "application/problem+json" {
+		a.problem = &problem{}
+		a.err = json.NewDecoder(res.Body).Decode(a.problem)
+	} else {
+		read(&a, res.Body)
+	}
+	if a.problem != nil && a.problem.Run == "not-run" {
+		c.refused.add(a.id)
+	}
+	return a
+}
+
+// read reads a whole or streamed completion.
+func (a *answer) read(r io.Reader, q question) {
+	if !q.stream {
+		var out reply
+		if a.err = json.NewDecoder(r).Decode(&out); a.err == nil && len(out.Choices) == 1 {
+			a.text, a.usage, a.done = out.Choices[0].Text, out.Usage.Total, true
+		}
+		return
+	}
+	lines := bufio.NewScanner(r)
+	failed, events := false, 0
+	for lines.Scan() {
+		line := lines.Text()
+		data, isData := strings.CutPrefix(line, "data: ")
+		switch {
+		case line == "event: error":
+			failed = true
+		case !isData:
+		case failed:
+			a.problem = &problem{}
+			a.err = json.Unmarshal([]byte(data), a.problem)
+			return
+		case data == "[DONE]":
+			a.done = true
+			return
+		default:
+			var out reply
+			if a.err = json.Unmarshal([]byte(data), &out); a.err != nil {
+				return
+			}
+			if len(out.Choices) == 1 {
+				a.text += out.Choices[0].Text
+			}
+			a.usage = max(a.usage, out.Usage.Total)
+			events++
+			if q.event != nil {
+				q.event(events)
+			}
+		}
+	}
+	if a.err = lines.Err(); a.err == nil {
+		a.err = io.ErrUnexpectedEOF
+	}
+}
+
+// whole reports an error unless a is the complete answer to q.
+func (c *cluster) whole(q question, a answer) error {
+	want := drstandin.Answer(c.base(q.model), c.adapter(q.model), q.prompt, q.tokens)
+	switch {
+	case a.status != http.StatusOK || !a.done:
+		return fmt.Errorf("%s: no answer: %s", q.model, a)
+	case a.text != want:
+		return fmt.Errorf("%s: got %q, want %q", q.model, a.text, want)
+	}
+	return nil
+}
+
+// settled reports an error unless a is the complete answer to q or a refusal,
+// before q's deadline.
+func (c *cluster) settled(q question, a answer) error {
+	if q.timeout == 0 {
+		q.timeout = 20 * time.Second
+	}
+	if a.took > q.timeout+deadlineMargin {
+		return fmt.Errorf("%s: late: %s, deadline %s", q.model, a, q.timeout)
+	}
+	if a.problem == nil {
+		return c.whole(q, a)
+	}
+	switch a.problem.Run {
+	case "not-run", "may-have-run", "ran":
+		return nil
+	}
+	return fmt.Errorf("%s: refusal without a verdict: %s", q.model, a)
+}
+
+// base returns the model under an adapter, or the model itself.
+func (c *cluster) base(model string) string {
+	if a, ok := c.config.Adapter(model); ok {
+		return a.Base
+	}
+	return model
+}
+
+func (c *cluster) adapter(model string) string {
+	if _, ok := c.config.Adapter(model); ok {
+		return model
+	}
+	return ""
+}
+
+// key returns the demonstration key of an account.
+func key(account string) string { return "drk_demo_" + account }
+
+// must fails the test at the first error.
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/drprocess/cluster_test.go
@@ -0,0 +1,229 @@
+package drprocess
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/dradmin"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drdemo"
+	"github.com/dotterelridge/dotterelridge/drstandin"
+)
+
+const (
+	entryVMs = 16
+	// startLimit is generous, because CI machines start 34 processes at once.
+	startLimit = 30 * time.Second
+	// inForceLimit is I13's bound at the target size.
+	inForceLimit = 13 * time.Second
+	// withdrawLimit is I6's bound.
+	withdrawLimit = 5 * time.Second
+	poisonText    = "crash-the-engine"
+)
+
+// clusters are shared by the tests, which run one after the other and undo
+// their faults.
+var clusters = map[string]*cluster{}
+
+// cluster is a deployment in processes.
+type cluster struct {
+	drdemo.Deployment
+	config   drconfig.Config // as declared in examples/
+	standins *process
+	log      string
+	list     string
+	engines  []string
+	services []string
+	vms      []*vm
+	client   *http.Client
+	sampler  *sampler
+	// refused are the ids of requests refused as not run.
+	refused recorder
+}
+
+// vm is one entry VM.
+type vm struct {
+	name, zone             string
+	callers, peers, admin  string
+	settings, seed, logVia string
+	*process
+}
+
+// each runs f against both deployments at the same time and checks afterwards
+// what must always hold.
+func each(t *testing.T, f func(t *testing.T, c *cluster)) {
+	if testing.Short() {
+		t.Skip("starts 34 processes")
+	}
+	for _, name := range []string{"fjordsnor", "retoque"} {
+		if clusters[name] == nil {
+			clusters[name] = newCluster(t, drdemo.Deployments()[name])
+		}
+	}
+	for _, name := range []string{"fjordsnor", "retoque"} {
+		c := clusters[name]
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f(t, c)
+			c.check(t)
+		})
+	}
+}
+
+func newCluster(t testing.TB, d drdemo.Deployment) *cluster {
+	t.Helper()
+	objects, err := d.Objects()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cluster{Deployment: d, config: drconfig.Config{}.With(objects...)}
+	// One connection per request, so that no request is lost with a kept
+	// connection whose VM was killed.
+	c.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	c.standins = start(t, d.Name+"-standins", "standin", "-deployment", d.Name, "-poison", poisonText)
+	eventually(t, startLimit, func() error {
+		c.engines, c.services = nil, nil
+		kinds, addresses := c.standins.fields("event=standin ", "kind"), c.standins.fields("event=standin ", "address")
+		if len(addresses) < d.Runners+d.Services || len(kinds) != len(addresses) {
+			return fmt.Errorf("%d stand-ins are ready", len(addresses))
+		}
+		for i, k := range kinds {
+			if k == "engine" {
+				c.engines = append(c.engines, addresses[i])
+			} else {
+				c.services = append(c.services, addresses[i])
+			}
+		}
+		c.log = c.standins.fields("event=standins-ready", "log")[0]
+		c.list = c.standins.fields("event=standins-ready", "vm-list")[0]
+		return nil
+	})
+	for n := range entryVMs {
+		c.vms = append(c.vms, c.newVM(t, n))
+	}
+	for _, v := range c.vms {
+		c.startVM(t, v)
+		c.listVM(t, "add", v)
+	}
+	for _, v := range c.vms {
+		c.awaitReady(t, v, startLimit)
+	}
+	code, out := c.command(t, c.vms[0], "apply", "-wait", filepath.Join("..", "examples", d.Name, "declarations"))
+	if code != 0 {
+		t.Fatalf("apply: exit code %d: %s", code, out)
+	}
+	c.sampler = newSampler(c)
+	return c
+}
+
+// newVM writes the settings of the n-th entry VM.
+func (c *cluster) newVM(t testing.TB, n int) *vm {
+	t.Helper()
+	network := 1
+	if !c.ChecksFencing {
+		network = 2
+	}
+	ip := fmt.Sprintf("127.0.%d.%d", network, n+1)
+	v := &vm{name: fmt.Sprintf("%s-%d", c.EntryPrefix, n+1), zone: c.Zones[n%len(c.Zones)], logVia: c.log}
+	v.callers, v.peers, v.admin = freeAddress(t, ip), freeAddress(t, ip), freeAddress(t, ip)
+	if n > 0 && len(c.vms) > 0 {
+		v.seed = c.vms[0].peers
+	}
+	v.settings = filepath.Join(folder, v.name+".jsonc")
+	c.writeSettings(t, v)
+	return v
+}
+
+func (c *cluster) writeSettings(t testing.TB, v *vm) {
+	t.Helper()
+	seeds := "[]"
+	if v.seed != "" {
+		seeds = fmt.Sprintf("[%q]", v.seed)
+	}
+	text := fmt.Sprintf(`{
+	"vm": %q, "zone": %q,
+	"addresses": {"callers": %q, "peers": %q, "admin": %q},
+	"log-address": %q, "vm-list-address": %q, "seeds": %s,
+	"deployment-secret": {"value": %q},
+	"operator-tokens": [{"name": "test", "token": {"value": %q}}],
+	"tls": {"plain": true},
+	"drain-notice": "200ms", // the tests are the balancer
+	"weight-store-loads": %v,
+}`, v.name, v.zone, v.callers, v.peers, v.admin, v.logVia, c.list, seeds, c.Secret, c.Operator, c.LoadsPerSecond)
+	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func freeAddress(t testing.TB, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cluster) startVM(t testing.TB, v *vm) {
+	t.Helper()
+	v.process = start(t, v.name, "serve", "-settings", v.settings)
+}
+
+// listVM changes the entry of v in the platform's list.
+func (c *cluster) listVM(t testing.TB, op string, v *vm) {
+	t.Helper()
+	post(t, c.list, "/v1/vms", drstandin.VMChange{Op: op, VM: drstandin.VM{
+		ID: v.name, Role: "entry", Zone: v.zone, Address: v.peers, State: "live",
+	}})
+}
+
+// awaitReady waits until the VM reports that it is ready.
+func (c *cluster) awaitReady(t testing.TB, v *vm, limit time.Duration) {
+	t.Helper()
+	eventually(t, limit, func() error {
+		st, err := c.status(v)
+		if err == nil && !st.Ready {
+			err = fmt.Errorf("%s is not ready: %s", v.name, st.Reason)
+		}
+		return err
+	})
+}
+
+// restart starts a new process for a VM whose process ended.
+func (c *cluster) restart(t testing.TB, v *vm) {
+	t.Helper()
+	c.startVM(t, v)
+	c.listVM(t, "add", v)
+	c.awaitReady(t, v, startLimit)
+}
+
+func (c *cluster) status(v *vm) (dradmin.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return dradmin.NewClient("http://"+v.admin, c.Operator).Status(ctx)
+}
+
+// command runs a subcommand against the admin server of v.
+func (c *cluster) command(t testing.TB, v *vm, name string, args ...string) (int, string) {
+	t.Helper()
+	return run(t, append([]string{name, "-admin", "http://" + v.admin, "-token", c.Operator}, args...)...)
+}
+
+func (c *cluster) stop() {
+	if c.sampler != nil {
+		c.sampler.stop()
+	}
+	for _, v := range c.vms {
+		if v.process != nil {
+			v.kill()
+		}
+	}
+	c.standins.kill()
+}
--- /dev/null
+++ b/drprocess/http_test.go
@@ -0,0 +1,71 @@
+package drprocess
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// direct reaches the stand-ins' fault switches and counters.
+var direct = &http.Client{Timeout: 10 * time.Second}
+
+// post sends v as JSON to a stand-in.
+func post(t testing.TB, address, path string, v any) {
+	t.Helper()
+	b, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := direct.Post("http://"+address+path, "application/json", bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode >= http.StatusMultipleChoices {
+		b, _ := io.ReadAll(res.Body)
+		t.Fatalf("POST %s: %d %s", path, res.StatusCode, b)
+	}
+}
+
+// get reads JSON from a stand-in.
+func get(address, path string, into any) error {
+	res, err := direct.Get("http://" + address + path)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("GET %s: %d", path, res.StatusCode)
+	}
+	return json.NewDecoder(res.Body).Decode(into)
+}
+
+// faults switches faults of a stand-in on until the test ends.
+func faults(t testing.TB, address string, on map[string]any) (off func()) {
+	t.Helper()
+	post(t, address, "/v1/faults", on)
+	reset := map[string]any{}
+	for name, v := range on {
+		switch v.(type) {
+		case bool:
+			reset[name] = false
+		case string:
+			reset[name] = "0s"
+		default:
+			reset[name] = 0
+		}
+	}
+	done := false
+	off = func() {
+		if !done {
+			done = true
+			post(t, address, "/v1/faults", reset)
+		}
+	}
+	t.Cleanup(off)
+	return off
+}
--- /dev/null
+++ b/drprocess/process_test.go
@@ -0,0 +1,157 @@
+package drprocess
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// folder holds the program, the settings files and the output of processes.
+var folder string
+
+func TestMain(m *testing.M) {
+	var err error
+	if folder, err = os.MkdirTemp("", "drprocess"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	for _, c := range clusters {
+		c.stop()
+	}
+	if code == 0 {
+		os.RemoveAll(folder)
+	} else {
+		fmt.Fprintln(os.Stderr, "output of the processes is in", folder)
+	}
+	os.Exit(code)
+}
+
+// program builds the program once.
+var program = sync.OnceValues(func() (string, error) {
+	path := filepath.Join(folder, "dotterelridge")
+	out, err := exec.Command("go", "build", "-o", path, "..").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("go build: %w: %s", err, out)
+	}
+	return path, nil
+})
+
+// process is a running program.
+type process struct {
+	cmd    *exec.Cmd
+	output string // file with standard output and error
+	done   chan struct{}
+}
+
+func start(t testing.TB, name string, args ...string) *process {
+	t.Helper()
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{cmd: exec.Command(path, args...), output: filepath.Join(folder, name+".out"), done: make(chan struct{})}
+	f, err := os.OpenFile(p.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	p.cmd.Stdout, p.cmd.Stderr = f, f
+	// No process outlives a test run that is killed.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer close(p.done)
+		_ = p.cmd.Wait() // the exit code is read from ProcessState
+	}()
+	return p
+}
+
+func (p *process) signal(t testing.TB, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatalf("signal %s: %v", s, err)
+	}
+}
+
+// kill ends the process as kill -9 does and waits for it.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill() // it may have ended
+	<-p.done
+}
+
+// exit waits for the process to end and returns its exit code.
+func (p *process) exit(t testing.TB, limit time.Duration) int {
+	t.Helper()
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(limit):
+		t.Fatalf("%s has not ended after %s", p.output, limit)
+		return -1
+	}
+}
+
+// fields returns the values of the given name in the process's event lines.
+func (p *process) fields(event, name string) []string {
+	b, err := os.ReadFile(p.output)
+	if err != nil {
+		return nil
+	}
+	var found []string
+	for _, line := range strings.Split(string(b), "\n") {
+		words := strings.Fields(line)
+		if len(words) == 0 || !strings.Contains(line, event) {
+			continue
+		}
+		for _, w := range words {
+			if k, v, ok := strings.Cut(w, "="); ok && k == name {
+				found = append(found, v)
+			}
+		}
+	}
+	return found
+}
+
+// run runs a command to its end and returns its exit code and output.
+func run(t testing.TB, args ...string) (int, string) {
+	t.Helper()
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(path, args...)
+	out, err := cmd.CombinedOutput()
+	if cmd.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+// eventually waits until f returns no error.
+func eventually(t testing.TB, limit time.Duration, f func() error) {
+	t.Helper()
+	if err := within(limit, f); err != nil {
+		t.Fatalf("after %s: %v", limit, err)
+	}
+}
+
+func within(limit time.Duration, f func() error) error {
+	const poll = 20 * time.Millisecond
+	end := time.Now().Add(limit)
+	for {
+		err := f()
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+		time.Sleep(poll)
+	}
+}
