Answer questions about a follower while it applies a record

The placement owner asks the follower for its last confirmation while it holds its own lock; the follower applies a record under its write lock and the ledger's listener waits for the owner's lock. The goroutine dump showed both waits. Change: the offset and the confirmation time have their own lock, which is never held while the folder runs. Conclusion: callers of Offset, Confirmed and WaitFor need no lock order.

--- a/drlog/follower.go
+++ b/drlog/follower.go
@@ -18,12 +18,11 @@
 	ready  chan struct{}
 	poke   chan struct{}
 
+	progress *progress
+
 	reading sync.Mutex // held by the one goroutine that changes the state
 
 	mu        sync.RWMutex // guards everything below and the Folder
-	offset    uint64       // last applied
-	confirmed time.Time
-	changed   chan struct{} // closed when the offset grows
 	tail      tail
 	scan      *scan // nil unless a gap is being closed
 	assembler assembler
@@ -37,7 +36,7 @@
 func NewFollower(c FollowerConfig) *Follower {
 	return &Follower{
 		config: c.withDefaults(), ready: make(chan struct{}),
-		poke: make(chan struct{}, 1), changed: make(chan struct{}),
+		poke: make(chan struct{}, 1), progress: newProgress(),
 	}
 }
 
@@ -45,20 +44,12 @@
 func (f *Follower) Stream() string { return f.config.Stream }
 
 // Offset returns the offset of the last record that the Folder holds.
-func (f *Follower) Offset() uint64 {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.offset
-}
+func (f *Follower) Offset() uint64 { return f.progress.held() }
 
 // Confirmed returns the last local time at which the Folder certainly held all
 // records of the stream, by the log's own word or a peer's. It is zero if that
 // was never so.
-func (f *Follower) Confirmed() time.Time {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.confirmed
-}
+func (f *Follower) Confirmed() time.Time { return f.progress.at() }
 
 // Ready is closed after the first catch-up with the log or a peer.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
@@ -81,10 +72,8 @@
 // WaitFor blocks until the Folder holds the record at offset.
 func (f *Follower) WaitFor(ctx context.Context, offset uint64) error {
 	for {
-		f.mu.RLock()
-		reached, changed := f.offset >= offset, f.changed
-		f.mu.RUnlock()
-		if reached {
+		held, changed := f.progress.watch()
+		if held >= offset {
 			return nil
 		}
 		select {
@@ -174,7 +163,7 @@
 	if f.scan != nil {
 		return f.scan.next
 	}
-	return f.offset + 1
+	return f.progress.held() + 1
 }
 
 // take applies a page that the log returned at or after time at.
@@ -208,7 +197,7 @@
 		}
 		return
 	}
-	if r.Offset != f.offset+1 {
+	if r.Offset != f.progress.held()+1 {
 		return
 	}
 	entry, part, ok := unwrap(r.Data)
@@ -225,19 +214,15 @@
 		f.config.Folder.Apply(Record{Offset: r.Offset, Time: r.Time, Data: entry})
 	}
 	f.tail.add(r)
-	f.offset = r.Offset
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.progress.advance(r.Offset)
 }
 
 // confirm notes that no record from next on existed at a time.
 func (f *Follower) confirm(next uint64, at time.Time) {
-	if f.scan != nil || f.offset+1 < next || at.IsZero() {
+	if f.scan != nil || f.progress.held()+1 < next || at.IsZero() {
 		return
 	}
-	if at.After(f.confirmed) {
-		f.confirmed = at
-	}
+	f.progress.confirm(at)
 	f.markReady()
 }
 
@@ -253,12 +238,12 @@
 func (f *Follower) beginScan(gap *GapError) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if gap.First <= f.offset+1 {
+	if gap.First <= f.progress.held()+1 {
 		f.scan = nil
 		return
 	}
 	f.scan = &scan{first: gap.First, next: gap.First}
-	f.note("log-gap", "held=%d first=%d next=%d", f.offset, gap.First, gap.Next)
+	f.note("log-gap", "held=%d first=%d next=%d", f.progress.held(), gap.First, gap.Next)
 }
 
 // restoreScanned restores a state that joins the scanned records and applies
@@ -279,22 +264,20 @@
 
 // restore replaces the state by a newer one.
 func (f *Follower) restore(covers uint64, data []byte) bool {
-	if covers <= f.offset {
+	if covers <= f.progress.held() {
 		return false
 	}
 	if err := f.config.Folder.Restore(covers, data); err != nil {
 		f.note("log-snapshot-rejected", "covers=%d error=%q", covers, err)
 		return false
 	}
-	f.note("log-snapshot-restored", "held=%d covers=%d", f.offset, covers)
-	f.offset = covers
+	f.note("log-snapshot-restored", "held=%d covers=%d", f.progress.held(), covers)
+	f.progress.advance(covers)
 	f.tail.clear()
 	f.assembler = assembler{}
 	f.partial = false
 	f.policy = snapshotPolicy{}
 	f.policy.restored(f.config.Clock.Now(), f.config.Retention)
-	close(f.changed)
-	f.changed = make(chan struct{})
 	return true
 }
 
--- a/drlog/follower_peers.go
+++ b/drlog/follower_peers.go
@@ -39,21 +39,21 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.offset
+	before := f.progress.held()
 	scanning := f.scan
 	f.scan = nil // the peer's records follow the held state
 	for _, r := range p.Records {
 		f.apply(r)
 	}
 	f.confirm(p.Next, p.Confirmed)
-	if f.offset+1 < p.Next && f.offset == before {
+	if f.progress.held()+1 < p.Next && f.progress.held() == before {
 		f.scan = scanning
 		return false, fmt.Errorf("peer relayed no record from offset %d", from)
 	}
-	if scanning != nil && f.offset+1 < scanning.first {
+	if scanning != nil && f.progress.held()+1 < scanning.first {
 		f.scan = scanning
 	}
-	return f.offset+1 < p.Next, nil
+	return f.progress.held()+1 < p.Next, nil
 }
 
 // fetchState restores the state of a peer, if it is newer and joins what the
--- a/drlog/follower_snapshot.go
+++ b/drlog/follower_snapshot.go
@@ -30,12 +30,12 @@
 	f.mu.RLock()
 	now := f.config.Clock.Now()
 	// A VM that lags would write a snapshot that helps nobody.
-	current := f.scan == nil && !f.partial && now.Sub(f.confirmed) <= FreshBound
+	current := f.scan == nil && !f.partial && now.Sub(f.progress.at()) <= FreshBound
 	if !current || !f.policy.due(now, f.config.Retention, f.config.SnapshotEvery) {
 		f.mu.RUnlock()
 		return nil
 	}
-	offset, data := f.offset, f.config.Folder.Snapshot()
+	offset, data := f.progress.held(), f.config.Folder.Snapshot()
 	f.mu.RUnlock()
 	if err := f.writeSnapshot(ctx, offset, data); err != nil {
 		return err
--- a/drlog/peer_relay_server.go
+++ b/drlog/peer_relay_server.go
@@ -41,7 +41,7 @@
 	}
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	resp := &drpb.LogFetchRecordsResponse{First: f.offset + 1, Next: f.offset + 1}
+	resp := &drpb.LogFetchRecordsResponse{First: f.progress.held() + 1, Next: f.progress.held() + 1}
 	if len(f.tail.records) > 0 {
 		resp.First = f.tail.records[0].Offset
 	}
@@ -56,10 +56,10 @@
 
 // confirmedAgo returns the age of the confirmation in nanoseconds.
 func (f *Follower) confirmedAgo() (bool, int64) {
-	if f.confirmed.IsZero() {
+	if f.progress.at().IsZero() {
 		return false, 0
 	}
-	return true, max(f.config.Clock.Since(f.confirmed).Nanoseconds(), 0)
+	return true, max(f.config.Clock.Since(f.progress.at()).Nanoseconds(), 0)
 }
 
 func (p *PeerRelay) answerState(_ context.Context, _ drpeer.Sender, body []byte) (proto.Message, error) {
@@ -88,7 +88,7 @@
 	resp := &drpb.LogStatusResponse{}
 	for stream, f := range p.followers {
 		f.mu.RLock()
-		s := &drpb.LogStreamStatus{Stream: stream, Offset: f.offset}
+		s := &drpb.LogStreamStatus{Stream: stream, Offset: f.progress.held()}
 		s.Confirmed, s.ConfirmedAgoNanos = f.confirmedAgo()
 		f.mu.RUnlock()
 		resp.Streams = append(resp.Streams, s)
--- a/drlog/peer_relay_state.go
+++ b/drlog/peer_relay_state.go
@@ -75,10 +75,10 @@
 	}
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	if f.offset <= above || f.partial {
+	if f.progress.held() <= above || f.partial {
 		return nil
 	}
-	h = &heldState{offset: f.offset, data: f.config.Folder.Snapshot(), taken: now}
+	h = &heldState{offset: f.progress.held(), data: f.config.Folder.Snapshot(), taken: now}
 	h.hash = sha256.Sum256(h.data)
 	p.states[f.Stream()] = h
 	return h
