--- a/drdemo/demo.go
+++ b/drdemo/demo.go
@@ -63,35 +63,53 @@
 // demoKeyPrefix precedes the account's name in the keys of examples/.
 const demoKeyPrefix = "drk_demo_"
 
-// newTour picks a client account that may use a kept model, an idle model and
-// a route with calls that may not be repeated.
+// newTour picks a client account that may use two models and a route with
+// calls that may not be repeated, if possible one that has a kept model.
 func newTour(d Deployment) (tour, error) {
 	objects, err := d.Objects()
 	if err != nil {
 		return tour{}, err
 	}
 	cfg := drconfig.Config{}.With(objects...)
+	var found *tour
 	for _, a := range cfg.Accounts() {
-		t := tour{key: demoKeyPrefix + a.Name}
-		for _, name := range cfg.ModelsFor(a.Name) {
-			if _, isModel := cfg.Model(name); !isModel {
-				continue
-			}
-			if cfg.Replicas(name).Min > 0 && t.model == "" {
-				t.model = name
-			}
-			if cfg.Replicas(name).Min == 0 {
-				t.idleModel = name
-			}
+		t, kept := tourOf(cfg, a)
+		if t.model == "" || t.idleModel == "" || t.service == "" {
+			continue
 		}
-		for _, r := range cfg.Routes() {
-			if !r.Open && len(r.RepeatableMethods) == 0 && a.Labels.Contains(r.Accounts) {
-				t.service = r.Path
-			}
-		}
-		if t.model != "" && t.idleModel != "" && t.service != "" {
+		if kept {
 			return t, nil
 		}
+		if found == nil {
+			found = &t
+		}
+	}
+	if found == nil {
+		return tour{}, fmt.Errorf("no client account of %s may use two models and a service", d.Name)
+	}
+	return *found, nil
+}
+
+// tourOf returns the tour of one account, and whether its model is kept.
+func tourOf(cfg drconfig.Config, a drconfig.ClientAccount) (t tour, kept bool) {
+	t.key = demoKeyPrefix + a.Name
+	for _, name := range cfg.ModelsFor(a.Name) {
+		if _, isModel := cfg.Model(name); !isModel {
+			continue
+		}
+		switch isKept := cfg.Replicas(name).Min > 0; {
+		case isKept && !kept:
+			t.model, kept = name, true
+		case t.model == "":
+			t.model = name
+		case !isKept:
+			t.idleModel = name
+		}
+	}
+	for _, r := range cfg.Routes() {
+		if !r.Open && len(r.RepeatableMethods) == 0 && a.Labels.Contains(r.Accounts) {
+			t.service = r.Path
+		}
 	}
-	return tour{}, fmt.Errorf("no client account of %s may use a kept model, an idle model and a service", d.Name)
+	return t, kept
 }
