Serve the first requests of a new client account

Cause: a VM looked for shares without holder once a second, and every new share waited 1.25 s for loans of an earlier holder, also when none ever held it. Both together exceeded the 2 s for which a request waits for tokens, so that the first in-rate requests of a new account got 429. Change: holders look for new accounts every 100 ms, and a share that nobody held before is refilled at once, unless this holder lent for the account before.

--- a/drlimit/bucket_test.go
+++ b/drlimit/bucket_test.go
@@ -130,7 +130,7 @@
 
 	o := NewShares()
 	is.NoErr(o.Restore(7, s.Snapshot()))
-	is.Equal(o.holder("a", 1), shareHolder{process{"y", 1}, 7})
+	is.Equal(o.holder("a", 1), shareHolder{process: process{"y", 1}, offset: 7})
 	is.Equal(o.held("a", process{"y", 1}), 1)
 	is.Equal(o.Snapshot(), s.Snapshot())
 	s.Apply(drlog.Record{Offset: 8, Data: []byte("not protobuf")})
--- a/drlimit/holder.go
+++ b/drlimit/holder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,9 @@
 	self     process
 	mu       sync.Mutex
 	accounts map[string]*holding
+	// ended names the accounts of which a bucket was dropped; its loans may
+	// still be out when the account comes back.
+	ended map[string]bool
 	// releasing holds the shares that are being given up, with the offset
 	// of the change that gave them to this VM. They are not lent any more.
 	releasing map[shareKey]uint64
@@ -45,7 +49,7 @@
 	m := c.View.Self()
 	return &Holder{
 		config: c, self: process{m.VM, m.Incarnation},
-		accounts: make(map[string]*holding), releasing: make(map[shareKey]uint64),
+		accounts: make(map[string]*holding), ended: make(map[string]bool), releasing: make(map[shareKey]uint64),
 	}
 }
 
@@ -108,15 +112,19 @@
 // shares; nil if this VM lends nothing of it. The caller holds h.mu.
 func (h *Holder) bucket(account string, now time.Time) (*bucket, int) {
 	limit, ok := h.config.Limits.Limit(account)
-	shares := h.config.Shares.held(account, h.self)
+	shares, releasing := h.config.Shares.held(account, h.self), 0
 	for k, offset := range h.releasing {
 		if k.account == account && h.holds(k, offset) {
-			shares--
+			releasing++
 		}
 	}
+	shares -= releasing
 	if !ok || shares <= 0 || h.draining {
 		// Shares that come back later start empty.
-		delete(h.accounts, account)
+		if h.accounts[account] != nil {
+			delete(h.accounts, account)
+			h.ended[account] = true
+		}
 		return nil, 0
 	}
 	e := h.accounts[account]
@@ -125,13 +133,18 @@
 		h.accounts[account] = e
 	}
 	active := e.update(shares, now)
+	if active < shares && !h.ended[account] {
+		// Shares that nobody held before have no loans to wait for.
+		active = max(active, h.config.Shares.heldFirst(account, h.self)-releasing)
+	}
 	e.bucket.update(limit, float64(active)/ShareCount, now)
 	return e.bucket, active
 }
 
 // holds reports whether this VM holds a share by the change at offset.
 func (h *Holder) holds(k shareKey, offset uint64) bool {
-	return h.config.Shares.holder(k.account, k.share) == shareHolder{h.self, offset}
+	now := h.config.Shares.holder(k.account, k.share)
+	return now.process == h.self && now.offset == offset
 }
 
 // Run acquires shares until ctx ends.
@@ -141,12 +154,27 @@
 			h.config.Recorder.Record(drtimeline.Event{Name: "shares-not-acquired", Detail: fmt.Sprintf("error=%q", err)})
 		}
 		h.start()
-		if h.config.Clock.Sleep(ctx, acquireInterval) != nil {
+		if h.pause(ctx) != nil {
 			return
 		}
 	}
 }
 
+// pause waits for the next check, which follows soon after a change of the
+// accounts, because a new account's requests wait for its first shares.
+func (h *Holder) pause(ctx context.Context) error {
+	known, c := h.config.Limits.Accounts(), h.config.Clock
+	for end := c.Now().Add(acquireInterval); c.Now().Before(end); {
+		if err := c.Sleep(ctx, accountInterval); err != nil {
+			return err
+		}
+		if !slices.Equal(known, h.config.Limits.Accounts()) {
+			return nil
+		}
+	}
+	return nil
+}
+
 // start begins to refill buckets of new shares before they are first asked.
 func (h *Holder) start() {
 	h.mu.Lock()
--- a/drlimit/limit.go
+++ b/drlimit/limit.go
@@ -48,6 +48,9 @@
 	maxPoll = 100 * time.Millisecond
 	// acquireInterval is the time between checks for shares without holder.
 	acquireInterval = time.Second
+	// accountInterval is the time between looks for new accounts. It is a
+	// small part of maxWait, so that first requests are served and not refused.
+	accountInterval = 100 * time.Millisecond
 	// epsilon absorbs rounding of sums of tokens, in the holder's favour.
 	epsilon = 1e-6
 )
--- a/drlimit/limiter_test.go
+++ b/drlimit/limiter_test.go
@@ -238,6 +238,26 @@
 	})
 }
 
+// Guards against refusals of the first requests of a new account, which arrive
+// before any VM holds its shares.
+func TestNewAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(16, Lending, 1, map[string]drconfig.Limit{})
+		defer f.close()
+		time.Sleep(30*time.Second + 10*time.Millisecond)
+		f.set(func() { f.limits["new"] = drconfig.Limit{Rate: 1000, Burst: 4000} })
+		var wg sync.WaitGroup
+		for _, v := range f.vms {
+			wg.Go(func() {
+				if _, err := v.limiter.Reserve(t.Context(), "new", 50, time.Now().Add(time.Minute)); err != nil {
+					t.Errorf("%s: %v", v.member.VM, err)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
 // Guards against requests of one account overtaking each other.
 func TestWaitersAreServedInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/drlimit/shares.go
+++ b/drlimit/shares.go
@@ -37,6 +37,9 @@
 type shareHolder struct {
 	process
 	offset uint64
+	// first is set for the first holder of the share, so that no loans of an
+	// earlier one exist. Snapshots leave it out, which is on the safe side.
+	first bool
 }
 
 var _ drlog.Folder = (*Shares)(nil)
@@ -79,7 +82,7 @@
 	case old.vm == author.vm && old.incarnation >= author.incarnation:
 		return
 	default:
-		s.set(k, shareHolder{author, offset})
+		s.set(k, shareHolder{author, offset, old.offset == 0})
 	}
 }
 
@@ -107,6 +110,20 @@
 	return s.counts[account][p]
 }
 
+// heldFirst returns how many shares of account the process p holds as their
+// first holder.
+func (s *Shares) heldFirst(account string, p process) int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	n := 0
+	for i := range uint32(ShareCount) {
+		if h := s.shares[shareKey{account, i}]; h.first && h.process == p {
+			n++
+		}
+	}
+	return n
+}
+
 // HeldBy returns how many shares of the account a VM holds.
 func (s *Shares) HeldBy(account, vm string) int {
 	n := 0
@@ -193,7 +210,7 @@
 	clear(s.counts)
 	for _, h := range m.GetShares() {
 		p := process{h.GetVm(), h.GetIncarnation()}
-		s.set(shareKey{h.GetAccount(), h.GetShare()}, shareHolder{p, h.GetOffset()})
+		s.set(shareKey{h.GetAccount(), h.GetShare()}, shareHolder{process: p, offset: h.GetOffset()})
 	}
 	return nil
 }
