--- a/drprocess/cluster_test.go
+++ b/drprocess/cluster_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,12 +71,25 @@
 		c := clusters[name]
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			defer c.keepTimeline(t)
 			f(t, c)
 			c.check(t)
 		})
 	}
 }
 
+// keepTimeline keeps the events of all entry VMs of a failed test.
+func (c *cluster) keepTimeline(t *testing.T) {
+	if !t.Failed() {
+		return
+	}
+	_, out := c.command(t, c.vms[0], "timeline")
+	path := filepath.Join(folder, strings.ReplaceAll(t.Name(), "/", "-")+".timeline")
+	if err := os.WriteFile(path, []byte(out), 0o600); err == nil {
+		t.Logf("events are in %s", path)
+	}
+}
+
 func newCluster(t testing.TB, d drdemo.Deployment) *cluster {
 	t.Helper()
 	objects, err := d.Objects()
