--- /dev/null
+++ b/drprocess/backend_test.go
@@ -0,0 +1,26 @@
+package drprocess
+
+import (
+	"fmt"
+
+	"github.com/dotterelridge/dotterelridge/drstandin"
+)
+
+// backend is a backend server in the platform's list.
+type backend struct{ id, fleet, zone, address string }
+
+// backend returns the n-th engine or plain service.
+func (c *cluster) backend(n int, engine bool) backend {
+	fleet, addresses := c.ServiceFleet, c.services
+	if engine {
+		fleet, addresses = c.RunnerFleet, c.engines
+	}
+	return backend{fmt.Sprintf("%s-%d", fleet, n+1), fleet, c.Zones[n%len(c.Zones)], addresses[n]}
+}
+
+// change is a change of the backend server's entry in the list.
+func (b backend) change(op string) drstandin.VMChange {
+	return drstandin.VMChange{Op: op, VM: drstandin.VM{
+		ID: b.id, Role: "backend", Fleet: b.fleet, Zone: b.zone, Address: b.address, State: "live",
+	}}
+}
