Do not count an engine that is down as a second crash of a suspect

Cause: after an engine went down, a request that had been running there is a suspect. If no other runner had the model, the wake-up returned the same engine from a stale report, the dispatch failed at once, and this counted as the second crash: an innocent request was blocked with 422 ran. Change: a suspect's trial asks the engine for its state first. Without a response the attempt is not a run and goes elsewhere.

--- a/drroute/router_test.go
+++ b/drroute/router_test.go
@@ -335,6 +335,26 @@
 	is.Equal(f.wakes, 1)
 }
 
+// Guards against blocking an innocent request because the only engine with its
+// model, on which it was running, stays down after a crash.
+func TestDownEngineIsNoSecondCrash(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, "e1")
+	f.woken = "e1"
+	f.edit = func(e *fakeEngine, t drengine.Token) (drengine.Token, error) {
+		if t.Index == 3 {
+			e.crash()
+			e.hung, e.refuse = true, drverdict.New(drverdict.MayHaveRun, drverdict.BackendFailed, "connection reset")
+			return t, errors.New("reset")
+		}
+		return t, nil
+	}
+	r := soleRouter(f)
+	_, err := collect(context.Background(), r, "g", "p")
+	is.Equal(drverdict.Of(err), drverdict.MayHaveRun)
+	is.NoErr(r.Suspects.Check(Request{Account: "a", Model: "m", Prompt: "p", MaxTokens: 100}.fingerprint()))
+}
+
 // BenchmarkGenerate measures the router's cost per request of 100 tokens.
 func BenchmarkGenerate(b *testing.B) {
 	r := soleRouter(newFleet(100, "e1", "e2", "e3"))
--- a/drroute/stream.go
+++ b/drroute/stream.go
@@ -72,6 +72,9 @@
 		s.runner, s.base, s.resumes = x, len(s.delivered), 0
 		s.engine = s.router.Engines.Engine(x.Address)
 		err = s.connect(run, func(ctx context.Context) (drengine.TokenStream, error) {
+			if err := s.precheck(ctx, run); err != nil {
+				return nil, err
+			}
 			return s.engine.Generate(ctx, drengine.Generation{
 				ID: s.id, Model: s.request.Model, Adapter: s.request.Adapter,
 				Prompt: s.request.Prompt, Prefix: s.delivered,
@@ -96,6 +99,19 @@
 	}
 }
 
+// precheck returns an error if run is the trial of a suspect and the engine does
+// not respond. An engine that was down before the trial would count as its
+// second crash and block an innocent request.
+func (s *Stream) precheck(ctx context.Context, run *Run) error {
+	if run.trial == "" {
+		return nil
+	}
+	if _, err := s.probe(ctx, s.engine); err != nil {
+		return drverdict.Wrap(drverdict.NotRun, drverdict.Unavailable, err, "engine does not respond before a trial")
+	}
+	return nil
+}
+
 // connect opens a stream of the engine and makes it the current one.
 func (s *Stream) connect(run *Run, open func(context.Context) (drengine.TokenStream, error)) error {
 	ctx, cancel := context.WithCancel(s.ctx)
