--- /dev/null
+++ b/drprocess/apply_test.go
@@ -0,0 +1,69 @@
+package drprocess
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/dradmin"
+	"github.com/dotterelridge/dotterelridge/drdemo"
+)
+
+// BenchmarkInForce measures the time until a change is in force on 16 entry
+// VM processes (I13). Run it with -benchtime 100x for the 99th percentile.
+func BenchmarkInForce(b *testing.B) {
+	for _, name := range []string{"fjordsnor", "retoque"} {
+		b.Run(name, func(b *testing.B) {
+			c := clusters[name]
+			if c == nil {
+				c = newCluster(b, drdemo.Deployments()[name])
+				clusters[name] = c
+			}
+			var times []time.Duration
+			for n := 0; b.Loop(); n++ {
+				begin := time.Now()
+				must(b, c.change(c.vms[n%entryVMs], n))
+				times = append(times, time.Since(begin))
+			}
+			slices.Sort(times)
+			for _, p := range []int{50, 99} {
+				b.ReportMetric(float64(times[(len(times)-1)*p/100].Microseconds())/1000, fmt.Sprintf("p%d-ms", p))
+			}
+		})
+	}
+}
+
+// change makes a change through v and waits until it is in force everywhere.
+func (c *cluster) change(v *vm, n int) error {
+	client := dradmin.NewClient("http://"+v.admin, c.Operator)
+	ctx, cancel := context.WithTimeout(context.Background(), inForceLimit)
+	defer cancel()
+	now, err := client.Objects(ctx)
+	if err != nil {
+		return err
+	}
+	res, err := client.Submit(ctx, dradmin.Change{
+		ID: fmt.Sprint("benchmark-", time.Now().UnixNano()), BasedOn: now.Offset, Author: "benchmark",
+		Puts: []dradmin.ObjectDocument{{
+			ObjectName: dradmin.ObjectName{Kind: "client-account", Name: "benchmark"},
+			Object:     []byte(fmt.Sprintf(`{"name":"benchmark","labels":{"n":"n%d"}}`, n)),
+		}},
+	})
+	if err != nil {
+		return err
+	}
+	if !res.Accepted {
+		return fmt.Errorf("change rejected: %v", res.Problems)
+	}
+	for {
+		f, err := client.InForce(ctx)
+		if err != nil {
+			return err
+		}
+		if lowest, _ := f.MinOffset(); lowest >= res.Offset && len(f.VMs) == entryVMs {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/drprocess/forwarder_test.go
@@ -0,0 +1,77 @@
+package drprocess
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+)
+
+// forwarder carries connections to a target until it is cut.
+type forwarder struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	down     bool
+	conns    []net.Conn
+}
+
+func newForwarder(t *testing.T, target string) *forwarder {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	f := &forwarder{listener: l, target: target}
+	go f.run()
+	return f // lives until the tests end, since a VM keeps using it
+}
+
+func (f *forwarder) address() string { return f.listener.Addr().String() }
+
+func (f *forwarder) run() {
+	for {
+		in, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		f.carry(in)
+	}
+}
+
+func (f *forwarder) carry(in net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		in.Close()
+		return
+	}
+	out, err := net.Dial("tcp", f.target)
+	if err != nil {
+		in.Close()
+		return
+	}
+	f.conns = append(f.conns, in, out)
+	copyTo := func(to, from net.Conn) {
+		_, _ = io.Copy(to, from) // ends when either side closes
+		to.Close()
+		from.Close()
+	}
+	go copyTo(in, out)
+	go copyTo(out, in)
+}
+
+// cut closes all connections and refuses further ones.
+func (f *forwarder) cut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = true
+	for _, c := range f.conns {
+		c.Close()
+	}
+	f.conns = nil
+}
+
+func (f *forwarder) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = false
+}
--- a/drprocess/log_test.go
+++ b/drprocess/log_test.go
@@ -89,6 +89,10 @@
 			}
 			return nil
 		})
+		eventually(t, inForceLimit, func() error {
+			cold := question{key: key(s.account), model: s.cold, prompt: prompt(t, 1), tokens: 5}
+			return c.whole(cold, c.ask(c.vms[4], cold))
+		})
 	})
 }
 
--- a/drprocess/pause_test.go
+++ b/drprocess/pause_test.go
@@ -23,9 +23,7 @@
 		models := c.modelsLike(s.burst)
 		l := c.startLoad(t, s.account, models, others)
 		time.Sleep(time.Second)
-		paused.signal(t, syscall.SIGSTOP)
-		time.Sleep(12 * time.Second)
-		paused.signal(t, syscall.SIGCONT)
+		pause(t, paused, 12*time.Second) // longer than a lease of 8 s and all margins
 		eventually(t, withdrawLimit, func() error {
 			q := question{key: key(s.account), model: s.burst, prompt: prompt(t, -1), tokens: 5, timeout: 2 * time.Second}
 			return c.whole(q, c.ask(paused, q))
@@ -158,3 +156,11 @@
 		l.report(t)
 	})
 }
+
+// pause stops a VM's process for d.
+func pause(t *testing.T, v *vm, d time.Duration) {
+	t.Helper()
+	v.signal(t, syscall.SIGSTOP)
+	time.Sleep(d)
+	v.signal(t, syscall.SIGCONT)
+}
--- a/drprocess/start_test.go
+++ b/drprocess/start_test.go
@@ -13,20 +13,20 @@
 type sample struct {
 	account string
 	// idle models are used by one test each.
-	burst, killed, drained string
-	service                string
+	burst, killed, drained, cold string
+	service                      string
 }
 
 func (c *cluster) sample() sample {
 	if c.Name == "fjordsnor" {
 		return sample{
 			account: "nordkabel", burst: "snorrute-redraft-aukra", killed: "snorrute-redraft-drag",
-			drained: "snorrute-redraft-fedje", service: "/bookings",
+			drained: "snorrute-redraft-fedje", cold: "snorrute-bid-agder", service: "/bookings",
 		}
 	}
 	return sample{
 		account: "oficinas-recife", burst: "anexo-match-areia-branca", killed: "anexo-match-azul-jangada",
-		drained: "anexo-match-bege-duna", service: "/orders",
+		drained: "anexo-match-bege-duna", cold: "anexo-shade-epoxi", service: "/orders",
 	}
 }
 
