Start the first holder of a share with a full bucket

Cause: right after an account was declared, its requests were refused with over-rate for about two seconds: shares were claimed on the next tick of one second, waited 1.25 s for loans of an earlier holder, and started empty, although no earlier holder existed. Change: the fold notes which shares had no holder before; the first holder starts with its part of the burst. A change of configuration wakes the holder. Ruled out: starting every new holder full, because an earlier holder may have lent the burst.

--- a/drlimit/holder.go
+++ b/drlimit/holder.go
@@ -10,9 +10,11 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drconfig"
 	"github.com/dotterelridge/dotterelridge/drmember"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drset"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
@@ -37,7 +39,10 @@
 	// releasing holds the shares that are being given up, with the offset
 	// of the change that gave them to this VM. They are not lent any more.
 	releasing map[shareKey]uint64
-	draining  bool
+	// opened names the accounts of which this process has held shares.
+	opened   drset.Set[string]
+	pokes    chan struct{}
+	draining bool
 }
 
 // NewHolder returns a holder that lends what the fold gives it.
@@ -46,6 +51,16 @@
 	return &Holder{
 		config: c, self: process{m.VM, m.Incarnation},
 		accounts: make(map[string]*holding), releasing: make(map[shareKey]uint64),
+		opened: make(drset.Set[string]), pokes: make(chan struct{}, 1),
+	}
+}
+
+// Poke makes Run look for shares without holder at once, as is due when client
+// accounts were added.
+func (h *Holder) Poke() {
+	select {
+	case h.pokes <- struct{}{}:
+	default:
 	}
 }
 
@@ -121,14 +136,28 @@
 	}
 	e := h.accounts[account]
 	if e == nil {
-		e = &holding{bucket: newBucket(limit, 0, now)}
-		h.accounts[account] = e
+		e = h.open(account, limit, shares, now)
 	}
 	active := e.update(shares, now)
 	e.bucket.update(limit, float64(active)/ShareCount, now)
 	return e.bucket, active
 }
 
+// open begins to hold an account. The bucket starts empty, because an earlier
+// holder may have lent the burst, unless there was none: then nobody has had
+// tokens of the account, and its callers would be refused for no reason.
+func (h *Holder) open(account string, limit drconfig.Limit, shares int, now time.Time) *holding {
+	e := &holding{bucket: newBucket(limit, 0, now)}
+	if !h.opened.Has(account) && h.config.Shares.untouched(account, h.self) {
+		part := float64(shares) / ShareCount
+		e = &holding{bucket: newBucket(limit, part, now), active: shares, held: shares}
+		e.bucket.level = e.bucket.capacity()
+	}
+	h.opened.Add(account)
+	h.accounts[account] = e
+	return e
+}
+
 // holds reports whether this VM holds a share by the change at offset.
 func (h *Holder) holds(k shareKey, offset uint64) bool {
 	return h.config.Shares.holder(k.account, k.share) == shareHolder{h.self, offset}
@@ -141,7 +170,14 @@
 			h.config.Recorder.Record(drtimeline.Event{Name: "shares-not-acquired", Detail: fmt.Sprintf("error=%q", err)})
 		}
 		h.start()
-		if h.config.Clock.Sleep(ctx, acquireInterval) != nil {
+		t := h.config.Clock.NewTimer(acquireInterval)
+		select {
+		case <-t.C():
+		case <-h.pokes:
+		case <-ctx.Done():
+		}
+		t.Stop()
+		if ctx.Err() != nil {
 			return
 		}
 	}
--- a/drlimit/shares.go
+++ b/drlimit/shares.go
@@ -19,6 +19,9 @@
 	shares map[shareKey]shareHolder
 	// counts is the number of shares by account and holder.
 	counts map[string]map[process]int
+	// first holds the shares that had no holder before the change at the
+	// offset, so that no loan of an earlier holder can exist.
+	first map[shareKey]uint64
 }
 
 type shareKey struct {
@@ -43,7 +46,7 @@
 
 // NewShares returns the state of an empty stream.
 func NewShares() *Shares {
-	return &Shares{shares: make(map[shareKey]shareHolder), counts: make(map[string]map[process]int)}
+	return &Shares{shares: make(map[shareKey]shareHolder), counts: make(map[string]map[process]int), first: make(map[shareKey]uint64)}
 }
 
 // Apply implements drlog.Folder.
@@ -79,6 +82,9 @@
 	case old.vm == author.vm && old.incarnation >= author.incarnation:
 		return
 	default:
+		if old.offset == 0 {
+			s.first[k] = offset
+		}
 		s.set(k, shareHolder{author, offset})
 	}
 }
@@ -107,6 +113,20 @@
 	return s.counts[account][p]
 }
 
+// untouched reports whether p is the first holder of all its shares of the
+// account.
+func (s *Shares) untouched(account string, p process) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for i := range uint32(ShareCount) {
+		k := shareKey{account, i}
+		if h := s.shares[k]; h.process == p && s.first[k] != h.offset {
+			return false
+		}
+	}
+	return true
+}
+
 // HeldBy returns how many shares of the account a VM holds.
 func (s *Shares) HeldBy(account, vm string) int {
 	n := 0
@@ -191,6 +211,7 @@
 	defer s.mu.Unlock()
 	clear(s.shares)
 	clear(s.counts)
+	clear(s.first)
 	for _, h := range m.GetShares() {
 		p := process{h.GetVm(), h.GetIncarnation()}
 		s.set(shareKey{h.GetAccount(), h.GetShare()}, shareHolder{p, h.GetOffset()})
