Wait before a runner is taken from an owner not heard of yet

Cause: VMs that start together claimed each other's runners, because an owner that is not in the member list counted as gone. Change: an owner that was never seen is replaced only after the pause that also separates claimants; one that is unreachable or gone is replaced at once. Idle connections no longer hold up a shutdown for 5 s.

--- /dev/null
+++ b/drplace/fleet_test.go
@@ -0,0 +1,55 @@
+package drplace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drmember"
+)
+
+// stubView is a view with fixed members.
+type stubView struct {
+	drmember.View
+	members []drmember.Member
+	gone    string
+}
+
+func (v stubView) Members() []drmember.Member { return v.members }
+func (v stubView) Gone(vm string) bool        { return vm == v.gone }
+
+// Guards against a VM that takes a runner from an owner of which it merely has
+// not heard yet. With engines that ignore fencing each such takeover blocks
+// the runner for 11 s, which made first cold starts that slow.
+func TestUnknownOwnerIsNotLost(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(stubView{gone: "old", members: []drmember.Member{
+		{VM: "a", State: drmember.Alive}, {VM: "b", State: drmember.Unreachable}, {VM: "c", State: drmember.Leaving},
+	}})
+	is.True(!f.lost("unknown") && !f.present.Has("unknown"))
+	is.True(!f.lost("a") && f.present.Has("a"))
+	is.True(f.lost("b") && !f.present.Has("b"))
+	is.True(!f.lost("c") && f.present.Has("c"))
+	is.True(f.lost("old"))
+}
+
+// Guards against an owner that was never heard of and keeps its runners for
+// good.
+func TestUnknownOwnerIsReplacedInTheEnd(t *testing.T) {
+	c := newCluster(2, 1, true)
+	c.model("m", 4, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		time.Sleep(time.Second)
+		v := c.owner("r0")
+		is.True(v != nil)
+		v.kill()
+		c.mu.Lock()
+		delete(c.vms, v.member.VM)
+		c.mu.Unlock()
+		c.settle()
+		is.True(c.owner("r0") != nil) // nil for an owner that is not in the fleet
+	})
+}
--- a/drplace/owner.go
+++ b/drplace/owner.go
@@ -94,35 +94,29 @@
 // review starts keepers for owned runners and claims orphaned ones.
 func (o *Owner) review(ctx context.Context) {
 	self := o.p.View.Self()
-	present := make(drset.Set[string])
-	for _, m := range o.p.View.Members() {
-		// A leaving owner hands its runners over itself.
-		if m.State != drmember.Unreachable {
-			present.Add(m.VM)
-		}
-	}
+	fleet := newFleet(o.p.View)
 	listed := make(drset.Set[string])
 	for _, f := range o.p.Catalogue.EngineFleets() {
 		fencing := o.p.Catalogue.ChecksFencing(f)
 		for _, b := range o.p.View.Backends(f) {
 			listed.Add(b.VM)
-			o.reviewRunner(ctx, b, fencing, self, present)
+			o.reviewRunner(ctx, b, fencing, self, fleet)
 		}
 	}
 	for _, name := range o.p.Ledger.Runners() {
 		if !listed.Has(name) && o.p.View.Gone(name) {
 			// Somebody must release the rights on a runner that is gone.
-			o.reviewRunner(ctx, drmember.Backend{VM: name}, true, self, present)
+			o.reviewRunner(ctx, drmember.Backend{VM: name}, true, self, fleet)
 		}
 	}
 	o.settleOldIntents(ctx, self)
 }
 
-func (o *Owner) reviewRunner(ctx context.Context, b drmember.Backend, fencing bool, self drmember.Member, present drset.Set[string]) {
+func (o *Owner) reviewRunner(ctx context.Context, b drmember.Backend, fencing bool, self drmember.Member, f fleet) {
 	own := o.p.Ledger.Owner(b.VM)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if own.VM != "" && present.Has(own.VM) {
+	if own.VM != "" && f.present.Has(own.VM) {
 		delete(o.orphans, b.VM)
 	} else if _, known := o.orphans[b.VM]; !known {
 		o.orphans[b.VM] = o.p.Clock.Now()
@@ -134,10 +128,14 @@
 		return
 	}
 	restarted := own.VM == self.VM
-	if o.draining || o.claiming.Has(b.VM) || o.p.logDown() || !restarted && own.VM != "" && present.Has(own.VM) {
+	if o.draining || o.claiming.Has(b.VM) || o.p.logDown() || !restarted && own.VM != "" && f.present.Has(own.VM) {
 		return
 	}
-	if !restarted && !o.preferred(b, self, o.p.Clock.Since(o.orphans[b.VM])) {
+	orphaned := o.p.Clock.Since(o.orphans[b.VM])
+	if own.VM != "" && !f.lost(own.VM) {
+		orphaned -= claimPause
+	}
+	if !restarted && !o.preferred(b, self, orphaned) {
 		return
 	}
 	o.claiming.Add(b.VM)
--- a/drserve/drain.go
+++ b/drserve/drain.go
@@ -13,6 +13,10 @@
 // down they stay recorded for this VM until the VM list no longer shows it.
 const handOverTimeout = 5 * time.Second
 
+// idleGrace bounds the wait for connections that carry nothing, such as kept
+// connections of operators, after all requests are answered.
+const idleGrace = 200 * time.Millisecond
+
 // Drain reports not ready, waits for the balancer to take notice, serves all
 // accepted requests, hands over what this VM holds, and stops. It returns
 // early with an error if ctx ends.
@@ -38,7 +42,7 @@
 
 // Close stops at once. Running requests are cut; call Drain to avoid that.
 func (v *VM) Close() error {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), idleGrace)
 	defer cancel()
 	err := v.gate.Close()
 	v.stop()
