Use the current name of the output bound in the path test

Cause: the linter rejects the deprecated field of the client library. Conclusion: no behaviour changes.

--- a/drdemo/path_test.go
+++ b/drdemo/path_test.go
@@ -66,7 +66,7 @@
 	c := openai.DefaultConfig(d.tour.key)
 	c.BaseURL = d.url(vm, "/v1")
 	s, err := openai.NewClientWithConfig(c).CreateChatCompletionStream(ctx, openai.ChatCompletionRequest{
-		Model: model, MaxTokens: tokens, Stream: true,
+		Model: model, MaxCompletionTokens: tokens, Stream: true,
 		Messages: []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: prompt}},
 	})
 	if err != nil {
