Share the HTTP client of the log and the engines

Change: drhttp holds it once; the packages map its reasons to their own. Conclusion: no behaviour changes, one place to fix.

--- a/drengine/config.go
+++ b/drengine/config.go
@@ -22,10 +22,6 @@
 
 	// maxBody bounds the answers that are not streams, in bytes.
 	maxBody = 8 << 20
-
-	// idleConn is how long an unused connection is kept. A short time makes it
-	// less likely that a request goes out on a connection that has died.
-	idleConn = 5 * time.Second
 )
 
 // HTTPConfig sets up an HTTP. Zero values take the defaults.
--- a/drengine/http.go
+++ b/drengine/http.go
@@ -11,13 +11,14 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
 // HTTP is an Engine reached over HTTP.
 type HTTP struct {
 	config HTTPConfig
-	client *fasthttp.HostClient
+	client *drhttp.Client
 }
 
 var _ Engine = (*HTTP)(nil)
@@ -25,11 +26,13 @@
 // NewHTTP returns a client of the engine at c.Address. It connects on demand.
 func NewHTTP(c HTTPConfig) *HTTP {
 	c = c.withDefaults()
-	return &HTTP{config: c, client: newClient(c)}
+	return &HTTP{config: c, client: drhttp.New(drhttp.Config{
+		Address: c.Address, Clock: c.Clock, MaxConns: c.MaxConns, DialTimeout: c.DialTimeout, Stream: true,
+	})}
 }
 
 // Close closes the idle connections.
-func (h *HTTP) Close() { h.client.CloseIdleConnections() }
+func (h *HTTP) Close() { h.client.Close() }
 
 // State implements Engine.
 func (h *HTTP) State(ctx context.Context, fence, after uint64, wait time.Duration) (State, error) {
@@ -101,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	defer closeBody(resp)
+	defer drhttp.CloseBody(resp)
 	answer, err := readBody(ctx, resp)
 	if err != nil || out == nil {
 		return err
@@ -137,7 +140,7 @@
 	if body == nil {
 		return resp.Body(), nil
 	}
-	stop := context.AfterFunc(ctx, func() { closeStream(body) })
+	stop := context.AfterFunc(ctx, func() { drhttp.CloseStream(body) })
 	defer stop()
 	b, err := io.ReadAll(io.LimitReader(body, maxBody+1))
 	if err == nil && len(b) > maxBody {
--- a/drengine/http_stream.go
+++ b/drengine/http_stream.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"sync"
+
+	"github.com/dotterelridge/dotterelridge/drhttp"
 )
 
 // httpStream is a TokenStream over the body of an answer.
@@ -18,7 +20,7 @@
 
 func newHTTPStream(ctx context.Context, body io.Reader, maxLine, from int) *httpStream {
 	s := &httpStream{ctx: ctx, body: body, decoder: newTokenDecoder(body, maxLine, from)}
-	s.stop = context.AfterFunc(ctx, func() { s.closing.Do(func() { closeStream(body) }) })
+	s.stop = context.AfterFunc(ctx, func() { s.closing.Do(func() { drhttp.CloseStream(body) }) })
 	return s
 }
 
@@ -36,14 +38,14 @@
 	s.stop()
 	s.closing.Do(func() {
 		if !s.decoder.done {
-			closeStream(s.body)
+			drhttp.CloseStream(s.body)
 			return
 		}
 		// The end of the body after the last token has to be read before the
 		// connection can be used again. This must not delay the caller.
 		go func() {
 			_, _ = io.CopyN(io.Discard, s.body, 1)
-			closeStream(s.body)
+			drhttp.CloseStream(s.body)
 		}()
 	})
 	return nil
--- a/drlog/http.go
+++ b/drlog/http.go
@@ -3,56 +3,33 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net"
 	"net/url"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
 // HTTP is the platform's log reached over HTTP.
 type HTTP struct {
-	config HTTPConfig
-	client *fasthttp.HostClient
+	client *drhttp.Client
 }
 
 var _ Log = (*HTTP)(nil)
 
-// dialError marks a request that failed before a connection existed.
-type dialError struct{ cause error }
-
-func (e *dialError) Error() string { return e.cause.Error() }
-func (e *dialError) Unwrap() error { return e.cause }
-
 // NewHTTP returns a client of the log at c.Address. It connects on demand.
 func NewHTTP(c HTTPConfig) *HTTP {
 	c = c.withDefaults()
-	return &HTTP{config: c, client: &fasthttp.HostClient{
-		Addr:                     c.Address,
-		MaxConns:                 c.MaxConns,
-		MaxIdleConnDuration:      idleConn,
-		MaxResponseBodySize:      maxPage,
-		NoDefaultUserAgentHeader: true,
-		RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
-			if timeout <= 0 || timeout > c.DialTimeout {
-				timeout = c.DialTimeout
-			}
-			conn, err := net.DialTimeout("tcp", address, timeout)
-			if err != nil {
-				return nil, &dialError{err}
-			}
-			return conn, nil
-		},
-	}}
+	return &HTTP{client: drhttp.New(drhttp.Config{
+		Address: c.Address, Clock: c.Clock, MaxConns: c.MaxConns, DialTimeout: c.DialTimeout, MaxBody: maxPage,
+	})}
 }
 
 // Close closes the idle connections.
-func (h *HTTP) Close() { h.client.CloseIdleConnections() }
+func (h *HTTP) Close() { h.client.Close() }
 
 // Append implements Appender.
 func (h *HTTP) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
@@ -109,43 +86,10 @@
 	return drverdict.New(drverdict.MayHaveRun, drverdict.LogUnavailable, "log answered %d", status)
 }
 
-type sent struct {
-	resp *fasthttp.Response
-	err  error
-}
-
 func (h *HTTP) send(ctx context.Context, method, target string, body []byte, limit time.Duration) (*fasthttp.Response, error) {
-	if end, ok := ctx.Deadline(); ok {
-		limit = end.Sub(h.config.Clock.Now())
-	}
-	if ctx.Err() != nil || limit <= 0 {
-		return nil, drverdict.New(drverdict.NotRun, drverdict.Deadline, "deadline passed before the call of the log")
-	}
-	req := &fasthttp.Request{}
-	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + h.config.Address + target)
-	req.SetBodyRaw(body)
-	req.SetTimeout(limit)
-	done := make(chan sent, 1)
-	// Do does not end with a context. The goroutine owns the request until
-	// Do returns, at the latest when the limit has passed.
-	go func() {
-		resp := &fasthttp.Response{}
-		err := h.client.Do(req, resp)
-		done <- sent{resp, err}
-	}()
-	select {
-	case s := <-done:
-		return s.resp, sendError(s.err)
-	case <-ctx.Done():
-		return nil, drverdict.Wrap(drverdict.MayHaveRun, drverdict.Deadline, context.Cause(ctx), "call the log")
-	}
-}
-
-func sendError(err error) error {
-	v := drverdict.MayHaveRun
-	if _, ok := errors.AsType[*dialError](err); ok || errors.Is(err, fasthttp.ErrNoFreeConns) {
-		v = drverdict.NotRun
+	resp, err := h.client.Do(ctx, drhttp.Call{Method: method, Target: target, Body: body, Limit: limit})
+	if err != nil && drverdict.ReasonOf(err) == drverdict.Unavailable {
+		err = drverdict.Wrap(drverdict.Of(err), drverdict.LogUnavailable, err, "log")
 	}
-	return drverdict.Wrap(v, drverdict.LogUnavailable, err, "call the log")
+	return resp, err
 }
--- a/drlog/http_config.go
+++ b/drlog/http_config.go
@@ -14,10 +14,6 @@
 	// their wait.
 	defaultCallTimeout = 5 * time.Second
 
-	// idleConn is how long an unused connection is kept. A short time makes it
-	// less likely that an append goes out on a connection that has died.
-	idleConn = 5 * time.Second
-
 	// maxPage bounds an answer of the log, in bytes.
 	maxPage = 64 << 20
 
