--- a/drlimit/holder.go
+++ b/drlimit/holder.go
@@ -4,16 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drconfig"
 	"github.com/dotterelridge/dotterelridge/drmember"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drset"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
@@ -35,13 +36,13 @@
 	self     process
 	mu       sync.Mutex
 	accounts map[string]*holding
-	// ended names the accounts of which a bucket was dropped; its loans may
-	// still be out when the account comes back.
-	ended map[string]bool
 	// releasing holds the shares that are being given up, with the offset
 	// of the change that gave them to this VM. They are not lent any more.
 	releasing map[shareKey]uint64
-	draining  bool
+	// opened names the accounts of which this process has held shares.
+	opened   drset.Set[string]
+	pokes    chan struct{}
+	draining bool
 }
 
 // NewHolder returns a holder that lends what the fold gives it.
@@ -49,7 +50,17 @@
 	m := c.View.Self()
 	return &Holder{
 		config: c, self: process{m.VM, m.Incarnation},
-		accounts: make(map[string]*holding), ended: make(map[string]bool), releasing: make(map[shareKey]uint64),
+		accounts: make(map[string]*holding), releasing: make(map[shareKey]uint64),
+		opened: make(drset.Set[string]), pokes: make(chan struct{}, 1),
+	}
+}
+
+// Poke makes Run look for shares without holder at once, as is due when client
+// accounts were added.
+func (h *Holder) Poke() {
+	select {
+	case h.pokes <- struct{}{}:
+	default:
 	}
 }
 
@@ -112,39 +123,44 @@
 // shares; nil if this VM lends nothing of it. The caller holds h.mu.
 func (h *Holder) bucket(account string, now time.Time) (*bucket, int) {
 	limit, ok := h.config.Limits.Limit(account)
-	shares, releasing := h.config.Shares.held(account, h.self), 0
+	shares := h.config.Shares.held(account, h.self)
 	for k, offset := range h.releasing {
 		if k.account == account && h.holds(k, offset) {
-			releasing++
+			shares--
 		}
 	}
-	shares -= releasing
 	if !ok || shares <= 0 || h.draining {
 		// Shares that come back later start empty.
-		if h.accounts[account] != nil {
-			delete(h.accounts, account)
-			h.ended[account] = true
-		}
+		delete(h.accounts, account)
 		return nil, 0
 	}
 	e := h.accounts[account]
 	if e == nil {
-		e = &holding{bucket: newBucket(limit, 0, now)}
-		h.accounts[account] = e
+		e = h.open(account, limit, shares, now)
 	}
 	active := e.update(shares, now)
-	if active < shares && !h.ended[account] {
-		// Shares that nobody held before have no loans to wait for.
-		active = max(active, h.config.Shares.heldFirst(account, h.self)-releasing)
-	}
 	e.bucket.update(limit, float64(active)/ShareCount, now)
 	return e.bucket, active
 }
 
+// open begins to hold an account. The bucket starts empty, because an earlier
+// holder may have lent the burst, unless there was none: then nobody has had
+// tokens of the account, and its callers would be refused for no reason.
+func (h *Holder) open(account string, limit drconfig.Limit, shares int, now time.Time) *holding {
+	e := &holding{bucket: newBucket(limit, 0, now)}
+	if !h.opened.Has(account) && h.config.Shares.untouched(account, h.self) {
+		part := float64(shares) / ShareCount
+		e = &holding{bucket: newBucket(limit, part, now), active: shares, held: shares}
+		e.bucket.level = e.bucket.capacity()
+	}
+	h.opened.Add(account)
+	h.accounts[account] = e
+	return e
+}
+
 // holds reports whether this VM holds a share by the change at offset.
 func (h *Holder) holds(k shareKey, offset uint64) bool {
-	now := h.config.Shares.holder(k.account, k.share)
-	return now.process == h.self && now.offset == offset
+	return h.config.Shares.holder(k.account, k.share) == shareHolder{h.self, offset}
 }
 
 // Run acquires shares until ctx ends.
@@ -154,25 +170,17 @@
 			h.config.Recorder.Record(drtimeline.Event{Name: "shares-not-acquired", Detail: fmt.Sprintf("error=%q", err)})
 		}
 		h.start()
-		if h.pause(ctx) != nil {
-			return
+		t := h.config.Clock.NewTimer(acquireInterval)
+		select {
+		case <-t.C():
+		case <-h.pokes:
+		case <-ctx.Done():
 		}
-	}
-}
-
-// pause waits for the next check, which follows soon after a change of the
-// accounts, because a new account's requests wait for its first shares.
-func (h *Holder) pause(ctx context.Context) error {
-	known, c := h.config.Limits.Accounts(), h.config.Clock
-	for end := c.Now().Add(acquireInterval); c.Now().Before(end); {
-		if err := c.Sleep(ctx, accountInterval); err != nil {
-			return err
-		}
-		if !slices.Equal(known, h.config.Limits.Accounts()) {
-			return nil
+		t.Stop()
+		if ctx.Err() != nil {
+			return
 		}
 	}
-	return nil
 }
 
 // start begins to refill buckets of new shares before they are first asked.
--- a/drlimit/limiter_test.go
+++ b/drlimit/limiter_test.go
@@ -246,6 +246,9 @@
 		defer f.close()
 		time.Sleep(30*time.Second + 10*time.Millisecond)
 		f.set(func() { f.limits["new"] = drconfig.Limit{Rate: 1000, Burst: 4000} })
+		for _, v := range f.vms {
+			v.holder.Poke() // as a change of the configuration does
+		}
 		var wg sync.WaitGroup
 		for _, v := range f.vms {
 			wg.Go(func() {
--- a/drlimit/shares.go
+++ b/drlimit/shares.go
@@ -19,6 +19,9 @@
 	shares map[shareKey]shareHolder
 	// counts is the number of shares by account and holder.
 	counts map[string]map[process]int
+	// first holds the shares that had no holder before the change at the
+	// offset, so that no loan of an earlier holder can exist.
+	first map[shareKey]uint64
 }
 
 type shareKey struct {
@@ -37,16 +40,13 @@
 type shareHolder struct {
 	process
 	offset uint64
-	// first is set for the first holder of the share, so that no loans of an
-	// earlier one exist. Snapshots leave it out, which is on the safe side.
-	first bool
 }
 
 var _ drlog.Folder = (*Shares)(nil)
 
 // NewShares returns the state of an empty stream.
 func NewShares() *Shares {
-	return &Shares{shares: make(map[shareKey]shareHolder), counts: make(map[string]map[process]int)}
+	return &Shares{shares: make(map[shareKey]shareHolder), counts: make(map[string]map[process]int), first: make(map[shareKey]uint64)}
 }
 
 // Apply implements drlog.Folder.
@@ -82,7 +82,10 @@
 	case old.vm == author.vm && old.incarnation >= author.incarnation:
 		return
 	default:
-		s.set(k, shareHolder{author, offset, old.offset == 0})
+		if old.offset == 0 {
+			s.first[k] = offset
+		}
+		s.set(k, shareHolder{author, offset})
 	}
 }
 
@@ -110,18 +113,18 @@
 	return s.counts[account][p]
 }
 
-// heldFirst returns how many shares of account the process p holds as their
-// first holder.
-func (s *Shares) heldFirst(account string, p process) int {
+// untouched reports whether p is the first holder of all its shares of the
+// account.
+func (s *Shares) untouched(account string, p process) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	n := 0
 	for i := range uint32(ShareCount) {
-		if h := s.shares[shareKey{account, i}]; h.first && h.process == p {
-			n++
+		k := shareKey{account, i}
+		if h := s.shares[k]; h.process == p && s.first[k] != h.offset {
+			return false
 		}
 	}
-	return n
+	return true
 }
 
 // HeldBy returns how many shares of the account a VM holds.
@@ -208,9 +211,10 @@
 	defer s.mu.Unlock()
 	clear(s.shares)
 	clear(s.counts)
+	clear(s.first)
 	for _, h := range m.GetShares() {
 		p := process{h.GetVm(), h.GetIncarnation()}
-		s.set(shareKey{h.GetAccount(), h.GetShare()}, shareHolder{process: p, offset: h.GetOffset()})
+		s.set(shareKey{h.GetAccount(), h.GetShare()}, shareHolder{p, h.GetOffset()})
 	}
 	return nil
 }
