Wait for a restarted engine instead of using up a request's attempts on it

Cause: when the only engine with a model failed, the wake-up named it again until its owner noticed. A request tried six times within 0.3 s and was answered 502, although its deadline was 8 s away and the engine restarted after 1 s. Change: a request that failed on an engine asks it for its state before it goes there again, every 200 ms until its deadline.

--- a/drroute/router.go
+++ b/drroute/router.go
@@ -7,11 +7,13 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drengine"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
@@ -29,6 +31,9 @@
 	// placeRecheck bounds how long a change of residency goes unnoticed by a
 	// request that waits for a place.
 	placeRecheck = 50 * time.Millisecond
+	// failedRecheck is the time between looks at an engine that failed and is
+	// the only one with the model. All requests that it broke look.
+	failedRecheck = 200 * time.Millisecond
 	// maxAttempts bounds the dispatches of one request.
 	maxAttempts = 6
 	// probeTimeout bounds the calls that find out what became of a stream.
@@ -136,6 +141,10 @@
 			if err != nil {
 				return Runner{}, nil, err
 			}
+			if x, err = r.confirm(s, x); err != nil {
+				_ = r.Clock.Sleep(s.ctx, failedRecheck)
+				continue
+			}
 			candidates = []Runner{x}
 		}
 		for _, x := range candidates {
@@ -176,13 +185,29 @@
 		// The wake-up did not run, but an earlier attempt may have.
 		return x, s.raise(err)
 	}
-	if instance, failed := s.failed[x.Address]; failed && instance == x.Instance {
-		// The failure may be news to the owner of the runner.
-		_ = r.Clock.Sleep(s.ctx, placeRecheck)
-	}
 	return x, nil
 }
 
+// confirm asks an engine on which s failed before whether it serves the model.
+// The owner of the runner, which named it again, may not know of the failure
+// yet, and each dispatch would use up an attempt of the request.
+func (r *Router) confirm(s *Stream, x Runner) (Runner, error) {
+	if instance, failed := s.failed[x.Address]; !failed || instance != x.Instance {
+		return x, nil
+	}
+	st, err := s.probe(s.ctx, r.Engines.Engine(x.Address))
+	if err != nil {
+		return x, err
+	}
+	for _, l := range st.Replicas {
+		if l.Model == s.request.Model && l.Adapter == s.request.Adapter && l.State == drengine.Loaded {
+			x.Instance = st.Instance
+			return x, nil
+		}
+	}
+	return x, fmt.Errorf("engine %s has not loaded %q", x.Address, s.request.Model)
+}
+
 // candidates returns the runners that may take s, best first.
 func (r *Router) candidates(s *Stream) []Runner {
 	all := r.Residency.Runners(s.request.Model, s.request.Adapter)
