--- a/dradmin/client.go
+++ b/dradmin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net/url"
 	"time"
@@ -23,7 +24,13 @@
 // NewClient returns a client for the admin server at base, such as
 // "http://127.0.0.1:9090".
 func NewClient(base, token string) *Client {
-	return &Client{base: base, token: token, http: fasthttp.Client{NoDefaultUserAgentHeader: true}}
+	return NewTLSClient(base, token, nil)
+}
+
+// NewTLSClient is NewClient for a base that starts with "https://"; c holds
+// the authorities of the server and the operator's certificate.
+func NewTLSClient(base, token string, c *tls.Config) *Client {
+	return &Client{base: base, token: token, http: fasthttp.Client{NoDefaultUserAgentHeader: true, TLSConfig: c}}
 }
 
 // Submit sends a change. The result is valid also when the change was
--- a/drcommand/apply.go
+++ b/drcommand/apply.go
@@ -30,11 +30,13 @@
 	if err := parse(fs, args, 1, maxPaths); err != nil {
 		return err
 	}
-	admin.resolve()
+	client, err := admin.client()
+	if err != nil {
+		return err
+	}
 	if *id == "" {
 		*id = uuid.NewString()
 	}
-	client := dradmin.NewClient(admin.address, admin.token)
 	sctx, cancel := context.WithTimeout(ctx, admin.timeout)
 	defer cancel()
 	d, err := compare(sctx, env, client, *prune, fs.Args())
--- a/drcommand/diff.go
+++ b/drcommand/diff.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-
-	"github.com/dotterelridge/dotterelridge/dradmin"
 )
 
 func runDiff(ctx context.Context, env environment, args []string) error {
@@ -14,10 +12,13 @@
 	if err := parse(fs, args, 1, maxPaths); err != nil {
 		return err
 	}
-	admin.resolve()
+	client, err := admin.client()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, admin.timeout)
 	defer cancel()
-	d, err := compare(ctx, env, dradmin.NewClient(admin.address, admin.token), *prune, fs.Args())
+	d, err := compare(ctx, env, client, *prune, fs.Args())
 	if err != nil {
 		return err
 	}
--- a/drcommand/get.go
+++ b/drcommand/get.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-
-	"github.com/dotterelridge/dotterelridge/dradmin"
 )
 
 func runGet(ctx context.Context, env environment, args []string) error {
@@ -15,10 +13,13 @@
 	if err := parse(fs, args, 0, 2); err != nil {
 		return err
 	}
-	admin.resolve()
+	client, err := admin.client()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, admin.timeout)
 	defer cancel()
-	objects, err := dradmin.NewClient(admin.address, admin.token).Objects(ctx)
+	objects, err := client.Objects(ctx)
 	if err != nil {
 		return err
 	}
--- a/drcommand/options.go
+++ b/drcommand/options.go
@@ -1,12 +1,15 @@
 package drcommand
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"time"
 
+	"github.com/dotterelridge/dotterelridge/dradmin"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 )
 
@@ -52,19 +55,47 @@
 	address string
 	token   string
 	timeout time.Duration
+	// ca, cert and key are files in PEM.
+	ca, cert, key string
 }
 
 func (o *adminOptions) register(fs *flag.FlagSet) {
 	fs.StringVar(&o.address, "admin", defaultAdmin, "address of the admin server of any entry VM")
 	fs.StringVar(&o.token, "token", "", "operator token; taken from $"+tokenEnvironment+" if empty")
+	fs.StringVar(&o.ca, "ca", "", "authorities of the admin servers in PEM, for an https address")
+	fs.StringVar(&o.cert, "cert", "", "certificate of the operator in PEM, for an https address")
+	fs.StringVar(&o.key, "key", "", "private key of the operator in PEM, for an https address")
 	fs.DurationVar(&o.timeout, "timeout", defaultTimeout, "give up after this time")
 }
 
-// resolve fills in the token from the environment.
-func (o *adminOptions) resolve() {
+// client returns a client of the admin server. The token may come from the
+// environment.
+func (o *adminOptions) client() (*dradmin.Client, error) {
 	if o.token == "" {
 		o.token = os.Getenv(tokenEnvironment)
 	}
+	if o.ca == "" && o.cert == "" && o.key == "" {
+		return dradmin.NewClient(o.address, o.token), nil
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS13}
+	if o.ca != "" {
+		pem, err := os.ReadFile(o.ca)
+		if err != nil {
+			return nil, err
+		}
+		c.RootCAs = x509.NewCertPool()
+		if !c.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("%s holds no certificate", o.ca)
+		}
+	}
+	if o.cert != "" || o.key != "" {
+		pair, err := tls.LoadX509KeyPair(o.cert, o.key)
+		if err != nil {
+			return nil, err
+		}
+		c.Certificates = []tls.Certificate{pair}
+	}
+	return dradmin.NewTLSClient(o.address, o.token, c), nil
 }
 
 // timeValue is a flag holding an RFC 3339 time or a duration before now.
--- a/drcommand/status.go
+++ b/drcommand/status.go
@@ -18,10 +18,13 @@
 	if err := parse(fs, args, 0, 0); err != nil {
 		return err
 	}
-	admin.resolve()
+	client, err := admin.client()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, admin.timeout)
 	defer cancel()
-	st, err := dradmin.NewClient(admin.address, admin.token).Status(ctx)
+	st, err := client.Status(ctx)
 	if err != nil {
 		return err
 	}
--- a/drcommand/timeline.go
+++ b/drcommand/timeline.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/dotterelridge/dotterelridge/dradmin"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 )
 
@@ -20,10 +19,13 @@
 	if err := parse(fs, args, 0, 0); err != nil {
 		return err
 	}
-	admin.resolve()
+	client, err := admin.client()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, admin.timeout)
 	defer cancel()
-	doc, err := dradmin.NewClient(admin.address, admin.token).Timeline(ctx, filter)
+	doc, err := client.Timeline(ctx, filter)
 	if err != nil {
 		return err
 	}
--- a/drdemo/cluster.go
+++ b/drdemo/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -37,6 +38,10 @@
 	// Cut, if not nil, cuts the direction between two entry VMs while it
 	// returns true.
 	Cut func(from, to string) bool
+	// TLS names the certificate of the entry VMs; zero means plain. AdminTLS
+	// is then the operator's configuration.
+	TLS      drsettings.TLS
+	AdminTLS *tls.Config
 }
 
 // Cluster is a number of entry VMs in this process, connected by sockets.
@@ -103,7 +108,9 @@
 	s.LogAddress, s.VMListAddress = k.Platform.Log.Address(), k.Platform.List.Address()
 	s.Secret = drsettings.Secret{Value: d.Secret}
 	s.OperatorTokens = []drsettings.OperatorToken{{Name: "demo", Token: drsettings.Secret{Value: d.Operator}}}
-	s.TLS = drsettings.TLS{Plain: true}
+	if s.TLS = k.TLS; s.TLS == (drsettings.TLS{}) {
+		s.TLS.Plain = true
+	}
 	s.DrainNotice = drconfig.Duration(k.DrainNotice)
 	s.WeightStoreLoads = d.LoadsPerSecond
 	return s, nil
@@ -126,6 +133,9 @@
 
 // Admin returns a client of the admin server of one entry VM.
 func (k *Cluster) Admin(v *drserve.VM) *dradmin.Client {
+	if k.AdminTLS != nil {
+		return dradmin.NewTLSClient("https://"+v.AdminAddress(), k.Deployment.Operator, k.AdminTLS)
+	}
 	return dradmin.NewClient("http://"+v.AdminAddress(), k.Deployment.Operator)
 }
 
--- a/drserve/tls.go
+++ b/drserve/tls.go
@@ -13,7 +13,7 @@
 )
 
 // certificateCheck is how often the files are examined for a new certificate.
-const certificateCheck = 10 * time.Second
+const certificateCheck = time.Second
 
 // certificate is a certificate that is read again when its file changes, so
 // that rotation needs no restart and cuts no connection.
--- a/drtimeline/picture.go
+++ b/drtimeline/picture.go
@@ -12,16 +12,19 @@
 
 // Geometry of the picture, in SVG user units (pixels at scale 1).
 const (
-	laneHeight    = 46
+	laneHeight    = 92
 	laneLabelEdge = 130
 	pictureWidth  = 1400
 	axisHeight    = 34
 	rightMargin   = 150
-	tickCount     = 8
-	// labelWidth is the room that a label needs; labels of events that are
-	// closer together than this are put on alternating rows.
-	labelWidth = 84
-	labelRows  = 3
+	maxTicks      = 10
+	// A label takes letterWidth for each letter and labelGap. One that does not
+	// fit beside the labels before it goes to another row.
+	letterWidth = 6
+	labelGap    = 10
+	rowHeight   = 11
+	labelsBelow = 3 // rows below the lane
+	labelRows   = 6
 )
 
 //go:embed picture.html.tmpl
@@ -60,7 +63,8 @@
 type row struct{ Time, VM, Name, Attributes string }
 
 // WriteHTML writes a self-contained page with one lane for each VM. Events of
-// the same request are joined by a line.
+// the same request are joined by a line, and so are the wake-up and the loads
+// of the same model.
 func WriteHTML(w io.Writer, es []Event) error {
 	return pictureTemplate.Execute(w, newPicture(es))
 }
@@ -96,17 +100,29 @@
 
 func newTicks(first time.Time, span time.Duration, x func(time.Time) int) []tick {
 	var ts []tick
-	for i := range tickCount + 1 {
-		d := span * time.Duration(i) / tickCount
-		ts = append(ts, tick{X: x(first.Add(d)), Label: "+" + d.Round(100*time.Microsecond).String()})
+	step := tickStep(span)
+	for d := time.Duration(0); d <= span; d += step {
+		ts = append(ts, tick{X: x(first.Add(d)), Label: "+" + d.String()})
 	}
 	return ts
 }
 
+// tickStep returns the smallest step of 1, 2 or 5 times a power of ten that
+// gives at most maxTicks ticks after the first.
+func tickStep(span time.Duration) time.Duration {
+	for unit := time.Microsecond; ; unit *= 10 {
+		for _, n := range []time.Duration{1, 2, 5} {
+			if span/(n*unit) <= maxTicks {
+				return n * unit
+			}
+		}
+	}
+}
+
 func newMarks(es []Event, laneY map[string]int, x func(time.Time) int) ([]mark, []link) {
 	var ms []mark
 	var ls []link
-	lastOfRequest := make(map[string]mark)
+	lastOfRequest, lastOfModel := make(map[string]mark), make(map[string]mark)
 	rowEnd := make(map[string]*[labelRows]int)
 	for _, e := range es {
 		m := mark{X: x(e.Stamp.Time()), Y: laneY[e.VM], Name: e.Name, Title: e.Name + attributes(e), Color: color(e.Name)}
@@ -116,25 +132,34 @@
 			rowEnd[e.VM] = ends
 		}
 		if r := slices.IndexFunc(ends[:], func(end int) bool { return end <= m.X }); r >= 0 {
-			ends[r] = m.X + labelWidth
-			m.LabelY = m.Y + 14 - r*11
-			if r > 0 {
-				m.LabelY -= 8
+			ends[r] = m.X + len(m.Name)*letterWidth + labelGap
+			if m.LabelY = m.Y + 3 + (r+1)*rowHeight; r >= labelsBelow {
+				m.LabelY = m.Y + 3 - (r-labelsBelow+1)*rowHeight
 			}
 		} else {
 			m.Name = ""
 		}
 		if e.RequestID != "" {
-			if prev, ok := lastOfRequest[e.RequestID]; ok {
-				ls = append(ls, link{prev.X, prev.Y, m.X, m.Y})
-			}
-			lastOfRequest[e.RequestID] = m
+			ls = join(ls, lastOfRequest, e.RequestID, m)
+		}
+		// What a request's wake-up causes on other VMs carries no request id.
+		if e.Model != "" && (e.RequestID == "" || e.Name == WakeRequested || e.Name == WakeAnswered) {
+			ls = join(ls, lastOfModel, e.Model, m)
 		}
 		ms = append(ms, m)
 	}
 	return ms, ls
 }
 
+// join adds a link from the last mark of the chain to m.
+func join(ls []link, last map[string]mark, chain string, m mark) []link {
+	if prev, ok := last[chain]; ok {
+		ls = append(ls, link{prev.X, prev.Y, m.X, m.Y})
+	}
+	last[chain] = m
+	return ls
+}
+
 // color returns a colour that stays the same for an event name.
 func color(name string) string {
 	palette := []string{"#1b6ca8", "#b8430e", "#2e7d32", "#6a3d9a", "#8a6d00", "#00838f", "#ad1457", "#455a64"}
