--- /dev/null
+++ b/drmetric/producer_test.go
@@ -0,0 +1,55 @@
+package drmetric
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against metrics that stay at zero because nothing writes them.
+func TestEveryMetricHasAProducer(t *testing.T) {
+	is := is.New(t)
+	unused := make(map[string]bool)
+	set := token.NewFileSet()
+	names, err := parser.ParseFile(set, "name.go", nil, 0)
+	is.NoErr(err)
+	ast.Inspect(names, func(n ast.Node) bool {
+		if v, ok := n.(*ast.ValueSpec); ok && v.Names[0].Name != "Descriptions" {
+			unused[v.Names[0].Name] = true
+		}
+		return true
+	})
+	is.Equal(len(unused), len(Descriptions))
+	is.NoErr(filepath.WalkDir("..", func(path string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		f, err := parser.ParseFile(set, path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			switch n := n.(type) {
+			case *ast.SelectorExpr:
+				if x, ok := n.X.(*ast.Ident); ok && x.Name == "drmetric" {
+					delete(unused, n.Sel.Name)
+				}
+			case *ast.CallExpr: // the cost of the process is measured in this package
+				for _, a := range n.Args {
+					if x, ok := a.(*ast.Ident); ok && f.Name.Name == "drmetric" {
+						delete(unused, x.Name)
+					}
+				}
+			}
+			return true
+		})
+		return nil
+	}))
+	is.Equal(unused, map[string]bool{})
+}
