--- a/drlimit/account.go
+++ b/drlimit/account.go
@@ -79,6 +79,8 @@
 		return r, nil
 	default:
 	}
+	// Before the waiter is removed, because unneeded tokens are given back then.
+	held := a.held(a.limiter.config.Clock.Now())
 	ahead := 0.0
 	for i, o := range a.waiters {
 		if o == w {
@@ -89,7 +91,6 @@
 	}
 	a.grant(a.limiter.config.Clock.Now())
 	have := a.available()
-	inRate := a.held(a.limiter.config.Clock.Now()) >= ahead+w.tokens
 	a.mu.Unlock()
 	a.wake()
 	if err := ctx.Err(); err != nil {
@@ -99,7 +100,7 @@
 		}
 		return nil, drverdict.Wrap(drverdict.NotRun, reason, err, "waiting for tokens")
 	}
-	if inRate {
+	if held+epsilon >= ahead+w.tokens {
 		a.limiter.config.Meter.RefusedInRate(a.name)
 	}
 	return nil, a.overRate(w.tokens, ahead+w.tokens-have, limit)
--- /dev/null
+++ b/drlimit/meter_test.go
@@ -0,0 +1,64 @@
+package drlimit
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drverdict"
+)
+
+// counts is a Meter of one account.
+type counts struct {
+	mu                 sync.Mutex
+	borrowed, returned float64
+	refused            int
+}
+
+func (c *counts) Borrowed(_ string, n float64) { c.add(func() { c.borrowed += n }) }
+func (c *counts) Returned(_ string, n float64) { c.add(func() { c.returned += n }) }
+func (c *counts) RefusedInRate(string)         { c.add(func() { c.refused++ }) }
+
+func (c *counts) add(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+// Guards against refusals that are counted as in-rate although the account
+// used up its tokens, or not counted although a dead holder has them.
+func TestMeter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3, Lending, 1, map[string]drconfig.Limit{"a": {Rate: 100, Burst: 1000}})
+		defer f.close()
+		time.Sleep(30 * time.Second)
+		var c counts
+		f.vms[0].limiter.config.Meter = &c
+		reserve := func(tokens float64) drverdict.Reason {
+			r, err := f.vms[0].limiter.Reserve(t.Context(), "a", tokens, time.Now().Add(5*time.Second))
+			if err != nil {
+				return drverdict.ReasonOf(err)
+			}
+			r.Settle(tokens / 2)
+			return 0
+		}
+		is.Equal(reserve(1000), drverdict.Reason(0))
+		is.Equal(reserve(800), drverdict.OverRate)
+		time.Sleep(time.Second)
+		c.add(func() {
+			is.True(c.borrowed >= 1000)
+			is.True(c.returned >= 500)
+			is.Equal(c.refused, 0)
+		})
+		time.Sleep(10 * time.Second)
+		f.kill(f.vms[1])
+		f.kill(f.vms[2])
+		is.Equal(reserve(900), drverdict.OverRate)
+		c.add(func() { is.Equal(c.refused, 1) })
+	})
+}
