--- a/drtimeline/merge_test.go
+++ b/drtimeline/merge_test.go
@@ -36,6 +36,17 @@
 	is.True(!strings.Contains(out.String(), "<script>"))
 }
 
+// Guards against labels that cover each other when many events of one name
+// happen at the same time.
+func TestWriteHTMLJoinsLabels(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	owned := drtimeline.Event{Stamp: at(1), VM: "vm-a", Name: drtimeline.RunnerOwned}
+	is.NoErr(drtimeline.WriteHTML(&out, []drtimeline.Event{owned, owned, owned}))
+	is.Equal(strings.Count(out.String(), ">runner-owned ×3</text>"), 1)
+	is.Equal(strings.Count(out.String(), "<circle"), 3)
+}
+
 func ExampleWriteText() {
 	_ = drtimeline.WriteText(os.Stdout, []drtimeline.Event{
 		{Stamp: at(1000), VM: "vm-a", Name: "load-started", Model: "roster", Backend: "runner-3", Took: 1500 * time.Millisecond},
--- a/drtimeline/picture.go
+++ b/drtimeline/picture.go
@@ -49,6 +49,7 @@
 
 type mark struct {
 	X, Y, LabelY int
+	Count        int // events that the label stands for
 	Name, Title  string
 	Color        string
 }
@@ -124,6 +125,7 @@
 	var ls []link
 	lastOfRequest, lastOfModel := make(map[string]mark), make(map[string]mark)
 	rowEnd := make(map[string]*[labelRows]int)
+	labelled := make(map[string]int) // index of the last mark with a label
 	for _, e := range es {
 		m := mark{X: x(e.Stamp.Time()), Y: laneY[e.VM], Name: e.Name, Title: e.Name + attributes(e), Color: color(e.Name)}
 		ends := rowEnd[e.VM]
@@ -131,11 +133,17 @@
 			ends = new([labelRows]int)
 			rowEnd[e.VM] = ends
 		}
-		if r := slices.IndexFunc(ends[:], func(end int) bool { return end <= m.X }); r >= 0 {
+		if i, ok := labelled[e.VM+" "+e.Name]; ok && m.X-ms[i].X < labelGap {
+			// One label stands for events of the same name at the same place.
+			ms[i].Count++
+			m.Name = ""
+		} else if r := slices.IndexFunc(ends[:], func(end int) bool { return end <= m.X }); r >= 0 {
 			ends[r] = m.X + len(m.Name)*letterWidth + labelGap
 			if m.LabelY = m.Y + 3 + (r+1)*rowHeight; r >= labelsBelow {
 				m.LabelY = m.Y + 3 - (r-labelsBelow+1)*rowHeight
 			}
+			m.Count = 1
+			labelled[e.VM+" "+e.Name] = len(ms)
 		} else {
 			m.Name = ""
 		}
