--- a/drcommand/standin.go
+++ b/drcommand/standin.go
@@ -14,6 +14,7 @@
 	logAddress := fs.String("log", "127.0.0.1:0", "address of the log")
 	listAddress := fs.String("vm-list", "127.0.0.1:0", "address of the VM list")
 	poison := fs.String("poison", "", "text in a prompt that crashes the engine that runs it")
+	memory := fs.Int64("engine-memory", 0, "memory of each engine in GiB; 0 for the stand-in's default")
 	listLag := fs.Duration("list-lag", 0, "how late the VM list shows changes")
 	retention := fs.Duration("retention", 0, "how long the log keeps records; 0 means for ever")
 	interval := fs.Duration("token-interval", 0, "time between tokens; 0 for the stand-in's default")
@@ -27,6 +28,7 @@
 	p, err := drdemo.NewPlatform(drdemo.PlatformConfig{
 		Deployment: deployment, LogAddress: *logAddress, ListAddress: *listAddress, Poison: *poison,
 		ListLag: *listLag, Retention: *retention, TokenInterval: *interval,
+		EngineMemory: *memory << 30,
 	})
 	if err != nil {
 		return err
--- a/drdemo/platform.go
+++ b/drdemo/platform.go
@@ -26,6 +26,9 @@
 	// TokenInterval is the time between the tokens of the engines, 0 for the
 	// stand-in's default.
 	TokenInterval time.Duration
+	// EngineMemory is the memory of each engine in bytes, 0 for the stand-in's
+	// default. Little memory causes evictions.
+	EngineMemory int64
 	// Poison is the text in a prompt that crashes the engine that runs it.
 	Poison string
 	// ListLag is how late the VM list shows changes.
@@ -108,7 +111,7 @@
 func (p *Platform) engineConfig(c PlatformConfig, catalogue []drstandin.Checkpoint, n int) drstandin.EngineConfig {
 	ec := drstandin.EngineConfig{
 		Name: fmt.Sprintf("%s-%d", c.Deployment.RunnerFleet, n+1), ChecksFence: c.Deployment.ChecksFencing,
-		TokenInterval: c.TokenInterval, Poison: c.Poison, WeightStore: p.Store.Address(), Catalogue: catalogue,
+		Memory: c.EngineMemory, TokenInterval: c.TokenInterval, Poison: c.Poison, WeightStore: p.Store.Address(), Catalogue: catalogue,
 	}
 	models := 0
 	for _, x := range catalogue {
--- a/drprocess/cluster_test.go
+++ b/drprocess/cluster_test.go
@@ -26,6 +26,9 @@
 	// withdrawLimit is I6's bound.
 	withdrawLimit = 5 * time.Second
 	poisonText    = "crash-the-engine"
+	// engineMemory in GiB holds one to six of the example models, so that loads
+	// cause evictions.
+	engineMemory = "24"
 )
 
 // clusters are shared by the tests, which run one after the other and undo
@@ -100,7 +103,7 @@
 	// One connection per request, so that no request is lost with a kept
 	// connection whose VM was killed.
 	c.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	c.standins = start(t, d.Name+"-standins", "standin", "-deployment", d.Name, "-poison", poisonText)
+	c.standins = start(t, d.Name+"-standins", "standin", "-deployment", d.Name, "-poison", poisonText, "-engine-memory", engineMemory)
 	eventually(t, startLimit, func() error {
 		c.engines, c.services = nil, nil
 		kinds, addresses := c.standins.fields("event=standin ", "kind"), c.standins.fields("event=standin ", "address")
--- a/drprocess/pause_test.go
+++ b/drprocess/pause_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against a paused VM that acts on what it owned before the pause when
-// it resumes (I1, I2), against requests through other VMs that wait for it
+// it resumes (I1, I2; loads of all models cause evictions), against requests through other VMs that wait for it
 // (I3), and against a VM that does not serve again.
 func TestPausedVM(t *testing.T) {
 	each(t, func(t *testing.T, c *cluster) {
@@ -20,8 +20,10 @@
 				others = append(others, v)
 			}
 		}
-		models := c.modelsLike(s.burst)
-		l := c.startLoad(t, s.account, models, others)
+		for _, address := range c.engines {
+			faults(t, address, map[string]any{"order-delay": "300ms"}) // the pause hits orders on their way
+		}
+		l := c.startLoad(t, s.account, c.config.ModelsFor(s.account), others)
 		time.Sleep(time.Second)
 		pause(t, paused, 12*time.Second) // longer than a lease of 8 s and all margins
 		eventually(t, withdrawLimit, func() error {
--- a/drprocess/start_test.go
+++ b/drprocess/start_test.go
@@ -109,6 +109,48 @@
 	})
 }
 
+// Guards against a paid call that runs again, or is called not-run, when the VM
+// that dispatched it is killed and the caller resends through others (I9, I10).
+func TestKilledDuringPaidCall(t *testing.T) {
+	each(t, func(t *testing.T, c *cluster) {
+		s := c.sample()
+		for _, address := range c.services {
+			faults(t, address, map[string]any{"delay": "500ms"})
+		}
+		killed := c.vms[7]
+		const calls = 4
+		call := func(i int) call {
+			return call{
+				key: key(s.account), method: http.MethodPost, path: s.service, body: fmt.Sprint(i),
+				idempotencyKey: fmt.Sprintf("%s-%d", t.Name(), i), timeout: 5 * time.Second,
+			}
+		}
+		all(t, calls+1, func(i int) error {
+			if i == calls {
+				time.Sleep(250 * time.Millisecond) // the calls are at the service
+				killed.kill()
+				return nil
+			}
+			if a := c.call(killed, call(i)); a.err == nil {
+				return fmt.Errorf("the call ended before its VM was killed: %s", a)
+			}
+			return nil
+		})
+		all(t, calls*3, func(i int) error {
+			q := call(i % calls)
+			a := c.call(c.vms[8+i%3], q)
+			if err := settledCall(q, a); err != nil {
+				return err
+			}
+			if a.problem == nil && !a.replay || a.problem != nil && a.problem.Run != "may-have-run" {
+				return fmt.Errorf("resend of a dispatched call: %s, replay %v", a, a.replay)
+			}
+			return nil
+		})
+		c.restart(t, killed)
+	})
+}
+
 // Guards against a graceful shutdown that cuts streams or exits with an error
 // (I12).
 func TestDrain(t *testing.T) {
