Do not report an evicted model as unknown

Cause: an engine answers 404 for a model that it has evicted. After the last attempt the router passed that reason on, and the caller got 404 unknown-model for a declared model. Change: the reason becomes no-capacity.

--- a/drroute/router_test.go
+++ b/drroute/router_test.go
@@ -386,6 +386,18 @@
 	is.Equal(text, expected(6))
 }
 
+// Guards against telling a caller that a model does not exist when engines have
+// just evicted it.
+func TestEvictedModelIsNotUnknown(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, "e1")
+	f.woken = "e1"
+	f.engines["e1"].refuse = drverdict.New(drverdict.NotRun, drverdict.UnknownModel, "model m is not loaded")
+	_, err := collect(context.Background(), soleRouter(f), "g", "p")
+	is.Equal(drverdict.Of(err), drverdict.NotRun)
+	is.Equal(drverdict.ReasonOf(err), drverdict.NoCapacity)
+}
+
 // BenchmarkGenerate measures the router's cost per request of 100 tokens.
 func BenchmarkGenerate(b *testing.B) {
 	r := soleRouter(newFleet(100, "e1", "e2", "e3"))
--- a/drroute/stream.go
+++ b/drroute/stream.go
@@ -300,6 +300,10 @@
 	}
 	if s.attempts >= maxAttempts || !s.router.budget.retry() {
 		if _, ok := cause.(*drverdict.Error); ok && !s.dispatched { //nolint:errorlint // keep the engine's own reason
+			if drverdict.ReasonOf(cause) == drverdict.UnknownModel {
+				// The engine has not loaded the model, which exists.
+				return drverdict.Wrap(drverdict.NotRun, drverdict.NoCapacity, cause, "no further attempt")
+			}
 			return cause
 		}
 		v := drverdict.NotRun
