--- a/drprocess/caller_test.go
+++ b/drprocess/caller_test.go
@@ -214,6 +214,11 @@
 	if a.problem == nil {
 		return c.whole(q, a)
 	}
+	for _, wrong := range []string{"unknown-model", "unknown-route", "not-allowed", "invalid-key", "malformed-request"} {
+		if a.problem.is(wrong) {
+			return fmt.Errorf("%s: a valid request was refused: %s", q.model, a)
+		}
+	}
 	switch a.problem.Run {
 	case "not-run", "may-have-run", "ran":
 		return nil
