--- a/drprocess/apply_test.go
+++ b/drprocess/apply_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,3 +68,29 @@
 		}
 	}
 }
+
+// Guards against changes that are lost, applied twice or called rejected when
+// the log is slow or its answers are lost, and against a VM that returns to an
+// older configuration when its process is replaced (I13).
+func TestChangesDuringLogFaults(t *testing.T) {
+	each(t, func(t *testing.T, c *cluster) {
+		last := ""
+		for n, on := range []map[string]any{{"lose-answer": true}, {"late-append": "500ms"}, {"delay": "300ms"}} {
+			off := faults(t, c.log, on)
+			last = fmt.Sprintf("n%d-%d", round, n)
+			c.apply(t, c.vms[3*n], declare(t, map[string]any{"client-account": map[string]any{
+				"name": "changed", "labels": map[string]string{"n": last},
+			}}))
+			off()
+		}
+		replaced := c.vms[9]
+		replaced.kill()
+		c.restart(t, replaced)
+		for _, v := range c.vms {
+			code, out := c.command(t, v, "get", "client-account", "changed")
+			if code != 0 || !strings.Contains(out, last) {
+				t.Errorf("I13: %s has %s, want label %s", v.name, out, last)
+			}
+		}
+	})
+}
--- a/drprocess/check_test.go
+++ b/drprocess/check_test.go
@@ -106,5 +106,9 @@
 	return sum
 }
 
+// name is the test's name with the number of the round, so that repeated tests
+// do not meet the keys and prompts of earlier ones.
+func name(t testing.TB) string { return fmt.Sprintf("%s-%d", t.Name(), round) }
+
 // prompt returns a prompt that no other request has.
-func prompt(t testing.TB, n int) string { return fmt.Sprintf("%s question %d", t.Name(), n) }
+func prompt(t testing.TB, n int) string { return fmt.Sprintf("%s question %d", name(t), n) }
--- a/drprocess/cluster_test.go
+++ b/drprocess/cluster_test.go
@@ -35,6 +35,9 @@
 // their faults.
 var clusters = map[string]*cluster{}
 
+// round counts the tests that ran.
+var round int
+
 // cluster is a deployment in processes.
 type cluster struct {
 	drdemo.Deployment
@@ -70,6 +73,7 @@
 			clusters[name] = newCluster(t, drdemo.Deployments()[name])
 		}
 	}
+	round++
 	for _, name := range []string{"fjordsnor", "retoque"} {
 		c := clusters[name]
 		t.Run(name, func(t *testing.T) {
--- a/drprocess/key_test.go
+++ b/drprocess/key_test.go
@@ -71,7 +71,7 @@
 		for range c.vms {
 			<-begun
 		}
-		paid := call{key: withdrawn, method: http.MethodPost, path: s.service, body: "x", idempotencyKey: t.Name()}
+		paid := call{key: withdrawn, method: http.MethodPost, path: s.service, body: "x", idempotencyKey: name(t)}
 		running.Go(func() {
 			a := c.call(c.vms[4], paid)
 			if a.status != http.StatusForbidden || a.problem == nil || a.problem.Run != "may-have-run" {
@@ -94,7 +94,7 @@
 		if d := last.Sub(withdrawal); d > withdrawLimit {
 			t.Errorf("I6: a stream received a token %s after the withdrawal", d)
 		}
-		if n := c.executions(t)[t.Name()]; n != 1 {
+		if n := c.executions(t)[name(t)]; n != 1 {
 			t.Errorf("the paid call was executed %d times", n)
 		}
 	})
@@ -142,7 +142,7 @@
 		var accepted []int
 		all(t, entryVMs, func(i int) error {
 			client := dradmin.NewClient("http://"+c.vms[i].admin, c.Operator)
-			change := dradmin.Change{ID: fmt.Sprintf("%s-%d", t.Name(), i), BasedOn: before.Offset, Author: fmt.Sprint(i)}
+			change := dradmin.Change{ID: fmt.Sprintf("%s-%d", name(t), i), BasedOn: before.Offset, Author: fmt.Sprint(i)}
 			change.Puts = []dradmin.ObjectDocument{{
 				ObjectName: dradmin.ObjectName{Kind: "client-account", Name: "racing"},
 				Object:     json.RawMessage(fmt.Sprintf(`{"name":"racing","labels":{"operator":"n%d"}}`, i)),
--- a/drprocess/log_test.go
+++ b/drprocess/log_test.go
@@ -21,7 +21,7 @@
 			all(t, calls*resends, func(i int) error {
 				q := call{
 					key: key(s.account), method: http.MethodPost, path: s.service, body: fmt.Sprint(i % calls),
-					idempotencyKey: fmt.Sprintf("%s-%d-%d", t.Name(), n, i%calls), timeout: 4 * time.Second,
+					idempotencyKey: fmt.Sprintf("%s-%d-%d", name(t), n, i%calls), timeout: 4 * time.Second,
 				}
 				return settledCall(q, c.call(c.vms[(i*5+n)%entryVMs], q))
 			})
@@ -31,7 +31,7 @@
 		all(t, calls, func(i int) error {
 			q := call{
 				key: key(s.account), method: http.MethodPost, path: s.service, body: fmt.Sprint(i),
-				idempotencyKey: fmt.Sprintf("%s-0-%d", t.Name(), i),
+				idempotencyKey: fmt.Sprintf("%s-0-%d", name(t), i),
 			}
 			return settledCall(q, c.call(c.vms[i], q))
 		})
@@ -59,7 +59,7 @@
 		s := c.sample()
 		warm := question{key: key(s.account), model: s.burst, prompt: prompt(t, 0), tokens: 5}
 		must(t, c.whole(warm, c.ask(c.vms[0], warm)))
-		done := call{key: key(s.account), method: http.MethodPost, path: s.service, body: "a", idempotencyKey: t.Name() + "-done"}
+		done := call{key: key(s.account), method: http.MethodPost, path: s.service, body: "a", idempotencyKey: name(t) + "-done"}
 		if a := c.call(c.vms[0], done); a.status != http.StatusOK {
 			t.Fatal(a)
 		}
@@ -68,7 +68,7 @@
 		time.Sleep(6 * time.Second) // longer than a VM counts as fresh
 		all(t, entryVMs, func(i int) error {
 			q := done
-			q.idempotencyKey = fmt.Sprintf("%s-%d", t.Name(), i)
+			q.idempotencyKey = fmt.Sprintf("%s-%d", name(t), i)
 			a := c.call(c.vms[i], q)
 			if a.problem == nil || a.problem.Run != "not-run" || a.status != http.StatusServiceUnavailable {
 				return fmt.Errorf("keyed call without the log: %s", a)
@@ -83,7 +83,7 @@
 		off()
 		eventually(t, inForceLimit, func() error {
 			q := done
-			q.idempotencyKey = t.Name() + "-after"
+			q.idempotencyKey = name(t) + "-after"
 			if a := c.call(c.vms[3], q); a.status != http.StatusOK {
 				return fmt.Errorf("keyed call with the log back: %s", a)
 			}
--- a/drprocess/start_test.go
+++ b/drprocess/start_test.go
@@ -64,7 +64,7 @@
 func TestKeyedCall(t *testing.T) {
 	each(t, func(t *testing.T, c *cluster) {
 		s := c.sample()
-		q := call{key: key(s.account), method: http.MethodPost, path: s.service, body: `{"seats":2}`, idempotencyKey: t.Name()}
+		q := call{key: key(s.account), method: http.MethodPost, path: s.service, body: `{"seats":2}`, idempotencyKey: name(t)}
 		first := c.call(c.vms[0], q)
 		if first.status != http.StatusOK || first.replay {
 			t.Fatalf("first call: %s", first)
@@ -76,7 +76,7 @@
 			}
 			return nil
 		})
-		if n := c.executions(t)[t.Name()]; n != 1 {
+		if n := c.executions(t)[name(t)]; n != 1 {
 			t.Errorf("executed %d times", n)
 		}
 	})
@@ -122,7 +122,7 @@
 		call := func(i int) call {
 			return call{
 				key: key(s.account), method: http.MethodPost, path: s.service, body: fmt.Sprint(i),
-				idempotencyKey: fmt.Sprintf("%s-%d", t.Name(), i), timeout: 5 * time.Second,
+				idempotencyKey: fmt.Sprintf("%s-%d", name(t), i), timeout: 5 * time.Second,
 			}
 		}
 		all(t, calls+1, func(i int) error {
