Test that requests run only for accounts that may make them

The common check also shows that the ids of answered requests lead to what backend servers counted, without which the check of not-run would be empty.

--- a/drprocess/caller_test.go
+++ b/drprocess/caller_test.go
@@ -101,7 +101,10 @@
 	if q.timeout == 0 {
 		q.timeout = 10 * time.Second
 	}
-	header := map[string]string{"Authorization": "Bearer " + q.key}
+	header := map[string]string{}
+	if q.key != "" {
+		header["Authorization"] = "Bearer " + q.key
+	}
 	if q.idempotencyKey != "" {
 		header["Idempotency-Key"] = q.idempotencyKey
 	}
@@ -139,8 +142,11 @@
 	} else {
 		read(&a, res.Body)
 	}
-	if a.problem != nil && a.problem.Run == "not-run" {
+	switch {
+	case a.problem != nil && a.problem.Run == "not-run":
 		c.refused.add(a.id)
+	case a.problem == nil && a.done && !a.replay:
+		c.served.add(a.id)
 	}
 	return a
 }
--- a/drprocess/check_test.go
+++ b/drprocess/check_test.go
@@ -52,6 +52,12 @@
 			t.Errorf("I9: request %s was refused as not-run but ran: generations %d, executions %d", id, generations[id], executions[id])
 		}
 	}
+	// Shows that the ids of requests lead to what backend servers counted.
+	for _, id := range c.served.all() {
+		if generations[id]+executions[id] == 0 {
+			t.Errorf("request %s was answered but backend servers did not count it", id)
+		}
+	}
 	c.checkKeys(t)
 }
 
--- a/drprocess/cluster_test.go
+++ b/drprocess/cluster_test.go
@@ -50,8 +50,9 @@
 	vms      []*vm
 	client   *http.Client
 	sampler  *sampler
-	// refused are the ids of requests refused as not run.
-	refused recorder
+	// refused are the ids of requests refused as not run, served those of
+	// answered ones that are no replays.
+	refused, served recorder
 }
 
 // vm is one entry VM.
--- a/drprocess/start_test.go
+++ b/drprocess/start_test.go
@@ -15,6 +15,9 @@
 	// idle models are used by one test each.
 	burst, killed, drained, cold string
 	service                      string
+	// barred is an account that may use neither burst nor service; public is a
+	// route that needs no key.
+	barred, public string
 }
 
 func (c *cluster) sample() sample {
@@ -22,11 +25,13 @@
 		return sample{
 			account: "nordkabel", burst: "snorrute-redraft-aukra", killed: "snorrute-redraft-drag",
 			drained: "snorrute-redraft-fedje", cold: "snorrute-bid-agder", service: "/bookings",
+			barred: "fylkeskontoret", public: "/departures",
 		}
 	}
 	return sample{
 		account: "oficinas-recife", burst: "anexo-match-areia-branca", killed: "anexo-match-azul-jangada",
 		drained: "anexo-match-bege-duna", cold: "anexo-shade-epoxi", service: "/orders",
+		barred: "assistencia",
 	}
 }
 
