--- a/drprocess/start_test.go
+++ b/drprocess/start_test.go
@@ -156,14 +156,24 @@
 	})
 }
 
-// Guards against a graceful shutdown that cuts streams or exits with an error
-// (I12).
+// Guards against a graceful shutdown that cuts streams or paid calls or exits
+// with an error (I12).
 func TestDrain(t *testing.T) {
 	each(t, func(t *testing.T, c *cluster) {
 		s := c.sample()
+		for _, address := range c.services {
+			faults(t, address, map[string]any{"delay": "2s"})
+		}
 		v := c.vms[2]
 		var once sync.Once
 		all(t, 8, func(i int) error {
+			if i == 0 {
+				a := c.call(v, call{key: key(s.account), method: http.MethodPost, path: s.service, body: "x", idempotencyKey: name(t)})
+				if a.status != http.StatusOK {
+					return fmt.Errorf("paid call: %s", a)
+				}
+				return nil
+			}
 			q := question{key: key(s.account), model: s.drained, prompt: prompt(t, i), tokens: 150, stream: true}
 			q.event = func(n int) {
 				if n == 10 {
