Repeat a load order that got no answer

Cause: when the answer to a load order was lost because the engine was down for a moment, the owner waited appearTimeout of 5 s for the replica before it began again, and requests for the model waited with it. Change: after one second without the replica in a state read later, the order is repeated with the same replica id, three times at most. Memory and right stay reserved throughout, and the doubt about the first order stays.

--- a/drplace/config.go
+++ b/drplace/config.go
@@ -76,6 +76,9 @@
 
 // Times of residency.
 const (
+	// maxRepeats bounds the repeats of a load order without an answer, one each
+	// tick, before the load counts as failed.
+	maxRepeats = 3
 	// appearTimeout is how long an accepted load may be missing from the
 	// state, which lags, before it counts as failed.
 	appearTimeout = 5 * time.Second
--- a/drplace/engine_test.go
+++ b/drplace/engine_test.go
@@ -24,6 +24,7 @@
 	down     bool
 	leaving  bool
 	lose     int // answers of orders to lose, the orders taking effect
+	drop     int // orders to drop with an error, without an effect
 	delay    int // orders to answer with an error and to execute later
 	replicas []drengine.Replica
 	loads    map[string]int
@@ -108,6 +109,10 @@
 		t.stale++
 		return drverdict.New(drverdict.NotRun, drverdict.Conflict, "stale fence")
 	}
+	if t.drop > 0 {
+		t.drop--
+		return drverdict.New(drverdict.MayHaveRun, drverdict.Unavailable, "no answer")
+	}
 	if t.delay > 0 {
 		t.delay--
 		time.AfterFunc(quarantine-driftMargin/2, func() {
--- a/drplace/keeper_load.go
+++ b/drplace/keeper_load.go
@@ -48,6 +48,10 @@
 			l.seen = true
 		case l.seen, k.stateAt.After(l.since.Add(appearTimeout)):
 			k.loadFailed(ky, l)
+		case l.unanswered > 0 && l.unanswered <= maxRepeats && k.stateAt.After(l.since.Add(tick)):
+			// The order may be lost. Repeating it is harmless: the engine knows
+			// the replica by its id, and its memory stays reserved.
+			l.phase = slotGranted
 		}
 	}
 }
@@ -261,6 +265,9 @@
 		return err
 	}
 	l.phase, l.since = ordered, k.now()
+	if l.unanswered++; err == nil {
+		l.unanswered = 0
+	}
 	k.p.record("load-ordered", k.runner, l.key, "replica="+l.replica)
 	return nil
 }
--- a/drplace/load.go
+++ b/drplace/load.go
@@ -22,6 +22,8 @@
 	phase   loadPhase
 	since   time.Time // begin of the phase
 	seen    bool      // the engine has reported the replica
+	// unanswered counts the orders since the last one that was answered.
+	unanswered int
 	// slotWait is the expected wait for a slot, guarded by the keeper's mutex.
 	slotWait time.Duration
 	// give returns the slot; cancel ends waiting for it.
--- a/drplace/place_test.go
+++ b/drplace/place_test.go
@@ -223,6 +223,31 @@
 	}
 }
 
+// Guards against a cold start that waits until the load counts as failed
+// because its order was lost on the way to the engine.
+func TestLostOrderIsRepeated(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		c := newCluster(4, 1, fencing)
+		c.model("m", 4, 0, 1)
+		c.run(t, func(t *testing.T) {
+			is := is.New(t)
+			c.startAll()
+			c.settle()
+			c.mu.Lock()
+			c.engines["r0"].drop = 1
+			took := c.engines["r0"].took
+			c.mu.Unlock()
+			begin := time.Now()
+			_, err := c.wake("vm00", "m", "", 30*time.Second)
+			is.NoErr(err)
+			is.True(time.Since(begin) < took+orderTimeout+tick)
+			c.settle()
+			is.NoErr(c.check())
+			is.Equal(c.loadsOf("m"), 1)
+		})
+	}
+}
+
 // Guards against two accepted owners after a simultaneous takeover, and
 // against a wake-up that is lost with the owner that served it.
 func TestOwnerDiesMidLoad(t *testing.T) {
--- a/drplace/property_test.go
+++ b/drplace/property_test.go
@@ -161,6 +161,7 @@
 		e.delay = 1 + f.Wait%2
 	case faultLoseOrder:
 		e.lose = 1 + f.Wait%2
+		e.drop = f.Thing % 2
 	case faultLogDown:
 		c.logDown = true
 	case faultLogUp:
