--- /dev/null
+++ b/drcommand/measure_test.go
@@ -0,0 +1,106 @@
+package drcommand
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drmetric"
+)
+
+// Guards against metrics that stay at zero although what they count happened,
+// against log lines that name a key or quote a body, against lines that belong
+// to a request and lack its id, and against a time line that does not show a
+// cold start across VMs.
+func TestObservability(t *testing.T) {
+	is := is.New(t)
+	cluster, l := startCluster(t)
+	vms := cluster.VMs()
+	const marker = "marker-body-71c5"
+	post := func(path, body string, header map[string]string) int {
+		status, _ := send(t, vms[0], "POST", path, body, header)
+		return status
+	}
+	// The buckets of a new deployment are empty, and the model is being loaded.
+	for start := time.Now(); post("/v1/completions", ask(warm, marker), nil) != 200; {
+		is.True(time.Since(start) < 10*time.Second)
+	}
+	before := readMetrics(t, cluster)[drmetric.Requests]
+	is.Equal(post("/v1/completions", ask(warm, marker), nil), 200)
+	for _, v := range vms {
+		// The model's owner is one of the VMs, so one wake-up is remote.
+		status, _ := send(t, v, "POST", "/v1/completions", ask(idle, marker), map[string]string{"X-Request-Id": "cold-" + v.Settings.VM})
+		is.Equal(status, 200)
+	}
+	is.Equal(post("/bookings?api_key="+demoKey, marker, map[string]string{"Idempotency-Key": "k1", "X-Request-Id": "booking"}), 200)
+	is.Equal(post("/bookings", marker, map[string]string{"Idempotency-Key": "k1", "X-Api-Key": demoKey}), 200)
+	is.Equal(post("/bookings/"+demoKey, marker, nil), 400)
+	is.Equal(post("/v1/completions", ask(warm, demoKey), nil), 400)
+	is.Equal(post("/v1/completions", ask(demoKey, marker), nil), 404)
+	is.Equal(post("/v1/completions", ask(warm, marker), map[string]string{"Authorization": "Bearer drk_wrong_" + marker}), 401)
+	is.Equal(post("/v1/completions", ask(warm, marker), map[string]string{"X-Request-Id": demoKey}), 200)
+	is.Equal(post("/v1/completions", `{"model": "`+warm+`", "prompt": "`+strings.Repeat("long ", 20000)+`"}`, nil), 429)
+	is.Equal(post("/v1/completions", ask(warm, poison+marker), nil), 422)
+	time.Sleep(1500 * time.Millisecond) // the idle time is sampled every second
+
+	m := readMetrics(t, cluster)
+	for _, name := range []string{
+		drmetric.Requests + "{200}", drmetric.Requests + "{401}", drmetric.Refusals + "{over-rate}", drmetric.Refusals + "{crashes-backend}",
+		drmetric.TimeToFirstToken, drmetric.InterTokenLatency, drmetric.ColdStartWait, drmetric.QueueWait, drmetric.ServedTokens + "{passasjer-app}",
+		drmetric.Loads + "{loaded}", drmetric.LoadTime, drmetric.IdleAccelerator, drmetric.BorrowedTokens, drmetric.ReturnedTokens,
+		drmetric.Retries + "{allowed}", drmetric.Strikes, drmetric.LogAppends + "{config}", drmetric.LogReads + "{placement}",
+		drmetric.FollowerLag, drmetric.FollowerOffset, drmetric.ConfigOffset, drmetric.ConfigChanges + "{accepted}",
+		drmetric.OnceCalls + "{granted}", drmetric.OnceCalls + "{replayed}", drmetric.Peers + "{alive}",
+		drmetric.PeerBytes + "{sent}", drmetric.PeerBytes + "{received}", drmetric.CallerConnections,
+		drmetric.ProcessCPU, drmetric.ProcessMemory, drmetric.ProcessGoroutines,
+	} {
+		if m[name] <= 0 {
+			t.Errorf("%s is %g", name, m[name])
+		}
+	}
+	is.Equal(m[drmetric.InRateRefusals], 0.0) // a request above the burst is not within the rate
+	is.Equal(m[drmetric.Requests]-before, 12.0)
+
+	text := l.String()
+	for _, secret := range []string{marker, demoKey, operator, "demo-only-fjordsnor-deployment-secret"} {
+		is.True(!strings.Contains(text, secret))
+	}
+	checkLines(t, text)
+	for _, v := range vms {
+		code, out, _ := run(v, "timeline", "-request-id", "cold-"+vms[0].Settings.VM)
+		is.Equal(code, exitOK)
+		inOrder(t, out, "request-received", "request-admitted", "wake-requested", "load-ordered", "load-ended", "wake-answered",
+			"generation-dispatched", "first-token", "request-served")
+	}
+}
+
+// checkLines checks the form of the log.
+func checkLines(t *testing.T, text string) {
+	t.Helper()
+	for line := range strings.Lines(text) {
+		if !strings.HasPrefix(line, "time=") || strings.Count(line, " event=") != 1 {
+			t.Errorf("malformed line %q", line)
+		}
+		for _, event := range []string{"request-", "generation-", "wake-", "call-", "first-token", "stream-", "queue-"} {
+			if strings.Contains(line, " event="+event) && !strings.Contains(line, " request-id=") {
+				t.Errorf("no request id in %q", line)
+			}
+		}
+	}
+}
+
+// inOrder checks that the words occur in this order.
+func inOrder(t *testing.T, text string, words ...string) {
+	t.Helper()
+	rest := text
+	for _, w := range words {
+		_, after, ok := strings.Cut(rest, w)
+		if !ok {
+			t.Errorf("%q is missing or out of order in:\n%s", w, text)
+			return
+		}
+		rest = after
+	}
+}
