Count the crash of a backend server's instance once

Cause: a stream that broke when its engine crashed was sent to the same engine again before the owner reported the restart. The dropped connection and the failed probe counted as a second crash with the request as the only prior suspect, so innocent requests were answered 422 crashes-backend. Change: Suspects remembers the instance that crashed for 10 s; its later failures are no strikes, and the router neither chooses it nor takes it from a wake-up. After a wake-up without a report the router asks the engine for its instance.

--- a/drroute/router.go
+++ b/drroute/router.go
@@ -136,7 +136,9 @@
 			if err != nil {
 				return Runner{}, nil, err
 			}
-			candidates = []Runner{x}
+			if !r.Suspects.Fallen(x.Address, x.Instance) {
+				candidates = []Runner{x}
+			}
 		}
 		for _, x := range candidates {
 			run, err := r.take(s, x)
@@ -176,6 +178,13 @@
 		// The wake-up did not run, but an earlier attempt may have.
 		return x, s.raise(err)
 	}
+	if x.Instance == "" {
+		// The owner's report is still on its way. Without the instance, a crash
+		// could not be told from the one before.
+		if st, err := s.probe(s.ctx, r.Engines.Engine(x.Address)); err == nil {
+			x.Instance = st.Instance
+		}
+	}
 	if instance, failed := s.failed[x.Address]; failed && instance == x.Instance {
 		// The failure may be news to the owner of the runner.
 		_ = r.Clock.Sleep(s.ctx, placeRecheck)
@@ -186,7 +195,7 @@
 // candidates returns the runners that may take s, best first.
 func (r *Router) candidates(s *Stream) []Runner {
 	all := r.Residency.Runners(s.request.Model, s.request.Adapter)
-	all = slices.DeleteFunc(slices.Clone(all), func(x Runner) bool { return x.Leaving })
+	all = slices.DeleteFunc(slices.Clone(all), func(x Runner) bool { return x.Leaving || r.Suspects.Fallen(x.Address, x.Instance) })
 	all = usable(r.ejector, all, func(x Runner) string { return x.Address }, func(x Runner) bool {
 		instance, failed := s.failed[x.Address]
 		return failed && instance == x.Instance
--- a/drroute/suspects.go
+++ b/drroute/suspects.go
@@ -25,6 +25,10 @@
 	// trialLife ends the claim of a VM that died during a trial.
 	trialLife = 2 * time.Minute
 	maxTrials = 1024
+	// fallenLife is how long an instance that crashed is avoided. Its owner
+	// reports the next instance within seconds. A longer life would keep an
+	// engine out of use that only this VM could not reach for a moment.
+	fallenLife = 10 * time.Second
 	// maxCleared ids are remembered so that a strike which arrives late, from
 	// the log, does not undo a clearance.
 	maxCleared = 8
@@ -38,6 +42,12 @@
 	expires     time.Time
 }
 
+// fall is the crash of an instance of a backend server.
+type fall struct {
+	instance string
+	at       time.Time
+}
+
 type trialKey struct {
 	fingerprint Fingerprint
 	vm          string
@@ -64,6 +74,10 @@
 	order   *list.List // of *suspect, oldest first
 	running map[string]map[*Run]struct{}
 	trials  map[trialKey]trial
+	// fallen is the last instance of each backend server whose crash was
+	// counted. Requests sent to it before its end is known here break too, but
+	// an instance crashes once.
+	fallen  map[string]fall
 	changed chan struct{}
 }
 
@@ -76,6 +90,7 @@
 		order:   list.New(),
 		running: make(map[string]map[*Run]struct{}),
 		trials:  make(map[trialKey]trial),
+		fallen:  make(map[string]fall),
 		changed: make(chan struct{}),
 	}
 }
@@ -276,6 +291,11 @@
 		}
 		return
 	}
+	if s.isFallen(r.backend, r.instance) {
+		s.mu.Unlock()
+		return
+	}
+	s.fallen[r.backend] = fall{r.instance, s.clock.Now()}
 	c := &crash{told: make(chan struct{})}
 	n := s.strike(r, c)
 	s.mu.Unlock()
@@ -283,6 +303,19 @@
 	close(c.told)
 }
 
+// Fallen reports whether the instance of the backend server crashed lately. An
+// unknown instance of a server of which one crashed counts as that one.
+func (s *Suspects) Fallen(backend, instance string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isFallen(backend, instance)
+}
+
+func (s *Suspects) isFallen(backend, instance string) bool {
+	f, ok := s.fallen[backend]
+	return ok && f.instance != "" && (instance == "" || f.instance == instance) && s.clock.Since(f.at) < fallenLife
+}
+
 // strike records a crash against every run that it broke.
 func (s *Suspects) strike(r *Run, c *crash) Notice {
 	n := Notice{Kind: Strike, ID: s.newID(), VM: s.vm, Backend: r.backend}
--- a/drroute/suspects_test.go
+++ b/drroute/suspects_test.go
@@ -49,6 +49,32 @@
 	is.NoErr(a.Check(y))
 }
 
+// Guards against a second strike for a request that was sent again to an
+// instance before its crash was known, and against avoiding it for ever.
+func TestInstanceCrashesOnce(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c := drclock.NewFake(time.Unix(0, 0))
+	s := (&network{}).join(c, "vm-a")
+	x := Fingerprint{1}
+	for range 2 {
+		r, err := s.Begin(ctx, x, "s1", "i1")
+		is.NoErr(err)
+		r.Crash(ctx)
+		r.End()
+		is.NoErr(s.Check(x))
+	}
+	is.True(s.Fallen("s1", "i1"))
+	is.True(s.Fallen("s1", ""))
+	is.True(!s.Fallen("s1", "i2"))
+	r, err := s.Begin(ctx, x, "s1", "i2")
+	is.NoErr(err)
+	r.Crash(ctx)
+	is.True(s.Check(x) != nil)
+	c.Advance(fallenLife)
+	is.True(!s.Fallen("s1", "i2"))
+}
+
 // Guards against a strike read late from the log that undoes a clearance, and
 // against one that a restarted VM does not accept from its former self.
 func TestLateStrikeDoesNotUndoClearance(t *testing.T) {
