Retry ports that were taken, let tests adjust settings of a cluster

Change: Add tries again with other ports up to 5 times; ClusterConfig.Adjust changes settings before a VM starts, for example the address of the log.

--- a/drdemo/cluster.go
+++ b/drdemo/cluster.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/dradmin"
@@ -19,9 +20,10 @@
 	// readyTimeout bounds the start of a cluster.
 	readyTimeout = 30 * time.Second
 	readyPoll    = 20 * time.Millisecond
-	// plainListenAttempts bounds the search for ports that stay free between
-	// the probe and the real listener.
-	listenHost = "127.0.0.1:0"
+	listenHost   = "127.0.0.1:0"
+	// startAttempts bounds the search for ports that stay free between the
+	// probe and the real listener, when clusters start at the same time.
+	startAttempts = 5
 )
 
 // ClusterConfig configures a Cluster.
@@ -37,6 +39,8 @@
 	// Cut, if not nil, cuts the direction between two entry VMs while it
 	// returns true.
 	Cut func(from, to string) bool
+	// Adjust, if not nil, changes the settings of an entry VM before it starts.
+	Adjust func(*drsettings.Settings)
 }
 
 // Cluster is a number of entry VMs in this process, connected by sockets.
@@ -65,6 +69,21 @@
 
 // Add starts the entry VM with the given number and shows it in the VM list.
 func (k *Cluster) Add(n int) (*drserve.VM, error) {
+	v, err := k.start(n)
+	for i := 1; i < startAttempts && errors.Is(err, syscall.EADDRINUSE); i++ {
+		v, err = k.start(n)
+	}
+	if err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	k.vms = append(k.vms, v)
+	k.mu.Unlock()
+	s := v.Settings
+	return v, k.Platform.AddEntry(s.VM, s.Zone, s.Addresses.Peers)
+}
+
+func (k *Cluster) start(n int) (*drserve.VM, error) {
 	s, err := k.settings(n)
 	if err != nil {
 		return nil, err
@@ -76,13 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := v.Start(); err != nil {
-		return nil, err
-	}
-	k.mu.Lock()
-	k.vms = append(k.vms, v)
-	k.mu.Unlock()
-	return v, k.Platform.AddEntry(s.VM, s.Zone, s.Addresses.Peers)
+	return v, v.Start()
 }
 
 // VMs returns the entry VMs in the order in which they were added.
@@ -106,6 +119,9 @@
 	s.TLS = drsettings.TLS{Plain: true}
 	s.DrainNotice = drconfig.Duration(k.DrainNotice)
 	s.WeightStoreLoads = d.LoadsPerSecond
+	if k.Adjust != nil {
+		k.Adjust(&s)
+	}
 	return s, nil
 }
 
