--- /dev/null
+++ b/drmatrix/caller_test.go
@@ -0,0 +1,160 @@
+package drmatrix
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drserve"
+	"github.com/dotterelridge/dotterelridge/drstandin"
+)
+
+// answer is what a caller saw of one request.
+type answer struct {
+	status   int
+	run      string
+	reason   string
+	body     string // of a plain call
+	text     string // of a stream
+	tokens   int
+	done     bool // [DONE] was read
+	replayed bool
+	err      error // of the connection
+	ended    time.Time
+}
+
+// refused reports whether the caller was told that nothing ran.
+func (a answer) refused() bool { return a.run == "not-run" }
+
+type problem struct {
+	Type string `json:"type"`
+	Run  string `json:"run"`
+}
+
+func (a *answer) readProblem(data []byte) {
+	var p problem
+	if err := json.Unmarshal(data, &p); err != nil {
+		a.err = fmt.Errorf("problem %q: %w", data, err)
+		return
+	}
+	a.run, a.reason = p.Run, p.Type[strings.LastIndexByte(p.Type, '/')+1:]
+}
+
+// send sends a request to a VM and returns its response.
+func send(ctx context.Context, v *drserve.VM, method, path, key, body string, headers ...string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.CallersAddress()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return client.Do(req)
+}
+
+// call sends a plain service call.
+func call(v *drserve.VM, path, key, onceKey string, timeout time.Duration) (a answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+5*time.Second)
+	defer cancel()
+	res, err := send(ctx, v, http.MethodPost, path, key, "{}", "Idempotency-Key", onceKey, "Request-Timeout", fmt.Sprint(timeout.Seconds()))
+	if err != nil {
+		return answer{err: err}
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	a = answer{status: res.StatusCode, body: string(b), err: err, replayed: res.Header.Get("Idempotency-Replayed") == "true"}
+	if a.status >= 400 && err == nil {
+		a.readProblem(b)
+	}
+	return a
+}
+
+// stream sends a streamed completion and reads it to its end. onToken, if not
+// nil, is called after each token with the number of tokens so far.
+func stream(v *drserve.VM, key, model, prompt string, tokens int, timeout time.Duration, onToken func(int)) (a answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+5*time.Second)
+	defer cancel()
+	defer func() { a.ended = time.Now() }()
+	body, err := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": tokens, "stream": true})
+	if err != nil {
+		return answer{err: err}
+	}
+	res, err := send(ctx, v, http.MethodPost, "/v1/completions", key, string(body), "Request-Timeout", fmt.Sprint(timeout.Seconds()))
+	if err != nil {
+		return answer{err: err}
+	}
+	defer res.Body.Close()
+	a.status = res.StatusCode
+	if a.status != http.StatusOK {
+		b, err := io.ReadAll(res.Body)
+		a.err = err
+		a.readProblem(b)
+		return a
+	}
+	a.read(res.Body, onToken)
+	return a
+}
+
+func (a *answer) read(r io.Reader, onToken func(int)) {
+	lines := bufio.NewScanner(r)
+	failed := false
+	for lines.Scan() {
+		if lines.Text() == "event: error" {
+			failed = true
+			continue
+		}
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+			continue
+		case failed:
+			a.readProblem([]byte(data))
+			return
+		case data == "[DONE]":
+			a.done = true
+			return
+		}
+		var c struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		if a.err = json.Unmarshal([]byte(data), &c); a.err != nil {
+			return
+		}
+		if len(c.Choices) == 0 || c.Choices[0].Text == "" {
+			continue
+		}
+		a.text += c.Choices[0].Text
+		a.tokens++
+		if onToken != nil {
+			onToken(a.tokens)
+		}
+	}
+	a.err = errors.Join(lines.Err(), io.ErrUnexpectedEOF)
+}
+
+// check returns an error unless the answer is whole, or a refusal or an error
+// after a correct beginning (I8).
+func (a answer) check(model, prompt string, tokens int) error {
+	want := drstandin.Answer(model, "", prompt, tokens)
+	switch {
+	case a.done && a.text != want:
+		return fmt.Errorf("whole answer is %q, want %q", a.text, want)
+	case !strings.HasPrefix(want, a.text):
+		return fmt.Errorf("partial answer %q is no beginning of %q", a.text, want)
+	case a.refused() && a.text != "":
+		return fmt.Errorf("not-run after %d tokens", a.tokens)
+	case !a.done && a.run == "" && a.err == nil:
+		return errors.New("the answer ended without [DONE], error event or refusal")
+	}
+	return nil
+}
--- /dev/null
+++ b/drmatrix/cells_test.go
@@ -0,0 +1,294 @@
+package drmatrix
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drserve"
+)
+
+// scenario runs one step of a protocol with a fault.
+type scenario struct {
+	protocol, step string
+	run            func(s *system, f fault)
+	// not lists the columns that table.go covers otherwise.
+	not []string
+}
+
+var scenarios = []scenario{
+	{"configuration change", "before append", changeBefore, []string{"key withdrawn", "weight store slow", "poison request"}},
+	{"configuration change", "before in force", changeAfter, []string{"key withdrawn", "weight store slow", "poison request"}},
+	{"load", "before order", loadWith(0), nil},
+	{"load", "mid-load", loadWith(400 * time.Millisecond), nil},
+	{"keyed call", "before intent", keyedBefore, nil},
+	{"keyed call", "dispatched", keyedDispatched, nil},
+	{"stream", "before first token", streamAt(0), nil},
+	{"stream", "mid-stream", streamAt(30), nil},
+	{"stream", "last token", streamAt(streamTokens - 1), nil},
+	{"drain", "notice", drainAt(0), []string{"process death", "VM reclaimed"}},
+	{"drain", "streams running", drainAt(300 * time.Millisecond), []string{"process death", "VM reclaimed"}},
+	{"join", "join", joinWith, nil},
+	{"key withdrawal", "withdrawal", withdrawalWith, []string{"key withdrawn"}},
+}
+
+// parallelSystems bounds the clusters that run at the same time.
+const parallelSystems = 16
+
+// Guards, for each step and fault, against a broken or mixed-up answer, a false
+// "not run", a second execution of a keyed call, more replicas or memory than
+// allowed, a key that works after its withdrawal, and a change that is lost.
+func TestCells(t *testing.T) {
+	runCells(t, func(f fault) bool { return f.column != poisonColumn })
+}
+
+// Guards, for each step, against a request that crashes more than two engines,
+// and against innocent requests that are blocked or cut with it.
+func TestPoisonRequest(t *testing.T) {
+	runCells(t, func(f fault) bool { return f.column == poisonColumn })
+}
+
+const poisonColumn = "poison request"
+
+func runCells(t *testing.T, selected func(fault) bool) {
+	slots := make(chan struct{}, parallelSystems)
+	for _, c := range scenarios {
+		for _, f := range faults {
+			if !selected(f) || slices.Contains(c.not, f.column) {
+				continue
+			}
+			name := strings.ReplaceAll(c.protocol+"/"+c.step+"/"+f.column, " ", "-")
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				s := newSystem(t, "fjordsnor")
+				c.run(s, f)
+				if err := s.checkEngines(); err != nil {
+					t.Error(err)
+				}
+				s.closeAll()
+			})
+		}
+	}
+}
+
+// settle checks that the change has one result everywhere.
+func (s *system) settle(offset uint64, name string, weight int) {
+	s.t.Helper()
+	s.inForce(offset)
+	for _, v := range s.live() {
+		if w := s.weight(v, name); w != weight {
+			s.t.Errorf("%s has weight %d, want %d", v.Settings.VM, w, weight)
+		}
+	}
+}
+
+func changeBefore(s *system, f fault) {
+	c := s.change("changed", 7, s.offset())
+	healed := f.start(s, s.VMs()[0])
+	r := s.submit(s.live()[0], c)
+	healed()
+	if again := s.submit(s.live()[0], c); !r.Accepted || again.Offset != r.Offset {
+		s.t.Errorf("results %+v and %+v of one change", r, again)
+	}
+	s.settle(r.Offset, "changed", 7)
+}
+
+func changeAfter(s *system, f fault) {
+	c := s.change("changed", 7, s.offset())
+	r := s.submit(s.VMs()[0], c)
+	healed := f.start(s, s.VMs()[2])
+	healed()
+	if !r.Accepted {
+		s.t.Errorf("rejected: %v", r.Problems)
+	}
+	s.settle(r.Offset, "changed", 7)
+}
+
+const (
+	streamTokens   = 60
+	requestTimeout = 20 * time.Second
+)
+
+// excused reports whether a caller of the VM may get less than a whole answer.
+func (f fault) excused(v, subject *drserve.VM) bool {
+	switch f.column {
+	case "key withdrawn":
+		return true
+	case "process death", "VM reclaimed", "zone partition":
+		return v == subject
+	}
+	return false
+}
+
+// streamAll streams on the VMs and checks the answers. The hook is called once
+// with the number of tokens that the first VM's caller has.
+func (s *system) streamAll(f fault, vms []*drserve.VM, subject *drserve.VM, model string, hook func(int)) {
+	var all sync.WaitGroup
+	for i, v := range vms {
+		all.Go(func() {
+			h := hook
+			if i > 0 {
+				h = nil
+			}
+			prompt := fmt.Sprintf("prompt %d", i)
+			a := stream(v, ferryKey, model, prompt, streamTokens, requestTimeout, h)
+			if err := a.check(model, prompt, streamTokens); err != nil {
+				s.t.Errorf("%s: %v", v.Settings.VM, err)
+			}
+			if !a.done && !f.excused(v, subject) {
+				s.t.Errorf("%s: not whole: status=%d run=%s reason=%s tokens=%d err=%v", v.Settings.VM, a.status, a.run, a.reason, a.tokens, a.err)
+			}
+		})
+	}
+	all.Wait()
+}
+
+func streamAt(token int) func(*system, fault) {
+	return func(s *system, f fault) {
+		model, subject := s.model(false), s.VMs()[2]
+		warm := stream(s.VMs()[0], ferryKey, model, "warm", 4, requestTimeout, nil)
+		if err := warm.check(model, "warm", 4); err != nil || !warm.done {
+			s.t.Fatalf("first request: %+v %v", warm, err)
+		}
+		var once sync.Once
+		var injected sync.WaitGroup
+		inject := func() { once.Do(func() { injected.Go(func() { f.start(s, subject)() }) }) }
+		if token == 0 {
+			inject()
+		}
+		s.streamAll(f, s.VMs(), subject, model, func(n int) {
+			if n == token {
+				inject()
+			}
+		})
+		injected.Wait()
+	}
+}
+
+func loadWith(after time.Duration) func(*system, fault) {
+	return func(s *system, f fault) {
+		subject := s.VMs()[2]
+		var injected sync.WaitGroup
+		injected.Go(func() {
+			time.Sleep(after)
+			f.start(s, subject)()
+		})
+		s.streamAll(f, s.VMs(), subject, s.model(true), nil)
+		injected.Wait()
+	}
+}
+
+// resend sends the call again and checks what ran.
+func (s *system) resend(key string, first answer) {
+	s.t.Helper()
+	if first.refused() && s.executions(key) > 0 {
+		s.t.Errorf("refusal %q says not-run after an execution", first.reason)
+	}
+	vms := s.live()
+	again := call(vms[len(vms)-1], "/bookings", ferryKey, key, 5*time.Second)
+	if n := s.executions(key); n > 1 {
+		s.t.Errorf("the call ran %d times", n)
+	}
+	if first.status == 200 && again.status == 200 && !again.replayed {
+		s.t.Error("the second answer is not marked as replayed")
+	}
+	s.t.Logf("first: %d %s %s; again: %d %s %s; executions %d", first.status, first.run, first.reason, again.status, again.run, again.reason, s.executions(key))
+}
+
+func keyedBefore(s *system, f fault) {
+	subject := s.VMs()[0]
+	healed := f.start(s, subject)
+	a := call(subject, "/bookings", ferryKey, "key-before", 5*time.Second)
+	healed()
+	s.resend("key-before", a)
+}
+
+func keyedDispatched(s *system, f fault) {
+	subject := s.VMs()[0]
+	result := make(chan answer)
+	go func() { result <- call(subject, "/bookings", ferryKey, "key-dispatched", 5*time.Second) }()
+	s.until(5*time.Second, "an execution", func() bool { return s.executions("key-dispatched") == 1 })
+	healed := f.start(s, subject)
+	a := <-result
+	healed()
+	s.resend("key-dispatched", a)
+}
+
+func drainAt(after time.Duration) func(*system, fault) {
+	return func(s *system, f fault) {
+		leaving, subject, model := s.VMs()[0], s.VMs()[2], s.model(false)
+		stream(leaving, ferryKey, model, "warm", 4, requestTimeout, nil)
+		var all sync.WaitGroup
+		all.Go(func() { s.streamAll(f, []*drserve.VM{leaving}, subject, model, nil) })
+		time.Sleep(100 * time.Millisecond)
+		all.Go(func() {
+			time.Sleep(after)
+			f.start(s, subject)()
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		err := leaving.Drain(ctx)
+		s.mu.Lock()
+		s.closed[leaving] = true
+		s.mu.Unlock()
+		if err != nil {
+			s.t.Errorf("drain: %v", err)
+		}
+		all.Wait()
+	}
+}
+
+func joinWith(s *system, f fault) {
+	subject := s.VMs()[2]
+	healed := f.start(s, subject)
+	v, err := s.Add(3)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.ready(v, joinBound)
+	if f.column != "key withdrawn" {
+		s.streamAll(f, []*drserve.VM{v}, subject, s.model(false), nil)
+	}
+	healed()
+}
+
+func withdrawalWith(s *system, f fault) {
+	subject := s.VMs()[2]
+	c := s.withdrawal("passasjer-app")
+	model := s.model(false)
+	stream(s.VMs()[0], ferryKey, model, "warm", 4, requestTimeout, nil)
+	ends := make(chan time.Time, 1)
+	go func() {
+		a := stream(s.VMs()[1], ferryKey, model, "long", 3000, 40*time.Second, nil)
+		if a.done {
+			s.t.Error("the stream was not cancelled")
+		}
+		ends <- a.ended
+	}()
+	time.Sleep(200 * time.Millisecond)
+	healed := f.start(s, subject)
+	r := s.submit(s.VMs()[0], c)
+	accepted := time.Now()
+	if !r.Accepted {
+		s.t.Fatalf("rejected: %v", r.Problems)
+	}
+	if d := (<-ends).Sub(accepted); d > withdrawBound {
+		s.t.Errorf("the stream ended %v after the withdrawal", d)
+	}
+	for _, v := range s.live() {
+		cut := v == subject && f.column == "zone partition"
+		if cut {
+			healed()
+		}
+		s.until(withdrawBound, "the key refused on "+v.Settings.VM, func() bool {
+			return stream(v, ferryKey, model, "after", 1, 5*time.Second, nil).status == 401
+		})
+	}
+	healed()
+}
--- /dev/null
+++ b/drmatrix/link_test.go
@@ -0,0 +1,82 @@
+package drmatrix
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+)
+
+// link forwards one VM's connections to the log, until it is cut.
+type link struct {
+	listener net.Listener
+	mu       sync.Mutex
+	cut      bool
+	conns    map[net.Conn]bool
+}
+
+func newLink(t testing.TB, to string) *link {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &link{listener: listener, conns: make(map[net.Conn]bool)}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go l.forward(c, to)
+		}
+	}()
+	t.Cleanup(func() {
+		listener.Close()
+		l.set(true)
+	})
+	return l
+}
+
+func (l *link) address() string { return l.listener.Addr().String() }
+
+// set cuts or restores the link. A cut drops the open connections.
+func (l *link) set(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+	if cut {
+		for c := range l.conns {
+			c.Close()
+		}
+		clear(l.conns)
+	}
+}
+
+func (l *link) keep(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.cut {
+		l.conns[c] = true
+	}
+	return !l.cut
+}
+
+func (l *link) forward(c net.Conn, to string) {
+	defer c.Close()
+	if !l.keep(c) {
+		return
+	}
+	d, err := net.Dial("tcp", to)
+	if err != nil {
+		return
+	}
+	defer d.Close()
+	if !l.keep(d) {
+		return
+	}
+	go func() {
+		_, _ = io.Copy(d, c)
+		d.Close()
+	}()
+	_, _ = io.Copy(c, d)
+}
--- /dev/null
+++ b/drmatrix/matrix.go
@@ -0,0 +1,71 @@
+package drmatrix
+
+import (
+	"slices"
+	"strings"
+)
+
+// Row is a step of a protocol.
+type Row struct {
+	Protocol, Step string
+}
+
+// Cell says how a step is covered under a fault.
+type Cell struct {
+	// Tests are names of the form package.Test or package.Test/subtest.
+	Tests []string
+	// Reason says why there is no test; empty if there are tests.
+	Reason string
+}
+
+// Rows returns the steps in the order of the page.
+func Rows() []Row {
+	var rows []Row
+	for _, p := range protocols {
+		for _, s := range p.steps {
+			rows = append(rows, Row{p.name, s})
+		}
+	}
+	return rows
+}
+
+// Columns returns the faults in the order of the page.
+func Columns() []string { return slices.Clone(columns) }
+
+// Find returns the cell of a row and a column.
+func Find(r Row, column string) Cell {
+	var c Cell
+	for _, e := range entries {
+		if e.protocol != r.Protocol || e.step != "" && e.step != r.Step || !slices.Contains(e.columns, column) {
+			continue
+		}
+		if e.reason != "" && len(c.Tests) == 0 {
+			c.Reason = e.reason
+		}
+		c.Tests = append(c.Tests, e.tests...)
+	}
+	if test, ok := clusterTest(r, column); ok {
+		c.Tests = append(c.Tests, test)
+	}
+	if len(c.Tests) > 0 {
+		c.Reason = ""
+	}
+	return c
+}
+
+// clusterTest returns the test of drmatrix that runs the cell on a cluster.
+func clusterTest(r Row, column string) (string, bool) {
+	not, ok := clusterSteps[r]
+	if !ok || slices.Contains(notInCluster, column) || slices.Contains(not, column) {
+		return "", false
+	}
+	test := "drmatrix.TestCells/"
+	if column == "poison request" {
+		test = "drmatrix.TestPoisonRequest/"
+	}
+	return test + strings.ReplaceAll(r.Protocol+"/"+r.Step+"/"+column, " ", "-"), true
+}
+
+// Random reports whether a test reaches its cells by seeded random
+// interleavings of faults, so that a single run need not meet each of them.
+func Random(test string) bool { return slices.Contains(randomTests, test) }
--- /dev/null
+++ b/drmatrix/system_test.go
@@ -0,0 +1,283 @@
+package drmatrix
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/dradmin"
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drdemo"
+	"github.com/dotterelridge/dotterelridge/drserve"
+	"github.com/dotterelridge/dotterelridge/drsettings"
+	"github.com/dotterelridge/dotterelridge/drstandin"
+)
+
+// Bounds from the design.
+const (
+	inForceBound  = 13 * time.Second // I13
+	withdrawBound = 5 * time.Second  // I6
+	joinBound     = 5 * time.Second  // design section 3.1
+)
+
+const (
+	ferryKey = "drk_demo_passasjer-app"
+	poison   = "crash-the-engine"
+)
+
+// system is a cluster of three entry VMs with its stand-ins.
+type system struct {
+	*drdemo.Cluster
+	t        testing.TB
+	platform *drdemo.Platform
+	objects  drconfig.Config
+	mu       sync.Mutex
+	links    map[string]*link
+	cuts     map[[2]string]bool
+	closed   map[*drserve.VM]bool
+	changes  atomic.Int64
+}
+
+func newSystem(t testing.TB, deployment string) *system {
+	d := drdemo.Deployments()[deployment]
+	platform, err := drdemo.NewPlatform(drdemo.PlatformConfig{Deployment: d, Poison: poison})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(platform.Close)
+	s := &system{
+		t: t, platform: platform, links: make(map[string]*link), cuts: make(map[[2]string]bool), closed: make(map[*drserve.VM]bool),
+	}
+	objects, err := d.Objects()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.objects = drconfig.Config{}.With(objects...)
+	s.Cluster, err = drdemo.NewCluster(context.Background(), drdemo.ClusterConfig{
+		Deployment: d, Platform: platform, EntryVMs: 3, Clock: drclock.System{}, Version: "matrix",
+		DrainNotice: 100 * time.Millisecond, Cut: s.isCut, Adjust: s.adjust,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.closeAll)
+	// The scenarios start from a fleet whose runners have owners.
+	s.until(inForceBound, "owners of all runners", func() bool {
+		for _, v := range s.VMs() {
+			st, err := s.Admin(v).Status(context.Background())
+			if err != nil || len(st.Runners) < d.Runners || slices.ContainsFunc(st.Runners, func(r dradmin.RunnerStatus) bool { return r.Owner == "" }) {
+				return false
+			}
+		}
+		return true
+	})
+	return s
+}
+
+func (s *system) closeAll() {
+	var all sync.WaitGroup
+	for _, v := range s.VMs() {
+		all.Go(func() { s.kill(v) })
+	}
+	all.Wait()
+}
+
+func (s *system) adjust(x *drsettings.Settings) {
+	l := newLink(s.t, x.LogAddress)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links[x.VM] = l
+	x.LogAddress = l.address()
+}
+
+func (s *system) isCut(from, to string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cuts[[2]string{from, to}]
+}
+
+// cutOff cuts the directions between the VM and all others; into and out of it
+// if both is true, else only out of it.
+func (s *system) cutOff(v *drserve.VM, cut, both bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	self := v.Settings.VM
+	for name := range s.links {
+		s.cuts[[2]string{self, name}] = cut && name != self
+		if both {
+			s.cuts[[2]string{name, self}] = cut && name != self
+		}
+	}
+}
+
+// partition cuts the VM off from the others and from the log.
+func (s *system) partition(v *drserve.VM, cut bool) {
+	s.cutOff(v, cut, true)
+	s.mu.Lock()
+	l := s.links[v.Settings.VM]
+	s.mu.Unlock()
+	l.set(cut)
+}
+
+// kill ends a VM's process without a drain.
+func (s *system) kill(v *drserve.VM) {
+	s.mu.Lock()
+	done := s.closed[v]
+	s.closed[v] = true
+	s.mu.Unlock()
+	if !done {
+		_ = v.Close() // errors of cut connections
+	}
+}
+
+// live returns the VMs that were not killed.
+func (s *system) live() []*drserve.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(s.VMs(), func(v *drserve.VM) bool { return s.closed[v] })
+}
+
+func (s *system) logFaults(f drstandin.LogFaults) { s.platform.Log.SetFaults(f) }
+
+// change returns a change with a new id that puts a client account.
+func (s *system) change(name string, weight int, basedOn uint64) dradmin.Change {
+	return dradmin.Change{
+		ID: fmt.Sprintf("matrix-%d", s.changes.Add(1)), BasedOn: basedOn, Author: "matrix",
+		Puts: []dradmin.ObjectDocument{{
+			ObjectName: dradmin.ObjectName{Kind: string(drconfig.KindAccount), Name: name},
+			Object:     drconfig.EncodeObject(drconfig.ClientAccount{Name: name, Weight: weight}),
+		}},
+	}
+}
+
+// submit sends a change, again with the same id while its result is unknown.
+func (s *system) submit(v *drserve.VM, c dradmin.Change) dradmin.ChangeResult {
+	s.t.Helper()
+	var err error
+	for range 10 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		var r dradmin.ChangeResult
+		r, err = s.Admin(v).Submit(ctx, c)
+		cancel()
+		if err == nil {
+			return r
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.t.Fatalf("change %s: %v", c.ID, err)
+	return dradmin.ChangeResult{}
+}
+
+// offset returns the offset to base a change on.
+func (s *system) offset() uint64 {
+	o, err := s.Admin(s.live()[0]).Objects(context.Background())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return o.Offset
+}
+
+// inForce waits until the live VMs have the offset, at most for the bound.
+func (s *system) inForce(offset uint64) {
+	s.t.Helper()
+	for _, v := range s.live() {
+		s.until(inForceBound, "the change in force on "+v.Settings.VM, func() bool {
+			st, err := s.Admin(v).Status(context.Background())
+			return err == nil && st.ConfigOffset >= offset
+		})
+	}
+}
+
+// weight returns the weight of a client account as seen by a VM, 0 if it does
+// not exist there.
+func (s *system) weight(v *drserve.VM, name string) int {
+	s.t.Helper()
+	o, err := s.Admin(v).Objects(context.Background())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for _, x := range o.Objects {
+		if x.Kind == string(drconfig.KindAccount) && x.Name == name {
+			var a struct {
+				Weight int `json:"weight"`
+			}
+			if err := json.Unmarshal(x.Object, &a); err != nil {
+				s.t.Fatal(err)
+			}
+			return a.Weight
+		}
+	}
+	return 0
+}
+
+// until polls a condition and fails the test if it does not hold in time.
+func (s *system) until(bound time.Duration, what string, f func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(bound); ; time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+		if time.Now().After(end) {
+			s.t.Fatalf("%s: not within %v", what, bound)
+		}
+	}
+}
+
+// model returns a model that the passengers' app may use; idle ones are not
+// loaded at the start.
+func (s *system) model(idle bool) string {
+	names := s.objects.ModelsFor("passasjer-app")
+	slices.Sort(names)
+	for _, n := range names {
+		if _, ok := s.objects.Model(n); ok && (s.objects.Replicas(n).Min == 0) == idle {
+			return n
+		}
+	}
+	s.t.Fatal("no such model")
+	return ""
+}
+
+// executions returns how often the service ran calls with the key.
+func (s *system) executions(key string) int {
+	n := 0
+	for _, x := range s.platform.Services {
+		n += x.Counts().Keys[key]
+	}
+	return n
+}
+
+// checkEngines checks I1 and I2 from the engines' counters. MostReplicas counts
+// per engine, so the fleet's sum is an upper bound only while no replica moved;
+// the present replicas are counted exactly.
+func (s *system) checkEngines() error {
+	count := make(map[string]int)
+	for _, e := range s.platform.Engines {
+		if used := e.Counts().MostUsed; used > engineMemory {
+			return fmt.Errorf("an engine used %d bytes of %d", used, int64(engineMemory))
+		}
+		if e.Counts().Refusals > 0 {
+			return fmt.Errorf("an engine refused an order for lack of memory")
+		}
+		for _, r := range e.Replicas() {
+			if r.Adapter == "" {
+				count[r.Model]++
+			}
+		}
+	}
+	for _, m := range slices.Sorted(maps.Keys(count)) {
+		if decided := s.objects.Replicas(m).Max; count[m] > decided {
+			return fmt.Errorf("model %s has %d replicas, decided are %d", m, count[m], decided)
+		}
+	}
+	return nil
+}
+
+// engineMemory is the memory of a stand-in engine, in bytes.
+const engineMemory = 80 << 30
--- /dev/null
+++ b/drmatrix/table.go
@@ -0,0 +1,174 @@
+package drmatrix
+
+type protocol struct {
+	name  string
+	steps []string
+}
+
+var protocols = []protocol{
+	{"configuration change", []string{"before append", "append's answer lost", "before in force"}},
+	{"load", []string{"before order", "order sent", "mid-load", "loaded"}},
+	{"takeover", []string{"own appended", "fence planted", "waiting out"}},
+	{"grant and release", []string{"grant", "release"}},
+	{"token loan", []string{"before debit", "answer lost", "unused"}},
+	{"keyed call", []string{"before intent", "intent recorded", "dispatched", "outcome not recorded"}},
+	{"stream", []string{"before first token", "mid-stream", "last token"}},
+	{"drain", []string{"notice", "streams running", "hand-over"}},
+	{"join", []string{"join"}},
+	{"key withdrawal", []string{"withdrawal"}},
+}
+
+var columns = []string{
+	"process death", "pause past a lease", "log down", "log slow", "log answer lost", "late append", "log gap",
+	"weight store slow", "VM reclaimed", "zone partition", "one-way partition", "late and repeated answers",
+	"key withdrawn", "operators racing", "poison request",
+}
+
+// notInCluster are the faults that need package fakes: a process in a cluster
+// of one process cannot be paused, and its sockets do not repeat messages.
+var notInCluster = []string{"pause past a lease", "late and repeated answers"}
+
+// clusterSteps are the steps that TestCells runs, with the columns that it
+// leaves out.
+var clusterSteps = map[Row][]string{
+	{"configuration change", "before append"}:   {"key withdrawn", "weight store slow", "poison request"},
+	{"configuration change", "before in force"}: {"key withdrawn", "weight store slow", "poison request"},
+	{"load", "before order"}:                    nil,
+	{"load", "mid-load"}:                        nil,
+	{"keyed call", "before intent"}:             nil,
+	{"keyed call", "dispatched"}:                nil,
+	{"stream", "before first token"}:            nil,
+	{"stream", "mid-stream"}:                    nil,
+	{"stream", "last token"}:                    nil,
+	{"drain", "notice"}:                         {"process death", "VM reclaimed"},
+	{"drain", "streams running"}:                {"process death", "VM reclaimed"},
+	{"join", "join"}:                            nil,
+	{"key withdrawal", "withdrawal"}:            {"key withdrawn"},
+}
+
+// randomTests draw their faults at random from a fixed seed.
+var randomTests = []string{
+	"drplace.TestInvariantsUnderFaults", "drlimit.TestNeverOverRate", "dronce.TestAtMostOnce", "drconfig.TestOperatorsRacing",
+}
+
+// entry covers the cells of a protocol, or of one step of it, in some columns.
+type entry struct {
+	protocol, step string
+	columns        []string
+	tests          []string
+	reason         string
+}
+
+func cover(protocol, step string, tests []string, columns ...string) entry {
+	return entry{protocol: protocol, step: step, columns: columns, tests: tests}
+}
+
+func none(protocol, step, reason string, columns ...string) entry {
+	return entry{protocol: protocol, step: step, columns: columns, reason: reason}
+}
+
+// entries holds the tests of other packages and the reasons. An empty step
+// stands for all steps of the protocol.
+var entries = []entry{
+	cover("configuration change", "append's answer lost", []string{"drconfig.TestFold", "drlog.TestAppendVerdicts"}, "log answer lost", "late append"),
+	cover("configuration change", "", []string{"drconfig.TestOperatorsRacing"}, "late append", "late and repeated answers", "operators racing"),
+	cover("configuration change", "", []string{"drlog.TestNoGoingBack"}, "late and repeated answers"),
+	cover("configuration change", "before in force", []string{"drlog.TestStartAfterGap", "drlog.TestGapWhileFollowing", "drconfig.TestSnapshot"}, "log gap"),
+	cover("configuration change", "before in force", []string{"drlog.TestBootstrapFromPeer"}, "log down"),
+	cover("configuration change", "before in force", []string{"drlog.TestSlowLogStaysFresh"}, "log slow"),
+	cover("configuration change", "before in force", []string{"drlog.TestAloneCutOffIsIsolated", "drlog.TestHalfCutOffIsIsolated"}, "zone partition"),
+	none("configuration change", "append's answer lost", "The step is itself a lost answer: the change is in the log and is found by its id, as under 'before in force'.",
+		"process death", "log down", "log slow", "log gap", "VM reclaimed", "zone partition", "one-way partition"),
+	none("configuration change", "", "No lease is involved. A VM that was paused reads on from its offset, as after 'log down'.", "pause past a lease"),
+	none("configuration change", "", "Operators authenticate with tokens from the settings; the change does not use callers' keys, loads nothing and runs no request.",
+		"key withdrawn", "weight store slow", "poison request"),
+
+	cover("load", "", []string{"drplace.TestInvariantsUnderFaults"}, "process death", "pause past a lease", "log down", "log answer lost", "late append", "late and repeated answers"),
+	cover("load", "before order", []string{"drplace.TestNoOrderAfterLease", "drplace.TestLateOrderAfterTakeover"}, "pause past a lease"),
+	cover("load", "order sent", []string{"drplace.TestOrderInFlightStaysReserved"}, "pause past a lease", "late and repeated answers"),
+	cover("load", "order sent", []string{"drplace.TestLostAnswers"}, "log answer lost", "late append"),
+	cover("load", "mid-load", []string{"drplace.TestOwnerDiesMidLoad", "drplace.TestEngineRestartsMidLoad"}, "process death"),
+	cover("load", "before order", []string{"drplace.TestWakeWhileLogIsDown"}, "log down"),
+	cover("load", "before order", []string{"drplace.TestLeavingRunner"}, "VM reclaimed"),
+	cover("load", "before order", []string{"drplace.TestHomeUnreachable"}, "zone partition"),
+	cover("load", "before order", []string{"drplace.TestDecidedMaximumLowered"}, "operators racing"),
+	cover("load", "order sent", []string{"drplace.TestWeightStoreSlots"}, "log down"),
+	none("load", "order sent", "The window between sending an order and its arrival is a few milliseconds; the outside effect is that of 'mid-load'.",
+		"log slow", "log gap", "weight store slow", "VM reclaimed", "zone partition", "one-way partition", "key withdrawn", "operators racing", "poison request"),
+	none("load", "loaded", "Nothing of the load is under way any more; the effect on requests is that of 'stream'.",
+		"log slow", "log gap", "weight store slow", "VM reclaimed", "zone partition", "one-way partition", "key withdrawn", "poison request"),
+	cover("load", "loaded", []string{"drplace.TestDecidedMaximumLowered"}, "operators racing"),
+
+	cover("takeover", "", []string{"drplace.TestInvariantsUnderFaults"}, "process death", "pause past a lease", "log down", "log answer lost", "late append", "late and repeated answers"),
+	cover("takeover", "own appended", []string{"drplace.TestLostAnswers", "drplace.TestLedgerRejectsStaleRecords"}, "log answer lost", "late append"),
+	cover("takeover", "own appended", []string{"drplace.TestOwnerDiesMidLoad"}, "process death"),
+	cover("takeover", "fence planted", []string{"drplace.TestLateOrderAfterTakeover"}, "pause past a lease", "late and repeated answers"),
+	cover("takeover", "waiting out", []string{"drplace.TestTakeoverWaitsOutLease"}, "process death"),
+	cover("takeover", "waiting out", []string{"drplace.TestNoOrderAfterLease"}, "log down", "pause past a lease"),
+	none("takeover", "", "Not run. A slow log delays the own record as an outage does ('log down'); no test holds a takeover in this step under this fault.", "log slow"),
+	none("takeover", "", "Not run. The placement fold restarts from a snapshot (drplace.TestLedgerSnapshot, drlog.TestGapWhileFollowing); no test combines this with a takeover.", "log gap"),
+	none("takeover", "", "Not run. A reclaimed VM is a dead one that the list no longer shows; the takeover does not wait for the list with fencing.", "VM reclaimed"),
+	none("takeover", "", "Not run as a takeover of its own. The cluster cells of 'load' under this fault include takeovers by the other VMs.", "zone partition", "one-way partition"),
+	none("takeover", "", "Owning a runner uses no caller's key, loads nothing and runs no request.", "key withdrawn", "weight store slow", "poison request"),
+	none("takeover", "", "Ownership does not depend on the configuration, except on a fleet's checks-fencing.", "operators racing"),
+
+	cover("grant and release", "", []string{"drplace.TestInvariantsUnderFaults"}, "process death", "pause past a lease", "log down", "log answer lost", "late append", "late and repeated answers", "operators racing"),
+	cover("grant and release", "grant", []string{"drplace.TestLostAnswers"}, "log answer lost", "late append"),
+	cover("grant and release", "release", []string{"drplace.TestLateRelease"}, "late append", "late and repeated answers"),
+	cover("grant and release", "release", []string{"drplace.TestLedgerRejectsReleaseOfFormerOwner"}, "pause past a lease"),
+	cover("grant and release", "grant", []string{"drplace.TestHomeUnreachable"}, "zone partition"),
+	cover("grant and release", "", []string{"drplace.TestDecidedMaximumLowered"}, "operators racing"),
+	cover("grant and release", "", []string{"drplace.TestLedgerSnapshot"}, "log gap"),
+	cover("grant and release", "release", []string{"drplace.TestLeavingRunner"}, "VM reclaimed"),
+	none("grant and release", "", "Not run on its own; the cluster cells of 'load' under this fault include the grant.", "log slow", "VM reclaimed", "zone partition", "one-way partition"),
+	none("grant and release", "", "Rights are records: no caller's key, load or request takes part.", "key withdrawn", "weight store slow", "poison request"),
+
+	cover("token loan", "", []string{"drlimit.TestNeverOverRate"}, "process death", "pause past a lease", "log down", "late and repeated answers", "operators racing"),
+	cover("token loan", "", []string{"drlimit.TestHolderFailures"}, "process death", "pause past a lease", "log down", "VM reclaimed"),
+	cover("token loan", "answer lost", []string{"drlimit.TestLoanExpiresAtBorrower", "drlimit.TestLoanLowersCapacity"}, "late and repeated answers"),
+	cover("token loan", "unused", []string{"drlimit.TestRepeatedReport", "drlimit.TestRefundOfOverflow"}, "late and repeated answers"),
+	cover("token loan", "", []string{"drlimit.TestLimitChange"}, "operators racing"),
+	cover("token loan", "", []string{"drlimit.TestSharesAcceptance"}, "log answer lost", "late append"),
+	none("token loan", "", "Not run. A loan uses no log; shares change holders through the log as under 'log down'.", "log slow", "log gap"),
+	none("token loan", "", "Not run on its own; the lost messages of drlimit.TestNeverOverRate have the same effect for the VMs cut off.", "zone partition", "one-way partition"),
+	none("token loan", "", "A loan belongs to a client account, not to a key, and is settled however its request ends; weights play no part.", "key withdrawn", "weight store slow", "poison request"),
+
+	cover("keyed call", "", []string{"dronce.TestAtMostOnce"}, "process death", "pause past a lease", "log down", "log answer lost", "late append", "late and repeated answers"),
+	cover("keyed call", "intent recorded", []string{"dronce.TestRefusals"}, "process death", "pause past a lease"),
+	cover("keyed call", "", []string{"dronce.TestGap"}, "log gap"),
+	cover("keyed call", "outcome not recorded", []string{"drgate.TestPaidCallRunsToCompletion"}, "key withdrawn"),
+	none("keyed call", "intent recorded", "The time between reading the intent back and dispatching is below a millisecond; the outside effect is that of 'before intent' or 'dispatched'.",
+		"log slow", "VM reclaimed", "zone partition", "one-way partition", "key withdrawn"),
+	none("keyed call", "outcome not recorded", "The cells of 'dispatched' inject the fault after the service has executed the call and last beyond its answer, so they include this step.",
+		"log slow", "VM reclaimed", "zone partition", "one-way partition"),
+	none("keyed call", "", "The call loads no model, and nothing of it depends on the changed objects or on an engine; the other two steps are run as a check.",
+		"weight store slow", "operators racing", "poison request"),
+
+	cover("stream", "", []string{"drroute.TestBrokenStreamContinuesExactly", "drroute.TestSilentEngineIsLeft"}, "process death"),
+	cover("stream", "", []string{"drengine.TestDecoderRejects", "drengine.TestResumeCompletesAnswer"}, "late and repeated answers"),
+	cover("stream", "mid-stream", []string{"drgate.TestStreamEndsEarly"}, "key withdrawn"),
+	cover("stream", "", []string{"drroute.TestPoisonStopsAfterTwoCrashes", "drroute.TestSuspectsRunApart", "drroute.TestInstanceCrashesOnce"}, "poison request"),
+	none("stream", "", "A stream holds no lease. A paused engine is that of drroute.TestSilentEngineIsLeft ('process death'); callers of a paused entry VM wait.", "pause past a lease"),
+
+	cover("drain", "streams running", []string{"drgate.TestDrainCompletesStreams"}, "late and repeated answers"),
+	cover("drain", "hand-over", []string{"drplace.TestDrainHandsRunnersOver", "drplace.TestDrainWaitsForOrderInDoubt"}, "late and repeated answers", "late append"),
+	cover("drain", "hand-over", []string{"drplace.TestInvariantsUnderFaults"}, "process death", "pause past a lease", "log down", "log answer lost", "late append"),
+	cover("drain", "hand-over", []string{"drlimit.TestHolderFailures"}, "VM reclaimed"),
+	none("drain", "hand-over", "Included in the cells of 'streams running', where the fault lasts into the hand-over.",
+		"log slow", "log gap", "weight store slow", "zone partition", "one-way partition", "key withdrawn", "operators racing", "poison request"),
+	none("drain", "", "A draining VM that dies or is reclaimed is a dead VM: its streams are cut, as under 'stream'.", "process death", "VM reclaimed"),
+	none("drain", "", "No lease is involved before the hand-over.", "pause past a lease"),
+	none("drain", "notice", "During the notice requests are served as before, as under 'stream'.", "late and repeated answers"),
+
+	cover("join", "", []string{"drlog.TestBootstrapFromPeer"}, "log down"),
+	cover("join", "", []string{"drlog.TestStartAfterGap", "drlog.TestSnapshotsOutliveRetention"}, "log gap"),
+	cover("join", "", []string{"drmember.TestNewVMAnnouncesItselfToSeeds"}, "zone partition"),
+	cover("join", "", []string{"drmember.TestCutBetweenTwoVMs"}, "one-way partition"),
+	cover("join", "", []string{"drmember.TestRestartedVM"}, "process death"),
+	none("join", "", "A joining VM holds no lease.", "pause past a lease"),
+	cover("join", "", []string{"drlog.TestNoGoingBack"}, "late and repeated answers"),
+
+	cover("key withdrawal", "", []string{"drconfig.TestWithdrawnKey", "drgate.TestStreamEndsEarly", "drgate.TestQueuedRequestEnds"}, "key withdrawn"),
+	cover("key withdrawal", "", []string{"drconfig.TestOperatorsRacing"}, "late and repeated answers", "operators racing"),
+	none("key withdrawal", "", "No lease is involved. A VM that was paused is isolated until it has read the log (drlog.TestAloneCutOffIsIsolated).", "pause past a lease"),
+}
