Add the measurement scenarios and the measure command

Change: drmeasure runs each scenario in process with a fixed seed; the engine stand-in counts loaded and idle replica seconds; drload can ask for an idle model at all targets at once.

--- a/drcommand/command.go
+++ b/drcommand/command.go
@@ -54,6 +54,7 @@
 		{"status", "print the status of an entry VM", runStatus},
 		{"timeline", "print the events of all live entry VMs in order", runTimeline},
 		{"load", "generate load and report latencies and refusals", runLoad},
+		{"measure", "measure the targets in process against baseline policies", runMeasure},
 		{"standin", "run a stand-in of a platform service for tests", runStandin},
 		{"version", "print the version", runVersion},
 	}
--- a/drdemo/deployment.go
+++ b/drdemo/deployment.go
@@ -48,8 +48,8 @@
 // Load times of the stand-ins' models. Real ones take minutes; these keep a
 // demonstration short while the sources still differ.
 const (
-	remoteLoad = 800 * time.Millisecond
-	diskLoad   = 300 * time.Millisecond
+	RemoteLoad = 800 * time.Millisecond
+	DiskLoad   = 300 * time.Millisecond
 	memoryLoad = 100 * time.Millisecond
 )
 
--- a/drdemo/platform.go
+++ b/drdemo/platform.go
@@ -88,8 +88,8 @@
 		switch x := o.(type) {
 		case drconfig.Model:
 			cs = append(cs, drstandin.Checkpoint{
-				Name: x.Name, Bytes: x.Bytes, Remote: drstandin.Duration(remoteLoad),
-				Disk: drstandin.Duration(diskLoad), Memory: drstandin.Duration(memoryLoad),
+				Name: x.Name, Bytes: x.Bytes, Remote: drstandin.Duration(RemoteLoad),
+				Disk: drstandin.Duration(DiskLoad), Memory: drstandin.Duration(memoryLoad),
 			})
 		case drconfig.Adapter:
 			cs = append(cs, drstandin.Checkpoint{Name: x.Name, Base: x.Base, Bytes: x.Bytes})
--- a/drload/arrival.go
+++ b/drload/arrival.go
@@ -25,7 +25,16 @@
 		as = append(as, poisson(p, i, a, r)...)
 		for n, m := range a.IdleModels {
 			at := p.duration() * time.Duration(2*n+1) / time.Duration(2*len(a.IdleModels))
-			as = append(as, arrival{at: at, account: i, target: pickTarget(p, r), model: m, cold: true})
+			targets := []int{pickTarget(p, r)}
+			if a.Burst {
+				targets = targets[:0]
+				for t := range p.Targets {
+					targets = append(targets, t)
+				}
+			}
+			for _, t := range targets {
+				as = append(as, arrival{at: at, account: i, target: t, model: m, cold: true})
+			}
 		}
 	}
 	slices.SortStableFunc(as, func(a, b arrival) int { return int(a.at - b.at) })
--- a/drload/profile.go
+++ b/drload/profile.go
@@ -35,10 +35,12 @@
 	Models []string `json:"models"`
 	// IdleModels are asked once each, spread over the run, to measure cold
 	// starts.
-	IdleModels  []string `json:"idle-models,omitempty"`
-	PromptBytes int      `json:"prompt-bytes"`
-	MaxTokens   int      `json:"max-tokens"`
-	Priority    string   `json:"priority,omitempty"`
+	IdleModels []string `json:"idle-models,omitempty"`
+	// Burst asks for each idle model at all targets at the same time.
+	Burst       bool   `json:"burst,omitempty"`
+	PromptBytes int    `json:"prompt-bytes"`
+	MaxTokens   int    `json:"max-tokens"`
+	Priority    string `json:"priority,omitempty"`
 	// TimeoutSeconds is sent as the request's deadline.
 	TimeoutSeconds float64 `json:"timeout-seconds,omitempty"`
 	// LimitRate and LimitBurst are the account's limit in tokens; with them
--- a/drload/request.go
+++ b/drload/request.go
@@ -53,8 +53,8 @@
 	Run  string `json:"run"`
 }
 
-// prompt returns a text of size bytes that is different for each number.
-func prompt(number, size int) string {
+// Prompt returns a text of size bytes that is different for each number.
+func Prompt(number, size int) string {
 	head := fmt.Sprintf("request %d: ", number)
 	return head + strings.Repeat("x", max(0, size-len(head)))
 }
@@ -74,7 +74,7 @@
 	o := outcome{account: ar.account, cold: ar.cold, sent: time.Now(), reserved: (size+bytesPerToken-1)/bytesPerToken + maxTokens}
 	body, err := json.Marshal(chatRequest{
 		Model:         ar.model,
-		Messages:      []message{{Role: "user", Content: prompt(ar.number, size)}},
+		Messages:      []message{{Role: "user", Content: Prompt(ar.number, size)}},
 		MaxTokens:     maxTokens,
 		Stream:        true,
 		StreamOptions: streamOptions{IncludeUsage: true},
--- a/drload/run.go
+++ b/drload/run.go
@@ -19,13 +19,7 @@
 	if err := p.Validate(); err != nil {
 		return Report{}, err
 	}
-	client := &fasthttp.Client{
-		StreamResponseBody:       true,
-		MaxConnsPerHost:          maxConnections,
-		NoDefaultUserAgentHeader: true,
-		// Retrying would hide refusals and double the load.
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}
+	client := newClient()
 	var mu sync.Mutex
 	var outcomes []outcome
 	var running sync.WaitGroup
@@ -44,3 +38,13 @@
 	running.Wait()
 	return newReport(p, outcomes, c.Since(start).Round(time.Millisecond)), nil
 }
+
+func newClient() *fasthttp.Client {
+	return &fasthttp.Client{
+		StreamResponseBody:       true,
+		MaxConnsPerHost:          maxConnections,
+		NoDefaultUserAgentHeader: true,
+		// Retrying would hide refusals and double the load.
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+}
--- /dev/null
+++ b/drmeasure/burst.go
@@ -0,0 +1,67 @@
+package drmeasure
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drdemo"
+	"github.com/dotterelridge/dotterelridge/drload"
+	"github.com/dotterelridge/dotterelridge/drplace"
+	"github.com/dotterelridge/dotterelridge/drserve"
+)
+
+const (
+	burstModels = 5
+	// burstGap separates the bursts, so that none waits for the store.
+	burstGap = 2500 * time.Millisecond
+	// coldFactor is the target against the engine's best load time.
+	coldFactor = 1.2
+	shortRun   = 20 * time.Millisecond
+)
+
+// runBurst sends one request at each of 16 entry VMs at once for an idle
+// model, and repeats that with further models.
+func runBurst(ctx context.Context, seed uint64) ([]Figure, error) {
+	fs, err := burst(ctx, seed, product, drserve.Policies{})
+	if err != nil {
+		return nil, err
+	}
+	base, err := burst(ctx, seed, "load-on-miss", drserve.Policies{Place: drplace.LoadOnMiss})
+	return append(fs, base...), err
+}
+
+func burst(ctx context.Context, seed uint64, policy string, p drserve.Policies) ([]Figure, error) {
+	b, err := newBed(ctx, bedConfig{entryVMs: manyVMs, policies: p, settle: settleTime})
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	var fs []Figure
+	for _, onDisk := range []bool{false, true} {
+		models, err := b.idleModels(ctx, "nordkabel", onDisk)
+		if err != nil {
+			return nil, err
+		}
+		models = models[:burstModels]
+		name, best := "remote", drdemo.RemoteLoad
+		if onDisk {
+			name, best = "disk", drdemo.DiskLoad
+		}
+		before, _, _ := b.counts()
+		r, err := b.load(ctx, seed, time.Duration(len(models))*burstGap, 0, drload.Account{
+			Name: "nordkabel", IdleModels: models, Burst: true, MaxTokens: 1, TimeoutSeconds: coldTimeout,
+		})
+		if err != nil {
+			return nil, err
+		}
+		loads, _, _ := b.counts()
+		a := r.Accounts[0]
+		fs = append(fs,
+			Figure{Policy: policy, Name: name + " loads per burst", Value: float64(loads-before) / float64(len(models)), Unit: "loads"}.atMost(1),
+			Figure{Policy: policy, Name: name + " cold start p50", Value: a.ColdStart.P50, Unit: "ms"},
+			Figure{Policy: policy, Name: name + " cold start p99", Value: a.ColdStart.P99, Unit: "ms"}.atMost(coldFactor*float64(best.Milliseconds())),
+			Figure{Policy: policy, Name: name + " refused", Value: refused(a), Unit: "requests"}.atMost(0),
+		)
+	}
+	return fs, nil
+}
--- /dev/null
+++ b/drmeasure/measure.go
@@ -0,0 +1,69 @@
+// Package drmeasure measures the product's targets in process: each scenario
+// starts stand-ins and entry VMs over real sockets, sends load with a fixed
+// seed, and returns figures for the product and for a baseline policy.
+package drmeasure
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drset"
+)
+
+// Config selects what Run measures.
+type Config struct {
+	// Scenarios are names of Scenarios; all if empty.
+	Scenarios []string
+	Seed      uint64
+}
+
+// Scenario is one measurement.
+type Scenario struct {
+	Name    string
+	Summary string
+	run     func(ctx context.Context, seed uint64) ([]Figure, error)
+}
+
+// Scenarios returns all scenarios in the order in which they run.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{"start", "first request right after the start of 3 entry VMs", runStart},
+		{"burst", "bursts at 16 entry VMs for one idle model each", runBurst},
+		{"store", "bursts for many idle models at once, bounded by the weight store", runStore},
+		{"idle", "accelerator time of loaded models without requests", runIdle},
+		{"neighbour", "a client account beside one that sends ten times its rate", runNeighbour},
+		{"skew", "all arrivals at one of 16 entry VMs, within the rate and over it", runSkew},
+		{"tokens", "first token and time between tokens on loaded models", runTokens},
+		{"path", "cost of the path against calling the engine directly", runPath},
+	}
+}
+
+// Run runs the chosen scenarios one after the other.
+func Run(ctx context.Context, c Config) (Report, error) {
+	chosen := drset.Of(c.Scenarios...)
+	r := Report{Seed: c.Seed}
+	for _, name := range c.Scenarios {
+		if !slices.ContainsFunc(Scenarios(), func(s Scenario) bool { return s.Name == name }) {
+			return r, fmt.Errorf("unknown scenario %q", name)
+		}
+	}
+	for _, s := range Scenarios() {
+		if len(chosen) > 0 && !chosen.Has(s.Name) {
+			continue
+		}
+		fs, err := s.run(ctx, c.Seed)
+		if err != nil {
+			return r, fmt.Errorf("scenario %s: %w", s.Name, err)
+		}
+		for _, f := range fs {
+			f.Scenario = s.Name
+			r.Figures = append(r.Figures, f)
+		}
+	}
+	return r, nil
+}
+
+// clock is the real one: measurements take real time.
+var clock = drclock.System{}
--- a/drstandin/engine.go
+++ b/drstandin/engine.go
@@ -39,6 +39,7 @@
 	published   drengine.State
 	changed     chan struct{} // closed when a state is published
 	scheduled   bool
+	usage       idleMeter
 }
 
 // NewEngine returns an Engine with nothing loaded.
@@ -69,7 +70,9 @@
 func (e *Engine) Counts() EngineCounts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.meter()
 	c := e.counts
+	c.LoadedSeconds, c.IdleSeconds = e.usage.loaded.Seconds(), e.usage.idle.Seconds()
 	c.MostReplicas, c.IDs = maps.Clone(c.MostReplicas), maps.Clone(c.IDs)
 	return c
 }
@@ -79,6 +82,8 @@
 	if e.kill != nil {
 		e.kill()
 	}
+	e.meter()
+	e.usage.active = make(map[string]int)
 	e.restarts++
 	e.life, e.kill = context.WithCancel(context.Background())
 	e.fence, e.used, e.running = 0, 0, 0
--- a/drstandin/engine_config.go
+++ b/drstandin/engine_config.go
@@ -109,6 +109,10 @@
 	Crashes     int   `json:"crashes"`
 	MostUsed    int64 `json:"most-used"` // bytes
 	MostRunning int   `json:"most-running"`
+	// LoadedSeconds is the time that model replicas were loaded, summed over
+	// replicas; IdleSeconds is the part of it without a generation.
+	LoadedSeconds float64 `json:"loaded-seconds"`
+	IdleSeconds   float64 `json:"idle-seconds"`
 	// MostReplicas is the highest number of replicas, loading or loaded, of
 	// each model or adapter.
 	MostReplicas map[string]int `json:"most-replicas"`
--- a/drstandin/engine_generate.go
+++ b/drstandin/engine_generate.go
@@ -47,6 +47,8 @@
 	g.forget = time.AfterFunc(keepGeneration, func() { e.end(g) })
 	e.generations[r.ID] = g
 	e.counts.Generations++
+	e.meter()
+	e.usage.active[r.Model]++
 	e.counts.IDs[r.ID]++
 	e.enqueue(g)
 	e.touch()
@@ -96,6 +98,8 @@
 		return
 	}
 	g.retired = true
+	e.meter()
+	e.usage.active[g.Model]--
 	select {
 	case <-g.admit:
 		e.running--
--- a/drstandin/engine_load.go
+++ b/drstandin/engine_load.go
@@ -124,6 +124,7 @@
 		return
 	}
 	r.stop()
+	e.meter()
 	delete(e.replicas, id)
 	e.used -= r.Bytes
 	if r.Adapter == "" {
@@ -172,6 +173,7 @@
 		e.unload(r.ID)
 		return
 	}
+	e.meter()
 	r.State = drengine.Loaded
 	if c.Base == "" {
 		e.disk = remember(e.disk, c.Name, e.config.DiskCache)
