Bound dispatch windows by each VM's part of a runner's batch

Cause: a window grew with every report without waiting requests, used or not, up to 512. The burst of one account then passed all queues at once and waited in the engine, which is not fair, and the backlog that asks for a further replica did not show. Change: a window starts at an equal part of the capacity (at least 8), grows only while it is used up and to the capacity at most, falls back when unused, and follows this VM's part of running and waiting requests.

--- a/drroute/router.go
+++ b/drroute/router.go
@@ -57,6 +57,8 @@
 	Waker     Waker
 	Suspects  *Suspects
 	Recorder  drtimeline.Recorder
+	// VMs returns how many entry VMs send to the same runners; nil means one.
+	VMs func() int
 }
 
 // Router runs generations on engines. It is safe for concurrent use.
@@ -72,7 +74,7 @@
 func New(c Config) *Router {
 	return &Router{
 		Config: c, ejector: NewEjector(c.Clock), budget: newBudget(c.Clock),
-		windows: newWindows(), prefixes: newPrefixes(),
+		windows: newWindows(c.VMs), prefixes: newPrefixes(),
 	}
 }
 
--- a/drroute/window.go
+++ b/drroute/window.go
@@ -3,8 +3,10 @@
 import "sync"
 
 const (
-	windowFirst = 8 // requests in flight for a runner without a report
-	windowMax   = 512
+	// windowFirst is the window for a runner without a report, and the least
+	// that an unused window falls to, so that a burst at one VM starts at once.
+	windowFirst = 8
+	windowMax   = 512   // for a runner that reports no capacity
 	maxWindows  = 16384 // runners; exceeds the target size
 )
 
@@ -12,21 +14,41 @@
 type window struct {
 	limit    int
 	inflight int
+	peak     int    // most in flight since the last report
 	sent     int    // since the last report
 	version  uint64 // of the last report
 	instance string
 }
 
-// windows holds the dispatch window of each runner. It grows by one with each
-// report without waiting requests and halves with each that has some.
+// windows holds the dispatch window of each runner. With each report it is set
+// to this VM's part of the runner's capacity: its requests in flight, scaled
+// by capacity over running and waiting requests. All VMs together then fill
+// the batch without queueing in the engine, which is not fair. It grows only
+// while it is used up; an unused one falls back, because a large window that
+// was never needed would let a burst of one account through.
 type windows struct {
+	// vms returns how many VMs send to the same runners.
+	vms func() int
+
 	mu      sync.Mutex
 	byAddr  map[string]*window
 	changed chan struct{}
 }
 
-func newWindows() *windows {
-	return &windows{byAddr: make(map[string]*window), changed: make(chan struct{})}
+func newWindows(vms func() int) *windows {
+	if vms == nil {
+		vms = func() int { return 1 }
+	}
+	return &windows{vms: vms, byAddr: make(map[string]*window), changed: make(chan struct{})}
+}
+
+// base is the window without use: an equal part of the capacity, but enough to
+// start a burst.
+func (w *windows) base(r Runner) int {
+	if r.Capacity <= 0 {
+		return windowFirst
+	}
+	return min(r.Capacity, max(windowFirst, r.Capacity/max(1, w.vms())))
 }
 
 func (w *windows) get(r Runner) *window {
@@ -35,20 +57,39 @@
 		if len(w.byAddr) >= maxWindows {
 			w.prune()
 		}
-		x = &window{limit: max(r.Capacity, windowFirst), version: r.Version, instance: r.Instance}
+		x = &window{limit: w.base(r), version: r.Version, instance: r.Instance}
 		w.byAddr[r.Address] = x
 	}
 	if r.Version > x.version || r.Instance != x.instance {
-		x.version, x.instance, x.sent = r.Version, r.Instance, 0
-		if r.Waiting > 0 {
-			x.limit = max(x.limit/2, 1)
-		} else {
-			x.limit = min(x.limit+1, windowMax)
-		}
+		x.version, x.instance = r.Version, r.Instance
+		x.adjust(r, w.base(r))
+		x.sent, x.peak = 0, x.inflight
 	}
 	return x
 }
 
+// adjust follows a report.
+func (x *window) adjust(r Runner, base int) {
+	most := windowMax
+	if r.Capacity > 0 {
+		most = r.Capacity
+	}
+	part := most
+	if total := r.Running + r.Waiting; total > 0 {
+		part = x.peak * most / total
+	}
+	switch {
+	case r.Waiting > 0:
+		x.limit = min(x.limit, max(part, x.limit/2, 1))
+	case x.peak >= x.limit:
+		x.limit = min(max(part, x.limit+1), 2*x.limit, most)
+	case x.limit > base:
+		x.limit = max(base, (x.limit+x.peak)/2)
+	default:
+		x.limit = min(base, x.limit+1)
+	}
+}
+
 func (w *windows) prune() {
 	for a, x := range w.byAddr {
 		if x.inflight == 0 {
@@ -80,6 +121,7 @@
 		return false
 	}
 	x.inflight++
+	x.peak = max(x.peak, x.inflight)
 	x.sent++
 	return true
 }
--- a/drserve/vm.go
+++ b/drserve/vm.go
@@ -162,6 +162,7 @@
 	v.router = drroute.New(drroute.Config{
 		Clock: v.Clock, Zone: v.Settings.Zone, Policy: v.Policies.Route, Residency: r, Engines: engines, Waker: r,
 		Suspects: v.strikes.suspects, Recorder: v.events,
+		VMs: func() int { return len(v.members.Candidates()) },
 	})
 }
 
