--- a/drcommand/command.go
+++ b/drcommand/command.go
@@ -55,6 +55,7 @@
 		{"timeline", "print the events of all live entry VMs in order", runTimeline},
 		{"key", "make a key of a client account and print its declaration", runKey},
 		{"load", "generate load and report latencies and refusals", runLoad},
+		{"measure", "measure the targets in process against baseline policies", runMeasure},
 		{"standin", "run a stand-in of a platform service for tests", runStandin},
 		{"version", "print the version", runVersion},
 	}
