--- a/drprocess/cluster_test.go
+++ b/drprocess/cluster_test.go
@@ -26,12 +26,18 @@
 	// withdrawLimit is I6's bound.
 	withdrawLimit = 5 * time.Second
 	poisonText    = "crash-the-engine"
+	// engineMemory in GiB holds one to six of the example models, so that loads
+	// cause evictions.
+	engineMemory = "24"
 )
 
 // clusters are shared by the tests, which run one after the other and undo
 // their faults.
 var clusters = map[string]*cluster{}
 
+// round counts the tests that ran.
+var round int
+
 // cluster is a deployment in processes.
 type cluster struct {
 	drdemo.Deployment
@@ -44,8 +50,9 @@
 	vms      []*vm
 	client   *http.Client
 	sampler  *sampler
-	// refused are the ids of requests refused as not run.
-	refused recorder
+	// refused are the ids of requests refused as not run, served those of
+	// answered ones that are no replays.
+	refused, served recorder
 }
 
 // vm is one entry VM.
@@ -67,6 +74,7 @@
 			clusters[name] = newCluster(t, drdemo.Deployments()[name])
 		}
 	}
+	round++
 	for _, name := range []string{"fjordsnor", "retoque"} {
 		c := clusters[name]
 		t.Run(name, func(t *testing.T) {
@@ -100,7 +108,7 @@
 	// One connection per request, so that no request is lost with a kept
 	// connection whose VM was killed.
 	c.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	c.standins = start(t, d.Name+"-standins", "standin", "-deployment", d.Name, "-poison", poisonText)
+	c.standins = start(t, d.Name+"-standins", "standin", "-deployment", d.Name, "-poison", poisonText, "-engine-memory", engineMemory)
 	eventually(t, startLimit, func() error {
 		c.engines, c.services = nil, nil
 		kinds, addresses := c.standins.fields("event=standin ", "kind"), c.standins.fields("event=standin ", "address")
