Give the processes of tests their own process groups

Seen: in one run, both VM processes that were stopped by TestPausedVM were gone when they were to be continued, without a panic in their output, at the second at which the shell that had begun the tests in the background ended. The cause is inferred from that, not proven. Change: each process gets a process group, so that signals to the shell's group do not reach it.

--- a/drprocess/process_test.go
+++ b/drprocess/process_test.go
@@ -63,8 +63,10 @@
 	}
 	defer f.Close()
 	p.cmd.Stdout, p.cmd.Stderr = f, f
-	// No process outlives a test run that is killed.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// No process outlives a test run that is killed. Its own process group keeps
+	// signals to the shell's group from it, such as the SIGHUP that stopped
+	// processes receive when the shell ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
