Label an entry VM's goroutines by role in processor profiles

Cause: a profile of a process could not tell which role of an entry VM spends processor time, which docs/CAPACITY.md has to state. Change: drserve and drplace start their goroutines with the pprof label "role"; drdemo.Cluster can be given relays that count bytes. Conclusion: no change of behaviour.

--- a/drdemo/cluster.go
+++ b/drdemo/cluster.go
@@ -37,6 +37,10 @@
 	// Cut, if not nil, cuts the direction between two entry VMs while it
 	// returns true.
 	Cut func(from, to string) bool
+	// Relay, if not nil, returns the address to use instead of an address of
+	// the log ("log"), the VM list ("vm-list") or an entry VM ("peers"), so
+	// that a relay in between can count bytes.
+	Relay func(kind, address string) string
 }
 
 // Cluster is a number of entry VMs in this process, connected by sockets.
@@ -82,7 +86,14 @@
 	k.mu.Lock()
 	k.vms = append(k.vms, v)
 	k.mu.Unlock()
-	return v, k.Platform.AddEntry(s.VM, s.Zone, s.Addresses.Peers)
+	return v, k.Platform.AddEntry(s.VM, s.Zone, k.relay("peers", s.Addresses.Peers))
+}
+
+func (k *Cluster) relay(kind, address string) string {
+	if k.Relay == nil {
+		return address
+	}
+	return k.Relay(kind, address)
 }
 
 // VMs returns the entry VMs in the order in which they were added.
@@ -100,7 +111,7 @@
 	}
 	d := k.Deployment
 	s.VM, s.Zone = fmt.Sprintf("%s-%d", d.EntryPrefix, n+1), d.zone(n)
-	s.LogAddress, s.VMListAddress = k.Platform.Log.Address(), k.Platform.List.Address()
+	s.LogAddress, s.VMListAddress = k.relay("log", k.Platform.Log.Address()), k.relay("vm-list", k.Platform.List.Address())
 	s.Secret = drsettings.Secret{Value: d.Secret}
 	s.OperatorTokens = []drsettings.OperatorToken{{Name: "demo", Token: drsettings.Secret{Value: d.Operator}}}
 	s.TLS = drsettings.TLS{Plain: true}
--- a/drplace/place.go
+++ b/drplace/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"runtime/pprof"
 	"slices"
 	"sync"
 	"time"
@@ -59,16 +60,22 @@
 func (p *Place) Run(ctx context.Context) {
 	var g sync.WaitGroup
 	if p.Policy == Rights {
-		g.Go(func() { p.owner.run(ctx) })
-		g.Go(func() { p.planner.run(ctx) })
-		g.Go(func() { p.slots.run(ctx) })
+		spawn(ctx, &g, "owner", p.owner.run)
+		spawn(ctx, &g, "planner", p.planner.run)
+		spawn(ctx, &g, "slots", p.slots.run)
 	}
-	g.Go(func() { p.residency.run(ctx) })
+	spawn(ctx, &g, "residency", p.residency.run)
 	g.Wait()
 	p.waker.stop()
 	p.slots.work.Wait()
 }
 
+// spawn runs f on a goroutine of its own, which a processor profile shows under
+// the role.
+func spawn(ctx context.Context, g *sync.WaitGroup, role string, f func(context.Context)) {
+	g.Go(func() { pprof.Do(ctx, pprof.Labels("role", role), f) })
+}
+
 // Drain gives up the runners that this VM owns and takes over no more. It
 // returns when all are given up or ctx ends.
 func (p *Place) Drain(ctx context.Context) { p.owner.drain(ctx) }
--- a/drserve/vm.go
+++ b/drserve/vm.go
@@ -212,35 +212,35 @@
 func (v *VM) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
-	if err := v.listen(); err != nil {
+	if err := v.listen(ctx); err != nil {
 		cancel()
 		return errors.Join(err, v.closeListeners(ctx))
 	}
-	v.running.Go(func() { v.members.Run(ctx) })
+	v.spawn(ctx, "membership", v.members.Run)
 	for _, f := range v.followers {
-		v.running.Go(func() { _ = f.Run(ctx) })
+		v.spawn(ctx, "follow-"+f.Stream(), func(ctx context.Context) { _ = f.Run(ctx) })
 	}
-	v.running.Go(func() { _ = v.freshness.Run(ctx) })
-	v.running.Go(func() { v.place.Run(ctx) })
-	v.running.Go(func() { v.holder.Run(ctx) })
-	v.running.Go(func() { v.refreshQueues(ctx) })
-	v.running.Go(func() { v.followCaches(ctx) })
+	v.spawn(ctx, "freshness", func(ctx context.Context) { _ = v.freshness.Run(ctx) })
+	v.spawn(ctx, "placement", v.place.Run)
+	v.spawn(ctx, "shares", v.holder.Run)
+	v.spawn(ctx, "queues", v.refreshQueues)
+	v.spawn(ctx, "prefix-maps", v.followCaches)
 	v.started.Store(true)
 	v.events.Record(drtimeline.Event{Name: "vm-started", Detail: "zone=" + v.Settings.Zone})
 	return nil
 }
 
-func (v *VM) listen() error {
-	a, s := v.Settings.Addresses, v.Settings
+func (v *VM) listen(ctx context.Context) error {
+	a := v.Settings.Addresses
 	var err error
-	if v.peers, err = drnet.Listen(drnet.Config{Address: a.Peers, Clock: v.Clock, TLS: v.tls.peers, Handler: v.node.ServeConn}); err != nil {
+	if v.peers, err = serve(ctx, "peers", drnet.Config{Address: a.Peers, Clock: v.Clock, TLS: v.tls.peers, Handler: v.node.ServeConn}); err != nil {
 		return fmt.Errorf("peers' listener: %w", err)
 	}
-	if v.operators, err = drnet.Listen(drnet.Config{Address: a.Admin, Clock: v.Clock, TLS: v.tls.operators, Handler: v.admin.ServeConn}); err != nil {
+	if v.operators, err = serve(ctx, "admin", drnet.Config{Address: a.Admin, Clock: v.Clock, TLS: v.tls.operators, Handler: v.admin.ServeConn}); err != nil {
 		return fmt.Errorf("admin listener: %w", err)
 	}
-	v.callers, err = drnet.Listen(drnet.Config{
-		Address: a.Callers, Clock: v.Clock, TLS: v.tls.callers, MaxConnections: s.Limits.Connections,
+	v.callers, err = serve(ctx, "callers", drnet.Config{
+		Address: a.Callers, Clock: v.Clock, TLS: v.tls.callers, MaxConnections: v.Settings.Limits.Connections,
 		Handler: func(c net.Conn) {
 			if err := v.gate.ServeConn(c); err != nil {
 				log.WithFields(log.Fields{"event": "caller-connection-ended", "error": err}).Debug("")
@@ -253,6 +253,13 @@
 	return nil
 }
 
+// serve listens. The goroutines of the server and its connections bear the
+// role's label.
+func serve(ctx context.Context, role string, c drnet.Config) (s *drnet.Server, err error) {
+	withRole(ctx, role, func(context.Context) { s, err = drnet.Listen(c) })
+	return s, err
+}
+
 func (v *VM) refreshQueues(ctx context.Context) {
 	for v.Clock.Sleep(ctx, refreshPeriod) == nil {
 		v.queues.refresh()
