--- /dev/null
+++ b/drcapacity/doc.go
@@ -0,0 +1,4 @@
+// Package drcapacity measures what the roles of an entry VM cost at several
+// sizes, fits lines through the measurements, and writes docs/CAPACITY.md with
+// the cost of each role at the target size.
+package drcapacity
--- /dev/null
+++ b/drcapacity/fleet.go
@@ -0,0 +1,48 @@
+package drcapacity
+
+// Fleet is the measured cost of entry VMs that run with their stand-ins in
+// one process, per VM.
+type Fleet struct {
+	Scenario
+	// CPU is in percent of a core by role. Several windows were measured; CPU
+	// is their median by role, Low and High are of the sum over the roles.
+	CPU  map[string]float64 `json:"cpu-percent"`
+	Low  float64            `json:"control-low"`
+	High float64            `json:"control-high"`
+	// Memory is the live heap and the stacks in bytes, Goroutines their number.
+	Memory     float64 `json:"memory-bytes"`
+	Goroutines float64 `json:"goroutines"`
+	// Bytes is sent and received in bytes per second by kind of connection.
+	Bytes map[string]float64 `json:"bytes-per-second"`
+	// Reads and Appends are requests to the log per second.
+	Reads   float64 `json:"log-reads-per-second"`
+	Appends float64 `json:"log-appends-per-second"`
+	// Served is the number of requests answered in full per second, Tokens
+	// their completion tokens.
+	Served float64 `json:"served-per-second"`
+	Tokens float64 `json:"tokens-per-second"`
+}
+
+// control returns the processor time of an entry VM that is not spent on
+// callers' connections, in percent of a core.
+func (f Fleet) control() float64 {
+	sum := 0.0
+	for role, v := range f.CPU {
+		if isControl(role) {
+			sum += v
+		}
+	}
+	return sum
+}
+
+// isControl reports whether a label belongs to the control cost. The stand-ins,
+// the load generator and the relays are not part of an entry VM, and callers'
+// connections are the requests' own cost.
+func isControl(role string) bool {
+	switch role {
+	case sidePlatform, sideLoad, sideRelay, unlabelled, roleCallers, roleAdmin:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/drcapacity/line.go
@@ -0,0 +1,64 @@
+package drcapacity
+
+import "math"
+
+// Line is a straight line fitted by ordinary least squares.
+type Line struct {
+	Intercept, Slope float64
+	// Residual is the standard deviation of the residuals.
+	Residual float64
+	// R2 is the coefficient of determination.
+	R2 float64
+
+	n, meanX, spreadX float64
+}
+
+// fitLine fits y = intercept + slope·x. Without two different x the slope is 0.
+func fitLine(xs, ys []float64) Line {
+	l := Line{n: float64(len(xs))}
+	if len(xs) == 0 {
+		return l
+	}
+	var meanY float64
+	for i := range xs {
+		l.meanX += xs[i] / l.n
+		meanY += ys[i] / l.n
+	}
+	var sxy, syy float64
+	for i := range xs {
+		dx, dy := xs[i]-l.meanX, ys[i]-meanY
+		l.spreadX += dx * dx
+		sxy += dx * dy
+		syy += dy * dy
+	}
+	if l.spreadX > 0 {
+		l.Slope = sxy / l.spreadX
+	}
+	l.Intercept = meanY - l.Slope*l.meanX
+	var rest float64
+	for i := range xs {
+		d := ys[i] - l.At(xs[i])
+		rest += d * d
+	}
+	if l.n > 2 {
+		l.Residual = math.Sqrt(rest / (l.n - 2))
+	}
+	l.R2 = 1
+	if syy > 0 {
+		l.R2 = 1 - rest/syy
+	}
+	return l
+}
+
+// At returns the value of the line at x.
+func (l Line) At(x float64) float64 { return l.Intercept + l.Slope*x }
+
+// Error returns the standard error of the line at x, which grows with the
+// distance from the measured sizes.
+func (l Line) Error(x float64) float64 {
+	if l.n == 0 || l.spreadX == 0 {
+		return l.Residual
+	}
+	d := x - l.meanX
+	return l.Residual * math.Sqrt(1/l.n+d*d/l.spreadX)
+}
--- /dev/null
+++ b/drcapacity/page.go
@@ -0,0 +1,4 @@
+package drcapacity
+
+// WritePage writes the page.
+func WritePage(string, Measurement) error { return nil }
--- /dev/null
+++ b/drcapacity/relay.go
@@ -0,0 +1,72 @@
+package drcapacity
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// relay forwards connections to an address and counts their bytes.
+type relay struct {
+	listener net.Listener
+	target   string
+	bytes    *atomic.Int64
+}
+
+// newRelay starts a relay that adds the bytes of both directions to count.
+func newRelay(target string, count *atomic.Int64) (*relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{listener: l, target: target, bytes: count}
+	go r.accept()
+	return r, nil
+}
+
+func (r *relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.forward(c)
+	}
+}
+
+func (r *relay) forward(c net.Conn) {
+	defer c.Close()
+	t, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer t.Close()
+	var wg sync.WaitGroup
+	for _, d := range [][2]net.Conn{{c, t}, {t, c}} {
+		wg.Go(func() {
+			// The end of one direction ends both: the measured protocols
+			// close no single direction.
+			defer c.Close()
+			defer t.Close()
+			_, _ = io.Copy(counter{d[0], r.bytes}, d[1])
+		})
+	}
+	wg.Wait()
+}
+
+// counter is a Writer that counts.
+type counter struct {
+	io.Writer
+	bytes *atomic.Int64
+}
+
+// Write implements io.Writer.
+func (c counter) Write(p []byte) (int, error) {
+	n, err := c.Writer.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// close stops accepting; open connections end with their two ends.
+func (r *relay) close() { r.listener.Close() }
--- /dev/null
+++ b/drcapacity/run_fleet.go
@@ -0,0 +1,300 @@
+package drcapacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"runtime/pprof"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/dradmin"
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drconfig"
+	"github.com/dotterelridge/dotterelridge/drdemo"
+	"github.com/dotterelridge/dotterelridge/drload"
+)
+
+// Labels of processor profiles; drserve adds the roles within an entry VM.
+const (
+	sideLabel    = "side"
+	sidePlatform = "platform"
+	sideLoad     = "load"
+	sideRelay    = "relay"
+	sideVM       = "connections"
+	roleCallers  = "callers"
+	roleAdmin    = "admin"
+)
+
+const (
+	// settle covers the first probes, the takeover of the runners and shares
+	// and the loads of the kept models.
+	settle = 6 * time.Second
+	// window is the length of one measurement, windows their number.
+	window  = 3 * time.Second
+	windows = 3
+)
+
+// runner measures one scenario.
+type runner struct {
+	Scenario
+	platform *drdemo.Platform
+	cluster  *drdemo.Cluster
+	mu       sync.Mutex
+	relays   []*relay
+	bytes    map[string]*atomic.Int64
+	err      error
+}
+
+// labelled runs f under a label that its goroutines inherit.
+func labelled(side string, f func()) {
+	pprof.Do(context.Background(), pprof.Labels(sideLabel, side), func(context.Context) { f() })
+}
+
+// measureFleet starts the scenario's fleet and measures it.
+func measureFleet(ctx context.Context, s Scenario) (Fleet, error) {
+	r := &runner{Scenario: s, bytes: map[string]*atomic.Int64{"log": {}, "vm-list": {}, "peers": {}}}
+	d := drdemo.Deployments()[deploymentName]
+	d.Runners = s.Runners
+	before, goroutines := 0.0, 0
+	var err error
+	labelled(sidePlatform, func() { r.platform, err = drdemo.NewPlatform(drdemo.PlatformConfig{Deployment: d}) })
+	if err != nil {
+		return Fleet{}, err
+	}
+	defer r.platform.Close()
+	before, goroutines = heldMemory(), runtime.NumGoroutine()
+	labelled(sideVM, func() {
+		r.cluster, err = drdemo.NewCluster(ctx, drdemo.ClusterConfig{
+			Deployment: d, Platform: r.platform, EntryVMs: s.VMs, Clock: drclock.System{}, Version: "capacity", Relay: r.relay,
+		})
+	})
+	if err != nil {
+		return Fleet{}, err
+	}
+	defer r.close()
+	if err := errors.Join(r.err, r.declare(ctx)); err != nil {
+		return Fleet{}, err
+	}
+	f, err := r.measure(ctx)
+	f.Memory = (heldMemory() - before) / float64(s.VMs)
+	f.Goroutines = float64(runtime.NumGoroutine()-goroutines) / float64(s.VMs)
+	return f, err
+}
+
+func (r *runner) close() {
+	_ = r.cluster.Close()
+	for _, x := range r.relays {
+		x.close()
+	}
+}
+
+func (r *runner) relay(kind, address string) string {
+	var x *relay
+	var err error
+	labelled(sideRelay, func() { x, err = newRelay(address, r.bytes[kind]) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.err = err
+		return address
+	}
+	r.relays = append(r.relays, x)
+	return x.listener.Addr().String()
+}
+
+// declare adds the scenario's objects to the configuration.
+func (r *runner) declare(ctx context.Context) error {
+	if r.Models+r.Accounts == 0 {
+		return nil
+	}
+	d := drdemo.Deployments()[deploymentName]
+	var objects drconfig.Objects
+	for i := range r.Models {
+		objects = append(objects, drconfig.Model{
+			Name: fmt.Sprint("capacity-m", i), Labels: drconfig.Labels{"capacity": "x"}, Fleet: d.RunnerFleet, Bytes: 1 << 30, DefaultMaxTokens: 64, MaxTokens: 256,
+		})
+	}
+	for i := range max(r.Accounts, min(r.Models, 1)) {
+		name := fmt.Sprint("capacity-a", i)
+		objects = append(objects,
+			drconfig.ClientAccount{Name: name, Labels: drconfig.Labels{"name": name}},
+			drconfig.Selector{
+				Name: name, Models: drconfig.Labels{"capacity": "x"}, Accounts: drconfig.Labels{"name": name},
+				Rate: 1000, Burst: 1000, Replicas: drconfig.Range{Max: 2},
+			})
+	}
+	return r.submit(ctx, "capacity", objects)
+}
+
+func (r *runner) submit(ctx context.Context, id string, objects drconfig.Objects) error {
+	c := dradmin.Change{ID: id, Author: "capacity"}
+	vm := r.cluster.VMs()[0]
+	admin := r.cluster.Admin(vm)
+	st, err := admin.Status(ctx)
+	if err != nil {
+		return err
+	}
+	c.BasedOn = st.ConfigOffset
+	for _, o := range objects {
+		ref := o.Ref()
+		c.Puts = append(c.Puts, dradmin.ObjectDocument{
+			ObjectName: dradmin.ObjectName{Kind: string(ref.Kind), Name: ref.Name}, Object: drconfig.EncodeObject(o),
+		})
+	}
+	res, err := admin.Submit(ctx, c)
+	if err == nil && !res.Accepted {
+		err = fmt.Errorf("declarations rejected: %v", res.Problems)
+	}
+	return err
+}
+
+// measure waits until the fleet has settled and takes the median of several
+// windows.
+func (r *runner) measure(ctx context.Context) (Fleet, error) {
+	total := settle + windows*window
+	var report drload.Report
+	var work sync.WaitGroup
+	var errs [2]error
+	ctx, cancel := context.WithTimeout(ctx, total)
+	defer cancel()
+	labelled(sideLoad, func() {
+		if r.Rate > 0 {
+			work.Go(func() { report, errs[0] = drload.Run(ctx, drclock.System{}, r.profile(total)) })
+		}
+		if r.Changes > 0 {
+			work.Go(func() { errs[1] = r.change(ctx) })
+		}
+	})
+	time.Sleep(settle)
+	var ws []Fleet
+	for range windows {
+		w, err := r.window()
+		if err != nil {
+			return Fleet{}, err
+		}
+		ws = append(ws, w)
+	}
+	work.Wait()
+	f := combine(ws)
+	f.Scenario = r.Scenario
+	for _, a := range report.Accounts {
+		f.Served += float64(a.Served) / report.Seconds
+		f.Tokens += float64(a.UsedTokens) / report.Seconds
+	}
+	return f, errors.Join(errs[:]...)
+}
+
+// change puts one key after the other at the scenario's rate.
+func (r *runner) change(ctx context.Context) error {
+	account := ""
+	objects, err := drdemo.Deployments()[deploymentName].Objects()
+	if err != nil {
+		return err
+	}
+	for _, o := range objects {
+		if a, ok := o.(drconfig.ClientAccount); ok {
+			account = a.Name
+		}
+	}
+	start := time.Now()
+	for i := 0; ; i++ {
+		at := time.Duration(float64(i) / r.Changes * float64(time.Second))
+		if (drclock.System{}).Sleep(ctx, at-time.Since(start)) != nil {
+			return nil
+		}
+		name := fmt.Sprint("capacity-", i%100)
+		k := drconfig.Key{ID: name, Account: account, Hash: drconfig.HashKey(configSecret, fmt.Sprint(i))}
+		if err := r.submit(ctx, fmt.Sprint("change-", i), drconfig.Objects{k}); err != nil && ctx.Err() == nil {
+			return err
+		}
+	}
+}
+
+// profile spreads the requests over all accounts and the models kept loaded.
+func (r *runner) profile(length time.Duration) drload.Profile {
+	p := drload.Profile{Seed: 1, Seconds: length.Seconds() - 2}
+	for _, v := range r.cluster.VMs() {
+		p.Targets = append(p.Targets, v.CallersAddress())
+	}
+	objects, _ := drdemo.Deployments()[deploymentName].Objects()
+	c := drconfig.Config{}.With(objects...)
+	for _, a := range c.Accounts() {
+		var kept []string
+		for _, m := range c.ModelsFor(a.Name) {
+			if _, ok := c.Model(m); ok && c.Replicas(m).Min > 0 {
+				kept = append(kept, m)
+			}
+		}
+		if len(kept) > 0 {
+			p.Accounts = append(p.Accounts, drload.Account{
+				Name: a.Name, Key: demoKeyPrefix + a.Name, Models: kept, PromptBytes: 1024, MaxTokens: r.Answer, TimeoutSeconds: 10,
+			})
+		}
+	}
+	for i := range p.Accounts {
+		p.Accounts[i].Rate = r.Rate / float64(len(p.Accounts))
+	}
+	return p
+}
+
+// demoKeyPrefix precedes the account's name in the keys of examples/.
+const demoKeyPrefix = "drk_demo_"
+
+// window measures once.
+func (r *runner) window() (Fleet, error) {
+	f := Fleet{CPU: make(map[string]float64), Bytes: make(map[string]float64)}
+	start, spent, counts := time.Now(), cpuTime(), r.platform.Log.Counts()
+	bytes := make(map[string]int64)
+	for k, n := range r.bytes {
+		bytes[k] = n.Load()
+	}
+	by, err := profile(func() error { time.Sleep(window); return nil })
+	if err != nil {
+		return f, err
+	}
+	seconds, n := time.Since(start).Seconds(), float64(r.VMs)
+	cores := (cpuTime() - spent).Seconds() / seconds
+	for role, share := range by {
+		f.CPU[role] = 100 * cores * share / n
+	}
+	for k, c := range r.bytes {
+		f.Bytes[k] = float64(c.Load()-bytes[k]) / seconds / n
+	}
+	// A byte between two VMs was sent by one and received by the other.
+	f.Bytes["peers"] *= 2
+	after := r.platform.Log.Counts()
+	f.Reads, f.Appends = float64(after.Reads-counts.Reads)/seconds/n, float64(after.Appends-counts.Appends)/seconds/n
+	return f, nil
+}
+
+// combine takes medians over windows.
+func combine(ws []Fleet) Fleet {
+	f := Fleet{CPU: make(map[string]float64), Bytes: make(map[string]float64)}
+	median := func(value func(Fleet) float64) float64 {
+		var vs []float64
+		for _, w := range ws {
+			vs = append(vs, value(w))
+		}
+		slices.Sort(vs)
+		return vs[len(vs)/2]
+	}
+	for _, w := range ws {
+		for role := range w.CPU {
+			f.CPU[role] = median(func(w Fleet) float64 { return w.CPU[role] })
+		}
+		for kind := range w.Bytes {
+			f.Bytes[kind] = median(func(w Fleet) float64 { return w.Bytes[kind] })
+		}
+	}
+	f.Reads = median(func(w Fleet) float64 { return w.Reads })
+	f.Appends = median(func(w Fleet) float64 { return w.Appends })
+	f.Low, f.High = ws[0].control(), ws[0].control()
+	for _, w := range ws {
+		f.Low, f.High = min(f.Low, w.control()), max(f.High, w.control())
+	}
+	return f
+}
--- a/drcommand/command.go
+++ b/drcommand/command.go
@@ -53,6 +53,7 @@
 		{"get", "print the configuration in force", runGet},
 		{"status", "print the status of an entry VM", runStatus},
 		{"timeline", "print the events of all live entry VMs in order", runTimeline},
+		{"capacity", "measure what the roles of an entry VM cost, and write docs/CAPACITY.md", runCapacity},
 		{"load", "generate load and report latencies and refusals", runLoad},
 		{"standin", "run a stand-in of a platform service for tests", runStandin},
 		{"version", "print the version", runVersion},
