--- a/drplace/owner.go
+++ b/drplace/owner.go
@@ -114,6 +114,9 @@
 
 func (o *Owner) reviewRunner(ctx context.Context, b drmember.Backend, fencing bool, self drmember.Member, f fleet) {
 	own := o.p.Ledger.Owner(b.VM)
+	// The follower of the stream calls ledgerChanged under its own lock, so it
+	// must not be asked while o.mu is held.
+	logDown := o.p.logDown()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if own.VM != "" && f.present.Has(own.VM) {
@@ -128,7 +131,7 @@
 		return
 	}
 	restarted := own.VM == self.VM
-	if o.draining || o.claiming.Has(b.VM) || o.p.logDown() || !restarted && own.VM != "" && f.present.Has(own.VM) {
+	if o.draining || o.claiming.Has(b.VM) || logDown || !restarted && own.VM != "" && f.present.Has(own.VM) {
 		return
 	}
 	orphaned := o.p.Clock.Since(o.orphans[b.VM])
