Read the streams of keyed calls rarely on VMs that are not their homes

Cause: every VM kept a held poll open on each of the 8 once-N streams: 8 of the 12 reads of the log that a VM makes each second, and each append to one of them woke all VMs. At 410 VMs that is 3,280 reads/s for nothing but 24 homes.

Conclusion: fewer reads without a change to what is decided.

--- a/drlog/follower.go
+++ b/drlog/follower.go
@@ -27,6 +27,7 @@
 	scan      *scan // nil unless a gap is being closed
 	assembler assembler
 	policy    snapshotPolicy
+	caughtUp  bool // by the last read
 	// partial is set after a record of a newer format was skipped. The state
 	// then lacks something and must not be passed on as a snapshot.
 	partial bool
@@ -101,6 +102,10 @@
 				wait = 0
 			}
 			failing = false
+			if d := f.config.Pause(); d > 0 && f.isCaughtUp() {
+				f.pause(ctx, d)
+				wait = 0
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -116,6 +121,12 @@
 	return ctx.Err()
 }
 
+func (f *Follower) isCaughtUp() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.caughtUp
+}
+
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	t := f.config.Clock.NewTimer(d)
 	defer t.Stop()
@@ -174,6 +185,7 @@
 		f.apply(r)
 	}
 	f.confirm(p.Next, at)
+	f.caughtUp = f.scan == nil && f.progress.held()+1 >= p.Next
 	stuck := len(p.Records) > 0 && f.cursor() == before && before < p.Next
 	exhausted := f.scan != nil && f.scan.next >= p.Next
 	f.mu.Unlock()
--- a/drlog/follower_config.go
+++ b/drlog/follower_config.go
@@ -62,6 +62,9 @@
 	Retention time.Duration
 	// SnapshotEvery is the number of records after which a snapshot is due.
 	SnapshotEvery int
+	// Pause, if not nil, returns how long to wait between two reads once the
+	// state is up to date; 0 keeps a read open all the time. Poke ends a pause.
+	Pause func() time.Duration
 	// IsSnapshotter tells whether this VM writes the snapshots; nil for never.
 	IsSnapshotter func() bool
 	Events        drtimeline.Recorder
@@ -77,6 +80,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = defaultSnapshotEvery
 	}
+	if c.Pause == nil {
+		c.Pause = func() time.Duration { return 0 }
+	}
 	if c.IsSnapshotter == nil {
 		c.IsSnapshotter = func() bool { return false }
 	}
--- a/dronce/once.go
+++ b/dronce/once.go
@@ -44,8 +44,8 @@
 	appendTimeout = 2 * time.Second
 	// homeTimeout bounds the call of one home, before the next is tried.
 	homeTimeout = time.Second
-	// maxHomes is the number of homes that are tried for one reservation.
-	maxHomes = 3
+	// MaxHomes is the number of homes that are tried for one reservation.
+	MaxHomes = 3
 	// grantLifetime bounds the time from a reservation to its dispatch. It is
 	// far below any log retention, so a VM that was paused for longer cannot
 	// dispatch a call whose intent has expired.
@@ -299,7 +299,7 @@
 	var last error
 	unresolved, incomplete := false, false
 	for i, m := range o.homes(a.call) {
-		if i == maxHomes || ctx.Err() != nil {
+		if i == MaxHomes || ctx.Err() != nil {
 			break
 		}
 		var reply drpb.OnceReserveReply
@@ -365,7 +365,7 @@
 	o.group.Go(func() {
 		for pause := minRetry; ; pause = min(maxRetry, 2*pause) {
 			for i, m := range o.homes(c) {
-				if i == maxHomes {
+				if i == MaxHomes {
 					break
 				}
 				if o.callHome(o.ctx, m.VM, methodFinish, r, &drpb.OnceFinishReply{}) == nil {
--- a/drserve/config.go
+++ b/drserve/config.go
@@ -16,6 +16,10 @@
 const (
 	// refreshPeriod is how often queue windows follow the engines' reports.
 	refreshPeriod = 100 * time.Millisecond
+	// oncePause is the time between two reads of the streams of keyed calls on
+	// VMs that are not their homes. Held polls of 8 streams would be two thirds
+	// of all reads of the log, and each append would wake every VM.
+	oncePause = 10 * time.Second
 	// inForceTimeout bounds the question to one VM about its configuration.
 	inForceTimeout = 2 * time.Second
 	// submitPoll is how often the result of a change is looked for.
--- a/drserve/vm.go
+++ b/drserve/vm.go
@@ -121,11 +121,12 @@
 }
 
 // follow adds a follower of the stream and returns its journal.
-func (v *VM) follow(stream string, f drlog.Folder) journal {
+func (v *VM) follow(stream string, f drlog.Folder, pause func() time.Duration) journal {
 	follower := drlog.NewFollower(drlog.FollowerConfig{
 		Log: v.log, Stream: stream, Folder: f, Clock: v.Clock, Peers: v.relay,
 		Retention: time.Duration(v.Settings.Retention), SnapshotEvery: snapshotEvery,
 		IsSnapshotter: func() bool { return v.isHome("snapshot/" + stream) },
+		Pause:         pause,
 		Events:        v.events,
 	})
 	v.relay.Add(follower)
@@ -135,20 +136,20 @@
 
 // newCore makes limits, placement, at-most-once execution and routing.
 func (v *VM) newCore() {
-	v.configLog = v.follow(drlog.StreamConfig, v.fold)
+	v.configLog = v.follow(drlog.StreamConfig, v.fold, nil)
 	v.freshness = drlog.NewFreshness(drlog.FreshnessConfig{
 		Followers: v.followers[:1], Peers: v.relay, Members: v.counted, Self: v.Settings.VM,
 		Clock: v.Clock, ServeWithoutLog: time.Duration(v.Settings.ServeWithoutLog), Events: v.events,
 	})
 	engines := newEngines(v.Clock)
 	v.place = drplace.New(drplace.Config{
-		Policy: v.Policies.Place, Clock: v.Clock, Ledger: v.ledger, Journal: v.follow(drlog.StreamPlacement, v.ledger),
+		Policy: v.Policies.Place, Clock: v.Clock, Ledger: v.ledger, Journal: v.follow(drlog.StreamPlacement, v.ledger, nil),
 		Catalogue: catalogue{v.fold}, View: v.members, Caller: v.node, Recorder: v.events,
 		Dial: engines.dial, LoadsPerSecond: v.Settings.WeightStoreLoads,
 	})
 	engines.residency = v.place.Residency()
 	v.holder = drlimit.NewHolder(drlimit.HolderConfig{
-		Clock: v.Clock, View: v.members, Shares: v.shares, Journal: v.follow(drlog.StreamShares, v.shares),
+		Clock: v.Clock, View: v.members, Shares: v.shares, Journal: v.follow(drlog.StreamShares, v.shares, nil),
 		Limits: accountLimits{v.fold}, Recorder: v.events,
 	})
 	v.fold.OnChange(func(drconfig.Config, drconfig.Config) { v.holder.Poke() })
@@ -157,7 +158,7 @@
 		Holder: v.holder, Policy: v.Policies.Limit,
 	})
 	v.newOnce()
-	v.strikes.journal = v.follow(drlog.StreamSuspects, v.strikes)
+	v.strikes.journal = v.follow(drlog.StreamSuspects, v.strikes, nil)
 	r := residency{place: v.place, engines: engines}
 	v.router = drroute.New(drroute.Config{
 		Clock: v.Clock, Zone: v.Settings.Zone, Policy: v.Policies.Route, Residency: r, Engines: engines, Waker: r,
@@ -168,7 +169,8 @@
 func (v *VM) newOnce() {
 	var journals [dronce.PartitionCount]dronce.Journal
 	for i, p := range v.partitions {
-		journals[i] = v.follow(fmt.Sprint(drlog.StreamOncePrefix, i), p)
+		stream := fmt.Sprint(drlog.StreamOncePrefix, i)
+		journals[i] = v.follow(stream, p, func() time.Duration { return v.oncePause(stream) })
 	}
 	v.home = dronce.NewHome(dronce.HomeConfig{Clock: v.Clock, View: v.members, Partitions: v.partitions, Journals: journals})
 	v.once = dronce.New(dronce.Config{
