--- a/drcapacity/fleet.go
+++ b/drcapacity/fleet.go
@@ -4,11 +4,14 @@
 // one process, per VM.
 type Fleet struct {
 	Scenario
-	// CPU is in percent of a core by role. Several windows were measured; CPU
-	// is their median by role, Low and High are of the sum over the roles.
-	CPU  map[string]float64 `json:"cpu-percent"`
-	Low  float64            `json:"control-low"`
-	High float64            `json:"control-high"`
+	// CPU is in percent of a core by role, the mean over the windows.
+	CPU map[string]float64 `json:"cpu-percent"`
+	// Control is the processor time of an entry VM without its callers'
+	// connections, in percent of a core: the median over the windows, with the
+	// lowest and the highest.
+	Control float64 `json:"control-percent"`
+	Low     float64 `json:"control-low"`
+	High    float64 `json:"control-high"`
 	// Memory is the live heap and the stacks in bytes, Goroutines their number.
 	Memory     float64 `json:"memory-bytes"`
 	Goroutines float64 `json:"goroutines"`
@@ -23,16 +26,22 @@
 	Tokens float64 `json:"tokens-per-second"`
 }
 
-// control returns the processor time of an entry VM that is not spent on
-// callers' connections, in percent of a core.
-func (f Fleet) control() float64 {
-	sum := 0.0
+// sum adds up the roles of the control cost. The runtime's own work, mostly
+// the garbage collector, is divided in proportion to the labelled work.
+func (f Fleet) sum() float64 {
+	control, labelled := 0.0, 0.0
 	for role, v := range f.CPU {
 		if isControl(role) {
-			sum += v
+			control += v
 		}
+		if role != unlabelled {
+			labelled += v
+		}
+	}
+	if labelled == 0 {
+		return 0
 	}
-	return sum
+	return control * (1 + f.CPU[unlabelled]/labelled)
 }
 
 // isControl reports whether a label belongs to the control cost. The stand-ins,
--- a/drcapacity/measure.go
+++ b/drcapacity/measure.go
@@ -55,7 +55,7 @@
 				return m, fmt.Errorf("fleet %+v: %w", s, err)
 			}
 			fmt.Fprintf(o.Progress, "event=fleet-measured group=%s vms=%d runners=%d control-percent=%.3f low=%.3f high=%.3f memory=%.0f peers=%.0f log=%.0f reads=%.2f\n",
-				s.Group, s.VMs, s.Runners, f.control(), f.Low, f.High, f.Memory, f.Bytes["peers"], f.Bytes["log"], f.Reads)
+				s.Group, s.VMs, s.Runners, f.Control, f.Low, f.High, f.Memory, f.Bytes["peers"], f.Bytes["log"], f.Reads)
 			m.Fleets = append(m.Fleets, f)
 		}
 	}
--- a/drcapacity/profile.go
+++ b/drcapacity/profile.go
@@ -109,13 +109,14 @@
 }
 
 func decodeSample(data []byte) (s rawSample, err error) {
-	err = fields(data, func(n protowire.Number, _ uint64, b []byte) error {
+	values := 0
+	err = fields(data, func(n protowire.Number, v uint64, b []byte) error {
 		switch n {
-		case fieldSampleValue: // packed: number of samples, nanoseconds
-			var size int
-			if s.count, size = protowire.ConsumeVarint(b); size < 0 {
-				return protowire.ParseError(size)
+		case fieldSampleValue: // number of samples, then nanoseconds; not packed
+			if values == 0 {
+				s.count = v
 			}
+			values++
 		case fieldSampleLabel:
 			var l [2]uint64
 			err := fields(b, func(n protowire.Number, v uint64, _ []byte) error {
--- a/drcapacity/run_fleet.go
+++ b/drcapacity/run_fleet.go
@@ -271,20 +271,22 @@
 	return f, nil
 }
 
-// combine takes medians over windows.
+// combine takes medians over windows. Of the shares by role it takes means,
+// because a window holds few samples of a small role.
 func combine(ws []Fleet) Fleet {
 	f := Fleet{CPU: make(map[string]float64), Bytes: make(map[string]float64)}
-	median := func(value func(Fleet) float64) float64 {
+	values := func(value func(Fleet) float64) []float64 {
 		var vs []float64
 		for _, w := range ws {
 			vs = append(vs, value(w))
 		}
 		slices.Sort(vs)
-		return vs[len(vs)/2]
+		return vs
 	}
+	median := func(value func(Fleet) float64) float64 { return values(value)[len(ws)/2] }
 	for _, w := range ws {
-		for role := range w.CPU {
-			f.CPU[role] = median(func(w Fleet) float64 { return w.CPU[role] })
+		for role, v := range w.CPU {
+			f.CPU[role] += v / float64(len(ws))
 		}
 		for kind := range w.Bytes {
 			f.Bytes[kind] = median(func(w Fleet) float64 { return w.Bytes[kind] })
@@ -292,9 +294,7 @@
 	}
 	f.Reads = median(func(w Fleet) float64 { return w.Reads })
 	f.Appends = median(func(w Fleet) float64 { return w.Appends })
-	f.Low, f.High = ws[0].control(), ws[0].control()
-	for _, w := range ws {
-		f.Low, f.High = min(f.Low, w.control()), max(f.High, w.control())
-	}
+	control := values(Fleet.sum)
+	f.Low, f.Control, f.High = control[0], control[len(ws)/2], control[len(ws)-1]
 	return f
 }
