--- a/drcapacity/page.go
+++ b/drcapacity/page.go
@@ -1,4 +1,166 @@
 package drcapacity
 
-// WritePage writes the page.
-func WritePage(string, Measurement) error { return nil }
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"text/template"
+)
+
+// WritePage writes the page that follows from a measurement.
+func WritePage(path string, measured Measurement) error {
+	text, err := Page(measured)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, []byte(text), 0o644)
+}
+
+// Page returns the text of docs/CAPACITY.md.
+func Page(measured Measurement) (string, error) {
+	m := &model{Measurement: measured}
+	p := newPage(m)
+	if m.err != nil {
+		return "", m.err
+	}
+	var out strings.Builder
+	err := pageTemplate.Execute(&out, p)
+	return out.String(), err
+}
+
+// page is the data of the template.
+type page struct {
+	Measurement
+	Rows     []Row
+	Total    Row
+	Streams  []streamRow
+	Appends  float64
+	Reads    float64
+	Before   float64
+	Requests []requestRow
+	Share    float64
+}
+
+// streamRow is the traffic of one stream of the log.
+type streamRow struct {
+	Name           string
+	Appends, Reads float64
+	Cause          string
+}
+
+// requestRow is the cost of requests.
+type requestRow struct {
+	Unit              string
+	CPU, Error, Total float64
+}
+
+func newPage(m *model) page {
+	p := page{Measurement: m.Measurement, Rows: m.rows(), Streams: m.streams(), Before: targetVMs * 12}
+	p.Total.Role = "sum"
+	for _, r := range p.Rows {
+		p.Total.Messages += r.Messages
+		p.Total.Bytes += r.Bytes
+		p.Total.CPU += r.CPU
+		p.Total.Memory += r.Memory
+	}
+	for _, s := range p.Streams {
+		p.Appends += s.Appends
+		p.Reads += s.Reads
+	}
+	p.Requests = m.requests()
+	for _, r := range p.Requests {
+		p.Share += r.Total
+	}
+	return p
+}
+
+// streams derives the traffic of the log. A record ends the held polls of its
+// stream, so that each follower reads once more.
+func (m *model) streams() []streamRow {
+	held := func(appends float64) float64 { return targetVMs * (1 + appends) }
+	const homes = 3.0
+	return []streamRow{
+		{"config", targetChanges, held(targetChanges), "20,000 changes a day"},
+		{"placement", placementAppends, held(placementAppends), "loads and unloads of engines that ignore fencing tokens, replaced entry VMs"},
+		{"shares", shareAppends, held(shareAppends), "replaced entry VMs; several shares fit into one record"},
+		{"suspects", targetFailures, held(targetFailures), "crashes of backend servers"},
+		{
+			"once-0 to once-7", onceAppends,
+			onceStreams*(homes*1+(targetVMs-homes)/10) + homes*onceAppends,
+			"10 keyed calls/s; at most 400/s by batches of 20 ms",
+		},
+	}
+}
+
+// requests derives the cost of requests from fleets that differ in their rate
+// and in the length of the answers.
+func (m *model) requests() []requestRow {
+	served := func(f Fleet) float64 { return f.Served / float64(f.VMs) }
+	tokens := func(f Fleet) float64 { return f.Tokens / float64(f.VMs) }
+	r, t := m.fleet("requests", served, role(roleCallers)), m.fleet("tokens", tokens, role(roleCallers))
+	const perVM, tokensPerVM = targetRequests / targetVMs, targetTokens / targetVMs
+	return []requestRow{
+		{"request with one token", r.Slope * 1e4, slopeError(r) * 1e4, r.Slope * perVM},
+		{"each further token", t.Slope * 1e4, slopeError(t) * 1e4, t.Slope * tokensPerVM},
+	}
+}
+
+// slopeError is the standard error of a slope.
+func slopeError(l Line) float64 {
+	if l.spreadX == 0 {
+		return 0
+	}
+	return (l.Error(l.meanX+1e6) - l.Error(l.meanX)) / 1e6
+}
+
+var pageTemplate = template.Must(template.New("capacity").Funcs(template.FuncMap{
+	"num": number, "mb": func(v float64) string { return number(v / (1 << 20)) }, "unmet": Row.unmet, "roles": roles,
+	"fit": func(s Series) Line { return s.Fit() }, "noise": func(s Series) float64 { return 100 * s.noise() },
+	"last": func(s Series) float64 { return s.Samples[len(s.Samples)-1].Size },
+	"err":  func(l Line, x float64) float64 { return l.Error(x) }, "sizes": sizes,
+}).Parse(pageText))
+
+// number formats with three significant digits.
+func number(v float64) string {
+	switch {
+	case v == 0:
+		return "0"
+	case v >= 1000 || v <= -1000:
+		return fmt.Sprintf("%.0f", v)
+	default:
+		return fmt.Sprintf("%.3g", v)
+	}
+}
+
+func sizes(s Series) string {
+	var ts []string
+	for _, p := range s.Samples {
+		ts = append(ts, number(p.Size))
+	}
+	return strings.Join(ts, ", ")
+}
+
+// roles lists the largest roles of a fleet.
+func roles(f Fleet) string {
+	var names []string
+	for n := range f.CPU {
+		names = append(names, n)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		switch {
+		case f.CPU[a] > f.CPU[b]:
+			return -1
+		case f.CPU[a] < f.CPU[b]:
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	var ts []string
+	for _, n := range names {
+		if isControl(n) && len(ts) < 4 {
+			ts = append(ts, fmt.Sprintf("%s %.3f", n, f.CPU[n]))
+		}
+	}
+	return strings.Join(ts, ", ")
+}
--- /dev/null
+++ b/drcapacity/rows_local.go
@@ -0,0 +1,45 @@
+package drcapacity
+
+// The roles that send nothing.
+func (m *model) localRows() []Row {
+	busy := m.fleet("busy", vms, role("queues"))
+	base := m.fleet("idle", vms, func(f Fleet) float64 { return f.Memory })
+	events := targetWakes + 10
+	return []Row{
+		{
+			Role: "queues", State: "240 queues with their flows; waiting requests belong to the requests",
+			CPU: max(0, busy.At(16)), Error: busy.Error(16), Memory: m.at("queue-memory", targetModels),
+			Formula:   "measured in the busy fleets, which use few models; memory(240 models)",
+			Mechanism: "A review of all queues in use each 100 ms.",
+		},
+		{
+			Role: "router", State: "ejections, retry budget, dispatch windows (not measured)",
+			Formula: "no work without requests", Mechanism: "All its work belongs to requests.",
+		},
+		{
+			Role: "gate", State: "callers' connections (the table of requests)",
+			Formula: "no work without requests", Mechanism: "All its work belongs to requests.",
+		},
+		{
+			Role: "time line", State: "the last 4,096 events",
+			Messages: 0, CPU: percent(events * m.at("timeline-record", 16)), Memory: m.at("timeline-memory", 4096),
+			Formula: "events/s × record; memory(4,096)", Mechanism: "A ring; 10 events/s are assumed besides wake-ups.",
+		},
+		{
+			Role: "metrics", State: "6 histograms with 3 priorities, and counters",
+			Memory:    m.at("metric-memory", 8),
+			Formula:   "memory(8 histogram series)",
+			Mechanism: "No series bears a model's or an account's name except counters.",
+		},
+		{
+			Role: "process", State: "runtime, listeners, goroutines, buffers of an idle VM",
+			Memory: max(0, base.Intercept), Formula: "intercept of the idle fleets' memory",
+			Mechanism: "Live heap and stacks of an idle VM with today's declarations; contains the small part of the rows above.",
+		},
+	}
+}
+
+// rows returns all rows.
+func (m *model) rows() []Row {
+	return append(append(m.stateRows(), m.peerRows()...), m.localRows()...)
+}
--- a/drcapacity/run_fleet.go
+++ b/drcapacity/run_fleet.go
@@ -33,6 +33,8 @@
 	// settle covers the first probes, the takeover of the runners and shares
 	// and the loads of the kept models.
 	settle = 6 * time.Second
+	// cleanUp lets what the previous fleet left end before memory is compared.
+	cleanUp = 3 * time.Second
 	// window is the length of one measurement, windows their number.
 	window  = 3 * time.Second
 	windows = 3
@@ -56,6 +58,7 @@
 
 // measureFleet starts the scenario's fleet and measures it.
 func measureFleet(ctx context.Context, s Scenario) (Fleet, error) {
+	time.Sleep(cleanUp)
 	r := &runner{Scenario: s, bytes: map[string]*atomic.Int64{"log": {}, "vm-list": {}, "peers": {}}}
 	d := drdemo.Deployments()[deploymentName]
 	d.Runners = s.Runners
--- /dev/null
+++ b/drcapacity/target.go
@@ -0,0 +1,48 @@
+package drcapacity
+
+// Sizes of section 1.7 of docs/design.md.
+const (
+	targetVMs      = 410
+	targetRunners  = 3700
+	targetModels   = 240
+	targetAdapters = 3100
+	targetRequests = 31000.0 // per second
+	targetTokens   = 8.7e6   // per second
+	targetChanges  = 20000.0 / day
+	// targetFailures and targetRestarts are VMs of all kinds.
+	targetFailures = 74.0 / day
+	targetRestarts = 330.0 / day
+	// targetWakes is models and adapters that become active or idle.
+	targetWakes = 0.49 * (targetModels + targetAdapters) / 3600
+)
+
+const day = 86400.0
+
+// Assumptions about what section 1.7 does not say.
+const (
+	// assumedAccounts and assumedKeys are those of drconfig's benchmark.
+	assumedAccounts = 1000.0
+	assumedKeys     = 10000.0
+	// assumedActive is the client accounts that one entry VM serves at a time.
+	assumedActive = 50.0
+	// assumedCalls is keyed calls per second over all VMs, a small part of the
+	// requests, since orders and bookings are rare next to questions.
+	assumedCalls = 10.0
+	// assumedSelectors is the part of the changes that touch a selector.
+	assumedSelectors = 0.1
+	// retention is the default retention in seconds, of which dronce.Window
+	// keeps nine tenths.
+	retention = day
+	// assumedListed is how often the list changes for each VM that is
+	// replaced: leaving, gone, and new.
+	assumedListed = 3.0
+	// assumedBlocks is prefix blocks cached by one engine, as in the stand-in.
+	assumedBlocks = 1024.0
+)
+
+// Bounds of the control cost of a node.
+const (
+	boundCPU    = 1.5      // percent of a core
+	boundMemory = 32 << 20 // bytes
+	boundBytes  = 6000.0   // bytes per second
+)
