Look up the shares of one account instead of scanning all shares

Cause: Holder.release, called for each account each second, went through the shares of all accounts, so that the cost grew with the square of the number of accounts. Change: Shares.keysOfAccount looks at the 8 shares of the account.

--- a/drlimit/holder.go
+++ b/drlimit/holder.go
@@ -267,10 +267,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var held []shareKey
-	for _, k := range h.config.Shares.keysOf(h.self) {
-		if k.account != account {
-			continue
-		}
+	for _, k := range h.config.Shares.keysOfAccount(account, h.self) {
 		if _, ok := h.releasing[k]; ok {
 			return
 		}
--- a/drlimit/shares.go
+++ b/drlimit/shares.go
@@ -163,6 +163,19 @@
 	return hs
 }
 
+// keysOfAccount returns the shares of one account that p holds, sorted.
+func (s *Shares) keysOfAccount(account string, p process) []shareKey {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var ks []shareKey
+	for i := range uint32(ShareCount) {
+		if k := (shareKey{account, i}); s.shares[k].process == p {
+			ks = append(ks, k)
+		}
+	}
+	return ks
+}
+
 // keysOf returns the shares that p holds, sorted.
 func (s *Shares) keysOf(p process) []shareKey {
 	s.mu.RLock()
