--- a/drcommand/command.go
+++ b/drcommand/command.go
@@ -54,6 +54,7 @@
 		{"status", "print the status of an entry VM", runStatus},
 		{"timeline", "print the events of all live entry VMs in order", runTimeline},
 		{"capacity", "measure what the roles of an entry VM cost, and write docs/CAPACITY.md", runCapacity},
+		{"key", "make a key of a client account and print its declaration", runKey},
 		{"load", "generate load and report latencies and refusals", runLoad},
 		{"standin", "run a stand-in of a platform service for tests", runStandin},
 		{"version", "print the version", runVersion},
--- a/drdemo/cluster.go
+++ b/drdemo/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -41,6 +42,10 @@
 	// the log ("log"), the VM list ("vm-list") or an entry VM ("peers"), so
 	// that a relay in between can count bytes.
 	Relay func(kind, address string) string
+	// TLS names the certificate of the entry VMs; zero means plain. AdminTLS
+	// is then the operator's configuration.
+	TLS      drsettings.TLS
+	AdminTLS *tls.Config
 }
 
 // Cluster is a number of entry VMs in this process, connected by sockets.
@@ -114,7 +119,9 @@
 	s.LogAddress, s.VMListAddress = k.relay("log", k.Platform.Log.Address()), k.relay("vm-list", k.Platform.List.Address())
 	s.Secret = drsettings.Secret{Value: d.Secret}
 	s.OperatorTokens = []drsettings.OperatorToken{{Name: "demo", Token: drsettings.Secret{Value: d.Operator}}}
-	s.TLS = drsettings.TLS{Plain: true}
+	if s.TLS = k.TLS; s.TLS == (drsettings.TLS{}) {
+		s.TLS.Plain = true
+	}
 	s.DrainNotice = drconfig.Duration(k.DrainNotice)
 	s.WeightStoreLoads = d.LoadsPerSecond
 	return s, nil
@@ -137,6 +144,9 @@
 
 // Admin returns a client of the admin server of one entry VM.
 func (k *Cluster) Admin(v *drserve.VM) *dradmin.Client {
+	if k.AdminTLS != nil {
+		return dradmin.NewTLSClient("https://"+v.AdminAddress(), k.Deployment.Operator, k.AdminTLS)
+	}
 	return dradmin.NewClient("http://"+v.AdminAddress(), k.Deployment.Operator)
 }
 
@@ -146,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	change := dradmin.Change{ID: "demo-" + k.Deployment.Name, Author: "demo"}
+	change := dradmin.Change{ID: "demo-" + k.Deployment.Name}
 	for _, o := range objects {
 		r := o.Ref()
 		change.Puts = append(change.Puts, dradmin.ObjectDocument{
--- a/drprocess/start_test.go
+++ b/drprocess/start_test.go
@@ -15,6 +15,9 @@
 	// idle models are used by one test each.
 	burst, killed, drained, cold string
 	service                      string
+	// barred is an account that may use neither burst nor service; public is a
+	// route that needs no key.
+	barred, public string
 }
 
 func (c *cluster) sample() sample {
@@ -22,11 +25,13 @@
 		return sample{
 			account: "nordkabel", burst: "snorrute-redraft-aukra", killed: "snorrute-redraft-drag",
 			drained: "snorrute-redraft-fedje", cold: "snorrute-bid-agder", service: "/bookings",
+			barred: "fylkeskontoret", public: "/departures",
 		}
 	}
 	return sample{
 		account: "oficinas-recife", burst: "anexo-match-areia-branca", killed: "anexo-match-azul-jangada",
 		drained: "anexo-match-bege-duna", cold: "anexo-shade-epoxi", service: "/orders",
+		barred: "assistencia",
 	}
 }
 
@@ -49,12 +54,14 @@
 func TestColdStart(t *testing.T) {
 	each(t, func(t *testing.T, c *cluster) {
 		s := c.sample()
+		model := c.coldModel(t, s.burst)
+		before := c.loadsOf(t, model)
 		all(t, 2*entryVMs, func(i int) error {
-			q := question{key: key(s.account), model: s.burst, prompt: prompt(t, i), tokens: 20, stream: i%2 == 0}
+			q := question{key: key(s.account), model: model, prompt: prompt(t, i), tokens: 20, stream: i%2 == 0}
 			return c.whole(q, c.ask(c.vms[i%entryVMs], q))
 		})
-		if n, decided := c.mostReplicas(t, s.burst), c.config.Replicas(s.burst).Max; n < 1 || n > decided {
-			t.Errorf("%d engines loaded %s, decided are %d", n, s.burst, decided)
+		if n, decided := c.loadsOf(t, model)-before, c.config.Replicas(model).Max; n < 1 || n > decided {
+			t.Errorf("I1: the burst caused %d loads of %s, decided are %d", n, model, decided)
 		}
 	})
 }
@@ -64,7 +71,7 @@
 func TestKeyedCall(t *testing.T) {
 	each(t, func(t *testing.T, c *cluster) {
 		s := c.sample()
-		q := call{key: key(s.account), method: http.MethodPost, path: s.service, body: `{"seats":2}`, idempotencyKey: t.Name()}
+		q := call{key: key(s.account), method: http.MethodPost, path: s.service, body: `{"seats":2}`, idempotencyKey: name(t)}
 		first := c.call(c.vms[0], q)
 		if first.status != http.StatusOK || first.replay {
 			t.Fatalf("first call: %s", first)
@@ -76,7 +83,7 @@
 			}
 			return nil
 		})
-		if n := c.executions(t)[t.Name()]; n != 1 {
+		if n := c.executions(t)[name(t)]; n != 1 {
 			t.Errorf("executed %d times", n)
 		}
 	})
@@ -109,14 +116,66 @@
 	})
 }
 
-// Guards against a graceful shutdown that cuts streams or exits with an error
-// (I12).
+// Guards against a paid call that runs again, or is called not-run, when the VM
+// that dispatched it is killed and the caller resends through others (I9, I10).
+func TestKilledDuringPaidCall(t *testing.T) {
+	each(t, func(t *testing.T, c *cluster) {
+		s := c.sample()
+		for _, address := range c.services {
+			faults(t, address, map[string]any{"delay": "500ms"})
+		}
+		killed := c.vms[7]
+		const calls = 4
+		call := func(i int) call {
+			return call{
+				key: key(s.account), method: http.MethodPost, path: s.service, body: fmt.Sprint(i),
+				idempotencyKey: fmt.Sprintf("%s-%d", name(t), i), timeout: 5 * time.Second,
+			}
+		}
+		all(t, calls+1, func(i int) error {
+			if i == calls {
+				time.Sleep(250 * time.Millisecond) // the calls are at the service
+				killed.kill()
+				return nil
+			}
+			if a := c.call(killed, call(i)); a.err == nil {
+				return fmt.Errorf("the call ended before its VM was killed: %s", a)
+			}
+			return nil
+		})
+		all(t, calls*3, func(i int) error {
+			q := call(i % calls)
+			a := c.call(c.vms[8+i%3], q)
+			if err := settledCall(q, a); err != nil {
+				return err
+			}
+			if a.problem == nil && !a.replay || a.problem != nil && a.problem.Run != "may-have-run" {
+				return fmt.Errorf("resend of a dispatched call: %s, replay %v", a, a.replay)
+			}
+			return nil
+		})
+		c.restart(t, killed)
+	})
+}
+
+// Guards against a graceful shutdown that cuts streams or paid calls or exits
+// with an error (I12).
 func TestDrain(t *testing.T) {
 	each(t, func(t *testing.T, c *cluster) {
 		s := c.sample()
+		for _, address := range c.services {
+			faults(t, address, map[string]any{"delay": "2s"})
+		}
 		v := c.vms[2]
 		var once sync.Once
 		all(t, 8, func(i int) error {
+			if i == 0 {
+				a := c.call(v, call{key: key(s.account), method: http.MethodPost, path: s.service, body: "x", idempotencyKey: name(t)})
+				if a.status != http.StatusOK {
+					return fmt.Errorf("paid call: %s", a)
+				}
+				return nil
+			}
 			q := question{key: key(s.account), model: s.drained, prompt: prompt(t, i), tokens: 150, stream: true}
 			q.event = func(n int) {
 				if n == 10 {
