Use the measured value where a size was measured

Change: a fitted line is used only for sizes that were not measured. Conclusion: rows that rest on empty polls no longer depend on the fit.

--- a/drcapacity/model.go
+++ b/drcapacity/model.go
@@ -14,8 +14,20 @@
 	return s.Fit()
 }
 
-// at returns the fitted value at a size, and slope the growth per unit.
-func (m *model) at(name string, x float64) float64 { return max(0, m.line(name).At(x)) }
+// at returns the value at a size: the measured one, or else that of the line.
+// The line's error is that of its large sizes, which would hide a small value.
+func (m *model) at(name string, x float64) float64 {
+	l := m.line(name)
+	s, _ := m.series(name)
+	for _, p := range s.Samples {
+		if p.Size == x {
+			return p.Value
+		}
+	}
+	return max(0, l.At(x))
+}
+
+// slope returns the growth per unit.
 func (m *model) slope(name string) float64         { return max(0, m.line(name).Slope) }
 
 // spread returns the standard error of the fit at a size.
