--- a/drcapacity/model.go
+++ b/drcapacity/model.go
@@ -28,7 +28,7 @@
 }
 
 // slope returns the growth per unit.
-func (m *model) slope(name string) float64         { return max(0, m.line(name).Slope) }
+func (m *model) slope(name string) float64 { return max(0, m.line(name).Slope) }
 
 // spread returns the standard error of the fit at a size.
 func (m *model) spread(name string, x float64) float64 { return m.line(name).Error(x) }
