--- a/drdemo/cluster.go
+++ b/drdemo/cluster.go
@@ -40,6 +40,10 @@
 	// Cut, if not nil, cuts the direction between two entry VMs while it
 	// returns true.
 	Cut func(from, to string) bool
+	// Relay, if not nil, returns the address to use instead of an address of
+	// the log ("log"), the VM list ("vm-list") or an entry VM ("peers"), so
+	// that a relay in between can count bytes.
+	Relay func(kind, address string) string
 	// TLS names the certificate of the entry VMs; zero means plain. AdminTLS
 	// is then the operator's configuration.
 	TLS      drsettings.TLS
@@ -85,7 +89,7 @@
 	k.vms = append(k.vms, v)
 	k.mu.Unlock()
 	s := v.Settings
-	return v, k.Platform.AddEntry(s.VM, s.Zone, s.Addresses.Peers)
+	return v, k.Platform.AddEntry(s.VM, s.Zone, k.relay("peers", s.Addresses.Peers))
 }
 
 func (k *Cluster) start(n int) (*drserve.VM, error) {
@@ -103,6 +107,13 @@
 	return v, v.Start()
 }
 
+func (k *Cluster) relay(kind, address string) string {
+	if k.Relay == nil {
+		return address
+	}
+	return k.Relay(kind, address)
+}
+
 // VMs returns the entry VMs in the order in which they were added.
 func (k *Cluster) VMs() []*drserve.VM {
 	k.mu.Lock()
@@ -118,7 +129,7 @@
 	}
 	d := k.Deployment
 	s.VM, s.Zone = fmt.Sprintf("%s-%d", d.EntryPrefix, n+1), d.zone(n)
-	s.LogAddress, s.VMListAddress = k.Platform.Log.Address(), k.Platform.List.Address()
+	s.LogAddress, s.VMListAddress = k.relay("log", k.Platform.Log.Address()), k.relay("vm-list", k.Platform.List.Address())
 	s.Secret = drsettings.Secret{Value: d.Secret}
 	s.OperatorTokens = []drsettings.OperatorToken{{Name: "demo", Token: drsettings.Secret{Value: d.Operator}}}
 	if s.TLS = k.TLS; s.TLS == (drsettings.TLS{}) {
--- a/drengine/token_decoder.go
+++ b/drengine/token_decoder.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 )
 
 // readBuffer suits several token lines.
@@ -16,7 +17,7 @@
 	reader  *bufio.Reader
 	maxLine int
 	next    int // expected index
-	done    bool
+	done    atomic.Bool // a stream may be closed while it is read
 	err     error
 }
 
@@ -30,7 +31,7 @@
 	if d.err != nil {
 		return Token{}, d.err
 	}
-	if d.done {
+	if d.done.Load() {
 		return Token{}, io.EOF
 	}
 	t, err := d.decode()
@@ -39,7 +40,7 @@
 		return Token{}, err
 	}
 	d.next++
-	d.done = t.Done
+	d.done.Store(t.Done)
 	return t, nil
 }
 
--- a/drserve/vm.go
+++ b/drserve/vm.go
@@ -126,11 +126,12 @@
 }
 
 // follow adds a follower of the stream and returns its journal.
-func (v *VM) follow(stream string, f drlog.Folder) journal {
+func (v *VM) follow(stream string, f drlog.Folder, pause func() time.Duration) journal {
 	follower := drlog.NewFollower(drlog.FollowerConfig{
 		Log: v.log, Stream: stream, Folder: f, Clock: v.Clock, Peers: v.relay,
 		Retention: time.Duration(v.Settings.Retention), SnapshotEvery: snapshotEvery,
 		IsSnapshotter: func() bool { return v.isHome("snapshot/" + stream) },
+		Pause:         pause,
 		Events:        v.events,
 	})
 	v.relay.Add(follower)
@@ -140,20 +141,20 @@
 
 // newCore makes limits, placement, at-most-once execution and routing.
 func (v *VM) newCore() {
-	v.configLog = v.follow(drlog.StreamConfig, &configFold{Fold: v.fold, vm: v})
+	v.configLog = v.follow(drlog.StreamConfig, &configFold{Fold: v.fold, vm: v}, nil)
 	v.freshness = drlog.NewFreshness(drlog.FreshnessConfig{
 		Followers: v.followers[:1], Peers: v.relay, Members: v.counted, Self: v.Settings.VM,
 		Clock: v.Clock, ServeWithoutLog: time.Duration(v.Settings.ServeWithoutLog), Events: v.events,
 	})
 	engines := newEngines(v.Clock)
 	v.place = drplace.New(drplace.Config{
-		Policy: v.Policies.Place, Clock: v.Clock, Ledger: v.ledger, Journal: v.follow(drlog.StreamPlacement, v.ledger),
+		Policy: v.Policies.Place, Clock: v.Clock, Ledger: v.ledger, Journal: v.follow(drlog.StreamPlacement, v.ledger, nil),
 		Catalogue: catalogue{v.fold}, View: v.members, Caller: v.node, Recorder: v.events,
 		Dial: engines.dial, LoadsPerSecond: v.Settings.WeightStoreLoads,
 	})
 	engines.residency = v.place.Residency()
 	v.holder = drlimit.NewHolder(drlimit.HolderConfig{
-		Clock: v.Clock, View: v.members, Shares: v.shares, Journal: v.follow(drlog.StreamShares, v.shares),
+		Clock: v.Clock, View: v.members, Shares: v.shares, Journal: v.follow(drlog.StreamShares, v.shares, nil),
 		Limits: accountLimits{v.fold}, Recorder: v.events,
 	})
 	v.fold.OnChange(func(drconfig.Config, drconfig.Config) { v.holder.Poke() })
@@ -162,7 +163,7 @@
 		Holder: v.holder, Policy: v.Policies.Limit, Meter: v.meter,
 	})
 	v.newOnce()
-	v.strikes.journal = v.follow(drlog.StreamSuspects, v.strikes)
+	v.strikes.journal = v.follow(drlog.StreamSuspects, v.strikes, nil)
 	r := residency{place: v.place, engines: engines}
 	v.router = drroute.New(drroute.Config{
 		Clock: v.Clock, Zone: v.Settings.Zone, Policy: v.Policies.Route, Residency: r, Engines: engines, Waker: r,
@@ -174,7 +175,8 @@
 func (v *VM) newOnce() {
 	var journals [dronce.PartitionCount]dronce.Journal
 	for i, p := range v.partitions {
-		journals[i] = v.follow(fmt.Sprint(drlog.StreamOncePrefix, i), p)
+		stream := fmt.Sprint(drlog.StreamOncePrefix, i)
+		journals[i] = v.follow(stream, p, func() time.Duration { return v.oncePause(stream) })
 	}
 	v.home = dronce.NewHome(dronce.HomeConfig{Clock: v.Clock, View: v.members, Partitions: v.partitions, Journals: journals})
 	v.once = dronce.New(dronce.Config{
@@ -220,36 +222,36 @@
 func (v *VM) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
-	if err := v.listen(); err != nil {
+	if err := v.listen(ctx); err != nil {
 		cancel()
 		return errors.Join(err, v.closeListeners(ctx))
 	}
-	v.running.Go(func() { v.members.Run(ctx) })
+	v.spawn(ctx, "membership", v.members.Run)
 	for _, f := range v.followers {
-		v.running.Go(func() { _ = f.Run(ctx) })
+		v.spawn(ctx, "follow-"+f.Stream(), func(ctx context.Context) { _ = f.Run(ctx) })
 	}
-	v.running.Go(func() { _ = v.freshness.Run(ctx) })
-	v.running.Go(func() { v.place.Run(ctx) })
-	v.running.Go(func() { v.holder.Run(ctx) })
-	v.running.Go(func() { v.refreshQueues(ctx) })
-	v.running.Go(func() { v.followCaches(ctx) })
-	v.running.Go(func() { v.measureIdle(ctx) })
+	v.spawn(ctx, "freshness", func(ctx context.Context) { _ = v.freshness.Run(ctx) })
+	v.spawn(ctx, "placement", v.place.Run)
+	v.spawn(ctx, "shares", v.holder.Run)
+	v.spawn(ctx, "queues", v.refreshQueues)
+	v.spawn(ctx, "prefix-maps", v.followCaches)
+	v.spawn(ctx, "metrics", v.measureIdle)
 	v.started.Store(true)
 	v.events.Record(drtimeline.Event{Name: drtimeline.VMStarted, Detail: "zone=" + v.Settings.Zone})
 	return nil
 }
 
-func (v *VM) listen() error {
-	a, s := v.Settings.Addresses, v.Settings
+func (v *VM) listen(ctx context.Context) error {
+	a := v.Settings.Addresses
 	var err error
-	if v.peers, err = drnet.Listen(drnet.Config{Address: a.Peers, Clock: v.Clock, TLS: v.tls.peers, Traffic: &v.traffic, Handler: v.node.ServeConn}); err != nil {
+	if v.peers, err = serve(ctx, "peers", drnet.Config{Address: a.Peers, Clock: v.Clock, TLS: v.tls.peers, Traffic: &v.traffic, Handler: v.node.ServeConn}); err != nil {
 		return fmt.Errorf("peers' listener: %w", err)
 	}
-	if v.operators, err = drnet.Listen(drnet.Config{Address: a.Admin, Clock: v.Clock, TLS: v.tls.operators, Handler: v.admin.ServeConn}); err != nil {
+	if v.operators, err = serve(ctx, "admin", drnet.Config{Address: a.Admin, Clock: v.Clock, TLS: v.tls.operators, Handler: v.admin.ServeConn}); err != nil {
 		return fmt.Errorf("admin listener: %w", err)
 	}
-	v.callers, err = drnet.Listen(drnet.Config{
-		Address: a.Callers, Clock: v.Clock, TLS: v.tls.callers, MaxConnections: s.Limits.Connections,
+	v.callers, err = serve(ctx, "callers", drnet.Config{
+		Address: a.Callers, Clock: v.Clock, TLS: v.tls.callers, MaxConnections: v.Settings.Limits.Connections,
 		Handler: func(c net.Conn) {
 			if err := v.gate.ServeConn(c); err != nil {
 				log.WithFields(log.Fields{"event": "caller-connection-ended", "error": err}).Debug("")
@@ -262,6 +264,13 @@
 	return nil
 }
 
+// serve listens. The goroutines of the server and its connections bear the
+// role's label.
+func serve(ctx context.Context, role string, c drnet.Config) (s *drnet.Server, err error) {
+	withRole(ctx, role, func(context.Context) { s, err = drnet.Listen(c) })
+	return s, err
+}
+
 func (v *VM) refreshQueues(ctx context.Context) {
 	for v.Clock.Sleep(ctx, refreshPeriod) == nil {
 		v.queues.refresh()
