Tell other VMs which instance crashed, and give way to any rival trial

Cause: after the crash of a suspect's trial, the notice ended the trial at the other VMs, which then sent innocent suspects to the same dead instance; their broken connections counted as a second crash and they were answered 422. Also, of two VMs that claimed a trial at the same time, the one with the lower name went on although the other might not have seen its claim. A VM that sees a rival's claim after its broadcast always gives way; the one with the higher name pauses 20 ms. backend-crashed events name the instance.

--- a/drroute/notice.go
+++ b/drroute/notice.go
@@ -25,6 +25,8 @@
 	// Backend is the address of the crashed server, or of the server on which
 	// a trial runs.
 	Backend string
+	// Instance is that of the server which crashed, empty if unknown.
+	Instance string
 	// Fingerprints are the requests concerned; Blocked is the subset that is
 	// to be refused from now on.
 	Fingerprints []Fingerprint
--- a/drroute/stream.go
+++ b/drroute/stream.go
@@ -273,7 +273,7 @@
 	}
 	if drverdict.Of(cause) != drverdict.NotRun && s.crashed() {
 		s.router.prefixes.drop(s.runner.Address)
-		s.record("backend-crashed", "")
+		s.record("backend-crashed", "instance="+s.runner.Instance)
 		s.run.Crash(s.ctx)
 	} else if drverdict.Of(cause) != drverdict.NotRun {
 		s.cancelGeneration()
--- a/drroute/suspects.go
+++ b/drroute/suspects.go
@@ -25,6 +25,9 @@
 	// trialLife ends the claim of a VM that died during a trial.
 	trialLife = 2 * time.Minute
 	maxTrials = 1024
+	// rivalPause lets the VM with the lower name claim first after two VMs gave
+	// way to each other. It covers a broadcast.
+	rivalPause = 20 * time.Millisecond
 	// fallenLife is how long an instance that crashed is avoided. Its owner
 	// reports the next instance within seconds. A longer life would keep an
 	// engine out of use that only this VM could not reach for a moment.
@@ -178,7 +181,7 @@
 		s.mu.Unlock()
 		return r, nil
 	}
-	if s.occupied(r, false) || len(s.trials) >= maxTrials {
+	if _, taken := s.occupied(r); taken || len(s.trials) >= maxTrials {
 		s.mu.Unlock()
 		return nil, nil
 	}
@@ -189,10 +192,14 @@
 
 	s.tell(ctx, Notice{Kind: Trial, ID: r.trial, VM: s.vm, Backend: backend, Fingerprints: []Fingerprint{f}})
 	s.mu.Lock()
-	err, lost := s.check(f), s.occupied(r, true)
+	err := s.check(f)
+	rival, lost := s.occupied(r)
 	s.mu.Unlock()
 	if err != nil || lost {
 		r.End()
+		if err == nil && rival < s.vm {
+			_ = s.clock.Sleep(ctx, rivalPause)
+		}
 		return nil, err
 	}
 	return r, nil
@@ -213,20 +220,18 @@
 }
 
 // occupied reports whether a trial of r would run beside another suspect or
-// beside itself. With tie set, r is registered and two VMs that claimed at the
-// same time both see the claim of the other; the lower VM name wins.
-func (s *Suspects) occupied(r *Run, tie bool) bool {
+// beside itself, and on which VM. Of two VMs that claim at the same time, at
+// least one sees the claim of the other after its broadcast. It must give way
+// whatever its name, since the other may not see its claim.
+func (s *Suspects) occupied(r *Run) (vm string, taken bool) {
 	now := s.clock.Now()
 	for k, t := range s.trials {
 		if now.After(t.expires) {
 			delete(s.trials, k)
 			continue
 		}
-		if t.backend != r.backend && k.fingerprint != r.fingerprint {
-			continue
-		}
-		if k.vm != s.vm && (!tie || k.vm < s.vm) {
-			return true
+		if k.vm != s.vm && (t.backend == r.backend || k.fingerprint == r.fingerprint) {
+			return k.vm, true
 		}
 	}
 	for b, m := range s.running {
@@ -235,11 +240,11 @@
 				continue
 			}
 			if o.fingerprint == r.fingerprint || b == r.backend && s.find(o.fingerprint) != nil {
-				return true
+				return s.vm, true
 			}
 		}
 	}
-	return false
+	return "", false
 }
 
 // end ends r. A success clears its request, also of a strike that it received
@@ -316,9 +321,20 @@
 	return ok && f.instance != "" && (instance == "" || f.instance == instance) && s.clock.Since(f.at) < fallenLife
 }
 
+// inUse reports whether requests of this VM run on the instance. They are
+// struck when they break.
+func (s *Suspects) inUse(backend, instance string) bool {
+	for r := range s.running[backend] {
+		if r.instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
 // strike records a crash against every run that it broke.
 func (s *Suspects) strike(r *Run, c *crash) Notice {
-	n := Notice{Kind: Strike, ID: s.newID(), VM: s.vm, Backend: r.backend}
+	n := Notice{Kind: Strike, ID: s.newID(), VM: s.vm, Backend: r.backend, Instance: r.instance}
 	seen := make(map[Fingerprint]bool) // true for requests suspected before
 	for o := range s.running[r.backend] {
 		if o.instance != r.instance {
@@ -383,6 +399,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if n.Kind == Strike && n.VM != s.vm && n.Instance != "" && !s.inUse(n.Backend, n.Instance) {
+		s.fallen[n.Backend] = fall{n.Instance, s.clock.Now()}
+	}
 	for _, f := range n.Fingerprints {
 		switch n.Kind {
 		case Strike:
--- a/drroute/suspects_test.go
+++ b/drroute/suspects_test.go
@@ -73,6 +73,8 @@
 	is.True(s.Check(x) != nil)
 	c.Advance(fallenLife)
 	is.True(!s.Fallen("s1", "i2"))
+	s.Observe(Notice{Kind: Strike, ID: "c9", VM: "vm-b", Backend: "s2", Instance: "i1"})
+	is.True(s.Fallen("s2", "i1")) // crashed as seen by another VM
 }
 
 // Guards against a strike read late from the log that undoes a clearance, and
--- a/drserve/strikes.go
+++ b/drserve/strikes.go
@@ -98,7 +98,7 @@
 func (s *strikes) Restore(uint64, []byte) error { return nil }
 
 func encodeNotice(n drroute.Notice) *drpb.SuspectNotice {
-	p := &drpb.SuspectNotice{Kind: uint32(n.Kind), Id: n.ID, Vm: n.VM, Backend: n.Backend}
+	p := &drpb.SuspectNotice{Kind: uint32(n.Kind), Id: n.ID, Vm: n.VM, Backend: n.Backend, Instance: n.Instance}
 	for _, f := range n.Fingerprints {
 		p.Fingerprints = append(p.Fingerprints, f[:])
 	}
@@ -110,7 +110,7 @@
 
 func decodeNotice(p *drpb.SuspectNotice) drroute.Notice {
 	return drroute.Notice{
-		Kind: drroute.NoticeKind(p.Kind), ID: p.Id, VM: p.Vm, Backend: p.Backend,
+		Kind: drroute.NoticeKind(p.Kind), ID: p.Id, VM: p.Vm, Backend: p.Backend, Instance: p.Instance,
 		Fingerprints: decodeFingerprints(p.Fingerprints), Blocked: decodeFingerprints(p.Blocked),
 	}
 }
