--- a/drmatrix/cells_test.go
+++ b/drmatrix/cells_test.go
@@ -37,7 +37,7 @@
 }
 
 // parallelSystems bounds the clusters that run at the same time.
-const parallelSystems = 16
+const parallelSystems = 24
 
 // Guards, for each step and fault, against a broken or mixed-up answer, a false
 // "not run", a second execution of a keyed call, more replicas or memory than
