--- a/drgate/config.go
+++ b/drgate/config.go
@@ -22,8 +22,8 @@
 	// writeGrace is how long past its deadline a request may take to write
 	// its last bytes to a slow caller.
 	writeGrace = 10 * time.Second
-	// recordTimeout bounds the recording of an outcome after the request's
-	// own deadline or its caller is gone.
+	// recordTimeout bounds how long a response waits for the recording of its
+	// outcome.
 	recordTimeout = 5 * time.Second
 	// maxRecorded is the largest answer body that is kept for replay.
 	maxRecorded = 16 << 10
@@ -58,6 +58,11 @@
 	Services  Caller
 	Freshness Freshness
 	Recorder  drtimeline.Recorder
+	// Meter takes measurements; nil drops them.
+	Meter Meter
+	// Loaded reports whether a replica is known to be loaded; nil means
+	// always. It only sorts measurements into warm and cold.
+	Loaded func(model, adapter string) bool
 
 	// MaxHeader and MaxBody are in bytes.
 	MaxHeader   int
@@ -67,6 +72,12 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Meter == nil {
+		c.Meter = noMeter{}
+	}
+	if c.Loaded == nil {
+		c.Loaded = func(string, string) bool { return true }
+	}
 	if c.MaxHeader == 0 {
 		c.MaxHeader = defaultMaxHeader
 	}
--- a/drroute/router_test.go
+++ b/drroute/router_test.go
@@ -203,7 +203,7 @@
 // Guards against a window that ignores the engine's reports.
 func TestWindowFollowsReports(t *testing.T) {
 	is := is.New(t)
-	w := newWindows()
+	w := newWindows(nil)
 	r := Runner{Address: "e", Capacity: 16, Version: 1}
 	limit := func() int { return w.size(r) }
 	is.Equal(limit(), 16)
@@ -217,6 +217,30 @@
 	is.Equal(w.byAddr["e"].inflight, 9)
 }
 
+// Guards against a window that grows without being used, or beyond the batch:
+// the burst of one account then queues in the engine, which is not fair.
+func TestUnusedWindowStaysSmall(t *testing.T) {
+	is := is.New(t)
+	w := newWindows(func() int { return 4 })
+	r := Runner{Address: "e", Capacity: 64, Version: 1}
+	is.Equal(w.size(r), 16)
+	for range 100 {
+		r.Version++
+		is.Equal(w.size(r), 16)
+	}
+	for range 100 {
+		for w.acquire(r) {
+		}
+		r.Version++
+		r.Running = w.byAddr["e"].inflight
+		is.True(w.size(r) <= 64)
+	}
+	is.Equal(w.size(r), 64) // one VM may fill the batch of an idle runner
+	r.Version++
+	r.Running, r.Waiting = 64, 64 // other VMs send as much
+	is.Equal(w.size(r), 32)
+}
+
 // Guards against stale prefix blocks after lost events and unbounded memory.
 func TestPrefixesDropOnGap(t *testing.T) {
 	is := is.New(t)
@@ -335,6 +359,69 @@
 	is.Equal(f.wakes, 1)
 }
 
+// Guards against blocking an innocent request because the only engine with its
+// model, on which it was running, stays down after a crash.
+func TestDownEngineIsNoSecondCrash(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, "e1")
+	f.woken = "e1"
+	f.edit = func(e *fakeEngine, t drengine.Token) (drengine.Token, error) {
+		if t.Index == 3 {
+			e.crash()
+			e.hung, e.refuse = true, drverdict.New(drverdict.MayHaveRun, drverdict.BackendFailed, "connection reset")
+			return t, errors.New("reset")
+		}
+		return t, nil
+	}
+	r := soleRouter(f)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := collect(ctx, r, "g", "p")
+	is.Equal(drverdict.Of(err), drverdict.MayHaveRun)
+	is.NoErr(r.Suspects.Check(Request{Account: "a", Model: "m", Prompt: "p", MaxTokens: 100}.fingerprint()))
+}
+
+// Guards against a request that uses up its attempts on the only engine with
+// its model while that restarts and loads, although its deadline is far away.
+func TestRequestWaitsForRestartedEngine(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, "e1")
+	f.woken, f.hidden = "e1", map[string]bool{}
+	broken := false
+	f.edit = func(e *fakeEngine, t drengine.Token) (drengine.Token, error) {
+		if t.Index != 3 || broken {
+			return t, nil
+		}
+		broken = true
+		e.crash()
+		e.hung, f.hidden["e1"] = true, true
+		e.refuse = drverdict.New(drverdict.MayHaveRun, drverdict.BackendFailed, "connection reset")
+		time.AfterFunc(time.Second, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			e.hung, e.refuse, f.hidden["e1"] = false, nil, false
+		})
+		return t, errors.New("reset")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	text, err := collect(ctx, soleRouter(f), "g", "p")
+	is.NoErr(err)
+	is.Equal(text, expected(6))
+}
+
+// Guards against telling a caller that a model does not exist when engines have
+// just evicted it.
+func TestEvictedModelIsNotUnknown(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, "e1")
+	f.woken = "e1"
+	f.engines["e1"].refuse = drverdict.New(drverdict.NotRun, drverdict.UnknownModel, "model m is not loaded")
+	_, err := collect(context.Background(), soleRouter(f), "g", "p")
+	is.Equal(drverdict.Of(err), drverdict.NotRun)
+	is.Equal(drverdict.ReasonOf(err), drverdict.NoCapacity)
+}
+
 // BenchmarkGenerate measures the router's cost per request of 100 tokens.
 func BenchmarkGenerate(b *testing.B) {
 	r := soleRouter(newFleet(100, "e1", "e2", "e3"))
--- a/drroute/stream.go
+++ b/drroute/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 
 	"github.com/dotterelridge/dotterelridge/drengine"
@@ -72,6 +73,9 @@
 		s.runner, s.base, s.resumes = x, len(s.delivered), 0
 		s.engine = s.router.Engines.Engine(x.Address)
 		err = s.connect(run, func(ctx context.Context) (drengine.TokenStream, error) {
+			if err := s.precheck(ctx, run); err != nil {
+				return nil, err
+			}
 			return s.engine.Generate(ctx, drengine.Generation{
 				ID: s.id, Model: s.request.Model, Adapter: s.request.Adapter,
 				Prompt: s.request.Prompt, Prefix: s.delivered,
@@ -80,7 +84,7 @@
 		})
 		if err == nil {
 			s.dispatched = true
-			s.record("generation-dispatched", "")
+			s.record(drtimeline.GenerationDispatched, "")
 			return nil
 		}
 		if drverdict.Of(err) != drverdict.NotRun {
@@ -96,6 +100,19 @@
 	}
 }
 
+// precheck returns an error if run is the trial of a suspect and the engine does
+// not respond. An engine that was down before the trial would count as its
+// second crash and block an innocent request.
+func (s *Stream) precheck(ctx context.Context, run *Run) error {
+	if run.trial == "" {
+		return nil
+	}
+	if _, err := s.probe(ctx, s.engine); err != nil {
+		return drverdict.Wrap(drverdict.NotRun, drverdict.Unavailable, err, "engine does not respond before a trial")
+	}
+	return nil
+}
+
 // connect opens a stream of the engine and makes it the current one.
 func (s *Stream) connect(run *Run, open func(context.Context) (drengine.TokenStream, error)) error {
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -233,7 +250,7 @@
 // recover continues a broken stream: on the same engine if that still holds
 // the generation, else on another.
 func (s *Stream) recover(cause error) error {
-	s.record("stream-broken", cause.Error())
+	s.record(drtimeline.StreamBroken, fmt.Sprintf("error=%q", cause))
 	if s.resumes < maxResumes {
 		s.resumes++
 		if s.resume() == nil {
@@ -269,11 +286,13 @@
 	s.failed[s.runner.Address] = s.runner.Instance
 	overloaded := drverdict.Of(cause) == drverdict.NotRun && drverdict.ReasonOf(cause) == drverdict.NoCapacity
 	if !overloaded {
-		s.router.ejector.Failure(s.runner.Address)
+		if d := s.router.ejector.Failure(s.runner.Address); d > 0 {
+			s.record(drtimeline.BackendEjected, "for="+d.String())
+		}
 	}
 	if drverdict.Of(cause) != drverdict.NotRun && s.crashed() {
 		s.router.prefixes.drop(s.runner.Address)
-		s.record("backend-crashed", "instance="+s.runner.Instance)
+		s.record(drtimeline.BackendCrashed, "instance="+s.runner.Instance)
 		s.run.Crash(s.ctx)
 	} else if drverdict.Of(cause) != drverdict.NotRun {
 		s.cancelGeneration()
@@ -282,8 +301,12 @@
 	if err := s.router.Suspects.Check(s.fingerprint); err != nil {
 		return err
 	}
-	if s.attempts >= maxAttempts || !s.router.budget.retry() {
+	if s.attempts >= maxAttempts || !s.retry() {
 		if _, ok := cause.(*drverdict.Error); ok && !s.dispatched { //nolint:errorlint // keep the engine's own reason
+			if drverdict.ReasonOf(cause) == drverdict.UnknownModel {
+				// The engine has not loaded the model, which exists.
+				return drverdict.Wrap(drverdict.NotRun, drverdict.NoCapacity, cause, "no further attempt")
+			}
 			return cause
 		}
 		v := drverdict.NotRun
@@ -292,10 +315,19 @@
 		}
 		return drverdict.Wrap(v, drverdict.BackendFailed, cause, "no further attempt")
 	}
-	s.record("generation-retried", fmt.Sprintf("delivered=%d", len(s.delivered)))
+	s.record(drtimeline.GenerationRetried, fmt.Sprintf("delivered=%d", len(s.delivered)))
 	return nil
 }
 
+// retry reports whether the budget allows a retry.
+func (s *Stream) retry() bool {
+	ok := s.router.budget.retry()
+	if !ok {
+		s.record(drtimeline.RetryRefused, "")
+	}
+	return ok
+}
+
 // crashed reports whether the engine process that held the generation is gone
 // although it was not leaving.
 func (s *Stream) crashed() bool {
@@ -330,8 +362,14 @@
 }
 
 func (s *Stream) record(name, detail string) {
-	s.router.Recorder.Record(drtimeline.Event{
-		Name: name, RequestID: s.request.RequestID, Account: s.request.Account,
-		Model: s.request.Model, Backend: s.runner.Address, Detail: detail,
-	})
+	s.note(drtimeline.Event{Name: name, Detail: detail}, s.runner.Address)
+}
+
+// note records e for the request, which concerns the backend server.
+func (s *Stream) note(e drtimeline.Event, backend string) {
+	e.RequestID, e.Account, e.Model, e.Backend = s.request.RequestID, s.request.Account, s.request.Model, backend
+	if a := s.request.Adapter; a != "" {
+		e.Detail = strings.TrimSpace(e.Detail + " adapter=" + a)
+	}
+	s.router.Recorder.Record(e)
 }
