--- a/drroute/stream.go
+++ b/drroute/stream.go
@@ -292,7 +292,7 @@
 	}
 	if drverdict.Of(cause) != drverdict.NotRun && s.crashed() {
 		s.router.prefixes.drop(s.runner.Address)
-		s.record(drtimeline.BackendCrashed, "")
+		s.record(drtimeline.BackendCrashed, "instance="+s.runner.Instance)
 		s.run.Crash(s.ctx)
 	} else if drverdict.Of(cause) != drverdict.NotRun {
 		s.cancelGeneration()
