--- a/drengine/token_decoder.go
+++ b/drengine/token_decoder.go
@@ -16,7 +16,7 @@
 type tokenDecoder struct {
 	reader  *bufio.Reader
 	maxLine int
-	next    int // expected index
+	next    int         // expected index
 	done    atomic.Bool // a stream may be closed while it is read
 	err     error
 }
