Follow the dispatch window as soon as a model is loaded

Cause: while a model is cold its queue lets one request through; the others waited for the next refresh of the windows, up to 100 ms after the load. Change: a finished wake-up refreshes the queue of its model. No test of its own yet.

--- a/drserve/queues.go
+++ b/drserve/queues.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// follow takes over the dispatch window of a model at once.
+func (q *queues) follow(model string) { q.queue(model).SetWindow(q.window(model)) }
+
 func (q *queues) window(model string) int { return max(q.places(model, ""), coldWindow) }
 
 func (q *queues) queue(model string) *drqueue.Queue {
--- a/drserve/residency.go
+++ b/drserve/residency.go
@@ -12,6 +12,9 @@
 type residency struct {
 	place   *drplace.Place
 	engines *engines
+	// woken is called after a wake-up, so that the queue of the model does
+	// not wait for its next refresh.
+	woken func(model string)
 }
 
 // Runners implements drroute.Residency.
@@ -34,6 +37,7 @@
 		return drroute.Runner{}, err
 	}
 	r.engines.name(l.Address, l.Runner)
+	r.woken(model)
 	for _, x := range r.Runners(model, adapter) {
 		if x.VM == l.Runner {
 			return x, nil
--- a/drserve/vm.go
+++ b/drserve/vm.go
@@ -158,7 +158,7 @@
 	})
 	v.newOnce()
 	v.strikes.journal = v.follow(drlog.StreamSuspects, v.strikes)
-	r := residency{place: v.place, engines: engines}
+	r := residency{place: v.place, engines: engines, woken: func(m string) { v.queues.follow(m) }}
 	v.router = drroute.New(drroute.Config{
 		Clock: v.Clock, Zone: v.Settings.Zone, Policy: v.Policies.Route, Residency: r, Engines: engines, Waker: r,
 		Suspects: v.strikes.suspects, Recorder: v.events,
