Keep the slots of the weight store usable while the fleet starts

Cause: a cold start right after the start of 3 VMs took 3.5 to 4.1 s although the load takes 0.8 s. The runner was owned and the right granted 13 ms after the configuration; the load waited for a slot. VMs reviewed slots once a second, so the first ones were held after a second. They took slots from holders they had not heard of yet, and all slots of a VM that held more than its share instead of the surplus; a moved slot rests for 3 s. Change: reviews are 20 ms apart until all slots are held; only the surplus moves; an unheard holder counts as lost after 3 s.

--- a/drplace/config.go
+++ b/drplace/config.go
@@ -116,6 +116,9 @@
 	demandJitter = 400 * time.Millisecond
 	// slotHold is how long a holder lets a taker wait for a slot.
 	slotHold = 250 * time.Millisecond
+	// slotStart is the pause between reviews while slots have never been
+	// held: the log is not read yet, or other VMs are not known yet.
+	slotStart = 20 * time.Millisecond
 	// Loans end unless renewed; the owner renews at a third. They are short,
 	// because they delay the next holder of a slot.
 	loadLoan    = 6 * time.Second
--- a/drplace/slots.go
+++ b/drplace/slots.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +26,8 @@
 	freed chan struct{} // closed when a loan ends
 	next  uint64        // last loan id
 	work  sync.WaitGroup
+	// unheardSince holds the holders that are not known; only run uses it.
+	unheardSince map[string]time.Time
 }
 
 // lending is the state of a slot at its holder.
@@ -35,7 +39,7 @@
 }
 
 func newSlots(p *Place) *Slots {
-	return &Slots{p: p, lent: make(map[slotKey]*lending), freed: make(chan struct{}), next: rand.Uint64() >> 1}
+	return &Slots{p: p, lent: make(map[slotKey]*lending), freed: make(chan struct{}), next: rand.Uint64() >> 1, unheardSince: make(map[string]time.Time)}
 }
 
 func (s SlotKind) loan() time.Duration {
@@ -50,12 +54,23 @@
 func (s *Slots) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.review(ctx)
-		if s.p.Clock.Sleep(ctx, tick) != nil {
+		if s.p.Clock.Sleep(ctx, s.pause()) != nil {
 			return
 		}
 	}
 }
 
+// pause returns the time to the next review. Until all slots are held it is
+// short, because no model can be loaded from the weight store without one.
+func (s *Slots) pause() time.Duration {
+	for kind := range slotKinds {
+		if len(s.p.Ledger.Slots(kind)) < int(kind.count()) {
+			return slotStart
+		}
+	}
+	return tick
+}
+
 func (s *Slots) review(ctx context.Context) {
 	self := s.p.View.Self()
 	candidates := s.p.View.Candidates()
@@ -66,21 +81,21 @@
 	for _, m := range candidates {
 		alive.Add(m.VM)
 	}
+	f := newFleet(s.p.View)
 	for kind := range slotKinds {
 		held := make(map[uint32]Slot)
-		holds := make(map[string]int)
 		for _, t := range s.p.Ledger.Slots(kind) {
 			held[t.Number] = t
-			holds[t.VM]++
 			if t.VM == self.VM {
 				s.noticeHeld(t)
 			}
 		}
 		share := (int(kind.count()) + len(candidates) - 1) / len(candidates)
+		surplus := surplusSlots(held, share, func(n uint32) string { return firstOf(slotName(kind, n), candidates) })
 		for n := range kind.count() {
 			t := held[n]
 			restarted := t.VM == self.VM && t.Incarnation != self.Incarnation
-			kept := alive.Has(t.VM) && (holds[t.VM] <= share || t.VM == self.VM) && !restarted
+			kept := (alive.Has(t.VM) || s.unheard(t.VM, f)) && (!surplus.Has(n) || t.VM == self.VM) && !restarted
 			if kept || !restarted && !first(slotName(kind, n), candidates, self.VM) {
 				continue
 			}
@@ -89,6 +104,40 @@
 	}
 }
 
+// unheard reports whether a holder may merely not have been heard of yet, as
+// when this VM has just started. That ends after claimPause.
+func (s *Slots) unheard(vm string, f fleet) bool {
+	if vm == "" || f.present.Has(vm) || f.lost(vm) {
+		delete(s.unheardSince, vm)
+		return false
+	}
+	since, known := s.unheardSince[vm]
+	if !known {
+		since = s.p.Clock.Now()
+		s.unheardSince[vm] = since
+	}
+	return s.p.Clock.Since(since) < claimPause
+}
+
+// surplusSlots returns the slots that move to other VMs because their holders
+// have more than share. A holder keeps its share: the new holder of a slot
+// waits for loans of the earlier one, so that no load could begin for seconds
+// if all slots moved at once.
+func surplusSlots(held map[uint32]Slot, share int, first func(n uint32) string) drset.Set[uint32] {
+	holds := make(map[string]int)
+	for _, t := range held {
+		holds[t.VM]++
+	}
+	surplus := make(drset.Set[uint32])
+	for _, n := range slices.Sorted(maps.Keys(held)) {
+		if vm := held[n].VM; holds[vm] > share && first(n) != vm {
+			surplus.Add(n)
+			holds[vm]--
+		}
+	}
+	return surplus
+}
+
 func (s *Slots) take(ctx context.Context, kind SlotKind, n uint32, basedOn uint64) {
 	self := s.p.View.Self()
 	// A failed append is repeated at the next tick; the fold accepts one.
@@ -273,8 +322,14 @@
 
 // first reports whether vm ranks first for name.
 func first(name string, candidates []drmember.Member, vm string) bool {
-	r := drmember.Rank(name, candidates)
-	return len(r) > 0 && r[0].VM == vm
+	return firstOf(name, candidates) == vm
+}
+
+func firstOf(name string, candidates []drmember.Member) string {
+	if r := drmember.Rank(name, candidates); len(r) > 0 {
+		return r[0].VM
+	}
+	return ""
 }
 
 func slotName(kind SlotKind, n uint32) string {
