--- a/drroute/router.go
+++ b/drroute/router.go
@@ -147,7 +147,9 @@
 				_ = r.Clock.Sleep(s.ctx, failedRecheck)
 				continue
 			}
-			candidates = []Runner{x}
+			if !r.Suspects.Fallen(x.Address, x.Instance) {
+				candidates = []Runner{x}
+			}
 		}
 		for _, x := range candidates {
 			run, err := r.take(s, x)
@@ -179,7 +181,14 @@
 
 // wake has the model loaded because no usable runner has it.
 func (r *Router) wake(s *Stream) (Runner, error) {
+	start := r.Clock.Now()
+	s.note(drtimeline.Event{Name: drtimeline.WakeRequested}, "")
 	x, err := r.Waker.Wake(s.ctx, s.request.Model, s.request.Adapter, s.request.Deadline)
+	answered := drtimeline.Event{Name: drtimeline.WakeAnswered, Took: r.Clock.Since(start)}
+	if err != nil {
+		answered.Reason = drverdict.ReasonOf(err).String()
+	}
+	s.note(answered, x.Address)
 	if err != nil {
 		if ended := s.ended(); ended != nil {
 			return x, ended
@@ -187,6 +196,13 @@
 		// The wake-up did not run, but an earlier attempt may have.
 		return x, s.raise(err)
 	}
+	if x.Instance == "" {
+		// The owner's report is still on its way. Without the instance, a crash
+		// could not be told from the one before.
+		if st, err := s.probe(s.ctx, r.Engines.Engine(x.Address)); err == nil {
+			x.Instance = st.Instance
+		}
+	}
 	return x, nil
 }
 
@@ -213,7 +229,7 @@
 // candidates returns the runners that may take s, best first.
 func (r *Router) candidates(s *Stream) []Runner {
 	all := r.Residency.Runners(s.request.Model, s.request.Adapter)
-	all = slices.DeleteFunc(slices.Clone(all), func(x Runner) bool { return x.Leaving })
+	all = slices.DeleteFunc(slices.Clone(all), func(x Runner) bool { return x.Leaving || r.Suspects.Fallen(x.Address, x.Instance) })
 	all = usable(r.ejector, all, func(x Runner) string { return x.Address }, func(x Runner) bool {
 		instance, failed := s.failed[x.Address]
 		return failed && instance == x.Instance
--- a/drstandin/engine.go
+++ b/drstandin/engine.go
@@ -49,7 +49,7 @@
 		config: c, catalogue: newCatalogue(c.Catalogue),
 		disk: c.CachedDisk, memory: c.CachedMemory,
 		changed: make(chan struct{}),
-		counts:  EngineCounts{MostReplicas: make(map[string]int), IDs: make(map[string]int)},
+		counts:  EngineCounts{MostReplicas: make(map[string]int), LoadsOf: make(map[string]int), IDs: make(map[string]int)},
 	}
 	e.reset()
 	return e
@@ -72,6 +72,7 @@
 	defer e.mu.Unlock()
 	e.meter()
 	c := e.counts
+	c.MostReplicas, c.LoadsOf, c.IDs = maps.Clone(c.MostReplicas), maps.Clone(c.LoadsOf), maps.Clone(c.IDs)
 	c.LoadedSeconds, c.IdleSeconds = e.usage.loaded.Seconds(), e.usage.idle.Seconds()
 	c.MostReplicas, c.IDs = maps.Clone(c.MostReplicas), maps.Clone(c.IDs)
 	return c
