--- a/drplace/slots_test.go
+++ b/drplace/slots_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drmember"
 )
 
 // Guards against a joining VM that takes all slots of the first one: each moved
@@ -22,3 +26,16 @@
 	}
 	is.Equal(len(surplusSlots(held, 2, func(uint32) string { return "c" })), 0)
 }
+
+// Guards against a starting VM that takes slots from holders of which it has
+// not heard yet, and against a slot whose holder never appears.
+func TestUnheardHolderKeepsItsSlots(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	s := newSlots(&Place{Config: Config{Clock: clock}})
+	f := newFleet(stubView{gone: "old", members: []drmember.Member{{VM: "a", State: drmember.Alive}, {VM: "b", State: drmember.Unreachable}}})
+	is.True(s.unheard("unknown", f))
+	is.True(!s.unheard("b", f) && !s.unheard("old", f) && !s.unheard("", f))
+	clock.Advance(claimPause)
+	is.True(!s.unheard("unknown", f))
+}
