Retry for a slot as soon as the ledger changes

Cause: an owner that found no holder of a slot slept 200 ms. Change: it waits for a change of the ledger, at most as long.

--- a/drplace/slots.go
+++ b/drplace/slots.go
@@ -267,7 +267,7 @@
 func (s *Slots) acquire(ctx context.Context, kind SlotKind, wait func(time.Duration)) (give func(), err error) {
 	hold := time.Duration(0)
 	for {
-		shortest := tick
+		shortest, changed := tick, s.p.Ledger.Changed()
 		for _, vm := range s.holders(kind) {
 			r, err := s.call(ctx, vm, &drpb.PlacementSlotCall{Kind: uint32(kind), HoldMs: uint64(hold.Milliseconds())})
 			if err == nil && r.Granted {
@@ -280,9 +280,7 @@
 		wait(shortest)
 		if hold > 0 && shortest == tick {
 			// No holder answers or all are busy: do not spin.
-			if err := s.p.Clock.Sleep(ctx, retryPause); err != nil {
-				return nil, err
-			}
+			s.await(ctx, changed)
 		}
 		if err := ctx.Err(); err != nil {
 			return nil, err
@@ -291,6 +289,18 @@
 	}
 }
 
+// await waits for a change of the ledger, such as a first holder, or for
+// retryPause.
+func (s *Slots) await(ctx context.Context, changed <-chan struct{}) {
+	t := s.p.Clock.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C():
+	case <-ctx.Done():
+	}
+}
+
 // holders returns the live VMs that hold slots of a kind, in random order.
 func (s *Slots) holders(kind SlotKind) []string {
 	held, vms := make(drset.Set[string]), make(drset.Set[string])
