--- a/drprocess/key_test.go
+++ b/drprocess/key_test.go
@@ -114,6 +114,7 @@
 		v.logVia = f.address()
 		c.writeSettings(t, v)
 		c.restart(t, v)
+		t.Cleanup(f.heal) // later tests use the VM
 		f.cut()
 		q := question{key: withdrawn, model: s.burst, prompt: prompt(t, 0), tokens: 5}
 		must(t, c.whole(q, c.ask(v, q)))
