Read the end of a token stream atomically when it is closed

Cause: Close may run in another goroutine than Next, as drroute does when a request ends, and read the decoder's done flag while Next wrote it. Change: the flag is atomic.

--- a/drengine/http_stream.go
+++ b/drengine/http_stream.go
@@ -37,7 +37,7 @@
 func (s *httpStream) Close() error {
 	s.stop()
 	s.closing.Do(func() {
-		if !s.decoder.done {
+		if !s.decoder.done.Load() {
 			drhttp.CloseStream(s.body)
 			return
 		}
--- a/drengine/token_decoder.go
+++ b/drengine/token_decoder.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 )
 
 // readBuffer suits several token lines.
@@ -16,8 +17,9 @@
 	reader  *bufio.Reader
 	maxLine int
 	next    int // expected index
-	done    bool
-	err     error
+	// done is also read by the goroutine that closes the stream.
+	done atomic.Bool
+	err  error
 }
 
 func newTokenDecoder(r io.Reader, maxLine, from int) *tokenDecoder {
@@ -30,7 +32,7 @@
 	if d.err != nil {
 		return Token{}, d.err
 	}
-	if d.done {
+	if d.done.Load() {
 		return Token{}, io.EOF
 	}
 	t, err := d.decode()
@@ -39,7 +41,7 @@
 		return Token{}, err
 	}
 	d.next++
-	d.done = t.Done
+	d.done.Store(t.Done)
 	return t, nil
 }
 
