--- a/drengine/token_decoder.go
+++ b/drengine/token_decoder.go
@@ -16,9 +16,10 @@
 type tokenDecoder struct {
 	reader  *bufio.Reader
 	maxLine int
-	next    int         // expected index
-	done    atomic.Bool // a stream may be closed while it is read
-	err     error
+	next    int // expected index
+	// done is also read by the goroutine that closes the stream.
+	done atomic.Bool
+	err  error
 }
 
 func newTokenDecoder(r io.Reader, maxLine, from int) *tokenDecoder {
