Replace an owner whose VM restarted and does not claim its runners

Cause: a VM that restarts while it is cut off from the log cannot claim the runners of its earlier process, and all others took the VM for the owner that is still present. Change: only the owning incarnation keeps a runner; others wait for the pause between claimants, which leaves a restarted VM time to claim first. Measured: the new test fails without the change and passes with it; drplace passes with -race.

--- a/drcapacity/bench_local.go
+++ b/drcapacity/bench_local.go
@@ -40,7 +40,7 @@
 }
 
 func event(i int) drtimeline.Event {
-	return drtimeline.Event{Name: "right-granted", Backend: "runner-vm-0001", Model: "model-1", Detail: fmt.Sprint("fence=", i)}
+	return drtimeline.Event{Name: drtimeline.RightGranted, Backend: "runner-vm-0001", Model: "model-1", Detail: fmt.Sprint("fence=", i)}
 }
 
 func filledRing(n int) *drtimeline.Ring {
--- a/drplace/fleet.go
+++ b/drplace/fleet.go
@@ -13,11 +13,14 @@
 	present drset.Set[string]
 	// unreachable holds the VMs that were seen to fail.
 	unreachable drset.Set[string]
+	// incarnations holds the running process of each VM that told it.
+	incarnations map[string]uint64
 }
 
 func newFleet(v drmember.View) fleet {
-	f := fleet{view: v, present: make(drset.Set[string]), unreachable: make(drset.Set[string])}
+	f := fleet{view: v, present: make(drset.Set[string]), unreachable: make(drset.Set[string]), incarnations: make(map[string]uint64)}
 	for _, m := range v.Members() {
+		f.incarnations[m.VM] = m.Incarnation
 		if m.State == drmember.Unreachable {
 			f.unreachable.Add(m.VM)
 		} else {
@@ -27,6 +30,13 @@
 	return f
 }
 
+// keeps reports whether the process that owns a runner runs and keeps it. A
+// later process on the same VM does not: it claims the runner by itself, unless
+// it is cut off from the log, and then another VM has to.
+func (f fleet) keeps(own Ownership) bool {
+	return f.present.Has(own.VM) && f.incarnations[own.VM] <= own.Incarnation
+}
+
 // lost reports whether a VM is known to have failed. A VM that is not present
 // and not lost may merely not have been heard of yet, as when this VM or that
 // one has just started.
--- a/drplace/fleet_test.go
+++ b/drplace/fleet_test.go
@@ -53,3 +53,27 @@
 		is.True(c.owner("r0") != nil) // nil for an owner that is not in the fleet
 	})
 }
+
+// Guards against runners that stay without owner because their VM restarted
+// and cannot claim them, for instance because it is cut off from the log.
+func TestRestartedOwnerIsReplacedIfItDoesNotClaim(t *testing.T) {
+	c := newCluster(3, 1, false)
+	c.model("m", 4, 1, 1)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		time.Sleep(time.Second)
+		old := c.truth.Owner("r0")
+		v := c.owner("r0")
+		v.kill()
+		c.mu.Lock()
+		v.dead = false // the new process is reachable, but appends nothing
+		v.member.Incarnation++
+		c.mu.Unlock()
+		c.settle()
+		is.True(c.truth.Owner("r0").VM != old.VM)
+		c.mu.Lock()
+		v.dead = true
+		c.mu.Unlock()
+	})
+}
--- a/drplace/owner.go
+++ b/drplace/owner.go
@@ -120,7 +120,7 @@
 	logDown := o.p.logDown()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if own.VM != "" && f.present.Has(own.VM) {
+	if f.keeps(own) {
 		delete(o.orphans, b.VM)
 	} else if _, known := o.orphans[b.VM]; !known {
 		o.orphans[b.VM] = o.p.Clock.Now()
@@ -132,7 +132,7 @@
 		return
 	}
 	restarted := own.VM == self.VM
-	if o.draining || o.claiming.Has(b.VM) || logDown || !restarted && own.VM != "" && f.present.Has(own.VM) {
+	if o.draining || o.claiming.Has(b.VM) || logDown || !restarted && f.keeps(own) {
 		return
 	}
 	orphaned := o.p.Clock.Since(o.orphans[b.VM])
