--- a/drlimit/account.go
+++ b/drlimit/account.go
@@ -26,6 +26,7 @@
 	demand   demand
 	pumping  bool
 	reported time.Time
+	heardAt  time.Time // of the last answer of a holder
 	sequence uint64
 	fixed    *bucket // for EqualShares
 }
@@ -38,8 +39,8 @@
 	}
 }
 
-// reserve waits for tokens, at most for wait.
-func (a *account) reserve(ctx context.Context, tokens float64, limit drconfig.Limit, now time.Time, wait time.Duration) (*Reservation, error) {
+// reserve waits for tokens, at most for wait, or for silent if no holder answers.
+func (a *account) reserve(ctx context.Context, tokens float64, limit drconfig.Limit, now time.Time, wait, silent time.Duration) (*Reservation, error) {
 	a.mu.Lock()
 	a.demand.add(tokens, now)
 	queued := a.queued()
@@ -59,15 +60,40 @@
 		return r, nil
 	default:
 	}
+	if r := a.await(ctx, w, wait); r != nil {
+		return r, nil
+	}
+	if silent > wait && ctx.Err() == nil && a.extend(w, now, silent) {
+		if r := a.await(ctx, w, silent-wait); r != nil {
+			return r, nil
+		}
+	}
+	return a.giveUp(ctx, w, limit)
+}
+
+// await waits for a grant; nil if there was none within wait.
+func (a *account) await(ctx context.Context, w *waiter, wait time.Duration) *Reservation {
 	t := a.limiter.config.Clock.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case r := <-w.granted:
-		return r, nil
+		return r
 	case <-t.C():
 	case <-ctx.Done():
 	}
-	return a.giveUp(ctx, w, limit)
+	return nil
+}
+
+// extend lets a waiter that arrived at now wait for longer, if no holder has
+// answered since.
+func (a *account) extend(w *waiter, now time.Time, silent time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.heardAt.After(now) {
+		return false
+	}
+	w.until = now.Add(silent)
+	return true
 }
 
 // giveUp withdraws a waiter, unless it was granted in the meantime.
--- a/drlimit/limit.go
+++ b/drlimit/limit.go
@@ -28,6 +28,11 @@
 	// maxWait bounds the wait for tokens, with waitFraction of the time left.
 	maxWait      = 2 * time.Second
 	waitFraction = 10
+	// silentWait bounds the wait, with silentFraction of the time left, while no
+	// holder answers: then nothing says that the account is over its rate, and
+	// partitions often heal within seconds.
+	silentWait     = 8 * time.Second
+	silentFraction = 2
 	// demandSpan is the demand that one borrow request covers in advance.
 	demandSpan = 250 * time.Millisecond
 	// idleLoan is the age at which tokens that no request needs are returned.
--- a/drlimit/limiter.go
+++ b/drlimit/limiter.go
@@ -76,11 +76,12 @@
 		return nil, drverdict.New(drverdict.NotRun, drverdict.Draining, "the entry VM is stopping")
 	}
 	now := l.config.Clock.Now()
-	wait := maxWait
+	wait, silent := maxWait, silentWait
 	if !deadline.IsZero() {
 		wait = max(0, min(wait, deadline.Sub(now)/waitFraction))
+		silent = max(0, min(silent, deadline.Sub(now)/silentFraction))
 	}
-	return a.reserve(ctx, tokens, limit, now, wait)
+	return a.reserve(ctx, tokens, limit, now, wait, silent)
 }
 
 // local returns the limit that this VM can use in the best case.
--- a/drlimit/limiter_test.go
+++ b/drlimit/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -261,6 +262,33 @@
 	})
 }
 
+// Guards against an over-rate refusal that only says that no holder could be
+// reached, as during a partition of a few seconds.
+func TestWaitsWhileNoHolderAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(16, Lending, 1, map[string]drconfig.Limit{"a": {Rate: 100, Burst: 1000}})
+		defer f.close()
+		time.Sleep(30 * time.Second)
+		free := slices.IndexFunc(f.vms, func(v *vm) bool { return v.shares.HeldBy("a", v.member.VM) == 0 })
+		is.True(free >= 0) // 16 VMs share 8 parts
+		for i, v := range f.vms {
+			if i != free {
+				f.pause(v)
+			}
+		}
+		time.AfterFunc(2*maxWait, func() {
+			for _, v := range f.vms {
+				f.resume(v)
+			}
+		})
+		start := time.Now()
+		_, err := f.vms[free].limiter.Reserve(t.Context(), "a", 50, start.Add(30*time.Second))
+		is.NoErr(err)
+		is.True(time.Since(start) < silentWait)
+	})
+}
+
 // Guards against requests of one account overtaking each other.
 func TestWaitersAreServedInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/drlimit/pump.go
+++ b/drlimit/pump.go
@@ -155,6 +155,9 @@
 		now := l.config.Clock.Now()
 		a.mu.Lock()
 		defer a.mu.Unlock()
+		if err == nil {
+			a.heardAt = now
+		}
 		s.answered(reply.GetTokens(), reply.GetLevel(), int(reply.GetShares()), err == nil, now)
 		if err == nil && reply.GetTokens() > 0 {
 			l.config.Meter.Borrowed(a.name, reply.GetTokens())
