Let the owner read the grant before it answers the first wake-up

The events show that the home's wake-up came to the owner of the runner before it had read the grant. It refused with no-capacity, so the caller asked for another right: a second replica within the decided number, or a load that was cancelled and moved. Change: a wake-up carries the offset of the right, and the owner reads up to it. A missing right is a conflict, not a lack of capacity. The new test fails without the change; drplace passes with -race.

--- a/drplace/fleet_test.go
+++ b/drplace/fleet_test.go
@@ -7,6 +7,8 @@
 	"github.com/matryer/is"
 
 	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drverdict"
 )
 
 // stubView is a view with fixed members.
@@ -77,3 +79,28 @@
 		c.mu.Unlock()
 	})
 }
+
+// Guards against a second replica, or a load that is moved away, because the
+// owner of the runner had not read the grant yet when the first wake-up came.
+func TestWakeWaitsForTheGrant(t *testing.T) {
+	c := newCluster(3, 3, true)
+	c.model("m", 4, 0, 2)
+	c.run(t, func(t *testing.T) {
+		is := is.New(t)
+		c.startAll()
+		c.settle()
+		for name := range c.vms {
+			_, err := c.vms[name].place.owner.wake(t.Context(), &drpb.PlacementWake{Runner: c.truth.Runners()[0], Model: "m"})
+			if err != nil {
+				is.True(drverdict.ReasonOf(err) != drverdict.NoCapacity)
+			}
+		}
+		for range 5 {
+			for name := range c.vms {
+				_, err := c.wake(name, "m", "", 20*time.Second)
+				is.NoErr(err)
+			}
+		}
+		is.Equal(c.loadsOf("m"), 1)
+	})
+}
--- a/drplace/keeper_load.go
+++ b/drplace/keeper_load.go
@@ -321,7 +321,9 @@
 	if k.leaving() {
 		return drverdict.New(drverdict.NotRun, drverdict.NoCapacity, "runner %q is leaving", k.runner)
 	}
-	return drverdict.New(drverdict.NotRun, drverdict.NoCapacity, "runner %q has no right to model %q", k.runner, ky.model)
+	// Not a lack of capacity, for which the caller would ask for another right:
+	// one of the two VMs has not read the newest records yet.
+	return drverdict.New(drverdict.NotRun, drverdict.Conflict, "runner %q has no right to model %q", k.runner, ky.model)
 }
 
 // closeUnentitled unloads what has no right. A replica whose right must be
--- a/drplace/owner.go
+++ b/drplace/owner.go
@@ -280,6 +280,12 @@
 	if k == nil {
 		return nil, notOwner(w.Runner)
 	}
+	if w.Grant > o.p.Ledger.Offset() {
+		// The caller learned of the right first, as it does from its own grant.
+		read, cancel := o.p.timeout(ctx, callTimeout/2)
+		_ = o.p.Journal.WaitFor(read, w.Grant)
+		cancel()
+	}
 	loaded, wait, err := k.wake(ctx, key{w.Model, w.Adapter}, time.Duration(w.HoldMs)*time.Millisecond)
 	if err != nil {
 		return nil, err
--- a/drplace/waker.go
+++ b/drplace/waker.go
@@ -288,7 +288,7 @@
 func (w *Waker) tryRights(ctx context.Context, ky key, rights []Right, hold time.Duration) (l Location, wait time.Duration, from string, err error) {
 	for _, r := range rights {
 		reply, e := w.p.callWake(ctx, &drpb.PlacementWake{
-			Runner: r.Runner, Model: ky.model, Adapter: ky.adapter, HoldMs: uint64(hold.Milliseconds()),
+			Runner: r.Runner, Model: ky.model, Adapter: ky.adapter, HoldMs: uint64(hold.Milliseconds()), Grant: r.Grant,
 		})
 		if e != nil {
 			if drverdict.ReasonOf(e) == drverdict.NoCapacity {
