Name prompt blocks in one place, as the engines' cache events do

Cause: drroute and drengine each had a function PrefixBlocks, with different hash chains. The router therefore never matched a cached prefix of an engine; the tests of drroute used its own hashes on both sides. Change: drroute calls drengine.PrefixBlocks, bounded as before; its copy is gone.

--- a/drcapacity/bench_local.go
+++ b/drcapacity/bench_local.go
@@ -74,7 +74,7 @@
 	}
 	for _, n := range []int{1024, 4096, 16384} {
 		prompt := strings.Repeat("x", n)
-		if err := b.cpu("prefix-blocks", "", "bytes", float64(n), func() error { drroute.PrefixBlocks(prompt); return nil }); err != nil {
+		if err := b.cpu("prefix-blocks", "", "bytes", float64(n), func() error { drengine.PrefixBlocks(prompt); return nil }); err != nil {
 			return err
 		}
 	}
--- a/drroute/prefixes.go
+++ b/drroute/prefixes.go
@@ -1,18 +1,12 @@
 package drroute
 
 import (
-	"encoding/binary"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dotterelridge/dotterelridge/drengine"
 )
 
 const (
-	// prefixBlock is the size of the prompt blocks that engines cache, in
-	// bytes.
-	prefixBlock = 256
 	// maxPrefixBlocks bounds the map of one runner to about 2 MB.
 	maxPrefixBlocks = 32768
 	// maxPromptBlocks bounds the work per request.
@@ -20,22 +14,9 @@
 	maxPrefixMaps   = 16384
 )
 
-// PrefixBlocks returns the hash chain of the prompt's full blocks: each hash
-// is xxhash64 of the previous hash (8 bytes, big endian, 0 at first) and the
-// block.
-func PrefixBlocks(prompt string) []uint64 {
-	n := min(len(prompt)/prefixBlock, maxPromptBlocks)
-	out := make([]uint64, n)
-	var prev [8]byte
-	var d xxhash.Digest
-	for i := range out {
-		d.Reset()
-		_, _ = d.Write(prev[:])
-		_, _ = d.WriteString(prompt[i*prefixBlock : (i+1)*prefixBlock])
-		out[i] = d.Sum64()
-		binary.BigEndian.PutUint64(prev[:], out[i])
-	}
-	return out
+// promptBlocks returns the hashes by which engines name the prompt's blocks.
+func promptBlocks(prompt string) []uint64 {
+	return drengine.PrefixBlocks(prompt[:min(len(prompt), maxPromptBlocks*drengine.PrefixBlock)])
 }
 
 type prefixKey struct {
--- a/drroute/router.go
+++ b/drroute/router.go
@@ -118,7 +118,7 @@
 func (r *Router) Generate(ctx context.Context, q Request) (*Stream, error) {
 	s := &Stream{
 		router: r, ctx: ctx, request: q, fingerprint: q.fingerprint(),
-		blocks: PrefixBlocks(q.Prompt), failed: make(map[string]string),
+		blocks: promptBlocks(q.Prompt), failed: make(map[string]string),
 	}
 	r.budget.request()
 	if err := s.open(); err != nil {
--- a/drroute/router_test.go
+++ b/drroute/router_test.go
@@ -246,7 +246,7 @@
 	is := is.New(t)
 	p := newPrefixes()
 	p.limit = 4
-	blocks := PrefixBlocks(strings.Repeat("x", 3*prefixBlock+7))
+	blocks := promptBlocks(strings.Repeat("x", 3*drengine.PrefixBlock+7))
 	is.Equal(len(blocks), 3)
 	p.apply("e", []drengine.CacheEvent{{Seq: 1, Model: "m", Added: blocks}})
 	is.Equal(p.hit("e", "m", blocks), 1.0)
@@ -268,7 +268,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { r.FollowCache(ctx, "e1"); close(done) }()
-	blocks := PrefixBlocks(strings.Repeat("x", prefixBlock))
+	blocks := promptBlocks(strings.Repeat("x", drengine.PrefixBlock))
 	f.engines["e1"].events <- []drengine.CacheEvent{{Seq: 1, Model: "m", Added: blocks}}
 	f.engines["e1"].events <- nil // the first batch was applied
 	is.Equal(r.prefixes.hit("e1", "m", blocks), 1.0)
