--- a/drclock/fake.go
+++ b/drclock/fake.go
@@ -12,6 +12,8 @@
 	now    time.Time
 	timers map[*fakeTimer]struct{}
 	grown  *sync.Cond
+	// suspended is what the uptime is ahead of now.
+	suspended time.Duration
 }
 
 // NewFake returns a Fake that shows start.
@@ -95,3 +97,17 @@
 	delete(t.clock.timers, t)
 	return pending
 }
+
+// Uptime implements Uptime; it starts at the Unix epoch.
+func (f *Fake) Uptime() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now.Sub(time.Unix(0, 0)) + f.suspended
+}
+
+// Suspend moves only the uptime forward by d, as a suspended VM's does.
+func (f *Fake) Suspend(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspended += d
+}
--- a/drcommand/command.go
+++ b/drcommand/command.go
@@ -47,6 +47,7 @@
 	return []command{
 		{"demo", "run a whole system in one process on loopback addresses", runDemo},
 		{"serve", "run one entry VM", runServe},
+		{"edge", "run one entry VM on the users' platform", runEdge},
 		{"check", "check settings and declarations without using the network", runCheck},
 		{"diff", "show what apply would change", runDiff},
 		{"apply", "make the declared objects the configuration", runApply},
--- /dev/null
+++ b/drcommand/edge.go
@@ -0,0 +1,64 @@
+package drcommand
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/dredge"
+	"github.com/dotterelridge/dotterelridge/drline"
+	"github.com/dotterelridge/dotterelridge/platform"
+)
+
+// logFlush bounds the wait for queued log lines at the end of a process.
+const logFlush = 200 * time.Millisecond
+
+func runEdge(ctx context.Context, env environment, args []string) error {
+	fs := newFlags(env, "edge", "")
+	path := fs.String("settings", "", "settings file (required)")
+	check := fs.Bool("check", false, "check the settings and exit")
+	if err := parse(fs, args, 0, 0); err != nil {
+		return err
+	}
+	if *path == "" {
+		fs.Usage()
+		return fmt.Errorf("%w: -settings is required", errUsage)
+	}
+	s, problems := dredge.Load(*path)
+	if len(problems) > 0 {
+		writeProblems(env, problems)
+		return fmt.Errorf("%w: %d problems in the settings", errRejected, len(problems))
+	}
+	if *check {
+		fmt.Fprintln(env.out, "settings are valid")
+		return nil
+	}
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		return fmt.Errorf("%w: log level: %w", errRejected, err)
+	}
+	clock := drclock.System{}
+	lines := drline.New(drline.Config{Out: env.out, Clock: clock})
+	defer lines.Close(logFlush)
+	log.SetLevel(level)
+	log.SetHandler(lines)
+	e, err := dredge.New(dredge.Config{
+		Settings: s, Clock: clock, Incarnation: uint64(time.Now().UnixNano()), Dropped: lines.Dropped,
+		Platform: dredge.Platform{
+			Log: platform.NewStore(s.StoreAddress, clock), Codec: platform.Codec{}, Engines: platform.NewEngines(clock),
+			Wire: platform.Wire{},
+		},
+	})
+	if err != nil {
+		return err
+	}
+	if err := e.Start(); err != nil {
+		return err
+	}
+	go e.WatchSettings(ctx, *path)
+	<-ctx.Done()
+	return e.Drain()
+}
--- /dev/null
+++ b/drcontrol/controller.go
@@ -0,0 +1,329 @@
+// Package drcontrol runs the controller of a fleet, which loads models and
+// hands out token allowances, and keeps each VM's view in touch with it and
+// with the store.
+package drcontrol
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drmetric"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drplan"
+	"github.com/dotterelridge/dotterelridge/drquota"
+	"github.com/dotterelridge/dotterelridge/drview"
+)
+
+const (
+	// planPause is the least time between two plans.
+	planPause = 10 * time.Millisecond
+	// planInterval is the time after which a plan is made without a cause.
+	planInterval = 100 * time.Millisecond
+	// syncPause lets changes that come together go out in one reply.
+	syncPause = 3 * time.Millisecond
+	// vmForgotten is how long after its last report a VM is forgotten.
+	vmForgotten = 10 * time.Second
+)
+
+// ControllerConfig configures a Controller.
+type ControllerConfig struct {
+	Clock   drview.Clock
+	Engines drplan.Engines
+	Metrics *drmetric.Metrics
+	// Holder is this VM's name, sent with orders.
+	Holder string
+	// Term is the fencing token of the lease. Holds reports whether the lease
+	// is still valid, and is asked before each order.
+	Term  uint64
+	Holds func() bool
+	// QuietUntil is when the first order may be sent.
+	QuietUntil time.Time
+}
+
+// Controller plans and carries out loads, and answers the VMs' reports, while
+// its VM holds the lease. It is safe for concurrent use.
+type Controller struct {
+	ControllerConfig
+	view *drview.View
+	pool *drquota.Pool
+	wake chan struct{}
+	ctx  context.Context
+	end  context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu      sync.Mutex
+	vms     map[string]*vm
+	runners map[string]*runnerState
+	demands map[string]*demand
+	loads   loadRate
+	limits  int64 // version of the deployment whose limits the pool has
+}
+
+// NewController starts a controller over the view of its VM.
+func NewController(c ControllerConfig, v *drview.View) *Controller {
+	k := &Controller{
+		ControllerConfig: c, view: v, pool: drquota.NewPool(c.Clock), wake: make(chan struct{}, 1),
+		vms: make(map[string]*vm), runners: make(map[string]*runnerState), demands: make(map[string]*demand),
+		loads: loadRate{since: c.Clock.Now()}, limits: -1,
+	}
+	k.ctx, k.end = context.WithCancel(context.Background())
+	k.wg.Go(k.planLoop)
+	return k
+}
+
+// Close stops planning and waits for the orders that are under way.
+func (c *Controller) Close() {
+	c.end()
+	c.wg.Wait()
+}
+
+// prod has a plan made soon.
+func (c *Controller) prod() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Controller) planLoop() {
+	for c.ctx.Err() == nil {
+		changed := c.view.Changed()
+		c.plan()
+		if c.Clock.Sleep(c.ctx, planPause) != nil {
+			return
+		}
+		t := c.Clock.NewTimer(planInterval)
+		select {
+		case <-c.wake:
+		case <-changed:
+		case <-t.C():
+		case <-c.ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// plan makes one plan for each service with engines and begins its swaps.
+func (c *Controller) plan() {
+	d, _ := c.view.Deployment()
+	if d == nil || !c.Holds() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setLimits(d)
+	now := c.Clock.Now()
+	c.followRunners(now)
+	if now.Before(c.QuietUntil) {
+		return
+	}
+	for i := range d.Services {
+		service := &d.Services[i]
+		if service.Engine == nil {
+			continue
+		}
+		c.loads.perSecond = service.Engine.LoadsPerSecond
+		s := c.state(service, now)
+		for _, swap := range drplan.Plan(s) {
+			c.begin(service, swap, now)
+		}
+		for _, swap := range drplan.PlanAdapters(c.state(service, now)) {
+			c.beginAdapter(swap)
+		}
+	}
+}
+
+// setLimits gives the pool the limits of a new deployment.
+func (c *Controller) setLimits(d *drfleet.Deployment) {
+	if d.Version == c.limits {
+		return
+	}
+	c.limits = d.Version
+	c.pool.SetLimits(limitsOf(d))
+}
+
+func limitsOf(d *drfleet.Deployment) map[string]drquota.Limit {
+	limits := make(map[string]drquota.Limit)
+	for _, a := range d.Accounts {
+		if a.Rate > 0 {
+			limits[a.Name] = drquota.Limit{Rate: a.Rate, Burst: a.Burst}
+		}
+	}
+	return limits
+}
+
+// followRunners notes new incarnations and asks those in doubt for a report.
+func (c *Controller) followRunners(now time.Time) {
+	for _, r := range c.view.Runners("") {
+		s := c.runners[r.ID]
+		if s == nil || s.started != r.Started {
+			s = newRunnerState(r.Started)
+			c.runners[r.ID] = s
+		}
+		if s.doubtful && s.swap == nil && len(s.coming) == 0 && !now.Before(s.retryAt) && c.hasEngine(r) {
+			s.retryAt = now.Add(reportPause)
+			c.wg.Go(func() { c.ask(r, s) })
+		}
+	}
+	for id, v := range c.vms {
+		if now.Sub(v.heard) > vmForgotten {
+			delete(c.vms, id)
+			c.pool.Forget(id)
+			log.WithFields(log.Fields{"event": "vm-forgotten", "vm": id, "term": c.Term}).Info("")
+		}
+	}
+}
+
+func (c *Controller) hasEngine(r *drfleet.Runner) bool {
+	d, _ := c.view.Deployment()
+	service := d.Service(r.Service)
+	return service != nil && service.Engine != nil
+}
+
+// Reserve takes tokens for one request of a VM.
+func (c *Controller) Reserve(vm string, m *drpb.FleetReserveRequest) *drpb.FleetReserveReply {
+	ok, retryAfter := c.pool.Reserve(vm, m.GetAccount(), m.GetTokens())
+	return &drpb.FleetReserveReply{Granted: ok, RetryAfterMs: uint32(retryAfter.Milliseconds())}
+}
+
+// Sync takes a VM's report and answers with what changed. It waits for a
+// change as long as the VM asks for.
+func (c *Controller) Sync(ctx context.Context, name string, incarnation uint64, m *drpb.FleetSyncRequest) *drpb.FleetSyncReply {
+	c.take(name, incarnation, m)
+	c.await(ctx, m)
+	reply := &drpb.FleetSyncReply{Leading: c.Holds(), Term: c.Term}
+	after := m.GetRevision()
+	if m.GetTerm() != c.Term {
+		after, reply.Whole = 0, true
+	}
+	changes, revision := c.view.Changes(after)
+	reply.Revision = revision
+	for _, ch := range changes {
+		if !ch.Gone || !reply.Whole {
+			reply.Runners = append(reply.Runners, encodeRunner(ch))
+		}
+	}
+	record, version, at := c.view.DeploymentRecord()
+	if version > m.GetDeployment() {
+		reply.Deployment = record
+	}
+	_, runnersAge, _ := c.view.Ages()
+	reply.DeploymentAgeMs = uint32(milliseconds(c.Clock.Uptime() - at))
+	reply.RunnersAgeMs = uint32(milliseconds(runnersAge))
+	c.fill(name, m, reply)
+	return reply
+}
+
+// take stores a VM's report.
+func (c *Controller) take(name string, incarnation uint64, m *drpb.FleetSyncRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	v, ok := c.vms[name]
+	if !ok || v.incarnation != incarnation {
+		v = &vm{incarnation: incarnation}
+		c.vms[name] = v
+	}
+	v.heard, v.wants, v.wantsAt = now, m.GetWants(), now
+	c.takeUses(v, m.GetUses(), now)
+	if len(v.wants) > 0 {
+		c.prod()
+	}
+}
+
+// await waits until the VM's table is out of date or its time is up.
+func (c *Controller) await(ctx context.Context, m *drpb.FleetSyncRequest) {
+	if m.GetTerm() != c.Term || m.GetWaitMs() == 0 {
+		return
+	}
+	t := c.Clock.NewTimer(time.Duration(m.GetWaitMs()) * time.Millisecond)
+	defer t.Stop()
+	for {
+		changed := c.view.Changed()
+		_, version, _ := c.view.DeploymentRecord()
+		if _, revision := c.view.Changes(m.GetRevision()); revision > m.GetRevision() || version > m.GetDeployment() {
+			_ = c.Clock.Sleep(ctx, syncPause)
+			return
+		}
+		select {
+		case <-changed:
+		case <-t.C():
+			return
+		case <-ctx.Done():
+			return
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+// fill adds loads, forecasts and grants to a reply.
+func (c *Controller) fill(name string, m *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
+	for _, s := range m.GetSpendings() {
+		granted := c.pool.Report(name, s.GetAccount(), s.GetSpent(), s.GetGranted())
+		reply.Grants = append(reply.Grants, &drpb.FleetGrant{Account: s.GetAccount(), Granted: granted})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	c.fillLoads(name, reply, now)
+	for _, w := range m.GetWants() {
+		p := w.GetReplica()
+		reply.Forecasts = append(reply.Forecasts, &drpb.FleetForecast{
+			Replica: p, ExpectedMs: uint32(milliseconds(c.forecast(p.GetModel(), now))),
+		})
+	}
+	for _, v := range c.vms {
+		if now.Sub(v.heard) <= vmSilence {
+			reply.Vms++
+		}
+	}
+}
+
+func (c *Controller) fillLoads(name string, reply *drpb.FleetSyncReply, now time.Time) {
+	others := make(map[string]int)
+	for id, v := range c.vms {
+		if id == name || now.Sub(v.heard) > vmSilence {
+			continue
+		}
+		for runner, u := range v.uses {
+			for _, p := range u.GetReplicas() {
+				others[runner] += int(p.GetRunning())
+			}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.runners)) {
+		failing := uint32(c.runners[id].outcomes.failing() * 100)
+		if others[id] > 0 || failing > 0 {
+			reply.Loads = append(reply.Loads, &drpb.FleetLoad{
+				Runner: id, Running: uint32(others[id]), FailingPercent: failing,
+			})
+		}
+	}
+}
+
+// forecast returns the time until a model is probably there.
+func (c *Controller) forecast(model string, now time.Time) time.Duration {
+	engines, wanted := 0, make(map[string]bool)
+	for _, s := range c.runners {
+		engines++
+		if s.swap != nil && s.swap.Load == model {
+			return max(s.doneAt.Sub(now), 0)
+		}
+	}
+	for _, v := range c.vms {
+		for _, w := range v.wants {
+			wanted[w.GetReplica().GetModel()] = true
+		}
+	}
+	return time.Duration(len(wanted)+engines) * swapTime / time.Duration(max(engines, 1))
+}
+
+// swapTime is the usual time of a swap from disk.
+const swapTime = 800 * time.Millisecond
--- /dev/null
+++ b/drcontrol/fleet.go
@@ -0,0 +1,255 @@
+package drcontrol
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drplan"
+)
+
+const (
+	// vmSilence is how long after its last report a VM's wants and running
+	// requests count.
+	vmSilence = 1500 * time.Millisecond
+	// rateWindow is the time over which the rate of a model's requests is
+	// averaged.
+	rateWindow = 8 * time.Second
+	// workPerRequest is the share of a second that one request keeps an engine
+	// from prefilling others.
+	workPerRequest = 0.02
+	// failingWindow is the time over which failures of a runner are averaged.
+	failingWindow = 3 * time.Second
+)
+
+// vm is what the controller knows of one entry VM.
+type vm struct {
+	incarnation uint64
+	heard       time.Time
+	wants       []*drpb.FleetWant
+	wantsAt     time.Time
+	uses        map[string]*drpb.FleetUse
+}
+
+// demand is the recent demand for one model.
+type demand struct {
+	rate float64 // requests per second
+	at   time.Time
+}
+
+func (d *demand) add(n float64, now time.Time) {
+	d.decay(now)
+	d.rate += n / rateWindow.Seconds()
+}
+
+func (d *demand) decay(now time.Time) {
+	if dt := now.Sub(d.at); dt > 0 {
+		d.rate *= math.Exp(-dt.Seconds() / rateWindow.Seconds())
+		d.at = now
+	}
+}
+
+// outcomes are the recent results of all VMs' requests at a runner.
+type outcomes struct {
+	succeeded, failed float64
+	at                time.Time
+}
+
+func (o *outcomes) add(succeeded, failed float64, now time.Time) {
+	if dt := now.Sub(o.at); dt > 0 {
+		f := math.Exp(-dt.Seconds() / failingWindow.Seconds())
+		o.succeeded *= f
+		o.failed *= f
+		o.at = now
+	}
+	o.succeeded += succeeded
+	o.failed += failed
+}
+
+// failing returns the share of failures, held down while there are few.
+func (o *outcomes) failing() float64 {
+	const doubt = 4 // requests without which a failure says little
+	return o.failed / (o.succeeded + o.failed + doubt)
+}
+
+// runnerState is what the controller knows of a runner besides its entry.
+type runnerState struct {
+	started int64
+	// sending orders the orders to the runner, each of which names the count
+	// of those before it.
+	sending sync.Mutex
+	// swap is the swap in progress.
+	swap      *drplan.Swap
+	unloading string
+	doneAt    time.Time
+	coming    []drplan.Coming
+	// doubtful is set while the runner's own description must be asked for
+	// before it is ordered anything.
+	doubtful bool
+	// retryAt is when a runner that failed an order is asked again.
+	retryAt     time.Time
+	loadedAt    map[string]time.Time
+	usedAdapter map[drplan.Coming]time.Time
+	outcomes    outcomes
+}
+
+func newRunnerState(started int64) *runnerState {
+	return &runnerState{
+		started: started, doubtful: true, loadedAt: make(map[string]time.Time),
+		usedAdapter: make(map[drplan.Coming]time.Time),
+	}
+}
+
+// report takes the uses that a VM reported, and counts what is new.
+func (c *Controller) takeUses(v *vm, uses []*drpb.FleetUse, now time.Time) {
+	old := v.uses
+	v.uses = make(map[string]*drpb.FleetUse, len(uses))
+	for _, u := range uses {
+		v.uses[u.GetRunner()] = u
+		s := c.runners[u.GetRunner()]
+		if s == nil || s.started != u.GetStarted() {
+			continue
+		}
+		before := old[u.GetRunner()]
+		s.outcomes.add(grown(u.GetSucceeded(), before.GetSucceeded()), grown(u.GetFailed(), before.GetFailed()), now)
+		for _, p := range u.GetReplicas() {
+			c.takeReplicaUse(s, u.GetRunner(), p, requestsOf(before, p), now)
+		}
+	}
+}
+
+func (c *Controller) takeReplicaUse(s *runnerState, runner string, p *drpb.FleetReplicaUse, before uint64, now time.Time) {
+	if p.GetModel() == "" {
+		return
+	}
+	n := grown(p.GetRequests(), before)
+	if n > 0 {
+		c.demandOf(p.GetModel()).add(n, now)
+	}
+	if p.GetAdapter() != "" && (n > 0 || p.GetRunning() > 0) {
+		s.usedAdapter[drplan.Coming{Model: p.GetModel(), Adapter: p.GetAdapter()}] = now
+	}
+	if p.GetMissing() && !s.doubtful && s.swap == nil {
+		if r, ok := c.view.Runner(runner); ok && r.Holds(p.GetModel(), p.GetAdapter()) {
+			s.doubtful = true // it does not hold what we believe
+		}
+	}
+}
+
+func requestsOf(u *drpb.FleetUse, p *drpb.FleetReplicaUse) uint64 {
+	for _, q := range u.GetReplicas() {
+		if q.GetModel() == p.GetModel() && q.GetAdapter() == p.GetAdapter() {
+			return q.GetRequests()
+		}
+	}
+	return 0
+}
+
+// grown returns by how much a counter grew; a smaller one has started anew.
+func grown(now, before uint64) float64 {
+	if now < before {
+		return float64(now)
+	}
+	return float64(now - before)
+}
+
+func (c *Controller) demandOf(model string) *demand {
+	d, ok := c.demands[model]
+	if !ok {
+		d = &demand{at: c.Clock.Now()}
+		c.demands[model] = d
+	}
+	return d
+}
+
+// state returns what a plan for a service starts from.
+func (c *Controller) state(service *drfleet.Service, now time.Time) drplan.State {
+	s := drplan.State{
+		Now: now, Engine: service.Engine, Work: make(map[string]float64), Rate: make(map[string]float64),
+		StoreLoads: c.loads.available(now),
+	}
+	for model, d := range c.demands {
+		d.decay(now)
+		s.Rate[model] = d.rate
+		s.Work[model] = d.rate * workPerRequest
+	}
+	running, adapters := c.running(now)
+	for _, r := range c.view.Runners(service.Name) {
+		rs := c.runners[r.ID]
+		if rs == nil || rs.started != r.Started || rs.doubtful || now.Before(rs.retryAt) {
+			continue
+		}
+		p := drplan.Runner{
+			Runner: r, Running: running[r.ID], RunningAdapter: adapters[r.ID], LoadedAt: rs.loadedAt,
+			UsedAdapter: rs.usedAdapter, Coming: rs.coming, Unloading: rs.unloading,
+		}
+		if rs.swap != nil {
+			p.Ordered, p.FreeIn, p.Loading = true, rs.doneAt.Sub(now), rs.swap.Load
+		}
+		s.Runners = append(s.Runners, p)
+	}
+	s.Wants = c.wants(service.Name, now)
+	return s
+}
+
+// running sums up what all VMs run, by runner and model, and by adapter.
+func (c *Controller) running(now time.Time) (models map[string]map[string]int, adapters map[string]map[drplan.Coming]int) {
+	models = make(map[string]map[string]int)
+	adapters = make(map[string]map[drplan.Coming]int)
+	for _, v := range c.vms {
+		if now.Sub(v.heard) > vmSilence {
+			continue
+		}
+		for id, u := range v.uses {
+			if models[id] == nil {
+				models[id], adapters[id] = make(map[string]int), make(map[drplan.Coming]int)
+			}
+			for _, p := range u.GetReplicas() {
+				models[id][p.GetModel()] += int(p.GetRunning())
+				if p.GetAdapter() != "" {
+					adapters[id][drplan.Coming{Model: p.GetModel(), Adapter: p.GetAdapter()}] += int(p.GetRunning())
+				}
+			}
+		}
+	}
+	return models, adapters
+}
+
+// wants joins the wants of all VMs by model and adapter.
+func (c *Controller) wants(service string, now time.Time) []drplan.Want {
+	byReplica := make(map[drplan.Coming]*drplan.Want)
+	var order []drplan.Coming
+	for _, v := range c.vms {
+		if now.Sub(v.heard) > vmSilence {
+			continue
+		}
+		for _, m := range v.wants {
+			s, w := decodeWant(m)
+			if s != service {
+				continue
+			}
+			age := now.Sub(v.wantsAt)
+			w.ObjectiveLeft -= age
+			w.DeadlineLeft -= age
+			key := drplan.Coming{Model: w.Model, Adapter: w.Adapter}
+			if old := byReplica[key]; old != nil {
+				old.Waiting += w.Waiting
+				if w.ObjectiveLeft > 0 && (old.ObjectiveLeft <= 0 || w.ObjectiveLeft < old.ObjectiveLeft) {
+					old.ObjectiveLeft = w.ObjectiveLeft
+				}
+				old.DeadlineLeft = max(old.DeadlineLeft, w.DeadlineLeft)
+				old.Urgency = min(old.Urgency, w.Urgency)
+				continue
+			}
+			byReplica[key] = &w
+			order = append(order, key)
+		}
+	}
+	var ws []drplan.Want
+	for _, k := range order {
+		ws = append(ws, *byReplica[k])
+	}
+	return ws
+}
--- /dev/null
+++ b/drcontrol/message.go
@@ -0,0 +1,86 @@
+package drcontrol
+
+import (
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drplan"
+	"github.com/dotterelridge/dotterelridge/drview"
+)
+
+// Methods of the controller.
+const (
+	methodSync    = "fleet-sync"
+	methodReserve = "fleet-reserve"
+)
+
+func milliseconds(d time.Duration) int32 {
+	const most = 1 << 30
+	return int32(min(max(d.Milliseconds(), -most), most))
+}
+
+func encodeReplica(p drview.Replica) *drpb.FleetReplica {
+	return &drpb.FleetReplica{Service: p.Service, Model: p.Model, Adapter: p.Adapter}
+}
+
+func decodeReplica(m *drpb.FleetReplica) drview.Replica {
+	return drview.Replica{Service: m.GetService(), Model: m.GetModel(), Adapter: m.GetAdapter()}
+}
+
+func encodeWants(ws []drview.WantSummary) []*drpb.FleetWant {
+	var out []*drpb.FleetWant
+	for _, w := range ws {
+		out = append(out, &drpb.FleetWant{
+			Replica: encodeReplica(w.Replica), Waiting: uint32(w.Waiting), ObjectiveLeftMs: milliseconds(w.ObjectiveLeft),
+			DeadlineLeftMs: milliseconds(w.DeadlineLeft), Urgency: uint32(w.Urgency),
+		})
+	}
+	return out
+}
+
+func decodeWant(m *drpb.FleetWant) (service string, w drplan.Want) {
+	return m.GetReplica().GetService(), drplan.Want{
+		Model: m.GetReplica().GetModel(), Adapter: m.GetReplica().GetAdapter(), Waiting: int(m.GetWaiting()),
+		ObjectiveLeft: time.Duration(m.GetObjectiveLeftMs()) * time.Millisecond,
+		DeadlineLeft:  time.Duration(m.GetDeadlineLeftMs()) * time.Millisecond, Urgency: int(m.GetUrgency()),
+	}
+}
+
+func encodeUses(us []drview.RunnerUse) []*drpb.FleetUse {
+	var out []*drpb.FleetUse
+	for _, u := range us {
+		m := &drpb.FleetUse{Runner: u.Runner, Started: u.Started, Succeeded: u.Succeeded, Failed: u.Failed}
+		for _, p := range u.Replicas {
+			m.Replicas = append(m.Replicas, &drpb.FleetReplicaUse{
+				Model: p.Replica.Model, Adapter: p.Replica.Adapter, Running: uint32(p.Running), Requests: p.Requests,
+				Missing: p.Missing,
+			})
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func encodeRunner(c drview.Change) *drpb.FleetRunner {
+	r := c.Runner
+	m := &drpb.FleetRunner{
+		Id: r.ID, Service: r.Service, Address: r.Address, Zone: r.Zone, Started: r.Started, Slots: uint32(r.Slots),
+		Draining: r.Draining, Orders: uint32(r.Orders), Gone: c.Gone,
+	}
+	for _, p := range r.Replicas {
+		m.Holdings = append(m.Holdings, &drpb.FleetHolding{Model: p.Model, Version: uint32(p.Version), Adapters: p.Adapters})
+	}
+	return m
+}
+
+func decodeRunner(m *drpb.FleetRunner) *drfleet.Runner {
+	r := &drfleet.Runner{
+		ID: m.GetId(), Service: m.GetService(), Address: m.GetAddress(), Zone: m.GetZone(), Started: m.GetStarted(),
+		Slots: int(m.GetSlots()), Draining: m.GetDraining(), Orders: int(m.GetOrders()),
+	}
+	for _, h := range m.GetHoldings() {
+		r.Replicas = append(r.Replicas, drfleet.Replica{Model: h.GetModel(), Version: int(h.GetVersion()), Adapters: h.GetAdapters()})
+	}
+	return r
+}
--- /dev/null
+++ b/drcontrol/reader.go
@@ -0,0 +1,185 @@
+package drcontrol
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dotterelridge/dotterelridge/drstore"
+	"github.com/dotterelridge/dotterelridge/drview"
+)
+
+const (
+	// lapseGrace is how long after the store's return a runner whose entry
+	// lapsed during the outage may take to write it again.
+	lapseGrace = 2200 * time.Millisecond
+	// readLimit bounds one read of the store beyond its wait.
+	readLimit = time.Second
+)
+
+// reader brings a view up to date from the store. Each topic is read by one
+// goroutine at a time.
+type reader struct {
+	log   drstore.Log
+	codec drstore.Codec
+	view  *drview.View
+	clock drview.Clock
+
+	deployments, runners position
+	// failedAt is the uptime at which a read of the runners last failed.
+	failedAt time.Duration
+	failed   bool
+	// lapsed holds runners whose entries went while the store was unstable, by
+	// the uptime at which they count as gone.
+	lapsed map[string]time.Duration
+	// unreadable remembers entries that were reported as unreadable.
+	unreadable map[string]bool
+}
+
+// position is where reading goes on in a topic.
+type position struct {
+	next    int64
+	started bool
+}
+
+func newReader(l drstore.Log, c drstore.Codec, v *drview.View, clock drview.Clock) *reader {
+	return &reader{
+		log: l, codec: c, view: v, clock: clock, lapsed: make(map[string]time.Duration),
+		unreadable: make(map[string]bool),
+	}
+}
+
+// page reads a topic on, or from its newest records if it has not been read
+// yet or its records have expired. whole is set in the latter case.
+func (r *reader) page(ctx context.Context, t drstore.Topic, p *position, wait time.Duration) (page drstore.Page, whole bool, err error) {
+	if p.started {
+		page, err = r.log.Read(ctx, t, p.next, wait)
+		if _, expired := errors.AsType[*drstore.ExpiredError](err); !expired {
+			if err == nil {
+				p.next = page.Next
+			}
+			return page, false, err
+		}
+		log.WithFields(log.Fields{"event": "store-records-expired", "topic": t, "offset": p.next}).Info("")
+	}
+	page, err = r.log.Newest(ctx, t)
+	if err != nil {
+		return page, false, err
+	}
+	p.next, p.started = page.Next, true
+	return page, true, nil
+}
+
+// readDeployment reads the configuration, waiting for a newer one up to wait.
+func (r *reader) readDeployment(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+readLimit)
+	defer cancel()
+	sent := r.clock.Uptime()
+	page, whole, err := r.page(ctx, drstore.Deployments, &r.deployments, wait)
+	if err != nil {
+		return err
+	}
+	for _, rec := range page.Records {
+		d, err := r.codec.Deployment(rec.Value)
+		if err != nil {
+			log.WithFields(log.Fields{"event": "deployment-unreadable", "offset": rec.Offset}).WithError(err).Error("")
+			continue
+		}
+		if r.view.OfferDeployment(d, rec.Value) {
+			log.WithFields(log.Fields{"event": "deployment-changed", "version": d.Version, "offset": rec.Offset,
+				"source": "store"}).Info("")
+		}
+	}
+	confirmed := sent
+	if elapsed := r.clock.Uptime() - sent; !whole && len(page.Records) == 0 && elapsed >= wait {
+		confirmed += wait // the store waited so long for a newer version
+	}
+	if len(page.Records) > 0 || !whole {
+		r.view.ConfirmDeployment(confirmed)
+	}
+	return nil
+}
+
+// readRunners reads the runners' entries.
+func (r *reader) readRunners(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	sent := r.clock.Uptime()
+	page, whole, err := r.page(ctx, drstore.Runners, &r.runners, 0)
+	if err != nil {
+		r.failedAt, r.failed = r.clock.Uptime(), true
+		return err
+	}
+	listed := make(map[string]bool)
+	for _, rec := range page.Records {
+		listed[rec.Key] = true
+		r.takeRunner(rec)
+	}
+	if whole {
+		for _, known := range r.view.Runners("") {
+			if !listed[known.ID] {
+				r.drop(known.ID)
+			}
+		}
+	}
+	r.dropLapsed()
+	r.view.ConfirmRunners(sent)
+	return nil
+}
+
+func (r *reader) takeRunner(rec drstore.Record) {
+	if len(rec.Value) == 0 {
+		r.drop(rec.Key)
+		return
+	}
+	runner, err := r.codec.Runner(rec.Key, rec.Value)
+	if err != nil {
+		if !r.unreadable[rec.Key] {
+			r.unreadable[rec.Key] = true
+			log.WithFields(log.Fields{"event": "runner-entry-ignored", "runner": rec.Key, "offset": rec.Offset}).
+				WithError(err).Warn("")
+		}
+		return
+	}
+	delete(r.lapsed, rec.Key)
+	old, known := r.view.Runner(rec.Key)
+	if !r.view.OfferRunner(runner, drview.FromRunner) {
+		return
+	}
+	if !known || old.Started != runner.Started || old.Draining != runner.Draining {
+		log.WithFields(log.Fields{"event": "runner-changed", "runner": runner.ID, "service": runner.Service,
+			"started": runner.Started, "draining": runner.Draining, "orders": runner.Orders, "offset": rec.Offset,
+			"source": "store"}).Info("")
+	}
+}
+
+// drop takes a runner out, at once if the store was stable.
+func (r *reader) drop(id string) {
+	if _, known := r.view.Runner(id); !known {
+		return
+	}
+	if r.failed && r.clock.Uptime()-r.failedAt < lapseGrace {
+		if _, ok := r.lapsed[id]; !ok {
+			r.lapsed[id] = r.clock.Uptime() + lapseGrace
+		}
+		return
+	}
+	r.remove(id, "entry removed")
+}
+
+func (r *reader) dropLapsed() {
+	for id, at := range r.lapsed {
+		if r.clock.Uptime() >= at {
+			delete(r.lapsed, id)
+			r.remove(id, "entry not back after the store's return")
+		}
+	}
+}
+
+func (r *reader) remove(id, why string) {
+	if r.view.RemoveRunner(id) {
+		log.WithFields(log.Fields{"event": "runner-gone", "runner": id, "why": why, "source": "store"}).Info("")
+	}
+}
--- /dev/null
+++ b/drcontrol/sync.go
@@ -0,0 +1,197 @@
+package drcontrol
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drview"
+)
+
+const (
+	// syncWait is how long the controller may hold a report back if nothing
+	// changes, and syncLimit how long a VM waits beyond that.
+	syncWait  = 250 * time.Millisecond
+	syncLimit = 500 * time.Millisecond
+	// syncRetry is the pause after a failed report.
+	syncRetry = 50 * time.Millisecond
+	// reserveLimit bounds a question for tokens.
+	reserveLimit = 250 * time.Millisecond
+)
+
+// syncLoop reports to the controller and takes its changes.
+func (n *Node) syncLoop() {
+	for n.ctx.Err() == nil {
+		if n.controller.Load() == nil && !n.knowsLeader() {
+			_ = n.Clock.Sleep(n.ctx, syncRetry)
+			continue
+		}
+		if !n.sync() {
+			_ = n.Clock.Sleep(n.ctx, syncRetry)
+		}
+	}
+}
+
+func (n *Node) knowsLeader() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leader.VM != ""
+}
+
+// sync makes one report. A new want of this VM is not held back: it cuts the
+// report short, so that the next one carries it.
+func (n *Node) sync() bool {
+	ctx, cancel := context.WithTimeout(n.ctx, syncWait+syncLimit)
+	defer cancel()
+	n.mu.Lock()
+	leader, request := n.leader, &drpb.FleetSyncRequest{
+		Zone: n.Zone, Term: n.term, Revision: n.revision, WaitMs: uint32(syncWait.Milliseconds()),
+	}
+	n.mu.Unlock()
+	drainToken(n.View.Wanted())
+	n.describe(request)
+	done := make(chan struct{})
+	defer close(done)
+	var cut atomic.Bool
+	go func() {
+		select {
+		case <-n.View.Wanted():
+			cut.Store(true)
+			cancel()
+		case <-done:
+		}
+	}()
+	sent := n.Clock.Uptime()
+	reply := new(drpb.FleetSyncReply)
+	if err := n.Peers.Call(ctx, leader.VM, methodSync, request, reply); err != nil {
+		if cut.Load() {
+			return true
+		}
+		n.leaderFailed(leader.VM, err)
+		return false
+	}
+	if !reply.GetLeading() {
+		n.forgetLeader(leader.VM)
+		return false
+	}
+	n.apply(reply, sent)
+	return true
+}
+
+func drainToken(c <-chan struct{}) {
+	select {
+	case <-c:
+	default:
+	}
+}
+
+// describe fills in what this VM runs, wants and has spent.
+func (n *Node) describe(m *drpb.FleetSyncRequest) {
+	_, version, _ := n.View.DeploymentRecord()
+	m.Deployment = version
+	m.Wants = encodeWants(n.View.Wants())
+	m.Uses = encodeUses(n.View.Uses())
+	for _, s := range n.Allowances.Spendings() {
+		m.Spendings = append(m.Spendings, &drpb.FleetSpending{Account: s.Account, Spent: s.Spent, Granted: s.Granted})
+	}
+}
+
+// leaderFailed logs the loss of the controller. The lease tells who is next.
+func (n *Node) leaderFailed(vm string, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() == nil && n.leader.VM == vm && !n.heardAt.IsZero() {
+		log.WithFields(log.Fields{"event": "controller-lost", "controller": vm, "term": n.leader.Term,
+			"heard-ago": n.Clock.Since(n.heardAt)}).WithError(err).Warn("")
+		n.heardAt = time.Time{}
+	}
+}
+
+func (n *Node) forgetLeader(vm string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leader.VM == vm {
+		n.leader.VM = ""
+		n.heardAt = time.Time{}
+	}
+}
+
+// apply takes the controller's changes. Their ages count from when the report
+// was sent, because the reply may have been held up.
+func (n *Node) apply(reply *drpb.FleetSyncReply, sent time.Duration) {
+	n.mu.Lock()
+	if n.heardAt.IsZero() {
+		log.WithFields(log.Fields{"event": "controller-reached", "controller": n.leader.VM, "term": reply.GetTerm()}).Info("")
+	}
+	n.heardAt = n.Clock.Now()
+	n.mu.Unlock()
+	if n.controller.Load() == nil {
+		n.applyTable(reply)
+		n.applyDeployment(reply)
+		age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+		n.View.ConfirmDeployment(sent - age(reply.GetDeploymentAgeMs()))
+		n.View.ConfirmRunners(sent - age(reply.GetRunnersAgeMs()))
+	}
+	n.mu.Lock()
+	n.term, n.revision = reply.GetTerm(), reply.GetRevision()
+	n.mu.Unlock()
+	n.View.ForgetLoads()
+	for _, l := range reply.GetLoads() {
+		n.View.SetLoad(l.GetRunner(), int(l.GetRunning()), float64(l.GetFailingPercent())/100)
+	}
+	for _, f := range reply.GetForecasts() {
+		n.View.SetForecast(decodeReplica(f.GetReplica()), time.Duration(f.GetExpectedMs())*time.Millisecond)
+	}
+	for _, g := range reply.GetGrants() {
+		n.Allowances.Grant(g.GetAccount(), g.GetGranted())
+	}
+	n.Allowances.Heard(int(reply.GetVms()))
+}
+
+func (n *Node) applyTable(reply *drpb.FleetSyncReply) {
+	listed := make(map[string]bool)
+	for _, m := range reply.GetRunners() {
+		if m.GetGone() {
+			n.View.RemoveRunner(m.GetId())
+			continue
+		}
+		listed[m.GetId()] = true
+		n.View.OfferRunner(decodeRunner(m), drview.FromController)
+	}
+	if reply.GetWhole() {
+		n.View.KeepRunners(listed)
+	}
+}
+
+func (n *Node) applyDeployment(reply *drpb.FleetSyncReply) {
+	if len(reply.GetDeployment()) == 0 {
+		return
+	}
+	d, err := n.Codec.Deployment(reply.GetDeployment())
+	if err != nil {
+		log.WithField("event", "deployment-unreadable").WithError(err).Error("")
+		return
+	}
+	if n.View.OfferDeployment(d, reply.GetDeployment()) {
+		log.WithFields(log.Fields{"event": "deployment-changed", "version": d.Version, "source": "controller"}).Info("")
+		n.Allowances.SetLimits(limitsOf(d))
+	}
+}
+
+// Reserve implements drquota.Reserver.
+func (n *Node) Reserve(ctx context.Context, account string, tokens float64) (granted bool, retryAfter time.Duration, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, reserveLimit)
+	defer cancel()
+	leader, reached := n.Leader()
+	if !reached {
+		return false, 0, false
+	}
+	reply := new(drpb.FleetReserveReply)
+	if err := n.Peers.Call(ctx, leader.VM, methodReserve, &drpb.FleetReserveRequest{Account: account, Tokens: tokens}, reply); err != nil {
+		return false, 0, false
+	}
+	return reply.GetGranted(), time.Duration(reply.GetRetryAfterMs()) * time.Millisecond, true
+}
--- /dev/null
+++ b/dredge/settings.go
@@ -0,0 +1,138 @@
+// Package dredge runs one entry VM of a fleet on a platform that keeps the
+// deployment, the runners' entries and the controller's lease in its store.
+package dredge
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drjson"
+)
+
+// Settings are the settings of one entry VM. The doc tags are the text of the
+// reference page.
+type Settings struct {
+	VM           string          `json:"vm" doc:"Unique name of this VM. Required."`
+	Zone         string          `json:"zone" doc:"Availability zone of this VM. Required."`
+	Addresses    Addresses       `json:"addresses" doc:"Addresses that this process listens on, as IP:PORT."`
+	StoreAddress string          `json:"store-address" doc:"Address of the platform's store, as IP:PORT. Required."`
+	Revocation   drjson.Duration `json:"revocation" doc:"Time after which a withdrawn key must not work any more. A VM that has not confirmed its configuration for a second less refuses requests with a key. At least 2s."`
+	GracePeriod  drjson.Duration `json:"grace-period" doc:"Time between SIGTERM and the end of the process. At least 2s."`
+	RetryBudget  RetryBudget     `json:"retry-budget" doc:"Bounds on requests that are sent to a runner more than once, over all VMs."`
+	OrderPause   drjson.Duration `json:"order-pause" doc:"Time without orders to runners after the controller has changed. 0 if runners check fencing tokens."`
+	MemoryLimit  drjson.Size     `json:"memory-limit" doc:"Soft limit of the process's memory; 0 for none."`
+	LogLevel     string          `json:"log-level" doc:"Lowest level of logged events: debug, info, warn or error."`
+}
+
+// Addresses are the listeners of an entry VM.
+type Addresses struct {
+	Callers   string `json:"callers" doc:"Listener for callers, behind the platform's balancer. Required."`
+	Readiness string `json:"readiness" doc:"Listener for the platform's readiness checks. Required."`
+	Peers     string `json:"peers" doc:"Listener for other entry VMs. Required."`
+	Metrics   string `json:"metrics" doc:"Listener for metrics; none if empty."`
+}
+
+// RetryBudget bounds retries of one service.
+type RetryBudget struct {
+	Share  float64         `json:"share" doc:"Retries per request."`
+	Extra  float64         `json:"extra" doc:"Retries in one window beyond the share, over all VMs."`
+	Window drjson.Duration `json:"window" doc:"The window. At least 1s."`
+}
+
+// Default returns the settings that apply where a file says nothing.
+func Default() Settings {
+	return Settings{
+		Revocation:  drjson.Duration(5 * time.Second),
+		GracePeriod: drjson.Duration(8 * time.Second),
+		RetryBudget: RetryBudget{Share: 0.2, Extra: 100, Window: drjson.Duration(10 * time.Second)},
+		MemoryLimit: 96 << 20,
+		LogLevel:    "info",
+	}
+}
+
+const (
+	minRevocation  = 2 * time.Second
+	minGracePeriod = 2 * time.Second
+	minWindow      = time.Second
+)
+
+// Load reads a settings file over the defaults and returns every problem. The
+// settings are usable only if there are none.
+func Load(path string) (Settings, []drjson.Problem) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, []drjson.Problem{{File: path, Reason: "cannot be read: " + err.Error()}}
+	}
+	return Parse(path, src)
+}
+
+// Parse is Load for the content of a file.
+func Parse(path string, src []byte) (Settings, []drjson.Problem) {
+	root, problems := drjson.Parse(path, src)
+	if problems != nil {
+		return Settings{}, problems
+	}
+	s := Default()
+	if problems = root.Decode(&s); len(problems) > 0 {
+		return s, problems
+	}
+	c := checker{root: root}
+	c.check(&s)
+	return s, c.problems
+}
+
+type checker struct {
+	root     drjson.Node
+	problems []drjson.Problem
+}
+
+func (c *checker) report(path, format string, args ...any) {
+	n := c.root
+	for _, name := range strings.Split(path, ".") {
+		n = n.Find(name)
+	}
+	c.problems = append(c.problems, n.Problem(path+": "+format, args...))
+}
+
+func (c *checker) check(s *Settings) {
+	if s.VM == "" {
+		c.report("vm", "is required")
+	}
+	if s.Zone == "" {
+		c.report("zone", "is required")
+	}
+	c.address("addresses.callers", s.Addresses.Callers)
+	c.address("addresses.readiness", s.Addresses.Readiness)
+	c.address("addresses.peers", s.Addresses.Peers)
+	if s.Addresses.Metrics != "" {
+		c.address("addresses.metrics", s.Addresses.Metrics)
+	}
+	c.address("store-address", s.StoreAddress)
+	c.atLeast("revocation", s.Revocation, minRevocation)
+	c.atLeast("grace-period", s.GracePeriod, minGracePeriod)
+	c.atLeast("retry-budget.window", s.RetryBudget.Window, minWindow)
+	if b := s.RetryBudget; b.Share < 0 || b.Extra < 0 {
+		c.report("retry-budget", "share and extra must not be negative")
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		c.report("log-level", "%q is not debug, info, warn or error", s.LogLevel)
+	}
+}
+
+func (c *checker) address(path, value string) {
+	if value == "" {
+		c.report(path, "is required")
+	} else if _, err := netip.ParseAddrPort(value); err != nil {
+		c.report(path, "%q is not IP:PORT", value)
+	}
+}
+
+func (c *checker) atLeast(path string, d drjson.Duration, least time.Duration) {
+	if time.Duration(d) < least {
+		c.report(path, "%s is less than %s", d, least)
+	}
+}
--- /dev/null
+++ b/drforward/refusal.go
@@ -0,0 +1,87 @@
+package drforward
+
+import (
+	"time"
+
+	"github.com/apex/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelridge/dotterelridge/drmetric"
+)
+
+// refusal is an answer that this VM makes itself.
+type refusal struct {
+	status     int
+	reason     string // a fixed word, the label of metrics
+	detail     string
+	retryAfter time.Duration
+}
+
+// refuse answers the request itself and logs why.
+func (x *exchange) refuse(r refusal) {
+	var h fasthttp.ResponseHeader
+	h.SetStatusCode(r.status)
+	h.SetContentType("text/plain; charset=utf-8")
+	body := []byte(r.reason + "\n")
+	h.SetContentLength(len(body))
+	x.server.Wire.Refuse(&h, x.requestID(), r.retryAfter)
+	x.closing(&h)
+	x.server.Metrics.Counter(drmetric.Refusals, r.reason).Inc(1)
+	x.logEnd("request-refused", r.status, log.Fields{"reason": r.reason, "detail": r.detail, "retry-after": r.retryAfter})
+	_ = x.conn.SetWriteDeadline(time.Now().Add(writeLimit))
+	if _, err := h.WriteTo(x.conn.w); err != nil {
+		x.keep = false
+		return
+	}
+	if !x.header.IsHead() {
+		_, _ = x.conn.w.Write(body) // Flush returns the error
+	}
+	if x.conn.w.Flush() != nil {
+		x.keep = false
+	}
+}
+
+// closing says in the header whether the connection takes another request.
+func (x *exchange) closing(h *fasthttp.ResponseHeader) {
+	if x.server.draining.Load() {
+		x.keep = false
+	}
+	if !x.keep {
+		h.SetConnectionClose()
+	}
+}
+
+// requestID returns the id that the client sent.
+func (x *exchange) requestID() string {
+	if x.call == nil {
+		return ""
+	}
+	return x.call.ID
+}
+
+// logEnd logs the end of a request with what decided it.
+func (x *exchange) logEnd(event string, status int, more log.Fields) {
+	f := log.Fields{"event": event, "request-id": x.requestID(), "status": status,
+		"took": x.server.Clock.Since(x.start).Round(time.Millisecond), "attempts": x.attempts}
+	if x.route != nil {
+		f["route"], f["service"], f["version"] = x.route.Name, x.service.Name, x.version
+	}
+	if x.call != nil && x.call.Model != "" {
+		f["model"], f["adapter"] = x.call.Model, x.call.Adapter
+	}
+	if x.account != nil {
+		f["account"] = x.account.Name
+	}
+	if x.runner != "" {
+		f["runner"] = x.runner
+	}
+	if x.waited > 0 {
+		f["waited"] = x.waited.Round(time.Millisecond)
+	}
+	for k, v := range more {
+		if v != "" && v != time.Duration(0) {
+			f[k] = v
+		}
+	}
+	log.WithFields(f).Info("")
+}
--- /dev/null
+++ b/drforward/upstream.go
@@ -0,0 +1,158 @@
+package drforward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelridge/dotterelridge/drnet"
+	"github.com/dotterelridge/dotterelridge/drview"
+)
+
+const (
+	// dialLimit bounds a new connection to a runner. Connecting takes a round
+	// trip; a runner that has gone does not answer at all.
+	dialLimit = 400 * time.Millisecond
+	// idleUnknown is how long an idle connection is used again if the runner
+	// did not say how long it keeps it, and idleMargin is subtracted if it did.
+	idleUnknown = 700 * time.Millisecond
+	idleMargin  = 400 * time.Millisecond
+	// maxIdle bounds the idle connections to one runner.
+	maxIdle = 8
+)
+
+// upstream is a connection to a runner.
+type upstream struct {
+	net.Conn
+	address string
+	r       *bufio.Reader
+	reused  bool
+	// usableUntil is when the runner may close the idle connection.
+	usableUntil time.Time
+}
+
+// pool keeps idle connections to runners.
+type pool struct {
+	dialer *drnet.Dialer
+	clock  drview.Clock
+
+	mu   sync.Mutex
+	idle map[string][]*upstream // by address, the most recently used last
+}
+
+func newPool(d *drnet.Dialer, c drview.Clock) *pool {
+	return &pool{dialer: d, clock: c, idle: make(map[string][]*upstream)}
+}
+
+// get returns an idle connection to address or a new one. The connection has
+// carried no byte yet if an error is returned.
+func (p *pool) get(ctx context.Context, address string, fresh bool) (*upstream, error) {
+	if !fresh {
+		if u := p.take(address); u != nil {
+			return u, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	nc, err := p.dialer.Dial(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to runner: %w", err)
+	}
+	return &upstream{Conn: nc, address: address, r: bufio.NewReaderSize(nc, readBuffer)}, nil
+}
+
+func (p *pool) take(address string) *upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	us := p.idle[address]
+	now := p.clock.Now()
+	for len(us) > 0 {
+		u := us[len(us)-1]
+		us = us[:len(us)-1]
+		p.idle[address] = us
+		if now.Before(u.usableUntil) && u.alive() {
+			u.reused = true
+			return u
+		}
+		_ = u.Close()
+	}
+	return nil
+}
+
+// alive reports whether the runner has kept the connection open and sent
+// nothing that nobody asked for.
+func (u *upstream) alive() bool {
+	if u.r.Buffered() > 0 {
+		return false
+	}
+	d, ok := u.Conn.(drnet.Conn)
+	if !ok {
+		return true
+	}
+	select {
+	case <-d.Done():
+		return false
+	default:
+	}
+	b, ok := u.Conn.(interface{ Buffered() int })
+	return !ok || b.Buffered() == 0
+}
+
+func isTimeout(err error) bool {
+	ne, ok := err.(net.Error)
+	return ok && ne.Timeout()
+}
+
+// put keeps a connection after a complete answer.
+func (p *pool) put(u *upstream, a Answer, h *fasthttp.ResponseHeader) {
+	idle := idleUnknown
+	if a.Idle > 0 {
+		idle = a.Idle - idleMargin
+	}
+	if h.ConnectionClose() || u.r.Buffered() > 0 || idle <= 0 {
+		_ = u.Close()
+		return
+	}
+	u.usableUntil = p.clock.Now().Add(idle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	us := append(p.idle[u.address], u)
+	if len(us) > maxIdle {
+		_ = us[0].Close()
+		us = us[1:]
+	}
+	p.idle[u.address] = us
+	p.sweep()
+}
+
+// sweep closes connections whose time has passed. The caller holds mu.
+func (p *pool) sweep() {
+	now := p.clock.Now()
+	for address, us := range p.idle {
+		for len(us) > 0 && now.After(us[0].usableUntil) {
+			_ = us[0].Close()
+			us = us[1:]
+		}
+		if len(us) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = us
+	}
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, us := range p.idle {
+		for _, u := range us {
+			_ = u.Close()
+		}
+	}
+	clear(p.idle)
+}
--- /dev/null
+++ b/drforward/wait.go
@@ -0,0 +1,72 @@
+package drforward
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/dotterelridge/dotterelridge/drpick"
+	"github.com/dotterelridge/dotterelridge/drwait"
+)
+
+// waitResult says how the search for a runner ended.
+type waitResult int
+
+const (
+	found waitResult = iota
+	clientGone
+	refused
+)
+
+// pick returns a runner for the next attempt. While none holds the model, the
+// request waits for it, as long as it may still be served in time.
+func (x *exchange) pick(tried map[string]bool) (*drpick.Candidate, refusal, waitResult) {
+	s := x.server
+	p := x.replica()
+	ask := drpick.Ask{Zone: s.Zone, Engine: x.service.Engine != nil, Call: x.call, Tried: tried}
+	changed := s.View.Changed()
+	if c := drpick.Choose(ask, s.View.Candidates(p), true); c != nil {
+		return c, refusal{}, found
+	}
+	if e := x.service.Engine; e != nil {
+		if _, ok := e.Models[p.Model]; !ok {
+			return nil, refusal{status: fasthttp.StatusNotFound, reason: "unknown-model"}, refused
+		}
+	}
+	began := s.Clock.Now()
+	w := s.View.Want(p, x.start.Add(x.route.Objective), x.timeoutAt, x.urgency())
+	defer w.Close()
+	defer func() { x.waited += s.Clock.Since(began) }()
+	for {
+		situation := drwait.Situation{
+			Now: s.Clock.Now(), Began: x.start, Objective: x.route.Objective, TimeoutAt: x.timeoutAt,
+		}
+		situation.Expected, situation.Forecast = s.View.Forecast(p)
+		decision := drwait.Decide(situation)
+		if !decision.Wait {
+			return nil, x.noRunner(decision), refused
+		}
+		t := s.Clock.NewTimer(decision.Again)
+		select {
+		case <-changed:
+		case <-t.C():
+		case <-x.conn.done:
+			t.Stop()
+			return nil, refusal{}, clientGone
+		}
+		t.Stop()
+		changed = s.View.Changed()
+		if c := drpick.Choose(ask, s.View.Candidates(p), true); c != nil {
+			return c, refusal{}, found
+		}
+	}
+}
+
+func (x *exchange) noRunner(d drwait.Decision) refusal {
+	reason := "no-runner"
+	if x.service.Engine != nil {
+		reason = "model-not-loaded"
+	}
+	return refusal{status: fasthttp.StatusServiceUnavailable, reason: reason, retryAfter: max(d.RetryAfter, 50*time.Millisecond),
+		detail: d.Why}
+}
--- a/drhttp/client.go
+++ b/drhttp/client.go
@@ -78,6 +78,7 @@
 	// Target is the path and query.
 	Target      string
 	ContentType string
+	Headers     map[string]string // besides Content-Type
 	Body        []byte
 	// Limit bounds the call if the context has no deadline.
 	Limit time.Duration
@@ -108,6 +109,9 @@
 	if call.ContentType != "" {
 		req.Header.SetContentType(call.ContentType)
 	}
+	for name, value := range call.Headers {
+		req.Header.Set(name, value)
+	}
 	req.SetBodyRaw(call.Body)
 	req.SetTimeout(limit)
 	done := make(chan sent, 1)
--- /dev/null
+++ b/drlease/elector.go
@@ -0,0 +1,163 @@
+// Package drlease keeps the lease of the controller's role in a log with
+// conditional appends. The holder renews it; when renewals cease, another VM
+// acquires it. The offset of the acquiring record is the fencing token.
+package drlease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drstore"
+)
+
+// Lease is the newest lease that a VM knows.
+type Lease struct {
+	VM          string
+	Address     string
+	Incarnation uint64
+	// Term is the fencing token; it grows with each acquisition.
+	Term     uint64
+	Released bool
+}
+
+// Config configures an Elector.
+type Config struct {
+	Log    drstore.Log
+	Uptime drclock.Uptime
+	// VM, Address and Incarnation describe this process.
+	VM          string
+	Address     string
+	Incarnation uint64
+	// TTL is how long a lease is valid from the sending of its last record.
+	TTL time.Duration
+}
+
+// acquireMargin is added to the TTL before another VM's lease counts as
+// lapsed, because clocks run at slightly different rates.
+const acquireMargin = 100 * time.Millisecond
+
+// Elector reads and writes the lease. Its methods Read, Acquire, Renew and
+// Release are called from one goroutine; Newest and Holds from any.
+type Elector struct {
+	config Config
+	next   int64 // offset to read from
+
+	mu     sync.Mutex
+	newest Lease
+	known  bool
+	// seenAt is the uptime at which the newest record was first seen.
+	seenAt time.Duration
+	// validUntil is the uptime at which this process's own lease lapses.
+	validUntil time.Duration
+}
+
+// New returns an Elector that knows no lease.
+func New(c Config) *Elector { return &Elector{config: c} }
+
+// Newest returns the newest lease that is known.
+func (e *Elector) Newest() (Lease, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.newest, e.known
+}
+
+// Holds returns the term of the lease if this process holds it now.
+func (e *Elector) Holds() (term uint64, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.known || !e.own(e.newest) || e.newest.Released || e.config.Uptime.Uptime() >= e.validUntil {
+		return 0, false
+	}
+	return e.newest.Term, true
+}
+
+func (e *Elector) own(l Lease) bool {
+	return l.VM == e.config.VM && l.Incarnation == e.config.Incarnation
+}
+
+// Read brings the newest lease up to date.
+func (e *Elector) Read(ctx context.Context) error {
+	page, err := e.config.Log.Read(ctx, drstore.Leases, e.next, 0)
+	if expired, ok := errors.AsType[*drstore.ExpiredError](err); ok {
+		e.next = expired.First
+		page, err = e.config.Log.Read(ctx, drstore.Leases, e.next, 0)
+	}
+	if err != nil {
+		return fmt.Errorf("read the lease: %w", err)
+	}
+	for _, r := range page.Records {
+		e.observe(r)
+	}
+	e.next = max(page.Next, page.End)
+	return nil
+}
+
+func (e *Elector) observe(r drstore.Record) {
+	var m drpb.FleetLease
+	if err := proto.Unmarshal(r.Value, &m); err != nil {
+		log.WithFields(log.Fields{"event": "lease-record-unreadable", "offset": r.Offset}).WithError(err).Warn("")
+		return
+	}
+	l := Lease{m.GetVm(), m.GetAddress(), m.GetIncarnation(), m.GetTerm(), m.GetReleased()}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if l.Term < e.newest.Term {
+		return
+	}
+	e.newest, e.known, e.seenAt = l, true, e.config.Uptime.Uptime()
+}
+
+// Vacant reports whether another VM may acquire the lease: there is none, it
+// was released, or its holder has not renewed it for the TTL.
+func (e *Elector) Vacant() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.known || e.newest.Released || e.config.Uptime.Uptime()-e.seenAt > e.config.TTL+acquireMargin
+}
+
+// Acquire tries to take a vacant lease after Read. drstore.ErrConflict means
+// that another VM was faster.
+func (e *Elector) Acquire(ctx context.Context) error {
+	return e.append(ctx, uint64(e.next)+1, false)
+}
+
+// Renew extends the lease of this process. drstore.ErrConflict means that
+// another VM has acquired it, or that an append whose outcome was unknown took
+// effect; Read tells which.
+func (e *Elector) Renew(ctx context.Context) error {
+	l, _ := e.Newest()
+	return e.append(ctx, l.Term, false)
+}
+
+// Release ends the lease of this process, so that another VM need not wait.
+func (e *Elector) Release(ctx context.Context) error {
+	l, _ := e.Newest()
+	return e.append(ctx, l.Term, true)
+}
+
+func (e *Elector) append(ctx context.Context, term uint64, released bool) error {
+	value, err := proto.Marshal(&drpb.FleetLease{
+		Vm: e.config.VM, Address: e.config.Address, Incarnation: e.config.Incarnation, Term: term, Released: released,
+	})
+	if err != nil {
+		return fmt.Errorf("encode the lease: %w", err)
+	}
+	sent := e.config.Uptime.Uptime()
+	if err := e.config.Log.Append(ctx, drstore.Leases, value, e.next); err != nil {
+		return fmt.Errorf("append the lease: %w", err)
+	}
+	e.next++
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.newest = Lease{e.config.VM, e.config.Address, e.config.Incarnation, term, released}
+	e.known, e.seenAt, e.validUntil = true, e.config.Uptime.Uptime(), sent+e.config.TTL
+	return nil
+}
--- a/drmetric/name.go
+++ b/drmetric/name.go
@@ -35,6 +35,12 @@
 	ProcessCPU         = "dotterelridge_process_cpu_seconds_total"
 	ProcessMemory      = "dotterelridge_process_memory_bytes"
 	ProcessGoroutines  = "dotterelridge_process_goroutines"
+	RequestTime        = "dotterelridge_request_seconds"
+	LogLinesDropped    = "dotterelridge_log_lines_dropped_total"
+	DeploymentAge      = "dotterelridge_deployment_age_seconds"
+	RunnersAge         = "dotterelridge_runners_age_seconds"
+	KnownRunners       = "dotterelridge_known_runners"
+	Controlling        = "dotterelridge_controlling"
 	TimelineOverwrites = "dotterelridge_timeline_overwrites_total"
 )
 
@@ -72,5 +78,11 @@
 	{ProcessCPU, Counter, Seconds, nil, "User and system time of this process."},
 	{ProcessMemory, Gauge, Bytes, nil, "Memory that the Go runtime holds from the operating system."},
 	{ProcessGoroutines, Gauge, Count, nil, "Goroutines of this process."},
+	{RequestTime, Histogram, Seconds, []string{"kind"}, "Time from a request's arrival to the end of its answer on an entry VM of edge, by the route's kind: safe, unsafe or stream."},
+	{LogLinesDropped, Counter, Count, nil, "Log lines that were dropped because of the permitted rate or a slow reader."},
+	{DeploymentAge, Gauge, Seconds, nil, "Time since the store last confirmed the configuration in force."},
+	{RunnersAge, Gauge, Seconds, nil, "Time since the store last confirmed the runner table."},
+	{KnownRunners, Gauge, Count, nil, "Runners in the runner table."},
+	{Controlling, Gauge, Count, nil, "1 while this VM is the controller, else 0."},
 	{TimelineOverwrites, Counter, Count, nil, "Events that left the time line because its ring was full."},
 }
--- a/drnet/conn.go
+++ b/drnet/conn.go
@@ -325,6 +325,16 @@
 	return nil
 }
 
+// Buffered returns the number of bytes that arrived and were not read yet.
+func (c *conn) Buffered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.in == nil {
+		return 0
+	}
+	return c.in.Len()
+}
+
 // Done implements Conn.
 func (c *conn) Done() <-chan struct{} { return c.done }
 
--- /dev/null
+++ b/drquota/allowance.go
@@ -0,0 +1,188 @@
+package drquota
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+)
+
+const (
+	// controllerSilence is how long a VM relies on its grants after the
+	// controller last answered; then it spends an equal share of the rate.
+	controllerSilence = time.Second
+	// shareBurst is how much of its share a VM may save up, in time.
+	shareBurst = 2 * time.Second
+	// assumedVMs is the number of VMs before any controller has told it; a
+	// high number keeps the sum of the shares within the rate.
+	assumedVMs = 64
+)
+
+// Reserver asks the controller for tokens of one request. It is not ok if the
+// controller cannot be reached.
+type Reserver interface {
+	Reserve(ctx context.Context, account string, tokens float64) (granted bool, retryAfter time.Duration, ok bool)
+}
+
+// Allowances are what one VM may admit. They are safe for concurrent use.
+type Allowances struct {
+	clock drclock.Clock
+
+	mu       sync.Mutex
+	accounts map[string]*allowance
+	heard    time.Time
+	vms      int
+}
+
+type allowance struct {
+	limit          Limit
+	spent, granted float64
+	// share is this VM's bucket while no controller answers.
+	share     float64
+	shareLast time.Time
+	// deniedUntil spares the controller requests that it would deny too.
+	deniedUntil time.Time
+	deniedFrom  float64 // tokens of the smallest denied request
+}
+
+// NewAllowances returns an empty set.
+func NewAllowances(c drclock.Clock) *Allowances {
+	return &Allowances{clock: c, accounts: make(map[string]*allowance), vms: assumedVMs}
+}
+
+// SetLimits takes the limits of all accounts with a limit.
+func (s *Allowances) SetLimits(limits map[string]Limit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, l := range limits {
+		a, ok := s.accounts[name]
+		if !ok {
+			s.accounts[name] = &allowance{limit: l, shareLast: s.clock.Now()}
+			continue
+		}
+		if a.limit != l {
+			a.limit = l
+			a.deniedUntil = time.Time{}
+		}
+	}
+	for name := range s.accounts {
+		if _, ok := limits[name]; !ok {
+			delete(s.accounts, name)
+		}
+	}
+}
+
+// Spending is what a VM has spent and been granted for an account.
+type Spending struct {
+	Account        string
+	Spent, Granted float64
+}
+
+// Spendings returns what was spent since the process started.
+func (s *Allowances) Spendings() []Spending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Spending
+	for name, a := range s.accounts {
+		out = append(out, Spending{name, a.spent, a.granted})
+	}
+	return out
+}
+
+// Grant takes what an account may spend in all since the process started.
+func (s *Allowances) Grant(account string, granted float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a, ok := s.accounts[account]; ok {
+		a.granted = granted
+	}
+}
+
+// Heard notes that the controller answered, and how many VMs it knows.
+func (s *Allowances) Heard(vms int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard, s.vms = s.clock.Now(), max(vms, 1)
+}
+
+// VMs returns the number of VMs that the controller knew last.
+func (s *Allowances) VMs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.vms
+}
+
+// Admit spends tokens of an account, by grant, by asking the controller, or
+// from this VM's share if the controller does not answer. If it does not admit
+// them, it returns when the client should come back.
+func (s *Allowances) Admit(ctx context.Context, r Reserver, account string, tokens float64) (bool, time.Duration) {
+	decided, ok, retryAfter := s.admitLocally(account, tokens)
+	if decided {
+		return ok, retryAfter
+	}
+	granted, retryAfter, reached := r.Reserve(ctx, account, tokens)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, found := s.accounts[account]
+	switch {
+	case !found:
+		return true, 0
+	case !reached:
+		return s.fromShare(a, tokens)
+	case granted:
+		a.spent += tokens
+		a.granted += tokens
+		return true, 0
+	}
+	now := s.clock.Now()
+	if a.deniedUntil.Before(now) || tokens < a.deniedFrom {
+		a.deniedFrom = tokens
+	}
+	a.deniedUntil = now.Add(min(retryAfter, deniedFor))
+	return false, retryAfter
+}
+
+// deniedFor bounds how long a denial is repeated without asking again.
+const deniedFor = 100 * time.Millisecond
+
+// admitLocally decides without the controller if it can.
+func (s *Allowances) admitLocally(account string, tokens float64) (decided, ok bool, retryAfter time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, found := s.accounts[account]
+	if !found {
+		return true, true, 0
+	}
+	if a.spent+tokens <= a.granted {
+		a.spent += tokens
+		return true, true, 0
+	}
+	now := s.clock.Now()
+	if now.Before(a.deniedUntil) && tokens >= a.deniedFrom {
+		return true, false, a.deniedUntil.Sub(now) + deniedFor
+	}
+	if now.Sub(s.heard) > controllerSilence {
+		ok, retryAfter = s.fromShare(a, tokens)
+		return true, ok, retryAfter
+	}
+	return false, false, 0
+}
+
+// fromShare admits tokens from an equal share of the rate. A request larger
+// than what can be saved up overdraws the share.
+func (s *Allowances) fromShare(a *allowance, tokens float64) (bool, time.Duration) {
+	rate := a.limit.Rate / float64(s.vms)
+	most := rate*shareBurst.Seconds() + a.limit.Burst/float64(s.vms)
+	now := s.clock.Now()
+	a.share = min(a.share+now.Sub(a.shareLast).Seconds()*rate, most)
+	a.shareLast = now
+	if need := min(tokens, most); a.share < need {
+		wait := time.Duration((need - a.share) / math.Max(rate, 1) * float64(time.Second))
+		return false, min(wait, maxRetryAfter)
+	}
+	a.share -= tokens
+	a.spent += tokens
+	return true, 0
+}
--- /dev/null
+++ b/drquota/pool.go
@@ -0,0 +1,172 @@
+// Package drquota keeps client accounts within their rate and burst over all
+// VMs together. The controller's Pool hands out allowances that the VMs'
+// Allowances spend without asking.
+package drquota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+)
+
+const (
+	// aheadTime is how long an allowance should last at the VM's recent rate.
+	aheadTime = 400 * time.Millisecond
+	// rateWindow is the time over which a VM's rate is averaged.
+	rateWindow = time.Second
+	// aheadShare bounds one hand-out to a share of what is left, so that
+	// another VM finds tokens too.
+	aheadShare = 0.1
+	// startShare is the part of the burst that a new controller starts with:
+	// what its predecessor admitted just before is not known.
+	startShare = 0.5
+	// maxRetryAfter bounds how long a client is asked to wait.
+	maxRetryAfter = 5 * time.Second
+)
+
+// Limit is the rate and burst of a client account, in tokens.
+type Limit struct {
+	Rate  float64 // per second
+	Burst float64
+}
+
+// Pool holds the tokens of the client accounts of a fleet. It is safe for
+// concurrent use.
+type Pool struct {
+	clock    drclock.Clock
+	mu       sync.Mutex
+	accounts map[string]*account
+}
+
+type account struct {
+	limit Limit
+	level float64
+	last  time.Time
+	vms   map[string]*holder
+}
+
+// holder is a VM's part of an account.
+type holder struct {
+	granted, spent float64 // since the VM's process started
+	rate           float64 // tokens per second
+	last           time.Time
+}
+
+// NewPool returns a pool without accounts.
+func NewPool(c drclock.Clock) *Pool {
+	return &Pool{clock: c, accounts: make(map[string]*account)}
+}
+
+// SetLimits takes the limits of all accounts with a limit.
+func (p *Pool) SetLimits(limits map[string]Limit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, l := range limits {
+		a, ok := p.accounts[name]
+		if !ok {
+			p.accounts[name] = &account{
+				limit: l, level: l.Burst * startShare, last: p.clock.Now(), vms: make(map[string]*holder),
+			}
+			continue
+		}
+		p.refill(a)
+		a.limit = l
+		a.level = min(a.level, l.Burst)
+	}
+	for name := range p.accounts {
+		if _, ok := limits[name]; !ok {
+			delete(p.accounts, name)
+		}
+	}
+}
+
+func (p *Pool) refill(a *account) {
+	now := p.clock.Now()
+	a.level = min(a.level+now.Sub(a.last).Seconds()*a.limit.Rate, a.limit.Burst)
+	a.last = now
+}
+
+// Report takes what a VM has spent and been granted since its process started,
+// and returns what it may spend in all. Tokens that the VM spent beyond its
+// grant, which it does while it reaches no controller, are charged.
+func (p *Pool) Report(vm, name string, spent, granted float64) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.accounts[name]
+	if !ok {
+		return math.Inf(1)
+	}
+	p.refill(a)
+	h := a.holder(vm, spent, granted, p.clock.Now())
+	if spent < h.spent {
+		*h = holder{granted: granted, spent: spent, last: p.clock.Now()} // its process has restarted
+	}
+	h.update(spent, p.clock.Now())
+	if over := spent - h.granted; over > 0 {
+		h.granted += over
+		a.level -= over
+	}
+	want := h.rate*aheadTime.Seconds() - (h.granted - h.spent)
+	if give := min(want, a.level*aheadShare); give > 0 {
+		h.granted += give
+		a.level -= give
+	} else if back := h.granted - h.spent - 2*h.rate*aheadTime.Seconds(); back > 0 && h.rate > 0 {
+		h.granted -= back / 2
+		a.level = min(a.level+back/2, a.limit.Burst)
+	}
+	return h.granted
+}
+
+func (a *account) holder(vm string, spent, granted float64, now time.Time) *holder {
+	h, ok := a.vms[vm]
+	if !ok {
+		h = &holder{granted: granted, spent: spent, last: now}
+		a.vms[vm] = h
+	}
+	return h
+}
+
+// update averages the VM's rate over rateWindow.
+func (h *holder) update(spent float64, now time.Time) {
+	dt := now.Sub(h.last).Seconds()
+	if dt <= 0 {
+		return
+	}
+	weight := min(dt/rateWindow.Seconds(), 1)
+	h.rate += weight * ((spent-h.spent)/dt - h.rate)
+	h.spent, h.last = spent, now
+}
+
+// Reserve takes tokens for one request that exceeds a VM's allowance. If there
+// are too few, it returns when there will be enough.
+func (p *Pool) Reserve(vm, name string, tokens float64) (ok bool, retryAfter time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, found := p.accounts[name]
+	if !found {
+		return true, 0
+	}
+	p.refill(a)
+	// A request above the burst is admitted from a full bucket, which it
+	// overdraws; otherwise it would never run.
+	if need := min(tokens, a.limit.Burst); a.level < need {
+		wait := time.Duration((need - a.level) / max(a.limit.Rate, 1) * float64(time.Second))
+		return false, min(wait, maxRetryAfter)
+	}
+	a.level -= tokens
+	if h := a.vms[vm]; h != nil {
+		h.granted += tokens
+	}
+	return true, 0
+}
+
+// Forget drops a VM that is gone. What it held stays spent.
+func (p *Pool) Forget(vm string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.accounts {
+		delete(a.vms, vm)
+	}
+}
--- a/drroute/budget.go
+++ b/drroute/budget.go
@@ -1,10 +1,8 @@
 package drroute
 
 import (
-	"sync"
-	"time"
-
 	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drpick"
 )
 
 const (
@@ -17,37 +15,6 @@
 	retryBurst = 20.0
 )
 
-// budget bounds retries to a share of requests plus a constant rate.
-type budget struct {
-	clock drclock.Clock
-	mu    sync.Mutex
-	level float64
-	last  time.Time
-}
-
-func newBudget(c drclock.Clock) *budget {
-	return &budget{clock: c, level: retryBurst, last: c.Now()}
-}
-
-// request counts a first attempt.
-func (b *budget) request() { b.add(retryShare) }
-
-func (b *budget) add(n float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.level = min(b.level+n, retryBurst)
-}
-
-// retry takes one retry from the budget and reports whether there was one.
-func (b *budget) retry() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.clock.Now()
-	b.level = min(b.level+now.Sub(b.last).Seconds()*retryFloor, retryBurst)
-	b.last = now
-	if b.level < 1 {
-		return false
-	}
-	b.level--
-	return true
+func newBudget(c drclock.Clock) *drpick.Budget {
+	return drpick.NewBudget(drpick.BudgetConfig{Clock: c, Share: retryShare, Floor: retryFloor, Burst: retryBurst})
 }
--- a/drroute/router.go
+++ b/drroute/router.go
@@ -14,6 +14,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drengine"
+	"github.com/dotterelridge/dotterelridge/drpick"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
@@ -65,7 +66,7 @@
 type Router struct {
 	Config
 	ejector  *Ejector
-	budget   *budget
+	budget   *drpick.Budget
 	windows  *windows
 	prefixes *prefixes
 }
@@ -120,7 +121,7 @@
 		router: r, ctx: ctx, request: q, fingerprint: q.fingerprint(),
 		blocks: promptBlocks(q.Prompt), failed: make(map[string]string),
 	}
-	r.budget.request()
+	r.budget.Request()
 	if err := s.open(); err != nil {
 		return nil, err
 	}
--- a/drroute/router_test.go
+++ b/drroute/router_test.go
@@ -157,15 +157,15 @@
 	b := newBudget(c)
 	retries := 0
 	for range 1000 {
-		b.request()
-		if b.retry() {
+		b.Request()
+		if b.Retry() {
 			retries++
 		}
 	}
 	is.True(retries <= 100+retryBurst)
-	is.True(!b.retry())
+	is.True(!b.Retry())
 	c.Advance(time.Second)
-	is.True(b.retry())
+	is.True(b.Retry())
 }
 
 // Guards against ejection that empties a fleet or never ends.
--- a/drroute/services.go
+++ b/drroute/services.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drmember"
+	"github.com/dotterelridge/dotterelridge/drpick"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 	"github.com/dotterelridge/dotterelridge/drverdict"
 )
@@ -32,7 +33,7 @@
 type Services struct {
 	ServicesConfig
 	ejector  *Ejector
-	budget   *budget
+	budget   *drpick.Budget
 	mu       sync.Mutex
 	inflight map[string]int
 }
@@ -49,7 +50,7 @@
 // retried on another server, one with MayHaveRun only if c is repeatable.
 // Errors carry the verdict over all attempts.
 func (s *Services) Call(ctx context.Context, fleet string, c Call) (Answer, error) {
-	s.budget.request()
+	s.budget.Request()
 	f := c.fingerprint()
 	failed := make(map[string]bool)
 	verdict := drverdict.NotRun
@@ -95,7 +96,7 @@
 
 // retry reports whether the budget allows a retry after a failure of b.
 func (s *Services) retry(b drmember.Backend, c Call) bool {
-	if !s.budget.retry() {
+	if !s.budget.Retry() {
 		s.record(drtimeline.RetryRefused, b, c)
 		return false
 	}
--- a/drroute/stream.go
+++ b/drroute/stream.go
@@ -321,7 +321,7 @@
 
 // retry reports whether the budget allows a retry.
 func (s *Stream) retry() bool {
-	ok := s.router.budget.retry()
+	ok := s.router.budget.Retry()
 	if !ok {
 		s.record(drtimeline.RetryRefused, "")
 	}
--- /dev/null
+++ b/drview/use.go
@@ -0,0 +1,127 @@
+package drview
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/dotterelridge/dotterelridge/drfleet"
+)
+
+// Result says how a request went at a runner.
+type Result int
+
+// Results of requests.
+const (
+	Succeeded   Result = iota
+	Failed             // the runner answered with an error, broke off or was silent
+	Abandoned          // ended by this VM or its client; says nothing of the runner
+	Missing            // the runner does not hold the replica
+	Rejected           // the runner had no room
+	Unreachable        // the runner took no connection
+)
+
+// Use is one request on a runner.
+type Use struct {
+	view    *View
+	entry   *entry
+	replica Replica
+}
+
+// Begin counts a request of this VM on a runner until End.
+func (v *View) Begin(r *drfleet.Runner, p Replica) *Use {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e, ok := v.runners[r.ID]
+	if !ok {
+		e = &entry{runner: r, uses: make(map[Replica]*use), gone: true}
+		v.runners[r.ID] = e
+	}
+	u, ok := e.uses[p]
+	if !ok {
+		u = &use{}
+		e.uses[p] = u
+	}
+	u.running++
+	u.requests++
+	e.running++
+	return &Use{v, e, p}
+}
+
+// End ends the request.
+func (u *Use) End(r Result) {
+	v, e := u.view, u.entry
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	e.running--
+	p := e.uses[u.replica]
+	p.running--
+	switch r {
+	case Succeeded:
+		e.succeeded++
+		e.failing, e.failingAt = e.failingNow(now)*(1-failingWeight), now
+	case Failed:
+		e.failed++
+		e.failing, e.failingAt = e.failingNow(now)*(1-failingWeight)+failingWeight, now
+	case Missing:
+		p.missingUntil = now.Add(missingFor)
+	case Unreachable:
+		e.unreachableUntil = now.Add(unreachableFor)
+	case Abandoned, Rejected:
+	}
+}
+
+// RunnerUse is what this VM runs on a runner.
+type RunnerUse struct {
+	Runner            string
+	Started           int64
+	Succeeded, Failed uint64
+	Replicas          []ReplicaUse
+}
+
+// ReplicaUse is what this VM runs on a replica.
+type ReplicaUse struct {
+	Replica  Replica
+	Running  int
+	Requests uint64 // since the process started
+	Missing  bool   // the runner answered that it does not hold it
+}
+
+// Uses returns what this VM has run on each runner that is in the table.
+func (v *View) Uses() []RunnerUse {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	var us []RunnerUse
+	for _, id := range slices.Sorted(maps.Keys(v.runners)) {
+		e := v.runners[id]
+		if e.gone || len(e.uses) == 0 {
+			continue
+		}
+		u := RunnerUse{Runner: id, Started: e.runner.Started, Succeeded: e.succeeded, Failed: e.failed}
+		for p, x := range e.uses {
+			u.Replicas = append(u.Replicas, ReplicaUse{p, x.running, x.requests, now.Before(x.missingUntil)})
+		}
+		us = append(us, u)
+	}
+	return us
+}
+
+// SetLoad takes what other VMs run on a runner, and the share of all VMs'
+// recent requests that failed there.
+func (v *View) SetLoad(runner string, others int, failing float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e, ok := v.runners[runner]; ok {
+		e.others, e.fleetFailing = others, failing
+	}
+}
+
+// ForgetLoads drops what the controller said of other VMs' requests.
+func (v *View) ForgetLoads() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.runners {
+		e.others, e.fleetFailing = 0, 0
+	}
+}
--- /dev/null
+++ b/drwait/wait.go
@@ -0,0 +1,57 @@
+// Package drwait decides how long a request waits for a runner that can take
+// it, and when it is refused instead. It does no input or output.
+package drwait
+
+import "time"
+
+const (
+	// serviceTime is what a request needs after its model is there.
+	serviceTime = 150 * time.Millisecond
+	// lookAgain is how often the decision is made anew without a change.
+	lookAgain = 250 * time.Millisecond
+	// unknownWait is how long a request waits for its first forecast.
+	unknownWait = 2 * time.Second
+	// minRetryAfter keeps refused clients from coming back before anything
+	// can have changed.
+	minRetryAfter = 200 * time.Millisecond
+)
+
+// Situation is what is known of a request that finds no runner.
+type Situation struct {
+	Now       time.Time
+	Began     time.Time     // when the request arrived
+	Objective time.Duration // from Began
+	TimeoutAt time.Time     // when it must have been answered
+	// Expected is when the controller expects the model, if Forecast is set.
+	Expected time.Time
+	Forecast bool
+}
+
+// Decision says whether a request goes on waiting.
+type Decision struct {
+	Wait  bool
+	Again time.Duration // decide again after this time
+	// RetryAfter is when a refused client should come back.
+	RetryAfter time.Duration
+	Why        string
+}
+
+// Decide lets a request wait while the expected time leaves enough to serve
+// it. Under overload, when the forecast lies beyond its time, it is refused at
+// once, with the time at which the model should be there.
+func Decide(s Situation) Decision {
+	last := s.TimeoutAt.Add(-serviceTime)
+	if !s.Now.Before(last) {
+		return Decision{RetryAfter: minRetryAfter, Why: "no time left"}
+	}
+	if !s.Forecast {
+		if s.Now.Sub(s.Began) > unknownWait {
+			return Decision{RetryAfter: minRetryAfter, Why: "no forecast"}
+		}
+		return Decision{Wait: true, Again: min(lookAgain, last.Sub(s.Now))}
+	}
+	if s.Expected.After(last) {
+		return Decision{RetryAfter: max(s.Expected.Sub(s.Now), minRetryAfter), Why: "expected too late"}
+	}
+	return Decision{Wait: true, Again: min(lookAgain, last.Sub(s.Now))}
+}
