--- a/drcontrol/controller.go
+++ b/drcontrol/controller.go
@@ -27,6 +27,9 @@
 	planInterval = 100 * time.Millisecond
 	// syncPause lets changes that come together go out in one reply.
 	syncPause = 3 * time.Millisecond
+	// descriptionLag is how old a runner's own description may be when it is
+	// read: its interval, the way through the store, and a margin.
+	descriptionLag = 4 * time.Second
 	// vmForgotten is how long after its last report a VM is forgotten.
 	vmForgotten = 10 * time.Second
 )
@@ -166,6 +169,9 @@
 			s = newRunnerState(r.Started)
 			c.runners[r.ID] = s
 		}
+		if !s.doubtful && s.swap == nil && now.Sub(s.swappedAt) > descriptionLag && c.view.Contradicted(r.ID) {
+			s.doubtful, s.swappedAt = true, now
+		}
 		if s.doubtful && s.swap == nil && len(s.coming) == 0 && !now.Before(s.retryAt) && c.hasEngine(r) {
 			s.retryAt = now.Add(reportPause)
 			c.wg.Go(func() { c.ask(r, s) })
--- a/drcontrol/executor.go
+++ b/drcontrol/executor.go
@@ -55,7 +55,7 @@
 	err := c.swap(s, swap)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.swap, s.unloading = nil, ""
+	s.swap, s.unloading, s.swappedAt = nil, "", c.Clock.Now()
 	if swap.FromStore {
 		c.loads.end()
 	}
--- a/drcontrol/fleet.go
+++ b/drcontrol/fleet.go
@@ -88,6 +88,8 @@
 	// doubtful is set while the runner's own description must be asked for
 	// before it is ordered anything.
 	doubtful bool
+	// swappedAt is when the last order was carried out.
+	swappedAt time.Time
 	// retryAt is when a runner that failed an order is asked again.
 	retryAt     time.Time
 	loadedAt    map[string]time.Time
--- a/drcontrol/reader.go
+++ b/drcontrol/reader.go
@@ -150,7 +150,7 @@
 	}
 	if !known || old.Started != runner.Started || old.Draining != runner.Draining {
 		log.WithFields(log.Fields{"event": "runner-changed", "runner": runner.ID, "service": runner.Service,
-			"started": runner.Started, "draining": runner.Draining, "orders": runner.Orders, "offset": rec.Offset,
+			"started": runner.Started, "draining": runner.Draining, "beat": runner.Beat, "offset": rec.Offset,
 			"source": "store"}).Info("")
 	}
 }
--- a/drfleet/runner.go
+++ b/drfleet/runner.go
@@ -30,7 +30,9 @@
 	Draining bool
 	// Leaves is the time left before the runner is gone, 0 if not announced.
 	Leaves time.Duration
-	// Orders is the number of orders accepted since Started.
+	// Beat is the number of this description among those of the incarnation.
+	Beat int
+	// Orders is the number of orders accepted since Started, 0 if not known.
 	Orders   int
 	Replicas []Replica
 	// InMemory and OnDisk name models whose weights the runner has copies of.
@@ -58,15 +60,6 @@
 	return ok && p.HasAdapter(adapter)
 }
 
-// Supersedes reports whether r is newer than o, an earlier description of the
-// runner with the same ID. A description that is as new supersedes as well.
-func (r *Runner) Supersedes(o *Runner) bool {
-	if r.Started != o.Started {
-		return r.Started > o.Started
-	}
-	return r.Orders >= o.Orders
-}
-
 // WithReplicas returns a copy that holds other replicas.
 func (r *Runner) WithReplicas(replicas []Replica) *Runner {
 	c := *r
--- a/drview/runner.go
+++ b/drview/runner.go
@@ -24,9 +24,11 @@
 // entry is one runner.
 type entry struct {
 	runner *drfleet.Runner
-	// settled is set if the replicas are known from the outcome of an order,
-	// which is newer than any description with the same count of orders.
-	settled  bool
+	// settled is set if the controller said what the runner holds. A runner's
+	// own description is older than the outcome of the last order.
+	settled bool
+	// described is what the runner itself last said that it holds.
+	described []drfleet.Replica
 	revision uint64
 	gone     bool
 
@@ -64,23 +66,25 @@
 	defer v.mu.Unlock()
 	e, ok := v.runners[r.ID]
 	if !ok {
-		v.runners[r.ID] = &entry{runner: r, settled: s == FromController, uses: make(map[Replica]*use)}
-		v.touch(v.runners[r.ID])
-		return true
-	}
-	old := e.runner
-	if !e.gone && !r.Supersedes(old) || e.gone && r.Started < old.Started {
+		e = &entry{runner: r, gone: true, uses: make(map[Replica]*use)}
+		v.runners[r.ID] = e
+	} else if !e.precedes(r, s) {
 		return false
 	}
+	if s == FromRunner {
+		e.described = r.Replicas
+	}
+	old := e.runner
 	same := r.Started == old.Started && !e.gone
 	if same {
 		r = merge(e, r, s)
 	}
+	e.runner = r
+	e.settled = s == FromController || same && e.settled
 	if same && unchanged(old, r) {
 		return false
 	}
-	e.runner, e.gone = r, false
-	e.settled = s == FromController || same && e.settled && r.Orders == old.Orders
+	e.gone = false
 	for _, u := range e.uses {
 		u.missingUntil = time.Time{}
 	}
@@ -88,17 +92,52 @@
 	return true
 }
 
+// precedes reports whether a description is at least as new as the entry.
+func (e *entry) precedes(r *drfleet.Runner, s Source) bool {
+	switch {
+	case r.Started != e.runner.Started:
+		return r.Started > e.runner.Started
+	case s == FromController:
+		return r.Orders >= e.runner.Orders
+	case e.gone:
+		return r.Beat > e.runner.Beat
+	default:
+		return r.Beat >= e.runner.Beat
+	}
+}
+
 // merge combines two descriptions of one incarnation: it never stops leaving,
-// and a description by the runner does not undo the outcome of an order.
+// and what it says itself does not undo the outcome of an order.
 func merge(e *entry, r *drfleet.Runner, s Source) *drfleet.Runner {
-	c := *r
-	c.Draining = c.Draining || e.runner.Draining
-	if s == FromRunner && e.settled && r.Orders == e.runner.Orders {
-		c.Replicas = e.runner.Replicas
+	c, old := *r, e.runner
+	c.Draining = c.Draining || old.Draining
+	c.Beat = max(c.Beat, old.Beat)
+	if s == FromRunner && e.settled {
+		c.Replicas, c.Orders = old.Replicas, old.Orders
+	}
+	if c.OnDisk == nil && c.InMemory == nil {
+		c.OnDisk, c.InMemory = old.OnDisk, old.InMemory
 	}
 	return &c
 }
 
+// Contradicted reports whether the runner's own last description names other
+// models than the outcome of the orders.
+func (v *View) Contradicted(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e, ok := v.runners[id]
+	if !ok || !e.settled || e.described == nil || len(e.described) != len(e.runner.Replicas) {
+		return ok && e.settled && e.described != nil
+	}
+	for _, p := range e.described {
+		if _, holds := e.runner.Replica(p.Model); !holds {
+			return true
+		}
+	}
+	return false
+}
+
 // unchanged reports whether two descriptions mean the same to a caller.
 func unchanged(a, b *drfleet.Runner) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.Draining == b.Draining && a.Orders == b.Orders &&
