Order the load right after an unload; load adapters first

Third, weights were fetched from the weight store while the runners with copies were only being asked for a report.

The load is now sent right after the unload until it is accepted, adapters are planned before models, and copies count on all runners.

--- a/drcontrol/controller.go
+++ b/drcontrol/controller.go
@@ -132,13 +132,14 @@
 			continue
 		}
 		c.loads.perSecond = service.Engine.LoadsPerSecond
-		s := c.state(service, now)
-		for _, swap := range drplan.Plan(s) {
-			c.begin(service, swap, now)
-		}
+		// Adapters go first: they load in milliseconds, but not while the
+		// runner loads a model.
 		for _, swap := range drplan.PlanAdapters(c.state(service, now)) {
 			c.beginAdapter(swap)
 		}
+		for _, swap := range drplan.Plan(c.state(service, now)) {
+			c.begin(service, swap, now)
+		}
 	}
 }
 
--- a/drcontrol/executor.go
+++ b/drcontrol/executor.go
@@ -18,8 +18,9 @@
 const (
 	// orderLimit bounds one call to a runner.
 	orderLimit = 600 * time.Millisecond
-	// unloadTime is the usual time of an unload of an idle model.
-	unloadTime = 10 * time.Millisecond
+	// unloadPause is the time between two attempts to send the order after an
+	// unload; that of an idle model is done at once.
+	unloadPause = 10 * time.Millisecond
 	// pollPause is the time between two questions whether an order is done.
 	pollPause = 40 * time.Millisecond
 	// overdue is how long an order may take beyond its expected time before
@@ -55,7 +56,7 @@
 	err := c.swap(s, swap)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.swap, s.unloading, s.swappedAt = nil, "", c.Clock.Now()
+	s.swap, s.swappedAt = nil, c.Clock.Now()
 	if swap.FromStore {
 		c.loads.end()
 	}
@@ -78,26 +79,42 @@
 	c.prod()
 }
 
+// swap unloads what must make way and loads a model. A runner takes one order
+// at a time, so the next order is accepted once the one before is done.
 func (c *Controller) swap(s *runnerState, swap drplan.Swap) error {
 	for _, m := range swap.Unload {
-		c.mu.Lock()
-		s.unloading = m
-		c.mu.Unlock()
-		if err := c.perform(s, swap.Runner, step{drplan.Unload, m, "", unloadTime}); err != nil {
+		if err := c.startWhenFree(s, swap.Runner, step{operation: drplan.Unload, model: m}); err != nil {
 			return fmt.Errorf("unload %s: %w", m, err)
 		}
 		c.Metrics.Counter(drmetric.Evictions, "memory").Inc(1)
 	}
+	load := step{drplan.Load, swap.Load, "", swap.Expected - loadMargin}
+	if err := c.startWhenFree(s, swap.Runner, load); err != nil {
+		return fmt.Errorf("load %s: %w", swap.Load, err)
+	}
 	c.mu.Lock()
-	s.unloading = ""
+	s.doneAt = c.Clock.Now().Add(load.expected)
 	c.mu.Unlock()
-	load := step{drplan.Load, swap.Load, "", swap.Expected - loadMargin}
-	if err := c.perform(s, swap.Runner, load); err != nil {
+	if err := c.finish(s, swap.Runner, load); err != nil {
 		return fmt.Errorf("load %s: %w", swap.Load, err)
 	}
 	return nil
 }
 
+// startWhenFree sends an order until the runner has carried out the one before.
+func (c *Controller) startWhenFree(s *runnerState, r *drfleet.Runner, st step) error {
+	give := c.Clock.Now().Add(overdue)
+	for {
+		outcome, err := c.start(s, r, st)
+		if outcome != drplan.Conflicting || c.Clock.Now().After(give) {
+			return err
+		}
+		if c.Clock.Sleep(c.ctx, unloadPause) != nil {
+			return errLeaseLost
+		}
+	}
+}
+
 // loadMargin is the part of a swap's expected time that is not the load.
 const loadMargin = 150 * time.Millisecond
 
@@ -108,15 +125,11 @@
 	expected       time.Duration
 }
 
-// perform sends an order and waits until the runner has carried it out. The
-// runner is asked by the same order again, which it answers at once.
-func (c *Controller) perform(s *runnerState, r *drfleet.Runner, st step) error {
-	outcome, err := c.start(s, r, st)
-	switch {
-	case err != nil:
-		return err
-	case outcome == drplan.Holds:
-		return nil
+// finish waits until the runner has carried out a load. The runner is asked by
+// the same order again, which it answers at once.
+func (c *Controller) finish(s *runnerState, r *drfleet.Runner, st step) error {
+	if now, ok := c.view.Runner(r.ID); ok && now.Holds(st.model, st.adapter) {
+		return nil // it was there before
 	}
 	give := c.Clock.Now().Add(st.expected + overdue)
 	pause := st.expected
@@ -125,13 +138,11 @@
 			return errLeaseLost
 		}
 		s.sending.Lock()
-		outcome, err = c.send(r, st)
+		outcome, err := c.send(r, st)
 		s.sending.Unlock()
 		switch {
 		case outcome == drplan.Holds:
 			return c.settle(r, st, 0)
-		case outcome == drplan.Accepted: // the first was undone, as by a restart
-			return errors.Join(fmt.Errorf("accepted twice: %w", errDoubt), err)
 		case outcome != drplan.Conflicting && outcome != drplan.Unknown && outcome != drplan.Unreachable:
 			return errors.Join(fmt.Errorf("%s: %w", outcome, errDoubt), err)
 		case c.Clock.Now().After(give):
@@ -267,12 +278,15 @@
 
 func (c *Controller) swapAdapter(s *runnerState, swap drplan.AdapterSwap) error {
 	if u := swap.Unload; u != nil {
-		if err := c.perform(s, swap.Runner, step{drplan.Unload, u.Model, u.Adapter, 0}); err != nil {
+		if _, err := c.start(s, swap.Runner, step{operation: drplan.Unload, model: u.Model, adapter: u.Adapter}); err != nil {
 			return fmt.Errorf("unload adapter %s of %s: %w", u.Adapter, u.Model, err)
 		}
 	}
-	l := swap.Load
-	return c.perform(s, swap.Runner, step{drplan.Load, l.Model, l.Adapter, adapterTime})
+	load := step{drplan.Load, swap.Load.Model, swap.Load.Adapter, adapterTime}
+	if _, err := c.start(s, swap.Runner, load); err != nil {
+		return err
+	}
+	return c.finish(s, swap.Runner, load)
 }
 
 // ask brings a runner's entry up to date by its report.
--- a/drcontrol/fleet.go
+++ b/drcontrol/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,10 +82,9 @@
 	// of those before it.
 	sending sync.Mutex
 	// swap is the swap in progress.
-	swap      *drplan.Swap
-	unloading string
-	doneAt    time.Time
-	coming    []drplan.Coming
+	swap   *drplan.Swap
+	doneAt time.Time
+	coming []drplan.Coming
 	// doubtful is set while the runner's own description must be asked for
 	// before it is ordered anything.
 	doubtful bool
@@ -170,6 +170,7 @@
 func (c *Controller) state(service *drfleet.Service, now time.Time) drplan.State {
 	s := drplan.State{
 		Now: now, Engine: service.Engine, Work: make(map[string]float64), Rate: make(map[string]float64),
+		Stored:     make(map[string]bool),
 		StoreLoads: c.loads.available(now),
 	}
 	for model, d := range c.demands {
@@ -179,13 +180,16 @@
 	}
 	running, adapters := c.running(now)
 	for _, r := range c.view.Runners(service.Name) {
+		for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
+			s.Stored[m] = true
+		}
 		rs := c.runners[r.ID]
 		if rs == nil || rs.started != r.Started || rs.doubtful || now.Before(rs.retryAt) {
 			continue
 		}
 		p := drplan.Runner{
 			Runner: r, Running: running[r.ID], RunningAdapter: adapters[r.ID], LoadedAt: rs.loadedAt,
-			UsedAdapter: rs.usedAdapter, Coming: rs.coming, Unloading: rs.unloading,
+			UsedAdapter: rs.usedAdapter, Coming: rs.coming,
 		}
 		if rs.swap != nil {
 			p.Ordered, p.FreeIn, p.Loading = true, rs.doneAt.Sub(now), rs.swap.Load
--- /dev/null
+++ b/drlease/elector_test.go
@@ -0,0 +1,112 @@
+package drlease_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drlease"
+	"github.com/dotterelridge/dotterelridge/drstore"
+)
+
+const ttl = 2 * time.Second
+
+func elector(l drstore.Log, c *drclock.Fake, vm string) *drlease.Elector {
+	return drlease.New(drlease.Config{Log: l, Uptime: c, VM: vm, Address: vm + ":1", Incarnation: 1, TTL: ttl})
+}
+
+// Guards against two VMs that hold the lease at once, and against a fencing
+// token that does not grow.
+func TestOneHolder(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	a, b := elector(store, clock, "a"), elector(store, clock, "b")
+	is.NoErr(a.Read(ctx))
+	is.NoErr(b.Read(ctx))
+	is.NoErr(a.Acquire(ctx))
+	is.True(errors.Is(b.Acquire(ctx), drstore.ErrConflict))
+	is.NoErr(b.Read(ctx))
+	is.True(!b.Vacant())
+	first, ok := a.Holds()
+	is.True(ok)
+
+	clock.Advance(ttl + 200*time.Millisecond)
+	_, ok = a.Holds()
+	is.True(!ok) // lapsed before another may acquire it
+	is.True(b.Vacant())
+	is.NoErr(b.Acquire(ctx))
+	second, ok := b.Holds()
+	is.True(ok)
+	is.True(second > first)
+	is.True(errors.Is(a.Renew(ctx), drstore.ErrConflict))
+}
+
+// Guards against a holder that was suspended and still believes that it holds
+// the lease: the monotonic clock stands still meanwhile.
+func TestSuspendedHolderLosesLease(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	a := elector(store, clock, "a")
+	is.NoErr(a.Read(ctx))
+	is.NoErr(a.Acquire(ctx))
+	clock.Suspend(ttl)
+	_, ok := a.Holds()
+	is.True(!ok)
+}
+
+// Guards against a renewal whose answer was lost: the holder must neither
+// count it nor fail on the conflict that it causes later.
+func TestLostRenewal(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	a := elector(store, clock, "a")
+	is.NoErr(a.Read(ctx))
+	is.NoErr(a.Acquire(ctx))
+	clock.Advance(time.Second)
+	store.SetFault(drstore.ErrNoAnswer, true)
+	is.True(a.Renew(ctx) != nil)
+	store.SetFault(nil, false)
+	is.True(errors.Is(a.Renew(ctx), drstore.ErrConflict))
+	is.NoErr(a.Read(ctx))
+	is.NoErr(a.Renew(ctx))
+	clock.Advance(ttl - time.Millisecond)
+	_, ok := a.Holds()
+	is.True(ok)
+}
+
+// Guards against a wait for the TTL after a holder has released the lease.
+func TestReleaseMakesVacant(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	a, b := elector(store, clock, "a"), elector(store, clock, "b")
+	is.NoErr(a.Read(ctx))
+	is.NoErr(a.Acquire(ctx))
+	is.NoErr(a.Release(ctx))
+	_, ok := a.Holds()
+	is.True(!ok)
+	is.NoErr(b.Read(ctx))
+	is.True(b.Vacant())
+}
+
+// Guards against a token that starts anew after the lease's records expired,
+// which runners would refuse.
+func TestTokenGrowsAfterExpiry(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	a := elector(store, clock, "a")
+	is.NoErr(a.Read(ctx))
+	is.NoErr(a.Acquire(ctx))
+	is.NoErr(a.Renew(ctx))
+	first, _ := a.Holds()
+	store.Expire(drstore.Leases)
+	b := elector(store, clock, "b")
+	is.NoErr(b.Read(ctx))
+	is.True(b.Vacant())
+	is.NoErr(b.Acquire(ctx))
+	second, _ := b.Holds()
+	is.True(second > first)
+}
--- a/drplan/adapter.go
+++ b/drplan/adapter.go
@@ -62,7 +62,7 @@
 	found := false
 	for i := range s.Runners {
 		r := &s.Runners[i]
-		if _, ok := r.Replica(c.Model); !ok || r.Draining || r.Unloading == c.Model {
+		if _, ok := r.Replica(c.Model); !ok || r.Draining || r.Ordered {
 			continue
 		}
 		if len(r.Coming)+added[r.ID] >= adaptersAtOnce {
--- a/drplan/plan.go
+++ b/drplan/plan.go
@@ -50,8 +50,6 @@
 	FreeIn time.Duration
 	// Loading is the model that is being loaded.
 	Loading string
-	// Unloading is the model that is being unloaded.
-	Unloading string
 	// Coming are adapters on their way.
 	Coming []Coming
 	// Running counts the running requests by model, and by model and adapter.
@@ -68,6 +66,9 @@
 	Engine  *drfleet.Engine
 	Runners []Runner // that can take orders
 	Wants   []Want
+	// Stored names the models whose weights some runner has copies of, also
+	// one that cannot take orders now.
+	Stored map[string]bool
 	// Work is the share of one runner's time that each model's requests take.
 	Work map[string]float64
 	// Rate is the number of requests per second by model.
@@ -173,24 +174,20 @@
 	}
 	var best *Swap
 	var bestCost time.Duration
-	local := false
 	for i := range p.Runners {
 		r := &p.Runners[i]
 		if _, holds := r.Replica(name); holds || r.Draining {
 			continue
 		}
 		from, source := loadTime(r.Runner, model)
-		if source != fromStore {
-			local = true
-		}
-		if r.Ordered || p.taken[r.ID] || source == fromStore {
+		if r.Ordered || len(r.Coming) > 0 || p.taken[r.ID] || source == fromStore {
 			continue
 		}
 		if s, cost, ok := p.swap(r, model, from, why); ok && (best == nil || cost < bestCost) {
 			best, bestCost = &s, cost
 		}
 	}
-	if best == nil && !local && why == "wanted" {
+	if best == nil && !p.Stored[name] && why == "wanted" {
 		best = p.loadFromStore(model)
 	}
 	if best == nil {
@@ -210,7 +207,7 @@
 	var bestCost time.Duration
 	for i := range p.Runners {
 		r := &p.Runners[i]
-		if r.Ordered || r.Draining || p.taken[r.ID] {
+		if r.Ordered || len(r.Coming) > 0 || r.Draining || p.taken[r.ID] {
 			continue
 		}
 		if s, cost, ok := p.swap(r, model, model.FromStore, "wanted"); ok && (best == nil || cost < bestCost) {
--- /dev/null
+++ b/drplan/plan_test.go
@@ -0,0 +1,189 @@
+package drplan_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drplan"
+)
+
+var start = time.Unix(1000, 0)
+
+// engine returns an engine that holds three models of 60 GB each.
+func engine(models ...string) *drfleet.Engine {
+	e := &drfleet.Engine{
+		Slots: 64, WeightMemory: 200_000, AdapterSlots: 2, LoadsPerSecond: 3, Models: make(map[string]drfleet.Model),
+	}
+	for _, m := range models {
+		e.Models[m] = drfleet.Model{
+			Name: m, Size: 60_000, Adapters: 9, AdapterSize: 100,
+			FromStore: 6 * time.Second, FromDisk: 500 * time.Millisecond, FromMemory: 400 * time.Millisecond,
+		}
+	}
+	return e
+}
+
+// runner returns a runner that holds models and has others on its disk.
+func runner(id string, holds, onDisk []string) drplan.Runner {
+	r := &drfleet.Runner{ID: id, OnDisk: onDisk}
+	for _, m := range holds {
+		r.Replicas = append(r.Replicas, drfleet.Replica{Model: m})
+	}
+	return drplan.Runner{Runner: r}
+}
+
+func state(e *drfleet.Engine, wants []drplan.Want, runners ...drplan.Runner) drplan.State {
+	s := drplan.State{
+		Now: start, Engine: e, Runners: runners, Wants: wants, Stored: make(map[string]bool),
+		Work: make(map[string]float64), Rate: make(map[string]float64), StoreLoads: 4,
+	}
+	for _, r := range runners {
+		for _, m := range r.OnDisk {
+			s.Stored[m] = true
+		}
+	}
+	return s
+}
+
+func want(model string) drplan.Want {
+	return drplan.Want{Model: model, Waiting: 1, ObjectiveLeft: time.Second, DeadlineLeft: 10 * time.Second}
+}
+
+// Guards against cold loads from the weight store, which block a runner for
+// seconds, while another runner has the weights on its disk.
+func TestPlanPrefersDisk(t *testing.T) {
+	is := is.New(t)
+	e := engine("a", "b")
+	got := drplan.Plan(state(e, []drplan.Want{want("a")},
+		runner("r1", nil, nil), runner("r2", []string{"b"}, []string{"a"})))
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Runner.ID, "r2")
+	is.True(!got[0].FromStore)
+}
+
+// Guards against a load from the weight store while the only runner with the
+// weights is just busy: waiting for it takes a fraction of the time.
+func TestPlanWaitsForBusyRunnerWithWeights(t *testing.T) {
+	is := is.New(t)
+	busy := runner("r2", nil, []string{"a"})
+	busy.Ordered, busy.Loading = true, "b"
+	got := drplan.Plan(state(engine("a", "b"), []drplan.Want{want("a")}, runner("r1", nil, nil), busy))
+	is.Equal(len(got), 0)
+}
+
+// Guards against the same when the runner cannot take orders at all now, and
+// is not among the runners of the state.
+func TestPlanCountsCopiesOnOtherRunners(t *testing.T) {
+	is := is.New(t)
+	s := state(engine("a"), []drplan.Want{want("a")}, runner("r1", nil, nil))
+	is.Equal(len(drplan.Plan(s)), 1)
+	s.Stored["a"] = true
+	is.Equal(len(drplan.Plan(s)), 0)
+}
+
+// Guards against loads beyond the weight store's rate.
+func TestPlanKeepsStoreRate(t *testing.T) {
+	is := is.New(t)
+	s := state(engine("a", "b", "c"), []drplan.Want{want("a"), want("b"), want("c")},
+		runner("r1", nil, nil), runner("r2", nil, nil), runner("r3", nil, nil))
+	s.StoreLoads = 2
+	is.Equal(len(drplan.Plan(s)), 2)
+}
+
+// Guards against orders beyond a runner's memory, which crash it. Adapters
+// count too.
+func TestPlanMakesRoom(t *testing.T) {
+	is := is.New(t)
+	e := engine("a", "b", "c", "d")
+	r := runner("r1", []string{"b", "c", "d"}, []string{"a"})
+	s := state(e, []drplan.Want{want("a")}, r)
+	s.Rate = map[string]float64{"b": 3, "c": 1, "d": 2}
+	got := drplan.Plan(s)
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Unload, []string{"c"}) // the least asked for
+
+	e.WeightMemory = 180_100
+	two := runner("r1", []string{"b", "c"}, []string{"a"})
+	two.Replicas[0].Adapters = []string{"a1", "a2"}
+	got = drplan.Plan(state(e, []drplan.Want{want("a")}, two))
+	is.Equal(len(got[0].Unload), 1)
+}
+
+// Guards against evictions that break off or delay running and waiting
+// requests.
+func TestPlanSparesModelsInUse(t *testing.T) {
+	is := is.New(t)
+	r := runner("r1", []string{"b", "c", "d"}, []string{"a"})
+	r.Running = map[string]int{"b": 1}
+	r.LoadedAt = map[string]time.Time{"c": start.Add(-100 * time.Millisecond)}
+	s := state(engine("a", "b", "c", "d"), []drplan.Want{want("a"), want("d")}, r)
+	is.Equal(len(drplan.Plan(s)), 0)
+	s.Now = start.Add(5 * time.Second)
+	is.Equal(drplan.Plan(s)[0].Unload, []string{"c"})
+}
+
+// Replays a burst for many idle models at one runner: requests that can still
+// meet their objective go before those that have missed it.
+func TestPlanServesTimelyFirst(t *testing.T) {
+	is := is.New(t)
+	late := want("a")
+	late.ObjectiveLeft, late.Waiting = -time.Second, 2
+	got := drplan.Plan(state(engine("a", "b"), []drplan.Want{late, want("b")},
+		runner("r1", nil, []string{"a", "b"})))
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Load, "b")
+}
+
+// Guards against two loads of one model for one want.
+func TestPlanCountsLoading(t *testing.T) {
+	is := is.New(t)
+	busy := runner("r1", nil, []string{"a"})
+	busy.Ordered, busy.Loading = true, "a"
+	got := drplan.Plan(state(engine("a"), []drplan.Want{want("a")}, busy, runner("r2", nil, []string{"a"})))
+	is.Equal(len(got), 0)
+}
+
+// Replays demand that moves to a model with one replica: it gets a second one
+// before its runner is overloaded.
+func TestPlanAddsReplicasOfBusyModels(t *testing.T) {
+	is := is.New(t)
+	s := state(engine("a", "b"), nil, runner("r1", []string{"a"}, nil), runner("r2", []string{"b"}, []string{"a"}))
+	s.Work, s.Rate = map[string]float64{"a": 0.6}, map[string]float64{"a": 30}
+	got := drplan.Plan(s)
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Runner.ID, "r2")
+	is.Equal(got[0].Load, "a")
+}
+
+// Guards against adapters beyond a runner's places, and against dropping one
+// that is in use.
+func TestPlanAdaptersKeepsPlaces(t *testing.T) {
+	is := is.New(t)
+	r := runner("r1", []string{"a"}, nil)
+	r.Replicas[0].Adapters = []string{"a1", "a2"}
+	r.RunningAdapter = map[drplan.Coming]int{{Model: "a", Adapter: "a1"}: 1}
+	w := want("a")
+	w.Adapter = "a3"
+	got := drplan.PlanAdapters(state(engine("a"), []drplan.Want{w}, r))
+	is.Equal(len(got), 1)
+	is.Equal(*got[0].Unload, drplan.Coming{Model: "a", Adapter: "a2"})
+
+	r.RunningAdapter[drplan.Coming{Model: "a", Adapter: "a2"}] = 1
+	is.Equal(len(drplan.PlanAdapters(state(engine("a"), []drplan.Want{w}, r))), 0)
+}
+
+// Guards against adapter orders that a runner refuses because it loads a
+// model, and against a second load of an adapter that is on its way.
+func TestPlanAdaptersWaitsForRunner(t *testing.T) {
+	is := is.New(t)
+	w := want("a")
+	w.Adapter = "a1"
+	r := runner("r1", []string{"a"}, nil)
+	r.Ordered = true
+	is.Equal(len(drplan.PlanAdapters(state(engine("a"), []drplan.Want{w}, r))), 0)
+	r.Ordered, r.Coming = false, []drplan.Coming{{Model: "a", Adapter: "a1"}}
+	is.Equal(len(drplan.PlanAdapters(state(engine("a"), []drplan.Want{w}, r))), 0)
+}
--- /dev/null
+++ b/drstore/memory.go
@@ -0,0 +1,150 @@
+package drstore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Memory is a Log in memory, a stand-in for the platform's store in tests, with
+// the failures of a real one.
+type Memory struct {
+	mu     sync.Mutex
+	topics map[Topic]*memoryTopic
+	grown  chan struct{}
+	// fault, if not nil, is returned by each call; with lost, appends are
+	// carried out all the same.
+	fault error
+	lost  bool
+	calls int
+}
+
+type memoryTopic struct {
+	records []Record
+	first   int64
+}
+
+// ErrNoAnswer is an example of an error after which an append may have been
+// carried out.
+var ErrNoAnswer = errors.New("the store did not answer")
+
+// NewMemory returns an empty Memory.
+func NewMemory() *Memory {
+	return &Memory{topics: make(map[Topic]*memoryTopic), grown: make(chan struct{})}
+}
+
+// SetFault has each call fail with err; if lost is set, appends are carried
+// out all the same. A nil err ends the fault.
+func (m *Memory) SetFault(err error, lost bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault, m.lost = err, lost
+}
+
+// Calls returns the number of calls so far.
+func (m *Memory) Calls() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// Put appends a record with a key, as the operator and the runners do. An
+// empty value drops the key.
+func (m *Memory) Put(t Topic, key string, value []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.add(t, Record{Key: key, Value: value})
+}
+
+// Expire drops the records of a topic, but not the newest of each key.
+func (m *Memory) Expire(t Topic) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	topic := m.topic(t)
+	topic.first = int64(len(topic.records))
+}
+
+func (m *Memory) topic(t Topic) *memoryTopic {
+	topic, ok := m.topics[t]
+	if !ok {
+		topic = &memoryTopic{}
+		m.topics[t] = topic
+	}
+	return topic
+}
+
+func (m *Memory) add(t Topic, r Record) {
+	topic := m.topic(t)
+	r.Offset = int64(len(topic.records))
+	topic.records = append(topic.records, r)
+	close(m.grown)
+	m.grown = make(chan struct{})
+}
+
+// Newest implements Log.
+func (m *Memory) Newest(_ context.Context, t Topic) (Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.fault != nil {
+		return Page{}, m.fault
+	}
+	topic := m.topic(t)
+	newest := make(map[string]Record)
+	for _, r := range topic.records {
+		newest[r.Key] = r
+	}
+	page := Page{Next: int64(len(topic.records)), End: int64(len(topic.records))}
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, nil
+}
+
+// Read implements Log.
+func (m *Memory) Read(ctx context.Context, t Topic, from int64, wait time.Duration) (Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		m.calls++
+		grown, topic := m.grown, m.topic(t)
+		page := Page{Next: from, End: int64(len(topic.records))}
+		fault := m.fault
+		if fault == nil && from < topic.first {
+			fault = &ExpiredError{First: topic.first}
+		}
+		if fault == nil && from < page.End {
+			page.Records, page.Next = append(page.Records, topic.records[from:]...), page.End
+		}
+		m.mu.Unlock()
+		if fault != nil || len(page.Records) > 0 || wait <= 0 {
+			return page, fault
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return page, ctx.Err()
+		}
+	}
+}
+
+// Append implements Log.
+func (m *Memory) Append(_ context.Context, t Topic, value []byte, at int64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.fault != nil && !m.lost {
+		return m.fault
+	}
+	if at != int64(len(m.topic(t).records)) {
+		return ErrConflict
+	}
+	m.add(t, Record{Value: value})
+	return m.fault
+}
