Take a repeated load order as in progress; pass the number of VMs on in the lease

After all VMs had lost power, 290 requests were refused as over the rate in 3 s, because each VM took a 64th of the rate.

--- a/drcontrol/controller.go
+++ b/drcontrol/controller.go
@@ -202,6 +202,7 @@
 // Sync takes a VM's report and answers with what changed. It waits for a
 // change as long as the VM asks for.
 func (c *Controller) Sync(ctx context.Context, name string, incarnation uint64, m *drpb.FleetSyncRequest) *drpb.FleetSyncReply {
+	received := c.Clock.Uptime()
 	c.take(name, incarnation, m)
 	c.await(ctx, m)
 	reply := &drpb.FleetSyncReply{Leading: c.Holds(), Term: c.Term}
@@ -221,7 +222,9 @@
 		reply.Deployment = record
 	}
 	_, runnersAge, _ := c.view.Ages()
-	reply.DeploymentAgeMs = uint32(milliseconds(c.Clock.Uptime() - at))
+	now := c.Clock.Uptime()
+	reply.HeldMs = uint32(milliseconds(now - received))
+	reply.DeploymentAgeMs = uint32(milliseconds(now - at))
 	reply.RunnersAgeMs = uint32(milliseconds(runnersAge))
 	c.fill(name, m, reply)
 	return reply
@@ -286,11 +289,25 @@
 			Replica: p, ExpectedMs: uint32(milliseconds(c.forecast(p.GetModel(), now))),
 		})
 	}
+	reply.Vms = uint32(c.countVMs(now))
+}
+
+// countVMs returns the number of VMs that report. The caller holds mu.
+func (c *Controller) countVMs(now time.Time) int {
+	n := 0
 	for _, v := range c.vms {
 		if now.Sub(v.heard) <= vmSilence {
-			reply.Vms++
+			n++
 		}
 	}
+	return n
+}
+
+// VMs returns the number of VMs that report to the controller.
+func (c *Controller) VMs() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.countVMs(c.Clock.Now())
 }
 
 func (c *Controller) fillLoads(name string, reply *drpb.FleetSyncReply, now time.Time) {
--- a/drcontrol/executor.go
+++ b/drcontrol/executor.go
@@ -18,9 +18,10 @@
 const (
 	// orderLimit bounds one call to a runner.
 	orderLimit = 600 * time.Millisecond
-	// unloadPause is the time between two attempts to send the order after an
-	// unload; that of an idle model is done at once.
-	unloadPause = 10 * time.Millisecond
+	// minUnloadPause and maxUnloadPause bound the time between two attempts to
+	// send the order after an unload, which waits for running requests.
+	minUnloadPause = 8 * time.Millisecond
+	maxUnloadPause = 40 * time.Millisecond
 	// pollPause is the time between two questions whether an order is done.
 	pollPause = 40 * time.Millisecond
 	// overdue is how long an order may take beyond its expected time before
@@ -104,12 +105,12 @@
 // startWhenFree sends an order until the runner has carried out the one before.
 func (c *Controller) startWhenFree(s *runnerState, r *drfleet.Runner, st step) error {
 	give := c.Clock.Now().Add(overdue)
-	for {
+	for pause := minUnloadPause; ; pause = min(2*pause, maxUnloadPause) {
 		outcome, err := c.start(s, r, st)
 		if outcome != drplan.Conflicting || c.Clock.Now().After(give) {
 			return err
 		}
-		if c.Clock.Sleep(c.ctx, unloadPause) != nil {
+		if c.Clock.Sleep(c.ctx, pause) != nil {
 			return errLeaseLost
 		}
 	}
@@ -126,7 +127,8 @@
 }
 
 // finish waits until the runner has carried out a load. The runner is asked by
-// the same order again, which it answers at once.
+// the same order again: it accepts it without counting it, or refuses it,
+// until the load is done.
 func (c *Controller) finish(s *runnerState, r *drfleet.Runner, st step) error {
 	if now, ok := c.view.Runner(r.ID); ok && now.Holds(st.model, st.adapter) {
 		return nil // it was there before
@@ -143,7 +145,8 @@
 		switch {
 		case outcome == drplan.Holds:
 			return c.settle(r, st, 0)
-		case outcome != drplan.Conflicting && outcome != drplan.Unknown && outcome != drplan.Unreachable:
+		case outcome != drplan.Accepted && outcome != drplan.Conflicting && outcome != drplan.Unknown &&
+			outcome != drplan.Unreachable:
 			return errors.Join(fmt.Errorf("%s: %w", outcome, errDoubt), err)
 		case c.Clock.Now().After(give):
 			return errors.Join(fmt.Errorf("not done in time: %w", errDoubt), err)
@@ -295,7 +298,7 @@
 	defer cancel()
 	report, err := c.Engines.Report(ctx, r)
 	fields := log.Fields{"event": "runner-reported", "runner": r.ID, "orders": report.Orders, "busy": report.Busy,
-		"term": c.Term}
+		"replicas": len(report.Replicas), "term": c.Term}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
--- a/drcontrol/node.go
+++ b/drcontrol/node.go
@@ -265,7 +265,7 @@
 func (n *Node) renew(c *Controller) {
 	ctx, cancel := context.WithTimeout(n.ctx, storeLimit)
 	defer cancel()
-	err := n.elector.Renew(ctx)
+	err := n.elector.Renew(ctx, c.VMs())
 	if errors.Is(err, drstore.ErrConflict) {
 		err = n.elector.Read(ctx)
 	}
@@ -289,6 +289,9 @@
 	if err := n.elector.Read(ctx); err != nil {
 		return // the loops that read the view log the loss of the store
 	}
+	if l, ok := n.elector.Newest(); ok {
+		n.Allowances.Assume(l.VMs)
+	}
 	if !n.elector.Vacant() {
 		l, _ := n.elector.Newest()
 		n.setLeader(l)
@@ -297,7 +300,7 @@
 	if n.retired.Load() || n.Clock.Sleep(ctx, n.spread()) != nil || n.elector.Read(ctx) != nil || !n.elector.Vacant() {
 		return
 	}
-	if err := n.elector.Acquire(ctx); err != nil {
+	if err := n.elector.Acquire(ctx, n.Allowances.VMs()); err != nil {
 		return // another VM was faster, or the next read shows it
 	}
 	n.lead()
@@ -328,7 +331,7 @@
 func (n *Node) setLeader(l drlease.Lease) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if l != n.leader {
+	if l.VM != n.leader.VM || l.Term != n.leader.Term {
 		log.WithFields(log.Fields{"event": "controller-changed", "controller": l.VM, "term": l.Term}).Info("")
 		n.heardAt = time.Time{}
 	}
--- a/drcontrol/reader.go
+++ b/drcontrol/reader.go
@@ -28,6 +28,8 @@
 	clock drview.Clock
 
 	deployments, runners position
+	// changed is set if the last read brought a new configuration.
+	changed bool
 	// failedAt is the uptime at which a read of the runners last failed.
 	failedAt time.Duration
 	failed   bool
@@ -73,7 +75,12 @@
 }
 
 // readDeployment reads the configuration, waiting for a newer one up to wait.
+// After a change the next read does not wait, because only a read that finds
+// nothing newer at its end confirms the configuration as of then.
 func (r *reader) readDeployment(ctx context.Context, wait time.Duration) error {
+	if r.changed {
+		wait = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readLimit)
 	defer cancel()
 	sent := r.clock.Uptime()
@@ -92,6 +99,7 @@
 				"source": "store"}).Info("")
 		}
 	}
+	r.changed = len(page.Records) > 0
 	confirmed := sent
 	if elapsed := r.clock.Uptime() - sent; !whole && len(page.Records) == 0 && elapsed >= wait {
 		confirmed += wait // the store waited so long for a newer version
--- a/drcontrol/sync.go
+++ b/drcontrol/sync.go
@@ -119,8 +119,9 @@
 	}
 }
 
-// apply takes the controller's changes. Their ages count from when the report
-// was sent, because the reply may have been held up.
+// apply takes the controller's changes. The reply was made no earlier than the
+// report was sent plus the time that the controller held it back; when it
+// arrived says nothing, because it may have been held up.
 func (n *Node) apply(reply *drpb.FleetSyncReply, sent time.Duration) {
 	n.mu.Lock()
 	if n.heardAt.IsZero() {
@@ -132,8 +133,9 @@
 		n.applyTable(reply)
 		n.applyDeployment(reply)
 		age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
-		n.View.ConfirmDeployment(sent - age(reply.GetDeploymentAgeMs()))
-		n.View.ConfirmRunners(sent - age(reply.GetRunnersAgeMs()))
+		made := sent + age(reply.GetHeldMs())
+		n.View.ConfirmDeployment(made - age(reply.GetDeploymentAgeMs()))
+		n.View.ConfirmRunners(made - age(reply.GetRunnersAgeMs()))
 	}
 	n.mu.Lock()
 	n.term, n.revision = reply.GetTerm(), reply.GetRevision()
--- a/drlease/elector.go
+++ b/drlease/elector.go
@@ -26,6 +26,8 @@
 	// Term is the fencing token; it grows with each acquisition.
 	Term     uint64
 	Released bool
+	// VMs is the number of VMs that reported to the holder, 0 if unknown.
+	VMs int
 }
 
 // Config configures an Elector.
@@ -106,7 +108,7 @@
 		log.WithFields(log.Fields{"event": "lease-record-unreadable", "offset": r.Offset}).WithError(err).Warn("")
 		return
 	}
-	l := Lease{m.GetVm(), m.GetAddress(), m.GetIncarnation(), m.GetTerm(), m.GetReleased()}
+	l := Lease{m.GetVm(), m.GetAddress(), m.GetIncarnation(), m.GetTerm(), m.GetReleased(), int(m.GetVms())}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l.Term < e.newest.Term {
@@ -125,27 +127,29 @@
 
 // Acquire tries to take a vacant lease after Read. drstore.ErrConflict means
 // that another VM was faster.
-func (e *Elector) Acquire(ctx context.Context) error {
-	return e.append(ctx, uint64(e.next)+1, false)
+// vms is the number of VMs to pass on.
+func (e *Elector) Acquire(ctx context.Context, vms int) error {
+	return e.append(ctx, Lease{Term: uint64(e.next) + 1, VMs: vms})
 }
 
 // Renew extends the lease of this process. drstore.ErrConflict means that
 // another VM has acquired it, or that an append whose outcome was unknown took
-// effect; Read tells which.
-func (e *Elector) Renew(ctx context.Context) error {
+// effect; Read tells which. vms is the number of VMs that report.
+func (e *Elector) Renew(ctx context.Context, vms int) error {
 	l, _ := e.Newest()
-	return e.append(ctx, l.Term, false)
+	return e.append(ctx, Lease{Term: l.Term, VMs: vms})
 }
 
 // Release ends the lease of this process, so that another VM need not wait.
 func (e *Elector) Release(ctx context.Context) error {
 	l, _ := e.Newest()
-	return e.append(ctx, l.Term, true)
+	return e.append(ctx, Lease{Term: l.Term, VMs: l.VMs, Released: true})
 }
 
-func (e *Elector) append(ctx context.Context, term uint64, released bool) error {
+func (e *Elector) append(ctx context.Context, l Lease) error {
+	l.VM, l.Address, l.Incarnation = e.config.VM, e.config.Address, e.config.Incarnation
 	value, err := proto.Marshal(&drpb.FleetLease{
-		Vm: e.config.VM, Address: e.config.Address, Incarnation: e.config.Incarnation, Term: term, Released: released,
+		Vm: l.VM, Address: l.Address, Incarnation: l.Incarnation, Term: l.Term, Released: l.Released, Vms: uint32(l.VMs),
 	})
 	if err != nil {
 		return fmt.Errorf("encode the lease: %w", err)
@@ -157,7 +161,7 @@
 	e.next++
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.newest = Lease{e.config.VM, e.config.Address, e.config.Incarnation, term, released}
-	e.known, e.seenAt, e.validUntil = true, e.config.Uptime.Uptime(), sent+e.config.TTL
+	e.newest, e.known = l, true
+	e.seenAt, e.validUntil = e.config.Uptime.Uptime(), sent+e.config.TTL
 	return nil
 }
--- a/drquota/allowance.go
+++ b/drquota/allowance.go
@@ -13,8 +13,10 @@
 	// controllerSilence is how long a VM relies on its grants after the
 	// controller last answered; then it spends an equal share of the rate.
 	controllerSilence = time.Second
-	// shareBurst is how much of its share a VM may save up, in time.
-	shareBurst = 2 * time.Second
+	// shareBurst is how much of its share a VM may save up, in time, and
+	// startBurst what it starts with, when its last spending is long past.
+	shareBurst = 500 * time.Millisecond
+	startBurst = time.Second
 	// assumedVMs is the number of VMs before any controller has told it; a
 	// high number keeps the sum of the shares within the rate.
 	assumedVMs = 64
@@ -42,6 +44,7 @@
 	// share is this VM's bucket while no controller answers.
 	share     float64
 	shareLast time.Time
+	fresh     bool // nothing has been taken from the share yet
 	// deniedUntil spares the controller requests that it would deny too.
 	deniedUntil time.Time
 	deniedFrom  float64 // tokens of the smallest denied request
@@ -59,7 +62,7 @@
 	for name, l := range limits {
 		a, ok := s.accounts[name]
 		if !ok {
-			s.accounts[name] = &allowance{limit: l, shareLast: s.clock.Now()}
+			s.accounts[name] = &allowance{limit: l, shareLast: s.clock.Now(), fresh: true}
 			continue
 		}
 		if a.limit != l {
@@ -107,6 +110,16 @@
 	s.heard, s.vms = s.clock.Now(), max(vms, 1)
 }
 
+// Assume takes a number of VMs that a former controller knew, unless a present
+// one has told it.
+func (s *Allowances) Assume(vms int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heard.IsZero() && vms > 0 {
+		s.vms = vms
+	}
+}
+
 // VMs returns the number of VMs that the controller knew last.
 func (s *Allowances) VMs() int {
 	s.mu.Lock()
@@ -174,9 +187,13 @@
 // than what can be saved up overdraws the share.
 func (s *Allowances) fromShare(a *allowance, tokens float64) (bool, time.Duration) {
 	rate := a.limit.Rate / float64(s.vms)
-	most := rate*shareBurst.Seconds() + a.limit.Burst/float64(s.vms)
+	most := rate * shareBurst.Seconds()
 	now := s.clock.Now()
 	a.share = min(a.share+now.Sub(a.shareLast).Seconds()*rate, most)
+	if a.fresh && a.granted == 0 {
+		a.share = rate*startBurst.Seconds() + a.limit.Burst/float64(s.vms)
+	}
+	a.fresh = false
 	a.shareLast = now
 	if need := min(tokens, most); a.share < need {
 		wait := time.Duration((need - a.share) / math.Max(rate, 1) * float64(time.Second))
--- a/drview/runner.go
+++ b/drview/runner.go
@@ -29,8 +29,8 @@
 	settled bool
 	// described is what the runner itself last said that it holds.
 	described []drfleet.Replica
-	revision uint64
-	gone     bool
+	revision  uint64
+	gone      bool
 
 	uses    map[Replica]*use
 	running int
