Fail over faster; spend by recent shares without a controller

VMs now fall back to their part of the recent spending, the pool lends against tokens that lie idle at other VMs, a restarted holder takes its lease at once, and the lease lasts 1.6 s instead of 2 s.

--- a/drcontrol/controller.go
+++ b/drcontrol/controller.go
@@ -276,8 +276,8 @@
 // fill adds loads, forecasts and grants to a reply.
 func (c *Controller) fill(name string, m *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
 	for _, s := range m.GetSpendings() {
-		granted := c.pool.Report(name, s.GetAccount(), s.GetSpent(), s.GetGranted())
-		reply.Grants = append(reply.Grants, &drpb.FleetGrant{Account: s.GetAccount(), Granted: granted})
+		g := c.pool.Report(name, s.GetAccount(), s.GetSpent(), s.GetGranted())
+		reply.Grants = append(reply.Grants, &drpb.FleetGrant{Account: s.GetAccount(), Granted: g.Granted, Share: g.Share})
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/drcontrol/node.go
+++ b/drcontrol/node.go
@@ -23,15 +23,15 @@
 
 const (
 	// LeaseTTL is how long the lease of a controller is valid without renewal.
-	LeaseTTL = 2 * time.Second
+	LeaseTTL = 1600 * time.Millisecond
 	// renewInterval leaves time for several renewals within LeaseTTL.
-	renewInterval = 500 * time.Millisecond
+	renewInterval = 450 * time.Millisecond
 	// leasePoll is how often a VM without a controller reads the lease.
 	leasePoll = 250 * time.Millisecond
 	// acquireSpread spreads the attempts of VMs to take a vacant lease.
 	acquireSpread = 200 * time.Millisecond
 	// storeLimit bounds one call to the store for the lease.
-	storeLimit = 800 * time.Millisecond
+	storeLimit = 700 * time.Millisecond
 	// releaseLimit bounds the release of the lease at the end of a process.
 	releaseLimit = 500 * time.Millisecond
 	// deploymentWait and runnersPause set the pace at which the controller
--- a/drcontrol/sync.go
+++ b/drcontrol/sync.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drquota"
 	"github.com/dotterelridge/dotterelridge/drview"
 )
 
@@ -148,7 +149,7 @@
 		n.View.SetForecast(decodeReplica(f.GetReplica()), time.Duration(f.GetExpectedMs())*time.Millisecond)
 	}
 	for _, g := range reply.GetGrants() {
-		n.Allowances.Grant(g.GetAccount(), g.GetGranted())
+		n.Allowances.Grant(g.GetAccount(), drquota.Grant{Granted: g.GetGranted(), Share: g.GetShare()})
 	}
 	n.Allowances.Heard(int(reply.GetVms()))
 }
--- a/drlease/elector.go
+++ b/drlease/elector.go
@@ -117,12 +117,14 @@
 	e.newest, e.known, e.seenAt = l, true, e.config.Uptime.Uptime()
 }
 
-// Vacant reports whether another VM may acquire the lease: there is none, it
-// was released, or its holder has not renewed it for the TTL.
+// Vacant reports whether this VM may acquire the lease: there is none, it was
+// released, its holder has not renewed it for the TTL, or its holder was a
+// former process of this VM.
 func (e *Elector) Vacant() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.known || e.newest.Released || e.config.Uptime.Uptime()-e.seenAt > e.config.TTL+acquireMargin
+	former := e.newest.VM == e.config.VM && e.newest.Incarnation < e.config.Incarnation
+	return !e.known || former || e.newest.Released || e.config.Uptime.Uptime()-e.seenAt > e.config.TTL+acquireMargin
 }
 
 // Acquire tries to take a vacant lease after Read. drstore.ErrConflict means
--- a/drlease/elector_test.go
+++ b/drlease/elector_test.go
@@ -110,3 +110,17 @@
 	second, _ := b.Holds()
 	is.True(second > first)
 }
+
+// Guards against a wait for the TTL after the holder's process was restarted:
+// its former process cannot act any more.
+func TestRestartedHolderNeedNotWait(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	a := elector(store, clock, "a")
+	is.NoErr(a.Read(ctx))
+	is.NoErr(a.Acquire(ctx, 2))
+	restarted := drlease.New(drlease.Config{Log: store, Uptime: clock, VM: "a", Incarnation: 2, TTL: ttl})
+	is.NoErr(restarted.Read(ctx))
+	is.True(restarted.Vacant())
+	is.NoErr(restarted.Acquire(ctx, 2))
+}
--- a/drquota/allowance.go
+++ b/drquota/allowance.go
@@ -11,7 +11,8 @@
 
 const (
 	// controllerSilence is how long a VM relies on its grants after the
-	// controller last answered; then it spends an equal share of the rate.
+	// controller last answered; then it spends its part of the rate: that of
+	// the recent spending, or an equal one.
 	controllerSilence = time.Second
 	// shareBurst is how much of its share a VM may save up, in time, and
 	// startBurst what it starts with, when its last spending is long past.
@@ -41,6 +42,8 @@
 type allowance struct {
 	limit          Limit
 	spent, granted float64
+	// part is this VM's part of the fleet's recent spending, 0 if unknown.
+	part float64
 	// share is this VM's bucket while no controller answers.
 	share     float64
 	shareLast time.Time
@@ -94,12 +97,12 @@
 	return out
 }
 
-// Grant takes what an account may spend in all since the process started.
-func (s *Allowances) Grant(account string, granted float64) {
+// Grant takes what an account may spend.
+func (s *Allowances) Grant(account string, g Grant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a, ok := s.accounts[account]; ok {
-		a.granted = granted
+		a.granted, a.part = g.Granted, g.Share
 	}
 }
 
@@ -186,12 +189,16 @@
 // fromShare admits tokens from an equal share of the rate. A request larger
 // than what can be saved up overdraws the share.
 func (s *Allowances) fromShare(a *allowance, tokens float64) (bool, time.Duration) {
-	rate := a.limit.Rate / float64(s.vms)
+	part := 1 / float64(s.vms)
+	if a.part > 0 {
+		part = a.part
+	}
+	rate := a.limit.Rate * part
 	most := rate * shareBurst.Seconds()
 	now := s.clock.Now()
 	a.share = min(a.share+now.Sub(a.shareLast).Seconds()*rate, most)
 	if a.fresh && a.granted == 0 {
-		a.share = rate*startBurst.Seconds() + a.limit.Burst/float64(s.vms)
+		a.share = rate*startBurst.Seconds() + a.limit.Burst*part
 	}
 	a.fresh = false
 	a.shareLast = now
--- a/drquota/pool.go
+++ b/drquota/pool.go
@@ -19,6 +19,9 @@
 	// aheadShare bounds one hand-out to a share of what is left, so that
 	// another VM finds tokens too.
 	aheadShare = 0.1
+	// lendShare is the part of the tokens that VMs hold idle which the pool
+	// admits requests of other VMs against.
+	lendShare = 0.8
 	// startShare is the part of the burst that a new controller starts with:
 	// what its predecessor admitted just before is not known.
 	startShare = 0.5
@@ -88,15 +91,22 @@
 	a.last = now
 }
 
+// Grant is what a VM may spend for an account.
+type Grant struct {
+	Granted float64 // in all, since the VM's process started
+	// Share is the VM's part of the account's recent spending, 0 if unknown.
+	Share float64
+}
+
 // Report takes what a VM has spent and been granted since its process started,
 // and returns what it may spend in all. Tokens that the VM spent beyond its
 // grant, which it does while it reaches no controller, are charged.
-func (p *Pool) Report(vm, name string, spent, granted float64) float64 {
+func (p *Pool) Report(vm, name string, spent, granted float64) Grant {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a, ok := p.accounts[name]
 	if !ok {
-		return math.Inf(1)
+		return Grant{Granted: math.Inf(1)}
 	}
 	p.refill(a)
 	h := a.holder(vm, spent, granted, p.clock.Now())
@@ -116,7 +126,28 @@
 		h.granted -= back / 2
 		a.level = min(a.level+back/2, a.limit.Burst)
 	}
-	return h.granted
+	return Grant{Granted: h.granted, Share: a.share(h)}
+}
+
+// share returns the holder's part of the account's recent spending.
+func (a *account) share(h *holder) float64 {
+	total := 0.0
+	for _, o := range a.vms {
+		total += o.rate
+	}
+	if total <= 0 {
+		return 0
+	}
+	return h.rate / total
+}
+
+// idle returns the tokens that VMs hold and have not spent.
+func (a *account) idle() float64 {
+	sum := 0.0
+	for _, h := range a.vms {
+		sum += max(h.granted-h.spent, 0)
+	}
+	return sum
 }
 
 func (a *account) holder(vm string, spent, granted float64, now time.Time) *holder {
@@ -151,8 +182,11 @@
 	p.refill(a)
 	// A request above the burst is admitted from a full bucket, which it
 	// overdraws; otherwise it would never run.
-	if need := min(tokens, a.limit.Burst); a.level < need {
-		wait := time.Duration((need - a.level) / max(a.limit.Rate, 1) * float64(time.Second))
+	// Tokens that other VMs hold idle are lent: they come back with their next
+	// reports.
+	have := a.level + a.idle()*lendShare
+	if need := min(tokens, a.limit.Burst); have < need {
+		wait := time.Duration((need - have) / max(a.limit.Rate, 1) * float64(time.Second))
 		return false, min(wait, maxRetryAfter)
 	}
 	a.level -= tokens
