--- a/drcontrol/fleet.go
+++ b/drcontrol/fleet.go
@@ -21,6 +21,11 @@
 	// workPerRequest is the share of a second that one request keeps an engine
 	// from prefilling others.
 	workPerRequest = 0.02
+	// runningPerRunner is the number of running requests at which a runner is
+	// fully used; slow models reach it at a lower rate.
+	runningPerRunner = 24
+	// runningWindow is the time over which running requests are averaged.
+	runningWindow = 2 * time.Second
 	// failingWindow is the time over which failures of a runner are averaged.
 	failingWindow = 3 * time.Second
 )
@@ -38,6 +43,21 @@
 type demand struct {
 	rate float64 // requests per second
 	at   time.Time
+	// running is the average number of running requests.
+	running   float64
+	runningAt time.Time
+}
+
+// observe averages the number of running requests.
+func (d *demand) observe(running int, now time.Time) {
+	weight := min(now.Sub(d.runningAt).Seconds()/runningWindow.Seconds(), 1)
+	d.running += weight * (float64(running) - d.running)
+	d.runningAt = now
+}
+
+// work returns the share of one runner's time that the requests take.
+func (d *demand) work() float64 {
+	return max(d.rate*workPerRequest, d.running/runningPerRunner)
 }
 
 func (d *demand) add(n float64, now time.Time) {
@@ -173,12 +193,19 @@
 		Stored:     make(map[string]bool),
 		StoreLoads: c.loads.available(now),
 	}
+	running, adapters := c.running(now)
+	byModel := make(map[string]int)
+	for _, models := range running {
+		for m, n := range models {
+			byModel[m] += n
+		}
+	}
 	for model, d := range c.demands {
 		d.decay(now)
+		d.observe(byModel[model], now)
 		s.Rate[model] = d.rate
-		s.Work[model] = d.rate * workPerRequest
+		s.Work[model] = d.work()
 	}
-	running, adapters := c.running(now)
 	for _, r := range c.view.Runners(service.Name) {
 		for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
 			s.Stored[m] = true
