Tell clients of a surging account to come back later

A VM repeated a denial for 100 ms, in which the account earned the tokens of eight requests, and Retry-After gave the time at which one more request would fit, for which all refused clients came back together.

--- a/drquota/allowance.go
+++ b/drquota/allowance.go
@@ -51,6 +51,7 @@
 	// deniedUntil spares the controller requests that it would deny too.
 	deniedUntil time.Time
 	deniedFrom  float64 // tokens of the smallest denied request
+	retryAfter  time.Duration
 }
 
 // NewAllowances returns an empty set.
@@ -156,12 +157,13 @@
 	if a.deniedUntil.Before(now) || tokens < a.deniedFrom {
 		a.deniedFrom = tokens
 	}
-	a.deniedUntil = now.Add(min(retryAfter, deniedFor))
+	a.deniedUntil, a.retryAfter = now.Add(min(retryAfter, deniedFor)), retryAfter
 	return false, retryAfter
 }
 
-// deniedFor bounds how long a denial is repeated without asking again.
-const deniedFor = 100 * time.Millisecond
+// deniedFor bounds how long a denial is repeated without asking again. A large
+// account earns the tokens of a request in some 10 ms.
+const deniedFor = 15 * time.Millisecond
 
 // admitLocally decides without the controller if it can.
 func (s *Allowances) admitLocally(account string, tokens float64) (decided, ok bool, retryAfter time.Duration) {
@@ -177,7 +179,7 @@
 	}
 	now := s.clock.Now()
 	if now.Before(a.deniedUntil) && tokens >= a.deniedFrom {
-		return true, false, a.deniedUntil.Sub(now) + deniedFor
+		return true, false, a.retryAfter
 	}
 	if now.Sub(s.heard) > controllerSilence {
 		ok, retryAfter = s.fromShare(a, tokens)
--- a/drquota/pool.go
+++ b/drquota/pool.go
@@ -25,6 +25,8 @@
 	// startShare is the part of the burst that a new controller starts with:
 	// what its predecessor admitted just before is not known.
 	startShare = 0.5
+	// surgeWindow is the time over which refused tokens are averaged.
+	surgeWindow = time.Second
 	// maxRetryAfter bounds how long a client is asked to wait.
 	maxRetryAfter = 5 * time.Second
 )
@@ -48,6 +50,10 @@
 	level float64
 	last  time.Time
 	vms   map[string]*holder
+	// refused is the average rate of tokens that were refused, in tokens per
+	// second.
+	refused   float64
+	refusedAt time.Time
 }
 
 // holder is a VM's part of an account.
@@ -186,8 +192,9 @@
 	// reports.
 	have := a.level + a.idle()*lendShare
 	if need := min(tokens, a.limit.Burst); have < need {
+		a.refuse(tokens, p.clock.Now())
 		wait := time.Duration((need - have) / max(a.limit.Rate, 1) * float64(time.Second))
-		return false, min(wait, maxRetryAfter)
+		return false, a.retryAfter(wait)
 	}
 	a.level -= tokens
 	if h := a.vms[vm]; h != nil {
@@ -196,6 +203,22 @@
 	return true, 0
 }
 
+// refuse averages the rate of refused tokens over surgeWindow.
+func (a *account) refuse(tokens float64, now time.Time) {
+	a.refused *= math.Exp(-now.Sub(a.refusedAt).Seconds() / surgeWindow.Seconds())
+	a.refused += tokens / surgeWindow.Seconds()
+	a.refusedAt = now
+}
+
+// retryAfter returns when a refused client should come back. While an account
+// asks for more than its rate, tokens that come in are spent by new requests,
+// and a client that came back at once would be refused again.
+func (a *account) retryAfter(wait time.Duration) time.Duration {
+	excess := min(a.refused/max(a.limit.Rate, 1), 1)
+	surge := time.Duration(excess * float64(maxRetryAfter))
+	return min(max(wait, surge), maxRetryAfter)
+}
+
 // Forget drops a VM that is gone. What it held stays spent.
 func (p *Pool) Forget(vm string) {
 	p.mu.Lock()
--- a/drquota/quota_test.go
+++ b/drquota/quota_test.go
@@ -123,3 +123,25 @@
 	is.True(!ok)
 	is.True(wait > 3*time.Second)
 }
+
+// Replays a surge of one account to several times its rate: refused clients are
+// told to come back when the surge may be over, not to join it again. A single
+// refusal gives the time at which the tokens are there.
+func TestRetryAfterGrowsWithSurge(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	pool := drquota.NewPool(clock)
+	pool.SetLimits(limit)
+	clock.Advance(10 * time.Second)
+	ok, _ := pool.Reserve("a", "a", 2000)
+	is.True(ok)
+	_, single := pool.Reserve("a", "a", 100)
+	is.True(single >= 100*time.Millisecond)
+	is.True(single < time.Second)
+	var surge time.Duration
+	for range 300 {
+		_, surge = pool.Reserve("a", "a", 100)
+		clock.Advance(10 * time.Millisecond)
+	}
+	is.True(surge > 3*time.Second)
+}
