--- a/drforward/server.go
+++ b/drforward/server.go
@@ -124,7 +124,7 @@
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if !c.serving.Load() {
-			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+			_ = c.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
 }
@@ -134,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 	s.pool.close()
 }
--- a/drforward/upstream.go
+++ b/drforward/upstream.go
@@ -103,11 +103,6 @@
 	return !ok || b.Buffered() == 0
 }
 
-func isTimeout(err error) bool {
-	ne, ok := err.(net.Error)
-	return ok && ne.Timeout()
-}
-
 // put keeps a connection after a complete answer.
 func (p *pool) put(u *upstream, a Answer, h *fasthttp.ResponseHeader) {
 	idle := idleUnknown
--- a/drlease/elector_test.go
+++ b/drlease/elector_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drlease"
+	"github.com/dotterelridge/dotterelridge/drstandin"
 	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
@@ -23,7 +24,7 @@
 // token that does not grow.
 func TestOneHolder(t *testing.T) {
 	is, ctx := is.New(t), context.Background()
-	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	store, clock := drstandin.NewMemoryStore(), drclock.NewFake(time.Unix(100, 0))
 	a, b := elector(store, clock, "a"), elector(store, clock, "b")
 	is.NoErr(a.Read(ctx))
 	is.NoErr(b.Read(ctx))
@@ -49,7 +50,7 @@
 // the lease: the monotonic clock stands still meanwhile.
 func TestSuspendedHolderLosesLease(t *testing.T) {
 	is, ctx := is.New(t), context.Background()
-	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	store, clock := drstandin.NewMemoryStore(), drclock.NewFake(time.Unix(100, 0))
 	a := elector(store, clock, "a")
 	is.NoErr(a.Read(ctx))
 	is.NoErr(a.Acquire(ctx, 2))
@@ -62,12 +63,12 @@
 // count it nor fail on the conflict that it causes later.
 func TestLostRenewal(t *testing.T) {
 	is, ctx := is.New(t), context.Background()
-	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	store, clock := drstandin.NewMemoryStore(), drclock.NewFake(time.Unix(100, 0))
 	a := elector(store, clock, "a")
 	is.NoErr(a.Read(ctx))
 	is.NoErr(a.Acquire(ctx, 2))
 	clock.Advance(time.Second)
-	store.SetFault(drstore.ErrNoAnswer, true)
+	store.SetFault(drstandin.ErrNoAnswer, true)
 	is.True(a.Renew(ctx, 2) != nil)
 	store.SetFault(nil, false)
 	is.True(errors.Is(a.Renew(ctx, 2), drstore.ErrConflict))
@@ -81,7 +82,7 @@
 // Guards against a wait for the TTL after a holder has released the lease.
 func TestReleaseMakesVacant(t *testing.T) {
 	is, ctx := is.New(t), context.Background()
-	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	store, clock := drstandin.NewMemoryStore(), drclock.NewFake(time.Unix(100, 0))
 	a, b := elector(store, clock, "a"), elector(store, clock, "b")
 	is.NoErr(a.Read(ctx))
 	is.NoErr(a.Acquire(ctx, 2))
@@ -96,7 +97,7 @@
 // which runners would refuse.
 func TestTokenGrowsAfterExpiry(t *testing.T) {
 	is, ctx := is.New(t), context.Background()
-	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	store, clock := drstandin.NewMemoryStore(), drclock.NewFake(time.Unix(100, 0))
 	a := elector(store, clock, "a")
 	is.NoErr(a.Read(ctx))
 	is.NoErr(a.Acquire(ctx, 2))
@@ -115,7 +116,7 @@
 // its former process cannot act any more.
 func TestRestartedHolderNeedNotWait(t *testing.T) {
 	is, ctx := is.New(t), context.Background()
-	store, clock := drstore.NewMemory(), drclock.NewFake(time.Unix(100, 0))
+	store, clock := drstandin.NewMemoryStore(), drclock.NewFake(time.Unix(100, 0))
 	a := elector(store, clock, "a")
 	is.NoErr(a.Read(ctx))
 	is.NoErr(a.Acquire(ctx, 2))
--- a/drstore/memory.go
+++ b/drstandin/memory_store.go
@@ -1,17 +1,19 @@
-package drstore
+package drstandin
 
 import (
 	"context"
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
-// Memory is a Log in memory, a stand-in for the platform's store in tests, with
-// the failures of a real one.
-type Memory struct {
+// MemoryStore is a drstore.Log in memory, a stand-in for the platform's store
+// with the failures of a real one.
+type MemoryStore struct {
 	mu     sync.Mutex
-	topics map[Topic]*memoryTopic
+	topics map[drstore.Topic]*memoryTopic
 	grown  chan struct{}
 	// fault, if not nil, is returned by each call; with lost, appends are
 	// carried out all the same.
@@ -21,7 +23,7 @@
 }
 
 type memoryTopic struct {
-	records []Record
+	records []drstore.Record
 	first   int64
 }
 
@@ -29,21 +31,21 @@
 // carried out.
 var ErrNoAnswer = errors.New("the store did not answer")
 
-// NewMemory returns an empty Memory.
-func NewMemory() *Memory {
-	return &Memory{topics: make(map[Topic]*memoryTopic), grown: make(chan struct{})}
+// NewMemoryStore returns an empty MemoryStore.
+func NewMemoryStore() *MemoryStore {
+	return &MemoryStore{topics: make(map[drstore.Topic]*memoryTopic), grown: make(chan struct{})}
 }
 
 // SetFault has each call fail with err; if lost is set, appends are carried
 // out all the same. A nil err ends the fault.
-func (m *Memory) SetFault(err error, lost bool) {
+func (m *MemoryStore) SetFault(err error, lost bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.fault, m.lost = err, lost
 }
 
 // Calls returns the number of calls so far.
-func (m *Memory) Calls() int {
+func (m *MemoryStore) Calls() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.calls
@@ -51,21 +53,21 @@
 
 // Put appends a record with a key, as the operator and the runners do. An
 // empty value drops the key.
-func (m *Memory) Put(t Topic, key string, value []byte) {
+func (m *MemoryStore) Put(t drstore.Topic, key string, value []byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.add(t, Record{Key: key, Value: value})
+	m.add(t, drstore.Record{Key: key, Value: value})
 }
 
 // Expire drops the records of a topic, but not the newest of each key.
-func (m *Memory) Expire(t Topic) {
+func (m *MemoryStore) Expire(t drstore.Topic) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	topic := m.topic(t)
 	topic.first = int64(len(topic.records))
 }
 
-func (m *Memory) topic(t Topic) *memoryTopic {
+func (m *MemoryStore) topic(t drstore.Topic) *memoryTopic {
 	topic, ok := m.topics[t]
 	if !ok {
 		topic = &memoryTopic{}
@@ -74,7 +76,7 @@
 	return topic
 }
 
-func (m *Memory) add(t Topic, r Record) {
+func (m *MemoryStore) add(t drstore.Topic, r drstore.Record) {
 	topic := m.topic(t)
 	r.Offset = int64(len(topic.records))
 	topic.records = append(topic.records, r)
@@ -83,19 +85,19 @@
 }
 
 // Newest implements Log.
-func (m *Memory) Newest(_ context.Context, t Topic) (Page, error) {
+func (m *MemoryStore) Newest(_ context.Context, t drstore.Topic) (drstore.Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
 	if m.fault != nil {
-		return Page{}, m.fault
+		return drstore.Page{}, m.fault
 	}
 	topic := m.topic(t)
-	newest := make(map[string]Record)
+	newest := make(map[string]drstore.Record)
 	for _, r := range topic.records {
 		newest[r.Key] = r
 	}
-	page := Page{Next: int64(len(topic.records)), End: int64(len(topic.records))}
+	page := drstore.Page{Next: int64(len(topic.records)), End: int64(len(topic.records))}
 	for _, r := range newest {
 		if len(r.Value) > 0 {
 			page.Records = append(page.Records, r)
@@ -105,17 +107,17 @@
 }
 
 // Read implements Log.
-func (m *Memory) Read(ctx context.Context, t Topic, from int64, wait time.Duration) (Page, error) {
+func (m *MemoryStore) Read(ctx context.Context, t drstore.Topic, from int64, wait time.Duration) (drstore.Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
 		m.calls++
 		grown, topic := m.grown, m.topic(t)
-		page := Page{Next: from, End: int64(len(topic.records))}
+		page := drstore.Page{Next: from, End: int64(len(topic.records))}
 		fault := m.fault
 		if fault == nil && from < topic.first {
-			fault = &ExpiredError{First: topic.first}
+			fault = &drstore.ExpiredError{First: topic.first}
 		}
 		if fault == nil && from < page.End {
 			page.Records, page.Next = append(page.Records, topic.records[from:]...), page.End
@@ -135,7 +137,7 @@
 }
 
 // Append implements Log.
-func (m *Memory) Append(_ context.Context, t Topic, value []byte, at int64) error {
+func (m *MemoryStore) Append(_ context.Context, t drstore.Topic, value []byte, at int64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
@@ -143,8 +145,8 @@
 		return m.fault
 	}
 	if at != int64(len(m.topic(t).records)) {
-		return ErrConflict
+		return drstore.ErrConflict
 	}
-	m.add(t, Record{Value: value})
+	m.add(t, drstore.Record{Value: value})
 	return m.fault
 }
--- /dev/null
+++ b/drwait/wait_test.go
@@ -0,0 +1,54 @@
+package drwait_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drwait"
+)
+
+var arrival = time.Unix(1000, 0)
+
+func situation(age, expectedIn time.Duration, forecast bool) drwait.Situation {
+	now := arrival.Add(age)
+	return drwait.Situation{
+		Now: now, Began: arrival, Objective: 2 * time.Second, TimeoutAt: arrival.Add(10 * time.Second),
+		Expected: now.Add(expectedIn), Forecast: forecast,
+	}
+}
+
+// Replays a burst for idle models: a request waits while its model is expected
+// in time.
+func TestWaitsForExpectedModel(t *testing.T) {
+	is := is.New(t)
+	d := drwait.Decide(situation(time.Second, time.Second, true))
+	is.True(d.Wait)
+	is.True(d.Again > 0)
+}
+
+// Replays overload: a request whose model comes too late is refused at once,
+// not held to its deadline, and told when the model should be there.
+func TestRefusesHopelessAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := drwait.Decide(situation(0, 12*time.Second, true))
+	is.True(!d.Wait)
+	is.Equal(d.RetryAfter, 12*time.Second)
+}
+
+// Guards against a request that is held although nobody works on it.
+func TestRefusesWithoutForecast(t *testing.T) {
+	is := is.New(t)
+	is.True(drwait.Decide(situation(time.Second, 0, false)).Wait)
+	is.True(!drwait.Decide(situation(4*time.Second, 0, false)).Wait)
+}
+
+// Guards against a refusal after the client's deadline.
+func TestRefusesBeforeDeadline(t *testing.T) {
+	is := is.New(t)
+	is.True(!drwait.Decide(situation(9900*time.Millisecond, 0, true)).Wait)
+	d := drwait.Decide(situation(9700*time.Millisecond, 0, true))
+	is.True(d.Wait)
+	is.True(d.Again <= 150*time.Millisecond)
+}
