Test log handler, settings, store reader and controller

Each against the failure that it names: a stalled log reader, a store that forgets or loses entries, lost answers to orders, a lapsed lease.

--- /dev/null
+++ b/drcontrol/controller_test.go
@@ -0,0 +1,238 @@
+package drcontrol
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drmetric"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drplan"
+	"github.com/dotterelridge/dotterelridge/drview"
+)
+
+// engines are runners that carry out orders as the platform's do.
+type engines struct {
+	mu      sync.Mutex
+	runners map[string]*engineState
+	sent    []drplan.Order
+	// lose has that many orders carried out without an answer.
+	lose int
+}
+
+type engineState struct {
+	orders    int
+	fence     uint64
+	models    []string
+	loading   string
+	busyUntil time.Time
+	onDisk    []string
+}
+
+const engineLoad = 30 * time.Millisecond
+
+func (s *engineState) settle() {
+	if s.loading != "" && time.Now().After(s.busyUntil) {
+		s.models = append(s.models, s.loading)
+		s.loading = ""
+	}
+}
+
+func (e *engines) Order(_ context.Context, r *drfleet.Runner, o drplan.Order) (drplan.Outcome, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sent = append(e.sent, o)
+	s := e.runners[r.ID]
+	s.settle()
+	out := s.take(o)
+	if e.lose > 0 {
+		e.lose--
+		return drplan.Unknown, context.DeadlineExceeded
+	}
+	return out, nil
+}
+
+func (s *engineState) take(o drplan.Order) drplan.Outcome {
+	switch {
+	case o.Fence < s.fence:
+		return drplan.Fenced
+	case o.Operation == drplan.Load && slices.Contains(s.models, o.Model):
+		return drplan.Holds
+	case s.loading != "" || o.After != s.orders:
+		return drplan.Conflicting
+	}
+	s.fence = o.Fence
+	s.orders++
+	if o.Operation == drplan.Unload {
+		s.models = slices.DeleteFunc(s.models, func(m string) bool { return m == o.Model })
+	} else {
+		s.loading, s.busyUntil = o.Model, time.Now().Add(engineLoad)
+	}
+	return drplan.Accepted
+}
+
+func (e *engines) Report(_ context.Context, r *drfleet.Runner) (drplan.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.runners[r.ID]
+	s.settle()
+	report := drplan.Report{Orders: s.orders, Busy: s.loading != "", OnDisk: s.onDisk}
+	for _, m := range s.models {
+		report.Replicas = append(report.Replicas, drfleet.Replica{Model: m})
+	}
+	return report, nil
+}
+
+func (e *engines) holds(id string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runners[id].settle()
+	return slices.Clone(e.runners[id].models)
+}
+
+type controllerWorld struct {
+	view       *drview.View
+	engines    *engines
+	controller *Controller
+	leading    atomic.Bool
+}
+
+func newControllerWorld(t *testing.T) *controllerWorld {
+	log.SetHandler(discard.Default)
+	clock := drclock.System{}
+	w := &controllerWorld{view: drview.New(clock), engines: &engines{runners: map[string]*engineState{
+		"r1": {models: []string{"a", "b"}, onDisk: []string{"a", "b", "c"}, orders: 4},
+	}}}
+	models := make(map[string]drfleet.Model)
+	for _, m := range []string{"a", "b", "c"} {
+		models[m] = drfleet.Model{Name: m, Size: 60, FromStore: time.Second, FromDisk: engineLoad, FromMemory: engineLoad}
+	}
+	d, err := drfleet.NewDeployment(drfleet.Config{Version: 1, Services: []drfleet.Service{
+		{Name: "llm", Engine: &drfleet.Engine{Slots: 8, WeightMemory: 130, AdapterSlots: 2, LoadsPerSecond: 5, Models: models}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.view.OfferDeployment(d, []byte("1"))
+	w.view.OfferRunner(&drfleet.Runner{ID: "r1", Service: "llm", Replicas: []drfleet.Replica{{Model: "a"}, {Model: "b"}}}, drview.FromRunner)
+	w.leading.Store(true)
+	w.controller = NewController(ControllerConfig{
+		Clock: clock, Engines: w.engines, Metrics: drmetric.New(), Holder: "vm", Term: 9, Holds: w.leading.Load,
+	}, w.view)
+	t.Cleanup(w.controller.Close)
+	return w
+}
+
+// want reports that a request of a VM waits for a model.
+func (w *controllerWorld) want(model string) {
+	w.controller.Sync(context.Background(), "vm2", 1, &drpb.FleetSyncRequest{Wants: []*drpb.FleetWant{{
+		Replica: &drpb.FleetReplica{Service: "llm", Model: model}, Waiting: 1, ObjectiveLeftMs: 1000, DeadlineLeftMs: 9000,
+	}}})
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 5 s: %s", what)
+		}
+	}
+}
+
+// Guards against orders with a wrong count or token, and against a load before
+// the unload that makes room for it, which crashes a runner.
+func TestControllerSwapsModels(t *testing.T) {
+	is := is.New(t)
+	w := newControllerWorld(t)
+	w.want("c")
+	eventually(t, "c is loaded", func() bool { return slices.Contains(w.engines.holds("r1"), "c") })
+	eventually(t, "the view knows", func() bool {
+		r, _ := w.view.Runner("r1")
+		return r.Holds("c", "")
+	})
+	first, second := w.engines.sent[0], w.engines.sent[1]
+	is.Equal(first.Operation, drplan.Unload)
+	is.Equal(first.After, 4) // from the report, not from the entry
+	is.Equal(second.Operation, drplan.Load)
+	is.Equal(second.After, 5)
+	is.Equal(second.Fence, uint64(9))
+	is.Equal(len(w.engines.holds("r1")), 2)
+}
+
+// Guards against a controller that takes an order without an answer for not
+// accepted: it asks the runner before it orders anything else.
+func TestControllerBearsLostAnswers(t *testing.T) {
+	w := newControllerWorld(t)
+	w.engines.lose = 2
+	w.want("c")
+	end := time.Now().Add(8 * time.Second)
+	for !slices.Contains(w.engines.holds("r1"), "c") {
+		if time.Now().After(end) {
+			t.Fatal("c is not loaded")
+		}
+		w.want("c")
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Guards against orders by a VM that no longer holds the lease.
+func TestControllerStopsWithoutLease(t *testing.T) {
+	is := is.New(t)
+	w := newControllerWorld(t)
+	w.leading.Store(false)
+	w.want("c")
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(len(w.engines.sent), 0)
+}
+
+// Guards against VMs that learn of a change only with their next report.
+func TestSyncReturnsWithChange(t *testing.T) {
+	is := is.New(t)
+	w := newControllerWorld(t)
+	eventually(t, "the report of r1 is in the table", func() bool {
+		r, _ := w.view.Runner("r1")
+		return r.Orders == 4
+	})
+	first := w.controller.Sync(context.Background(), "vm2", 1, &drpb.FleetSyncRequest{})
+	is.True(first.GetWhole())
+	done := make(chan *drpb.FleetSyncReply, 1)
+	go func() {
+		done <- w.controller.Sync(context.Background(), "vm2", 1, &drpb.FleetSyncRequest{
+			Term: 9, Revision: first.GetRevision(), Deployment: 1, WaitMs: 5000,
+		})
+	}()
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	w.view.OfferRunner(&drfleet.Runner{ID: "r9", Service: "app"}, drview.FromRunner)
+	reply := <-done
+	is.True(time.Since(began) < time.Second)
+	is.True(slices.ContainsFunc(reply.GetRunners(), func(r *drpb.FleetRunner) bool { return r.GetId() == "r9" }))
+}
+
+// Guards against loads beyond the weight store's rate over any window, also
+// right after another controller has used it up.
+func TestLoadRate(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(0, 0)
+	l := loadRate{perSecond: 2, since: start}
+	is.Equal(l.available(start), 0)
+	now := start.Add(loadsWindow)
+	begun := 0
+	for l.available(now) > 0 {
+		l.begin(now)
+		l.end()
+		begun++
+	}
+	is.Equal(begun, 8) // of the 10 in 5 s
+	is.Equal(l.available(now.Add(loadsWindow/2)), 0)
+	is.True(l.available(now.Add(loadsWindow+time.Second)) > 0)
+}
--- /dev/null
+++ b/drcontrol/reader_test.go
@@ -0,0 +1,137 @@
+package drcontrol
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drstandin"
+	"github.com/dotterelridge/dotterelridge/drstore"
+	"github.com/dotterelridge/dotterelridge/drview"
+)
+
+// textCodec decodes "VERSION" and "STARTED BEAT".
+type textCodec struct{}
+
+func (textCodec) Deployment(value []byte) (*drfleet.Deployment, error) {
+	var c drfleet.Config
+	if _, err := fmt.Sscan(string(value), &c.Version); err != nil {
+		return nil, err
+	}
+	return drfleet.NewDeployment(c)
+}
+
+func (textCodec) Runner(id string, value []byte) (*drfleet.Runner, error) {
+	r := &drfleet.Runner{ID: id, Service: "llm"}
+	if _, err := fmt.Sscan(string(value), &r.Started, &r.Beat); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+type readerWorld struct {
+	store  *drstandin.MemoryStore
+	clock  *drclock.Fake
+	view   *drview.View
+	reader *reader
+}
+
+func newReaderWorld() *readerWorld {
+	clock := drclock.NewFake(time.Unix(1000, 0))
+	w := &readerWorld{store: drstandin.NewMemoryStore(), clock: clock, view: drview.New(clock)}
+	w.reader = newReader(w.store, textCodec{}, w.view, clock)
+	return w
+}
+
+func (w *readerWorld) runners() int { return len(w.view.Runners("")) }
+
+// Guards against a VM that keeps an old configuration, or stops reading, after
+// the store has forgotten its history.
+func TestReaderSurvivesExpiry(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderWorld()
+	w.store.Put(drstore.Deployments, "config", []byte("3"))
+	w.store.Put(drstore.Runners, "r1", []byte("1 1"))
+	w.store.Put(drstore.Runners, "r2", []byte("1 1"))
+	is.NoErr(w.reader.readDeployment(ctx, 0))
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 2)
+	w.store.Put(drstore.Deployments, "config", []byte("8"))
+	w.store.Put(drstore.Runners, "r2", nil)
+	w.store.Expire(drstore.Deployments)
+	w.store.Expire(drstore.Runners)
+	is.NoErr(w.reader.readDeployment(ctx, 0))
+	is.NoErr(w.reader.readRunners(ctx))
+	d, _ := w.view.Deployment()
+	is.Equal(d.Version, int64(8))
+	is.Equal(w.runners(), 1)
+}
+
+// Guards against dropping live runners whose entries lapsed while the store
+// was away, and against keeping one that does not come back.
+func TestReaderWaitsForLapsedEntries(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderWorld()
+	w.store.Put(drstore.Runners, "back", []byte("1 1"))
+	w.store.Put(drstore.Runners, "lost", []byte("1 1"))
+	is.NoErr(w.reader.readRunners(ctx))
+	w.store.SetFault(drstore.ErrRefused, false)
+	is.True(w.reader.readRunners(ctx) != nil)
+	w.store.SetFault(nil, false)
+	w.store.Put(drstore.Runners, "back", nil)
+	w.store.Put(drstore.Runners, "lost", nil)
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 2)
+	w.store.Put(drstore.Runners, "back", []byte("1 2"))
+	w.clock.Advance(lapseGrace)
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 1)
+
+	w.clock.Advance(time.Minute)
+	w.store.Put(drstore.Runners, "back", nil) // the store was stable: it leaves
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 0)
+}
+
+// Guards against entries of other writers that take runners out of service.
+func TestReaderSkipsUnreadableEntries(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderWorld()
+	w.store.Put(drstore.Runners, "r1", []byte("1 1"))
+	is.NoErr(w.reader.readRunners(ctx))
+	w.store.Put(drstore.Runners, "forged", []byte("?"))
+	w.store.Put(drstore.Runners, "r1", []byte("?"))
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 1)
+}
+
+// Guards against a view that looks fresh because an answer was held up: its age
+// counts from when the question was sent.
+func TestReaderAgesFromQuestion(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderWorld()
+	w.store.Put(drstore.Deployments, "config", []byte("1"))
+	slow := &slowLog{Log: w.store, clock: w.clock, delay: 3 * time.Second}
+	w.reader.log = slow
+	is.NoErr(w.reader.readDeployment(ctx, 0))
+	_, age := w.view.Deployment()
+	is.Equal(age, 3*time.Second)
+}
+
+// slowLog answers after a delay.
+type slowLog struct {
+	drstore.Log
+	clock *drclock.Fake
+	delay time.Duration
+}
+
+func (s *slowLog) Newest(ctx context.Context, t drstore.Topic) (drstore.Page, error) {
+	page, err := s.Log.Newest(ctx, t)
+	s.clock.Suspend(s.delay)
+	return page, err
+}
--- /dev/null
+++ b/dredge/settings_test.go
@@ -0,0 +1,43 @@
+package dredge_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/dredge"
+)
+
+const valid = `{
+  // as the platform renders it
+  "vm": "front-1", "zone": "z1", "store-address": "10.0.0.9:80",
+  "addresses": {"callers": "10.0.0.1:80", "readiness": "10.0.0.1:81", "peers": "10.0.0.1:82", "metrics": "10.0.0.1:83"},
+  "revocation": "5000ms", "grace-period": "8s",
+  "retry-budget": {"share": 0.2, "extra": 129, "window": "10s",},
+}`
+
+// Guards against settings that a process takes although they cannot be right.
+func TestSettingsAreChecked(t *testing.T) {
+	is := is.New(t)
+	s, problems := dredge.Parse("f", []byte(valid))
+	is.Equal(len(problems), 0)
+	is.Equal(time.Duration(s.Revocation), 5*time.Second)
+	is.Equal(s.RetryBudget.Extra, 129.0)
+	for old, bad := range map[string]string{
+		`"vm": "front-1"`:          `"vm": ""`,
+		`"zone": "z1"`:             `"zone": ""`,
+		`10.0.0.9:80`:              `store`,
+		`"revocation": "5000ms"`:   `"revocation": "1s"`,
+		`"grace-period": "8s"`:     `"grace-period": "8"`,
+		`"share": 0.2`:             `"share": -1`,
+		`"window": "10s"`:          `"window": "1ms"`,
+		`"callers": "10.0.0.1:80"`: `"caller": "10.0.0.1:80"`,
+	} {
+		_, problems := dredge.Parse("f", []byte(strings.Replace(valid, old, bad, 1)))
+		if len(problems) == 0 {
+			t.Errorf("%s is accepted", bad)
+		}
+	}
+}
--- /dev/null
+++ b/drline/handler_test.go
@@ -0,0 +1,88 @@
+package drline_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drline"
+)
+
+// stalled is an output whose reader does not read until it is released.
+type stalled struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(p)
+}
+
+func (s *stalled) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.String()
+}
+
+func logger(h log.Handler) *log.Logger { return &log.Logger{Handler: h, Level: log.InfoLevel} }
+
+// Guards against requests that wait because the reader of the log stalls.
+func TestStalledReaderBlocksNobody(t *testing.T) {
+	is := is.New(t)
+	out := &stalled{release: make(chan struct{})}
+	clock := drclock.NewFake(time.Unix(0, 0))
+	h := drline.New(drline.Config{Out: out, Clock: clock})
+	l := logger(h)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 5000 {
+			l.WithField("event", "x").Info("")
+			clock.Advance(10 * time.Millisecond) // within the permitted rate
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("logging waits for the reader")
+	}
+	is.True(h.Dropped() > 0)
+	close(out.release)
+	h.Close(time.Second)
+	is.True(strings.Contains(out.String(), "event=log-lines-dropped"))
+}
+
+// Guards against a log volume that grows with the load, and against warnings
+// that are lost in it.
+func TestVolumeIsBounded(t *testing.T) {
+	is := is.New(t)
+	out := &stalled{release: make(chan struct{})}
+	close(out.release)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	h := drline.New(drline.Config{Out: out, Clock: clock})
+	l := logger(h)
+	for range 900 {
+		l.WithField("event", "request").Info("")
+	}
+	l.WithField("event", "store-lost").Warn("")
+	h.Close(time.Second)
+	is.True(strings.Count(out.String(), "event=request") <= 600)
+	is.True(strings.Contains(out.String(), "event=store-lost"))
+}
+
+// Guards against values that do not read back as one value.
+func ExampleLine() {
+	e := &log.Entry{Timestamp: time.Unix(0, 0), Level: log.InfoLevel, Fields: log.Fields{"event": "stop", "why": `said "no"`}}
+	fmt.Println(drline.Line(e))
+	// Output: time=1970-01-01T00:00:00Z level=info event=stop why="said \"no\""
+}
