--- a/drcontrol/node.go
+++ b/drcontrol/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,8 +41,10 @@
 	runnersPause   = 600 * time.Millisecond
 	// staleAfter is the age at which a VM reads the store itself.
 	staleAfter = 1200 * time.Millisecond
-	// readPause is the pause after a failed read of the store.
-	readPause = 200 * time.Millisecond
+	// readPause is the pause after a failed read of the store; it doubles up to
+	// maxReadPause, so that all VMs together do not press a store that is down.
+	readPause    = 200 * time.Millisecond
+	maxReadPause = 800 * time.Millisecond
 	// stalePoll is how often a VM looks whether its view has become stale.
 	stalePoll = 100 * time.Millisecond
 	// deafAfter is how long a controller that no other VM reports to keeps its
@@ -144,9 +147,23 @@
 	return n.leader.Address, n.leader.VM == vm
 }
 
+// backoff is the pause between attempts to read the store.
+type backoff struct{ pause time.Duration }
+
+// next returns the pause after an attempt that failed or not.
+func (b *backoff) next(failed bool) time.Duration {
+	if !failed {
+		b.pause = 0
+		return readPause
+	}
+	b.pause = min(max(2*b.pause, readPause), maxReadPause)
+	return b.pause/2 + rand.N(b.pause/2+1)
+}
+
 // deploymentLoop keeps the configuration fresh.
 func (n *Node) deploymentLoop() {
 	unreachable := false
+	var b backoff
 	for n.ctx.Err() == nil {
 		age, _, known := n.View.Ages()
 		if known && age < staleAfter && n.controller.Load() == nil {
@@ -162,8 +179,8 @@
 		if d, _ := n.View.Deployment(); d != nil {
 			n.Allowances.SetLimits(limitsOf(d))
 		}
-		if err != nil || !known {
-			_ = n.Clock.Sleep(n.ctx, readPause)
+		if pause := b.next(err != nil); err != nil || !known {
+			_ = n.Clock.Sleep(n.ctx, pause)
 		}
 	}
 }
@@ -184,6 +201,7 @@
 // runnersLoop keeps the runner table fresh.
 func (n *Node) runnersLoop() {
 	unreachable := false
+	var b backoff
 	for n.ctx.Err() == nil {
 		_, age, known := n.View.Ages()
 		if known && age < staleAfter && n.controller.Load() == nil {
@@ -192,9 +210,9 @@
 		}
 		err := n.reader.readRunners(n.ctx)
 		unreachable = n.noteStore(unreachable, "runners", err)
-		pause := runnersPause
-		if err != nil || !known {
-			pause = readPause
+		pause := b.next(err != nil)
+		if err == nil && known {
+			pause = runnersPause
 		}
 		_ = n.Clock.Sleep(n.ctx, pause)
 	}
@@ -202,6 +220,7 @@
 
 // leaseLoop acquires, renews and gives up the lease.
 func (n *Node) leaseLoop() {
+	var b backoff
 	for n.ctx.Err() == nil {
 		pause := leasePoll
 		switch c := n.controller.Load(); {
@@ -212,7 +231,12 @@
 			pause = renewInterval
 		case n.hasLeader():
 		default:
-			n.seekLeader()
+			if failed := n.seekLeader(); failed {
+				pause = b.next(true)
+			} else {
+				b.next(false)
+				pause = n.seekPause()
+			}
 		}
 		_ = n.Clock.Sleep(n.ctx, pause)
 	}
@@ -282,12 +306,22 @@
 	}
 }
 
-// seekLeader finds the controller in the lease, or takes a vacant lease.
-func (n *Node) seekLeader() {
+// seekPause returns the time until the lease should be read again: soon if
+// another VM may be taking it, else when it is renewed or lapses.
+func (n *Node) seekPause() time.Duration {
+	if n.elector.Vacant() {
+		return leasePoll
+	}
+	return renewInterval
+}
+
+// seekLeader finds the controller in the lease, or takes a vacant lease. It
+// reports whether the store failed.
+func (n *Node) seekLeader() (failed bool) {
 	ctx, cancel := context.WithTimeout(n.ctx, storeLimit)
 	defer cancel()
 	if err := n.elector.Read(ctx); err != nil {
-		return // the loops that read the view log the loss of the store
+		return true // the loops that read the view log the loss of the store
 	}
 	if l, ok := n.elector.Newest(); ok {
 		n.Allowances.Assume(l.VMs)
@@ -295,15 +329,16 @@
 	if !n.elector.Vacant() {
 		l, _ := n.elector.Newest()
 		n.setLeader(l)
-		return
+		return false
 	}
 	if n.retired.Load() || n.Clock.Sleep(ctx, n.spread()) != nil || n.elector.Read(ctx) != nil || !n.elector.Vacant() {
-		return
+		return false
 	}
 	if err := n.elector.Acquire(ctx, n.Allowances.VMs()); err != nil {
-		return // another VM was faster, or the next read shows it
+		return false // another VM was faster, or the next read shows it
 	}
 	n.lead()
+	return false
 }
 
 // spread returns this VM's delay before it takes a vacant lease.
