Drop what was planned before a runner's last report

Each order reads the runner's count of orders when it is sent, so that a load that was carried out late and came with that report was followed by the load that had been planned without it. A report now starts an epoch, only one is asked for at a time, and orders of an older epoch are not sent. The test fails without the check.

--- a/drcontrol/controller.go
+++ b/drcontrol/controller.go
@@ -173,8 +173,8 @@
 		if !s.doubtful && s.swap == nil && now.Sub(s.swappedAt) > descriptionLag && c.view.Contradicted(r.ID) {
 			s.doubtful, s.swappedAt = true, now
 		}
-		if s.doubtful && s.swap == nil && len(s.coming) == 0 && !now.Before(s.retryAt) && c.hasEngine(r) {
-			s.retryAt = now.Add(reportPause)
+		if s.doubtful && !s.asking && s.swap == nil && len(s.coming) == 0 && !now.Before(s.retryAt) && c.hasEngine(r) {
+			s.retryAt, s.asking = now.Add(reportPause), true
 			c.wg.Go(func() { c.ask(r, s) })
 		}
 	}
--- a/drcontrol/controller_test.go
+++ b/drcontrol/controller_test.go
@@ -236,3 +236,33 @@
 	is.Equal(l.available(now.Add(loadsWindow/2)), 0)
 	is.True(l.available(now.Add(loadsWindow+time.Second)) > 0)
 }
+
+// Replays an order that is carried out late, after the runner was asked: what
+// was planned before the report must not follow it, or the runner is ordered
+// to load more than it holds.
+func TestPlanOlderThanReportIsDropped(t *testing.T) {
+	is := is.New(t)
+	w := newControllerWorld(t)
+	eventually(t, "the report of r1 is in the table", func() bool {
+		r, _ := w.view.Runner("r1")
+		return r.Orders == 4
+	})
+	w.controller.mu.Lock()
+	s := w.controller.runners["r1"]
+	planned := s.epoch
+	w.controller.mu.Unlock()
+	r, _ := w.view.Runner("r1")
+
+	late := w.engines.runners["r1"]
+	w.engines.mu.Lock()
+	late.orders, late.models = 5, []string{"a", "b", "late"}
+	w.engines.mu.Unlock()
+	w.controller.mu.Lock()
+	s.asking = true
+	w.controller.mu.Unlock()
+	w.controller.ask(r, s)
+
+	_, err := w.controller.start(s, r, step{operation: drplan.Load, model: "c", epoch: planned})
+	is.True(err != nil)
+	is.True(!slices.Contains(w.engines.holds("r1"), "c"))
+}
--- a/drcontrol/executor.go
+++ b/drcontrol/executor.go
@@ -48,13 +48,14 @@
 	log.WithFields(log.Fields{"event": "swap-planned", "runner": swap.Runner.ID, "load": swap.Load, "unload": swap.Unload,
 		"from-store": swap.FromStore, "why": swap.Why, "orders": swap.Runner.Orders, "term": c.Term,
 		"expected": swap.Expected}).Info("")
-	c.wg.Go(func() { c.run(service, s, swap) })
+	epoch := s.epoch
+	c.wg.Go(func() { c.run(service, s, swap, epoch) })
 }
 
 // run carries out a swap.
-func (c *Controller) run(service *drfleet.Service, s *runnerState, swap drplan.Swap) {
+func (c *Controller) run(service *drfleet.Service, s *runnerState, swap drplan.Swap, epoch int) {
 	began := c.Clock.Now()
-	err := c.swap(s, swap)
+	err := c.swap(s, swap, epoch)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.swap, s.swappedAt = nil, c.Clock.Now()
@@ -82,14 +83,14 @@
 
 // swap unloads what must make way and loads a model. A runner takes one order
 // at a time, so the next order is accepted once the one before is done.
-func (c *Controller) swap(s *runnerState, swap drplan.Swap) error {
+func (c *Controller) swap(s *runnerState, swap drplan.Swap, epoch int) error {
 	for _, m := range swap.Unload {
-		if err := c.startWhenFree(s, swap.Runner, step{operation: drplan.Unload, model: m}); err != nil {
+		if err := c.startWhenFree(s, swap.Runner, step{operation: drplan.Unload, model: m, epoch: epoch}); err != nil {
 			return fmt.Errorf("unload %s: %w", m, err)
 		}
 		c.Metrics.Counter(drmetric.Evictions, "memory").Inc(1)
 	}
-	load := step{drplan.Load, swap.Load, "", swap.Expected - loadMargin}
+	load := step{operation: drplan.Load, model: swap.Load, expected: swap.Expected - loadMargin, epoch: epoch}
 	if err := c.startWhenFree(s, swap.Runner, load); err != nil {
 		return fmt.Errorf("load %s: %w", swap.Load, err)
 	}
@@ -124,6 +125,7 @@
 	operation      drplan.Operation
 	model, adapter string
 	expected       time.Duration
+	epoch          int // of the runner's state that the step was planned from
 }
 
 // finish waits until the runner has carried out a load. The runner is asked by
@@ -160,6 +162,12 @@
 func (c *Controller) start(s *runnerState, r *drfleet.Runner, st step) (drplan.Outcome, error) {
 	s.sending.Lock()
 	defer s.sending.Unlock()
+	c.mu.Lock()
+	current := s.epoch == st.epoch
+	c.mu.Unlock()
+	if !current {
+		return drplan.Rejected, fmt.Errorf("planned before the last report: %w", errDoubt)
+	}
 	outcome, err := c.send(r, st)
 	switch {
 	case outcome == drplan.Holds:
@@ -256,11 +264,12 @@
 func (c *Controller) beginAdapter(swap drplan.AdapterSwap) {
 	s := c.runners[swap.Runner.ID]
 	s.coming = append(s.coming, swap.Load)
-	c.wg.Go(func() { c.runAdapter(s, swap) })
+	epoch := s.epoch
+	c.wg.Go(func() { c.runAdapter(s, swap, epoch) })
 }
 
-func (c *Controller) runAdapter(s *runnerState, swap drplan.AdapterSwap) {
-	err := c.swapAdapter(s, swap)
+func (c *Controller) runAdapter(s *runnerState, swap drplan.AdapterSwap, epoch int) {
+	err := c.swapAdapter(s, swap, epoch)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.coming = slices.DeleteFunc(slices.Clone(s.coming), func(x drplan.Coming) bool { return x == swap.Load })
@@ -279,13 +288,16 @@
 // adapterTime is the usual time of an adapter's load.
 const adapterTime = 15 * time.Millisecond
 
-func (c *Controller) swapAdapter(s *runnerState, swap drplan.AdapterSwap) error {
+func (c *Controller) swapAdapter(s *runnerState, swap drplan.AdapterSwap, epoch int) error {
 	if u := swap.Unload; u != nil {
-		if _, err := c.start(s, swap.Runner, step{operation: drplan.Unload, model: u.Model, adapter: u.Adapter}); err != nil {
+		unload := step{operation: drplan.Unload, model: u.Model, adapter: u.Adapter, epoch: epoch}
+		if _, err := c.start(s, swap.Runner, unload); err != nil {
 			return fmt.Errorf("unload adapter %s of %s: %w", u.Adapter, u.Model, err)
 		}
 	}
-	load := step{drplan.Load, swap.Load.Model, swap.Load.Adapter, adapterTime}
+	load := step{
+		operation: drplan.Load, model: swap.Load.Model, adapter: swap.Load.Adapter, expected: adapterTime, epoch: epoch,
+	}
 	if _, err := c.start(s, swap.Runner, load); err != nil {
 		return err
 	}
@@ -301,6 +313,7 @@
 		"replicas": len(report.Replicas), "term": c.Term}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s.asking = false
 	if err != nil {
 		s.retryAt = c.Clock.Now().Add(failurePause)
 		log.WithFields(fields).WithError(err).Warn("")
@@ -314,6 +327,7 @@
 	if !ok || now.Started != r.Started || report.Orders < now.Orders {
 		return // the report is older than what is known
 	}
+	s.epoch++
 	n := *now
 	n.Orders, n.Replicas, n.InMemory, n.OnDisk = report.Orders, report.Replicas, report.InMemory, report.OnDisk
 	c.view.OfferRunner(&n, drview.FromController)
--- a/drcontrol/fleet.go
+++ b/drcontrol/fleet.go
@@ -105,6 +105,10 @@
 	swap   *drplan.Swap
 	doneAt time.Time
 	coming []drplan.Coming
+	// epoch counts the reports that were taken. What was planned before a
+	// report must not be carried out after it.
+	epoch  int
+	asking bool
 	// doubtful is set while the runner's own description must be asked for
 	// before it is ordered anything.
 	doubtful bool
