Bound the controller's work by VMs or runners, not their product

It now keeps totals that reports change, VMs report what changed, only VMs that wait for a model are woken when there are many, reports come less often with more VMs, plans rest eight times their own duration, and VMs with more processor time take the lease first.

--- a/drcontrol/controller.go
+++ b/drcontrol/controller.go
@@ -23,6 +23,12 @@
 const (
 	// planPause is the least time between two plans.
 	planPause = 10 * time.Millisecond
+	// planRest is how many times as long as a plan takes the controller rests
+	// after it, so that planning leaves the processor to requests.
+	planRest = 8
+	// broadcastVMs is the number of VMs up to which each VM learns of each
+	// change at once; beyond it only those that wait for a model do.
+	broadcastVMs = 32
 	// planInterval is the time after which a plan is made without a cause.
 	planInterval = 100 * time.Millisecond
 	// syncPause lets changes that come together go out in one reply.
@@ -62,9 +68,11 @@
 
 	mu      sync.Mutex
 	vms     map[string]*vm
+	totals  totals
 	runners map[string]*runnerState
 	demands map[string]*demand
 	loads   loadRate
+	wanted  int   // models that requests waited for at the last plan
 	limits  int64 // version of the deployment whose limits the pool has
 }
 
@@ -72,7 +80,7 @@
 func NewController(c ControllerConfig, v *drview.View) *Controller {
 	k := &Controller{
 		ControllerConfig: c, view: v, pool: drquota.NewPool(c.Clock), wake: make(chan struct{}, 1),
-		vms: make(map[string]*vm), runners: make(map[string]*runnerState), demands: make(map[string]*demand),
+		vms: make(map[string]*vm), totals: newTotals(), runners: make(map[string]*runnerState), demands: make(map[string]*demand),
 		loads: loadRate{since: c.Clock.Now()}, limits: -1,
 	}
 	k.ctx, k.end = context.WithCancel(context.Background())
@@ -97,8 +105,9 @@
 func (c *Controller) planLoop() {
 	for c.ctx.Err() == nil {
 		changed := c.view.Changed()
+		began := c.Clock.Now()
 		c.plan()
-		if c.Clock.Sleep(c.ctx, planPause) != nil {
+		if c.Clock.Sleep(c.ctx, max(planPause, planRest*c.Clock.Since(began))) != nil {
 			return
 		}
 		t := c.Clock.NewTimer(planInterval)
@@ -120,7 +129,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.setLimits(d)
+	if c.setLimits(d) {
+		c.wakeAll()
+	}
 	now := c.Clock.Now()
 	c.followRunners(now)
 	if now.Before(c.QuietUntil) {
@@ -137,19 +148,22 @@
 		for _, swap := range drplan.PlanAdapters(c.state(service, now)) {
 			c.beginAdapter(swap)
 		}
-		for _, swap := range drplan.Plan(c.state(service, now)) {
+		s := c.state(service, now)
+		c.wanted = len(s.Wants)
+		for _, swap := range drplan.Plan(s) {
 			c.begin(service, swap, now)
 		}
 	}
 }
 
 // setLimits gives the pool the limits of a new deployment.
-func (c *Controller) setLimits(d *drfleet.Deployment) {
+func (c *Controller) setLimits(d *drfleet.Deployment) (changed bool) {
 	if d.Version == c.limits {
-		return
+		return false
 	}
 	c.limits = d.Version
 	c.pool.SetLimits(limitsOf(d))
+	return true
 }
 
 func limitsOf(d *drfleet.Deployment) map[string]drquota.Limit {
@@ -179,6 +193,9 @@
 		}
 	}
 	for id, v := range c.vms {
+		if now.Sub(v.heard) > vmSilence {
+			c.dropUses(v)
+		}
 		if now.Sub(v.heard) > vmForgotten {
 			delete(c.vms, id)
 			c.pool.Forget(id)
@@ -203,8 +220,7 @@
 // change as long as the VM asks for.
 func (c *Controller) Sync(ctx context.Context, name string, incarnation uint64, m *drpb.FleetSyncRequest) *drpb.FleetSyncReply {
 	received := c.Clock.Uptime()
-	c.take(name, incarnation, m)
-	c.await(ctx, m)
+	c.await(ctx, c.take(name, incarnation, m), m)
 	reply := &drpb.FleetSyncReply{Leading: c.Holds(), Term: c.Term}
 	after := m.GetRevision()
 	if m.GetTerm() != c.Term {
@@ -231,37 +247,43 @@
 }
 
 // take stores a VM's report.
-func (c *Controller) take(name string, incarnation uint64, m *drpb.FleetSyncRequest) {
+func (c *Controller) take(name string, incarnation uint64, m *drpb.FleetSyncRequest) *vm {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
-	v, ok := c.vms[name]
-	if !ok || v.incarnation != incarnation {
-		v = &vm{incarnation: incarnation}
+	v, known := c.vms[name]
+	if !known || v.incarnation != incarnation {
+		if known {
+			c.dropUses(v)
+		}
+		v = newVM(incarnation)
 		c.vms[name] = v
 	}
+	first := v.heard.IsZero()
 	v.heard, v.wants, v.wantsAt = now, m.GetWants(), now
-	c.takeUses(v, m.GetUses(), now)
+	c.takeUses(v, m, first, now)
 	if len(v.wants) > 0 {
 		c.prod()
 	}
+	return v
 }
 
-// await waits until the VM's table is out of date or its time is up.
-func (c *Controller) await(ctx context.Context, m *drpb.FleetSyncRequest) {
+// await waits until the VM's table is out of date in what matters to it, or its
+// time is up.
+func (c *Controller) await(ctx context.Context, v *vm, m *drpb.FleetSyncRequest) {
 	if m.GetTerm() != c.Term || m.GetWaitMs() == 0 {
 		return
 	}
 	t := c.Clock.NewTimer(time.Duration(m.GetWaitMs()) * time.Millisecond)
 	defer t.Stop()
 	for {
-		changed := c.view.Changed()
-		_, version, _ := c.view.DeploymentRecord()
-		if _, revision := c.view.Changes(m.GetRevision()); revision > m.GetRevision() || version > m.GetDeployment() {
+		changed := c.changes()
+		if c.outdated(m) {
 			_ = c.Clock.Sleep(ctx, syncPause)
 			return
 		}
 		select {
+		case <-v.wake:
 		case <-changed:
 		case <-t.C():
 			return
@@ -273,6 +295,57 @@
 	}
 }
 
+// changes returns a channel that is closed with the next change of the view, or
+// nil if there are too many VMs to wake each time.
+func (c *Controller) changes() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.vms) > broadcastVMs {
+		return nil
+	}
+	return c.view.Changed()
+}
+
+// outdated reports whether a VM should have an answer at once.
+func (c *Controller) outdated(m *drpb.FleetSyncRequest) bool {
+	_, version, _ := c.view.DeploymentRecord()
+	if version > m.GetDeployment() {
+		return true
+	}
+	if c.view.Revision() == m.GetRevision() {
+		return false
+	}
+	c.mu.Lock()
+	few := len(c.vms) <= broadcastVMs
+	c.mu.Unlock()
+	return few || slices.ContainsFunc(m.GetWants(), func(w *drpb.FleetWant) bool {
+		return c.view.Holds(decodeReplica(w.GetReplica()))
+	})
+}
+
+// wakeAll has waiting reports looked at again.
+func (c *Controller) wakeAll() {
+	for _, v := range c.vms {
+		wakeVM(v)
+	}
+}
+
+// wakeWanting does so for the VMs that want a model. The caller holds mu.
+func (c *Controller) wakeWanting(model string) {
+	for _, v := range c.vms {
+		if slices.ContainsFunc(v.wants, func(w *drpb.FleetWant) bool { return w.GetReplica().GetModel() == model }) {
+			wakeVM(v)
+		}
+	}
+}
+
+func wakeVM(v *vm) {
+	select {
+	case v.wake <- struct{}{}:
+	default:
+	}
+}
+
 // fill adds loads, forecasts and grants to a reply.
 func (c *Controller) fill(name string, m *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
 	for _, s := range m.GetSpendings() {
@@ -282,14 +355,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
-	c.fillLoads(name, reply, now)
+	c.fillLoads(name, reply)
 	for _, w := range m.GetWants() {
 		p := w.GetReplica()
 		reply.Forecasts = append(reply.Forecasts, &drpb.FleetForecast{
 			Replica: p, ExpectedMs: uint32(milliseconds(c.forecast(p.GetModel(), now))),
 		})
 	}
-	reply.Vms = uint32(c.countVMs(now))
+	vms := c.countVMs(now)
+	reply.Vms = uint32(vms)
+	reply.NextWaitMs = uint32(milliseconds(time.Duration(vms) * syncPerVM))
 }
 
 // countVMs returns the number of VMs that report. The caller holds mu.
@@ -310,23 +385,17 @@
 	return c.countVMs(c.Clock.Now())
 }
 
-func (c *Controller) fillLoads(name string, reply *drpb.FleetSyncReply, now time.Time) {
-	others := make(map[string]int)
-	for id, v := range c.vms {
-		if id == name || now.Sub(v.heard) > vmSilence {
-			continue
-		}
-		for runner, u := range v.uses {
-			for _, p := range u.GetReplicas() {
-				others[runner] += int(p.GetRunning())
-			}
-		}
-	}
+func (c *Controller) fillLoads(name string, reply *drpb.FleetSyncReply) {
+	own := c.vms[name]
 	for _, id := range slices.Sorted(maps.Keys(c.runners)) {
+		others := c.totals.runners[id]
+		if own != nil {
+			others -= own.running[id]
+		}
 		failing := uint32(c.runners[id].outcomes.failing() * 100)
-		if others[id] > 0 || failing > 0 {
+		if others > 0 || failing > 0 {
 			reply.Loads = append(reply.Loads, &drpb.FleetLoad{
-				Runner: id, Running: uint32(others[id]), FailingPercent: failing,
+				Runner: id, Running: uint32(max(others, 0)), FailingPercent: failing,
 			})
 		}
 	}
@@ -334,19 +403,13 @@
 
 // forecast returns the time until a model is probably there.
 func (c *Controller) forecast(model string, now time.Time) time.Duration {
-	engines, wanted := 0, make(map[string]bool)
 	for _, s := range c.runners {
-		engines++
 		if s.swap != nil && s.swap.Load == model {
 			return max(s.doneAt.Sub(now), 0)
 		}
 	}
-	for _, v := range c.vms {
-		for _, w := range v.wants {
-			wanted[w.GetReplica().GetModel()] = true
-		}
-	}
-	return time.Duration(len(wanted)+engines) * swapTime / time.Duration(max(engines, 1))
+	engines := max(len(c.runners), 1)
+	return time.Duration(c.wanted+engines) * swapTime / time.Duration(engines)
 }
 
 // swapTime is the usual time of a swap from disk.
--- a/drcontrol/executor.go
+++ b/drcontrol/executor.go
@@ -69,6 +69,7 @@
 	} else {
 		s.loadedAt[swap.Load] = c.Clock.Now()
 		c.Metrics.Observe(drmetric.LoadTime, c.Clock.Since(began))
+		c.wakeWanting(swap.Load)
 	}
 	c.Metrics.Counter(drmetric.Loads, result).Inc(1)
 	entry := log.WithFields(log.Fields{"event": "swap-ended", "runner": swap.Runner.ID, "service": service.Name,
@@ -281,6 +282,7 @@
 		log.WithFields(fields).WithError(err).Warn("")
 	} else {
 		log.WithFields(fields).Info("")
+		c.wakeWanting(swap.Load.Model)
 	}
 	c.prod()
 }
--- a/drcontrol/fleet.go
+++ b/drcontrol/fleet.go
@@ -36,7 +36,64 @@
 	heard       time.Time
 	wants       []*drpb.FleetWant
 	wantsAt     time.Time
-	uses        map[string]*drpb.FleetUse
+	uses        map[useKey]replicaUse
+	results     map[string]results // by runner
+	running     map[string]int     // by runner
+	// wake holds a token when a model that the VM wants is there.
+	wake chan struct{}
+}
+
+// useKey names a replica on an incarnation of a runner.
+type useKey struct {
+	runner         string
+	started        int64
+	model, adapter string
+}
+
+type replicaUse struct {
+	running  int
+	requests uint64
+}
+
+type results struct{ succeeded, failed uint64 }
+
+func newVM(incarnation uint64) *vm {
+	return &vm{
+		incarnation: incarnation, uses: make(map[useKey]replicaUse), results: make(map[string]results),
+		running: make(map[string]int), wake: make(chan struct{}, 1),
+	}
+}
+
+// totals are the running requests of all VMs.
+type totals struct {
+	runners  map[string]int
+	models   map[string]map[string]int        // by runner and model
+	adapters map[string]map[drplan.Coming]int // by runner and adapter
+}
+
+func newTotals() totals {
+	return totals{
+		runners: make(map[string]int), models: make(map[string]map[string]int),
+		adapters: make(map[string]map[drplan.Coming]int),
+	}
+}
+
+// add changes the number of running requests on a replica.
+func (t *totals) add(k useKey, n int) {
+	if n == 0 {
+		return
+	}
+	t.runners[k.runner] += n
+	if k.model == "" {
+		return
+	}
+	if t.models[k.runner] == nil {
+		t.models[k.runner], t.adapters[k.runner] = make(map[string]int), make(map[drplan.Coming]int)
+	}
+	t.models[k.runner][k.model] += n
+	if k.adapter != "" {
+		t.adapters[k.runner][drplan.Coming{Model: k.model, Adapter: k.adapter}] += n
+	}
 }
 
 // demand is the recent demand for one model.
@@ -128,51 +185,60 @@
 	}
 }
 
-// report takes the uses that a VM reported, and counts what is new.
-func (c *Controller) takeUses(v *vm, uses []*drpb.FleetUse, now time.Time) {
-	old := v.uses
-	v.uses = make(map[string]*drpb.FleetUse, len(uses))
-	for _, u := range uses {
-		v.uses[u.GetRunner()] = u
+// takeUses takes what a VM runs and counts what is new. The first report of a
+// VM only sets the counts that later ones are compared with.
+func (c *Controller) takeUses(v *vm, m *drpb.FleetSyncRequest, first bool, now time.Time) {
+	if m.GetWhole() {
+		c.dropUses(v)
+	}
+	for _, u := range m.GetUses() {
 		s := c.runners[u.GetRunner()]
-		if s == nil || s.started != u.GetStarted() {
-			continue
+		known := s != nil && s.started == u.GetStarted()
+		if before := v.results[u.GetRunner()]; known && !first {
+			s.outcomes.add(grown(u.GetSucceeded(), before.succeeded), grown(u.GetFailed(), before.failed), now)
 		}
-		before := old[u.GetRunner()]
-		s.outcomes.add(grown(u.GetSucceeded(), before.GetSucceeded()), grown(u.GetFailed(), before.GetFailed()), now)
+		v.results[u.GetRunner()] = results{u.GetSucceeded(), u.GetFailed()}
 		for _, p := range u.GetReplicas() {
-			c.takeReplicaUse(s, u.GetRunner(), p, requestsOf(before, p), now)
+			k := useKey{u.GetRunner(), u.GetStarted(), p.GetModel(), p.GetAdapter()}
+			before := v.uses[k]
+			c.totals.add(k, int(p.GetRunning())-before.running)
+			v.running[k.runner] += int(p.GetRunning()) - before.running
+			v.uses[k] = replicaUse{int(p.GetRunning()), p.GetRequests()}
+			if known && !first {
+				c.takeReplicaUse(s, k, p, grown(p.GetRequests(), before.requests), now)
+			}
 		}
 	}
 }
 
-func (c *Controller) takeReplicaUse(s *runnerState, runner string, p *drpb.FleetReplicaUse, before uint64, now time.Time) {
-	if p.GetModel() == "" {
+// dropUses takes a VM's running requests out of the totals. The counts of its
+// requests stay.
+func (c *Controller) dropUses(v *vm) {
+	for k, u := range v.uses {
+		c.totals.add(k, -u.running)
+		u.running = 0
+		v.uses[k] = u
+	}
+	clear(v.running)
+}
+
+func (c *Controller) takeReplicaUse(s *runnerState, k useKey, p *drpb.FleetReplicaUse, requests float64, now time.Time) {
+	if k.model == "" {
 		return
 	}
-	n := grown(p.GetRequests(), before)
-	if n > 0 {
-		c.demandOf(p.GetModel()).add(n, now)
+	if requests > 0 {
+		c.demandOf(k.model).add(requests, now)
 	}
-	if p.GetAdapter() != "" && (n > 0 || p.GetRunning() > 0) {
-		s.usedAdapter[drplan.Coming{Model: p.GetModel(), Adapter: p.GetAdapter()}] = now
+	if k.adapter != "" && (requests > 0 || p.GetRunning() > 0) {
+		s.usedAdapter[drplan.Coming{Model: k.model, Adapter: k.adapter}] = now
 	}
 	if p.GetMissing() && !s.doubtful && s.swap == nil {
-		if r, ok := c.view.Runner(runner); ok && r.Holds(p.GetModel(), p.GetAdapter()) {
+		if r, ok := c.view.Runner(k.runner); ok && r.Holds(k.model, k.adapter) {
 			s.doubtful = true // it does not hold what we believe
 		}
 	}
 }
 
-func requestsOf(u *drpb.FleetUse, p *drpb.FleetReplicaUse) uint64 {
-	for _, q := range u.GetReplicas() {
-		if q.GetModel() == p.GetModel() && q.GetAdapter() == p.GetAdapter() {
-			return q.GetRequests()
-		}
-	}
-	return 0
-}
-
 // grown returns by how much a counter grew; a smaller one has started anew.
 func grown(now, before uint64) float64 {
 	if now < before {
@@ -197,9 +263,8 @@
 		Stored:     make(map[string]bool),
 		StoreLoads: c.loads.available(now),
 	}
-	running, adapters := c.running(now)
 	byModel := make(map[string]int)
-	for _, models := range running {
+	for _, models := range c.totals.models {
 		for m, n := range models {
 			byModel[m] += n
 		}
@@ -219,7 +284,7 @@
 			continue
 		}
 		p := drplan.Runner{
-			Runner: r, Running: running[r.ID], RunningAdapter: adapters[r.ID], LoadedAt: rs.loadedAt,
+			Runner: r, Running: c.totals.models[r.ID], RunningAdapter: c.totals.adapters[r.ID], LoadedAt: rs.loadedAt,
 			UsedAdapter: rs.usedAdapter, Coming: rs.coming,
 		}
 		if rs.swap != nil {
@@ -231,29 +296,6 @@
 	return s
 }
 
-// running sums up what all VMs run, by runner and model, and by adapter.
-func (c *Controller) running(now time.Time) (models map[string]map[string]int, adapters map[string]map[drplan.Coming]int) {
-	models = make(map[string]map[string]int)
-	adapters = make(map[string]map[drplan.Coming]int)
-	for _, v := range c.vms {
-		if now.Sub(v.heard) > vmSilence {
-			continue
-		}
-		for id, u := range v.uses {
-			if models[id] == nil {
-				models[id], adapters[id] = make(map[string]int), make(map[drplan.Coming]int)
-			}
-			for _, p := range u.GetReplicas() {
-				models[id][p.GetModel()] += int(p.GetRunning())
-				if p.GetAdapter() != "" {
-					adapters[id][drplan.Coming{Model: p.GetModel(), Adapter: p.GetAdapter()}] += int(p.GetRunning())
-				}
-			}
-		}
-	}
-	return models, adapters
-}
-
 // wants joins the wants of all VMs by model and adapter.
 func (c *Controller) wants(service string, now time.Time) []drplan.Want {
 	byReplica := make(map[drplan.Coming]*drplan.Want)
--- a/drcontrol/node.go
+++ b/drcontrol/node.go
@@ -29,8 +29,10 @@
 	renewInterval = 450 * time.Millisecond
 	// leasePoll is how often a VM without a controller reads the lease.
 	leasePoll = 250 * time.Millisecond
-	// acquireSpread spreads the attempts of VMs to take a vacant lease.
-	acquireSpread = 200 * time.Millisecond
+	// acquireSpread spreads the attempts of VMs to take a vacant lease, and
+	// weakDelay holds VMs with little processor time back.
+	acquireSpread = 150 * time.Millisecond
+	weakDelay     = 250 * time.Millisecond
 	// storeLimit bounds one call to the store for the lease.
 	storeLimit = 700 * time.Millisecond
 	// releaseLimit bounds the release of the lease at the end of a process.
@@ -70,6 +72,8 @@
 	// OrderPause is the time without orders after the controller has changed,
 	// for runners that do not check fencing tokens.
 	OrderPause time.Duration
+	// Processor is the part of a core that this process may use.
+	Processor float64
 }
 
 // Node keeps the view of one VM in touch with the store and the controller,
@@ -92,11 +96,14 @@
 	term    uint64    // of the table in the view
 	// revision of the controller's table that the view has.
 	revision uint64
+	// tellAll is set if the controller may have missed a report.
+	tellAll  bool
+	syncWait time.Duration
 }
 
 // New returns a Node. Start starts it.
 func New(c Config) *Node {
-	n := &Node{Config: c, reader: newReader(c.Log, c.Codec, c.View, c.Clock)}
+	n := &Node{Config: c, tellAll: true, syncWait: minSyncWait, reader: newReader(c.Log, c.Codec, c.View, c.Clock)}
 	n.elector = drlease.New(drlease.Config{
 		Log: c.Log, Uptime: c.Clock, VM: c.VM, Address: c.Address, Incarnation: c.Incarnation, TTL: LeaseTTL,
 	})
@@ -345,7 +352,8 @@
 func (n *Node) spread() time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(n.VM))
-	return time.Duration(h.Sum32()%1000) * acquireSpread / 1000
+	weak := time.Duration(max(1-n.Processor, 0) * float64(weakDelay))
+	return weak + time.Duration(h.Sum32()%1000)*acquireSpread/1000
 }
 
 func (n *Node) lead() {
--- a/drcontrol/sync.go
+++ b/drcontrol/sync.go
@@ -13,10 +13,15 @@
 )
 
 const (
-	// syncWait is how long the controller may hold a report back if nothing
-	// changes, and syncLimit how long a VM waits beyond that.
-	syncWait  = 250 * time.Millisecond
-	syncLimit = 500 * time.Millisecond
+	// minSyncWait and maxSyncWait bound how long the controller may hold a
+	// report back if nothing changes; syncLimit is how long a VM waits beyond
+	// that.
+	minSyncWait = 250 * time.Millisecond
+	maxSyncWait = 600 * time.Millisecond
+	syncLimit   = 500 * time.Millisecond
+	// syncPerVM is the time between two reports per VM, which bounds the
+	// controller's work for reports.
+	syncPerVM = 4 * time.Millisecond
 	// syncRetry is the pause after a failed report.
 	syncRetry = 50 * time.Millisecond
 	// reserveLimit bounds a question for tokens.
@@ -45,12 +50,13 @@
 // sync makes one report. A new want of this VM is not held back: it cuts the
 // report short, so that the next one carries it.
 func (n *Node) sync() bool {
-	ctx, cancel := context.WithTimeout(n.ctx, syncWait+syncLimit)
+	ctx, cancel := context.WithTimeout(n.ctx, maxSyncWait+syncLimit)
 	defer cancel()
 	n.mu.Lock()
 	leader, request := n.leader, &drpb.FleetSyncRequest{
-		Zone: n.Zone, Term: n.term, Revision: n.revision, WaitMs: uint32(syncWait.Milliseconds()),
+		Zone: n.Zone, Term: n.term, Revision: n.revision, WaitMs: uint32(n.syncWait.Milliseconds()), Whole: n.tellAll,
 	}
+	n.tellAll = true // unless this report arrives
 	n.mu.Unlock()
 	drainToken(n.View.Wanted())
 	n.describe(request)
@@ -94,7 +100,7 @@
 	_, version, _ := n.View.DeploymentRecord()
 	m.Deployment = version
 	m.Wants = encodeWants(n.View.Wants())
-	m.Uses = encodeUses(n.View.Uses())
+	m.Uses = encodeUses(n.View.Uses(m.GetWhole()))
 	for _, s := range n.Allowances.Spendings() {
 		m.Spendings = append(m.Spendings, &drpb.FleetSpending{Account: s.Account, Spent: s.Spent, Granted: s.Granted})
 	}
@@ -139,7 +145,9 @@
 		n.View.ConfirmRunners(made - age(reply.GetRunnersAgeMs()))
 	}
 	n.mu.Lock()
+	n.tellAll = n.term != reply.GetTerm()
 	n.term, n.revision = reply.GetTerm(), reply.GetRevision()
+	n.syncWait = min(max(time.Duration(reply.GetNextWaitMs())*time.Millisecond, minSyncWait), maxSyncWait)
 	n.mu.Unlock()
 	n.View.ForgetLoads()
 	for _, l := range reply.GetLoads() {
--- a/dredge/settings.go
+++ b/dredge/settings.go
@@ -22,6 +22,7 @@
 	GracePeriod  drjson.Duration `json:"grace-period" doc:"Time between SIGTERM and the end of the process. At least 2s."`
 	RetryBudget  RetryBudget     `json:"retry-budget" doc:"Bounds on requests that are sent to a runner more than once, over all VMs."`
 	OrderPause   drjson.Duration `json:"order-pause" doc:"Time without orders to runners after the controller has changed. 0 if runners check fencing tokens."`
+	Processor    float64         `json:"processor-share" doc:"Part of a core that this process may use. VMs with more of it take the controller's lease first. Above 0."`
 	MemoryLimit  drjson.Size     `json:"memory-limit" doc:"Soft limit of the process's memory; 0 for none."`
 	LogLevel     string          `json:"log-level" doc:"Lowest level of logged events: debug, info, warn or error."`
 }
@@ -47,6 +48,7 @@
 		Revocation:  drjson.Duration(5 * time.Second),
 		GracePeriod: drjson.Duration(8 * time.Second),
 		RetryBudget: RetryBudget{Share: 0.2, Extra: 100, Window: drjson.Duration(10 * time.Second)},
+		Processor:   1,
 		MemoryLimit: 96 << 20,
 		LogLevel:    "info",
 	}
@@ -116,6 +118,9 @@
 	if b := s.RetryBudget; b.Share < 0 || b.Extra < 0 {
 		c.report("retry-budget", "share and extra must not be negative")
 	}
+	if s.Processor <= 0 {
+		c.report("processor-share", "must be above 0")
+	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
--- a/dredge/settings_test.go
+++ b/dredge/settings_test.go
@@ -31,6 +31,7 @@
 		`10.0.0.9:80`:              `store`,
 		`"revocation": "5000ms"`:   `"revocation": "1s"`,
 		`"grace-period": "8s"`:     `"grace-period": "8"`,
+		`"vm": "front-1",`:         `"vm": "front-1", "processor-share": 0,`,
 		`"share": 0.2`:             `"share": -1`,
 		`"window": "10s"`:          `"window": "1ms"`,
 		`"callers": "10.0.0.1:80"`: `"caller": "10.0.0.1:80"`,
--- a/drview/runner.go
+++ b/drview/runner.go
@@ -48,6 +48,8 @@
 	running      int
 	requests     uint64
 	missingUntil time.Time
+	// told is what Uses returned last.
+	told ReplicaUse
 }
 
 // Source says where a description of a runner comes from.
@@ -210,6 +212,25 @@
 	Gone   bool
 }
 
+// Revision returns the revision of the runner table.
+func (v *View) Revision() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.revision
+}
+
+// Holds reports whether a runner that takes requests holds a replica.
+func (v *View) Holds(p Replica) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.runners {
+		if !e.gone && !e.runner.Draining && e.runner.Service == p.Service && e.runner.Holds(p.Model, p.Adapter) {
+			return true
+		}
+	}
+	return false
+}
+
 // Changes returns the entries that changed after a revision, and the revision
 // that they lead to.
 func (v *View) Changes(after uint64) ([]Change, uint64) {
--- a/drview/use.go
+++ b/drview/use.go
@@ -87,8 +87,9 @@
 	Missing  bool   // the runner answered that it does not hold it
 }
 
-// Uses returns what this VM has run on each runner that is in the table.
-func (v *View) Uses() []RunnerUse {
+// Uses returns what this VM runs and has run on each runner: all of it if whole
+// is set, else what changed since the last call.
+func (v *View) Uses(whole bool) []RunnerUse {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.clock.Now()
@@ -100,9 +101,15 @@
 		}
 		u := RunnerUse{Runner: id, Started: e.runner.Started, Succeeded: e.succeeded, Failed: e.failed}
 		for p, x := range e.uses {
-			u.Replicas = append(u.Replicas, ReplicaUse{p, x.running, x.requests, now.Before(x.missingUntil)})
+			r := ReplicaUse{p, x.running, x.requests, now.Before(x.missingUntil)}
+			if whole || r != x.told {
+				u.Replicas = append(u.Replicas, r)
+				x.told = r
+			}
+		}
+		if len(u.Replicas) > 0 {
+			us = append(us, u)
 		}
-		us = append(us, u)
 	}
 	return us
 }
--- a/drview/view_test.go
+++ b/drview/view_test.go
@@ -105,7 +105,7 @@
 	v.OfferRunner(r, drview.FromRunner)
 	v.Begin(r, m1).End(drview.Missing)
 	is.Equal(len(v.Candidates(m1)), 0)
-	is.True(v.Uses()[0].Replicas[0].Missing)
+	is.True(v.Uses(true)[0].Replicas[0].Missing)
 	clock.Advance(time.Second)
 	is.Equal(len(v.Candidates(m1)), 1)
 }
@@ -173,3 +173,19 @@
 	timely.Close()
 	is.Equal(len(v.Wants()), 0)
 }
+
+// Guards against reports that repeat everything a VM ever ran, and against one
+// that leaves out what has ended.
+func TestUsesNamesWhatChanged(t *testing.T) {
+	is := is.New(t)
+	v, _ := newView()
+	r := described(1, 1, "m1")
+	v.OfferRunner(r, drview.FromRunner)
+	u := v.Begin(r, m1)
+	is.Equal(v.Uses(false)[0].Replicas[0].Running, 1)
+	is.Equal(len(v.Uses(false)), 0)
+	u.End(drview.Succeeded)
+	is.Equal(v.Uses(false)[0].Replicas[0].Running, 0)
+	is.Equal(len(v.Uses(false)), 0)
+	is.Equal(v.Uses(true)[0].Replicas[0].Requests, uint64(1))
+}
