Take a controller for reached between two reports; let strong VMs lead

A VM with 0.134 of a core also took the lease first because it started first. The delay of weak VMs now counts from the strongest VM that reports.

--- a/drcontrol/controller.go
+++ b/drcontrol/controller.go
@@ -260,6 +260,7 @@
 		c.vms[name] = v
 	}
 	first := v.heard.IsZero()
+	v.processor = m.GetProcessor()
 	v.heard, v.wants, v.wantsAt = now, m.GetWants(), now
 	c.takeUses(v, m, first, now)
 	if len(v.wants) > 0 {
@@ -363,6 +364,9 @@
 		})
 	}
 	vms := c.countVMs(now)
+	for _, v := range c.vms {
+		reply.MostProcessor = max(reply.MostProcessor, v.processor)
+	}
 	reply.Vms = uint32(vms)
 	reply.NextWaitMs = uint32(milliseconds(time.Duration(vms) * syncPerVM))
 }
--- a/drcontrol/fleet.go
+++ b/drcontrol/fleet.go
@@ -33,6 +33,7 @@
 // vm is what the controller knows of one entry VM.
 type vm struct {
 	incarnation uint64
+	processor   float64
 	heard       time.Time
 	wants       []*drpb.FleetWant
 	wantsAt     time.Time
--- a/drcontrol/node.go
+++ b/drcontrol/node.go
@@ -30,11 +30,11 @@
 	// leasePoll is how often a VM without a controller reads the lease.
 	leasePoll = 250 * time.Millisecond
 	// acquireSpread spreads the attempts of VMs to take a vacant lease, and
-	// weakDelay holds VMs with little processor time back.
+	// weakDelay holds VMs back that lack a core compared with the strongest.
 	acquireSpread = 150 * time.Millisecond
-	weakDelay     = 250 * time.Millisecond
+	weakDelay     = 700 * time.Millisecond
 	// storeLimit bounds one call to the store for the lease.
-	storeLimit = 700 * time.Millisecond
+	storeLimit = 1200 * time.Millisecond
 	// releaseLimit bounds the release of the lease at the end of a process.
 	releaseLimit = 500 * time.Millisecond
 	// deploymentWait and runnersPause set the pace at which the controller
@@ -99,11 +99,14 @@
 	// tellAll is set if the controller may have missed a report.
 	tellAll  bool
 	syncWait time.Duration
+	// mostProcessor is the largest part of a core that any VM may use; a full
+	// one until a controller has told it.
+	mostProcessor float64
 }
 
 // New returns a Node. Start starts it.
 func New(c Config) *Node {
-	n := &Node{Config: c, tellAll: true, syncWait: minSyncWait, reader: newReader(c.Log, c.Codec, c.View, c.Clock)}
+	n := &Node{Config: c, tellAll: true, syncWait: minSyncWait, mostProcessor: 1, reader: newReader(c.Log, c.Codec, c.View, c.Clock)}
 	n.elector = drlease.New(drlease.Config{
 		Log: c.Log, Uptime: c.Clock, VM: c.VM, Address: c.Address, Incarnation: c.Incarnation, TTL: LeaseTTL,
 	})
@@ -255,7 +258,7 @@
 func (n *Node) hasLeader() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.leader.VM != "" && !n.heardAt.IsZero() && n.Clock.Since(n.heardAt) < 2*leasePoll
+	return n.leader.VM != "" && !n.heardAt.IsZero() && n.Clock.Since(n.heardAt) < maxSyncWait+syncLimit
 }
 
 // mustResign reports whether this VM should no longer be the controller.
@@ -352,7 +355,9 @@
 func (n *Node) spread() time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(n.VM))
-	weak := time.Duration(max(1-n.Processor, 0) * float64(weakDelay))
+	n.mu.Lock()
+	weak := time.Duration(max(n.mostProcessor-n.Processor, 0) * float64(weakDelay))
+	n.mu.Unlock()
 	return weak + time.Duration(h.Sum32()%1000)*acquireSpread/1000
 }
 
--- a/drcontrol/sync.go
+++ b/drcontrol/sync.go
@@ -55,6 +55,7 @@
 	n.mu.Lock()
 	leader, request := n.leader, &drpb.FleetSyncRequest{
 		Zone: n.Zone, Term: n.term, Revision: n.revision, WaitMs: uint32(n.syncWait.Milliseconds()), Whole: n.tellAll,
+		Processor: n.Processor,
 	}
 	n.tellAll = true // unless this report arrives
 	n.mu.Unlock()
@@ -147,6 +148,7 @@
 	n.mu.Lock()
 	n.tellAll = n.term != reply.GetTerm()
 	n.term, n.revision = reply.GetTerm(), reply.GetRevision()
+	n.mostProcessor = reply.GetMostProcessor()
 	n.syncWait = min(max(time.Duration(reply.GetNextWaitMs())*time.Millisecond, minSyncWait), maxSyncWait)
 	n.mu.Unlock()
 	n.View.ForgetLoads()
