Answer requests that arrive as a stopping VM closes idle connections

It now answers what has arrived and ends when no connection is left. The wait for store calls at the end is bounded. Refusals over the rate state on what basis they were made.

--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -38,7 +38,7 @@
 	// platform needs two failed readiness checks.
 	drainNotice = 2500 * time.Millisecond
 	// exitMargin is left of the grace period to exit in.
-	exitMargin = 500 * time.Millisecond
+	exitMargin = 900 * time.Millisecond
 	// drainPoll is the pause between looks at the running requests.
 	drainPoll = 50 * time.Millisecond
 	// pageTimeout bounds requests for readiness and metrics.
@@ -240,7 +240,7 @@
 	e.callers.StopAccepting()
 	for e.Clock.Now().Before(end) {
 		e.forward.CloseIdle()
-		if e.forward.Busy() == 0 {
+		if e.forward.Connections() == 0 {
 			break
 		}
 		_ = e.Clock.Sleep(e.ctx, drainPoll)
@@ -249,12 +249,20 @@
 	return e.Close()
 }
 
-// closeLimit bounds the wait for handlers at the end.
+// closeLimit bounds the wait for each part at the end.
 const closeLimit = 200 * time.Millisecond
 
 // Close ends the Edge without waiting for requests.
 func (e *Edge) Close() error {
-	e.node.Close()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		e.node.Close()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeLimit): // a call to the store or a runner is under way
+	}
 	e.cancel()
 	e.forward.Close()
 	err := e.peers.Close()
--- a/drforward/exchange.go
+++ b/drforward/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -142,11 +143,15 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), x.timeoutAt)
 	defer cancel()
-	ok, retryAfter := x.server.Allowances.Admit(ctx, x.server.Reserver, x.account.Name, x.account.Cost(x.call))
-	if ok {
+	cost := x.account.Cost(x.call)
+	a := x.server.Allowances.Admit(ctx, x.server.Reserver, x.account.Name, cost)
+	if a.Admitted {
 		return refusal{}, true
 	}
-	return refusal{status: fasthttp.StatusTooManyRequests, reason: "over-rate", retryAfter: retryAfter}, false
+	return refusal{
+		status: fasthttp.StatusTooManyRequests, reason: "over-rate", retryAfter: a.RetryAfter,
+		detail: fmt.Sprintf("%.0f tokens, by %s", cost, a.Basis),
+	}, false
 }
 
 // urgency ranks the request at runners: the client account's priority goes
--- a/drforward/server.go
+++ b/drforward/server.go
@@ -118,6 +118,13 @@
 // Busy returns the number of requests that are being served.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // CloseIdle closes the connections that carry no request.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
@@ -154,7 +161,7 @@
 	s := c.server
 	_, maxBody, headerTimeout, idle := s.limits()
 	_ = c.SetReadDeadline(time.Now().Add(idle + idleSlack))
-	if _, err := c.r.Peek(1); err != nil {
+	if _, err := c.r.Peek(1); err != nil && !c.arrived() {
 		return false
 	}
 	c.serving.Store(true)
@@ -174,7 +181,14 @@
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	x.serve()
-	return x.keep && !s.draining.Load()
+	return x.keep
+}
+
+// arrived reports whether a request has arrived although the wait for it was
+// ended: it must be answered, not closed.
+func (c *clientConn) arrived() bool {
+	b, ok := c.Conn.(interface{ Buffered() int })
+	return ok && b.Buffered() > 0
 }
 
 // unreadable answers a request that cannot be read, if the client can still
--- a/drquota/allowance.go
+++ b/drquota/allowance.go
@@ -131,13 +131,19 @@
 	return s.vms
 }
 
+// Admission is the outcome of Admit.
+type Admission struct {
+	Admitted bool
+	Basis    Basis
+	// RetryAfter is when a refused client should come back.
+	RetryAfter time.Duration
+}
+
 // Admit spends tokens of an account, by grant, by asking the controller, or
-// from this VM's share if the controller does not answer. If it does not admit
-// them, it returns when the client should come back.
-func (s *Allowances) Admit(ctx context.Context, r Reserver, account string, tokens float64) (bool, time.Duration) {
-	decided, ok, retryAfter := s.admitLocally(account, tokens)
-	if decided {
-		return ok, retryAfter
+// from this VM's share if the controller does not answer.
+func (s *Allowances) Admit(ctx context.Context, r Reserver, account string, tokens float64) Admission {
+	if a, decided := s.admitLocally(account, tokens); decided {
+		return a
 	}
 	granted, retryAfter, reached := r.Reserve(ctx, account, tokens)
 	s.mu.Lock()
@@ -145,20 +151,20 @@
 	a, found := s.accounts[account]
 	switch {
 	case !found:
-		return true, 0
+		return Admission{Admitted: true, Basis: ByNoLimit}
 	case !reached:
 		return s.fromShare(a, tokens)
 	case granted:
 		a.spent += tokens
 		a.granted += tokens
-		return true, 0
+		return Admission{Admitted: true, Basis: ByController}
 	}
 	now := s.clock.Now()
 	if a.deniedUntil.Before(now) || tokens < a.deniedFrom {
 		a.deniedFrom = tokens
 	}
 	a.deniedUntil, a.retryAfter = now.Add(min(retryAfter, deniedFor)), retryAfter
-	return false, retryAfter
+	return Admission{Basis: ByController, RetryAfter: retryAfter}
 }
 
 // deniedFor bounds how long a denial is repeated without asking again. A large
@@ -166,31 +172,30 @@
 const deniedFor = 15 * time.Millisecond
 
 // admitLocally decides without the controller if it can.
-func (s *Allowances) admitLocally(account string, tokens float64) (decided, ok bool, retryAfter time.Duration) {
+func (s *Allowances) admitLocally(account string, tokens float64) (a Admission, decided bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a, found := s.accounts[account]
+	x, found := s.accounts[account]
 	if !found {
-		return true, true, 0
+		return Admission{Admitted: true, Basis: ByNoLimit}, true
 	}
-	if a.spent+tokens <= a.granted {
-		a.spent += tokens
-		return true, true, 0
+	if x.spent+tokens <= x.granted {
+		x.spent += tokens
+		return Admission{Admitted: true, Basis: ByGrant}, true
 	}
 	now := s.clock.Now()
-	if now.Before(a.deniedUntil) && tokens >= a.deniedFrom {
-		return true, false, a.retryAfter
+	if now.Before(x.deniedUntil) && tokens >= x.deniedFrom {
+		return Admission{Basis: ByRepeat, RetryAfter: x.retryAfter}, true
 	}
 	if now.Sub(s.heard) > controllerSilence {
-		ok, retryAfter = s.fromShare(a, tokens)
-		return true, ok, retryAfter
+		return s.fromShare(x, tokens), true
 	}
-	return false, false, 0
+	return Admission{}, false
 }
 
 // fromShare admits tokens from an equal share of the rate. A request larger
 // than what can be saved up overdraws the share.
-func (s *Allowances) fromShare(a *allowance, tokens float64) (bool, time.Duration) {
+func (s *Allowances) fromShare(a *allowance, tokens float64) Admission {
 	part := 1 / float64(s.vms)
 	if a.part > 0 {
 		part = a.part
@@ -206,9 +211,9 @@
 	a.shareLast = now
 	if need := min(tokens, most); a.share < need {
 		wait := time.Duration((need - a.share) / math.Max(rate, 1) * float64(time.Second))
-		return false, min(wait, maxRetryAfter)
+		return Admission{Basis: ByShare, RetryAfter: min(wait, maxRetryAfter)}
 	}
 	a.share -= tokens
 	a.spent += tokens
-	return true, 0
+	return Admission{Admitted: true, Basis: ByShare}
 }
--- a/drquota/quota_test.go
+++ b/drquota/quota_test.go
@@ -55,7 +55,7 @@
 	for step := range 100 { // 10 s
 		for i, a := range allowances {
 			for range 3 {
-				if ok, _ := a.Admit(ctx, vms[i], "a", 100); ok {
+				if a.Admit(ctx, vms[i], "a", 100).Admitted {
 					admitted += 100
 				}
 			}
@@ -80,8 +80,7 @@
 	vm := &direct{pool: pool, vm: "a"}
 	vm.report(a, 20)
 	for step := range 100 {
-		ok, _ := a.Admit(ctx, vm, "a", 90)
-		is.True(ok)
+		is.True(a.Admit(ctx, vm, "a", 90).Admitted)
 		clock.Advance(100 * time.Millisecond)
 		if step%3 == 0 {
 			vm.report(a, 20)
@@ -101,7 +100,7 @@
 	down := &direct{down: true}
 	admitted := 0.0
 	for range 100 {
-		if ok, _ := a.Admit(ctx, down, "a", 10); ok {
+		if a.Admit(ctx, down, "a", 10).Admitted {
 			admitted += 10
 		}
 		clock.Advance(100 * time.Millisecond)
