--- a/drforward/stream.go
+++ b/drforward/stream.go
@@ -55,7 +55,7 @@
 			}
 			continue
 		}
-		err := st.relay(a)
+		err := st.relay(a, x.route.Idempotent() && j.runs < x.route.Attempts)
 		switch {
 		case err == nil:
 			st.finish(a)
@@ -129,14 +129,14 @@
 	return true
 }
 
-// relay passes events on until the stream's end.
-func (st *stream) relay(a *attempt) error {
+// relay passes events on until the stream's end. A runner that is silent is
+// given up only if another one may go on: it may be merely slow.
+func (st *stream) relay(a *attempt, replaceable bool) error {
 	x := st.x
 	r := bufio.NewReaderSize(a.body(), readBuffer)
-	resumable := x.route.Idempotent()
 	for {
 		limit := x.timeoutAt
-		if resumable {
+		if replaceable {
 			limit = earlier(limit, time.Now().Add(st.silence()))
 		}
 		_ = a.up.SetReadDeadline(limit)
--- a/drwait/wait.go
+++ b/drwait/wait.go
@@ -9,8 +9,9 @@
 	serviceTime = 150 * time.Millisecond
 	// lookAgain is how often the decision is made anew without a change.
 	lookAgain = 250 * time.Millisecond
-	// unknownWait is how long a request waits for its first forecast.
-	unknownWait = 2 * time.Second
+	// unknownShare is the part of its time that a request waits without a
+	// forecast, as while another VM becomes the controller.
+	unknownShare = 0.5
 	// minRetryAfter keeps refused clients from coming back before anything
 	// can have changed.
 	minRetryAfter = 200 * time.Millisecond
@@ -45,7 +46,7 @@
 		return Decision{RetryAfter: minRetryAfter, Why: "no time left"}
 	}
 	if !s.Forecast {
-		if s.Now.Sub(s.Began) > unknownWait {
+		if patience := s.TimeoutAt.Sub(s.Began).Seconds() * unknownShare; s.Now.Sub(s.Began).Seconds() > patience {
 			return Decision{RetryAfter: minRetryAfter, Why: "no forecast"}
 		}
 		return Decision{Wait: true, Again: min(lookAgain, last.Sub(s.Now))}
