--- a/dredge/settings.go
+++ b/dredge/settings.go
@@ -2,6 +2,8 @@
 // deployment, the runners' entries and the controller's lease in its store.
 package dredge
 
+//go:generate go test -run TestReference -update .
+
 import (
 	"net/netip"
 	"os"
@@ -9,6 +11,7 @@
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drjson"
+	"github.com/dotterelridge/dotterelridge/drsettings"
 )
 
 // Settings are the settings of one entry VM. The doc tags are the text of the
@@ -54,6 +57,9 @@
 	}
 }
 
+// Reference returns docs/settings-edge.md.
+func Reference() string { return drsettings.Page("edge", "dredge", Default()) }
+
 const (
 	minRevocation  = 2 * time.Second
 	minGracePeriod = 2 * time.Second
--- a/dredge/settings_test.go
+++ b/dredge/settings_test.go
@@ -1,6 +1,8 @@
 package dredge_test
 
 import (
+	"flag"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,20 @@
 	"github.com/dotterelridge/dotterelridge/dredge"
 )
 
+var update = flag.Bool("update", false, "write the reference page")
+
+// Guards against a page that differs from the code.
+func TestReference(t *testing.T) {
+	is := is.New(t)
+	const page = "../docs/settings-edge.md"
+	if *update {
+		is.NoErr(os.WriteFile(page, []byte(dredge.Reference()), 0o644))
+	}
+	got, err := os.ReadFile(page)
+	is.NoErr(err)
+	is.Equal(string(got), dredge.Reference()) // run go generate ./dredge
+}
+
 const valid = `{
   // as the platform renders it
   "vm": "front-1", "zone": "z1", "store-address": "10.0.0.9:80",
--- a/drsettings/reference.go
+++ b/drsettings/reference.go
@@ -10,11 +10,15 @@
 )
 
 // Reference returns docs/settings.md, made from the types and their doc tags.
-func Reference() string {
+func Reference() string { return Page("serve", "drsettings", Default()) }
+
+// Page returns the reference page of a command's settings. defaults is a struct
+// with json and doc tags; the package is named as the page's source.
+func Page(command, source string, defaults any) string {
 	var b strings.Builder
-	b.WriteString(`# Settings of dotterelridge serve
+	fmt.Fprintf(&b, `# Settings of dotterelridge %s
 
-<!-- Generated from package drsettings by go generate ./drsettings. Do not edit. -->
+<!-- Generated from package %s by go generate ./%s. Do not edit. -->
 
 One file of JSON with comments (trailing commas allowed) per process. Unknown
 members are errors. Durations have a unit ("500ms", "5s", "1h30m"); sizes are
@@ -22,8 +26,8 @@
 
 | member | type | default | meaning |
 | --- | --- | --- | --- |
-`)
-	describe(&b, "", reflect.ValueOf(Default()))
+`, command, source, source)
+	describe(&b, "", reflect.ValueOf(defaults))
 	return b.String()
 }
 
