--- a/drcontrol/executor.go
+++ b/drcontrol/executor.go
@@ -264,7 +264,10 @@
 // beginAdapter starts an adapter swap. The caller holds mu.
 func (c *Controller) beginAdapter(swap drplan.AdapterSwap) {
 	s := c.runners[swap.Runner.ID]
-	s.coming = append(s.coming, swap.Load)
+	s.coming = append(slices.Clone(s.coming), swap.Load)
+	if swap.Unload != nil {
+		s.leaving = append(slices.Clone(s.leaving), *swap.Unload)
+	}
 	epoch := s.epoch
 	c.wg.Go(func() { c.runAdapter(s, swap, epoch) })
 }
@@ -273,7 +276,10 @@
 	err := c.swapAdapter(s, swap, epoch)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.coming = slices.DeleteFunc(slices.Clone(s.coming), func(x drplan.Coming) bool { return x == swap.Load })
+	s.coming = without(s.coming, swap.Load)
+	if swap.Unload != nil {
+		s.leaving = without(s.leaving, *swap.Unload)
+	}
 	s.usedAdapter[swap.Load] = c.Clock.Now()
 	fields := log.Fields{"event": "adapter-swapped", "runner": swap.Runner.ID, "model": swap.Load.Model,
 		"adapter": swap.Load.Adapter, "unloaded": swap.Unload, "term": c.Term}
@@ -287,6 +293,11 @@
 	c.prod()
 }
 
+// without returns a copy of cs that lacks c.
+func without(cs []drplan.Coming, c drplan.Coming) []drplan.Coming {
+	return slices.DeleteFunc(slices.Clone(cs), func(x drplan.Coming) bool { return x == c })
+}
+
 // adapterTime is the usual time of an adapter's load.
 const adapterTime = 15 * time.Millisecond
 
--- a/drcontrol/fleet.go
+++ b/drcontrol/fleet.go
@@ -163,6 +163,8 @@
 	swap   *drplan.Swap
 	doneAt time.Time
 	coming []drplan.Coming
+	// leaving are the adapters that those on their way replace.
+	leaving []drplan.Coming
 	// epoch counts the reports that were taken. What was planned before a
 	// report must not be carried out after it.
 	epoch  int
@@ -286,7 +288,7 @@
 		}
 		p := drplan.Runner{
 			Runner: r, Running: c.totals.models[r.ID], RunningAdapter: c.totals.adapters[r.ID], LoadedAt: rs.loadedAt,
-			UsedAdapter: rs.usedAdapter, Coming: rs.coming,
+			UsedAdapter: rs.usedAdapter, Coming: rs.coming, Leaving: rs.leaving,
 		}
 		if rs.swap != nil {
 			p.Ordered, p.FreeIn, p.Loading = true, rs.doneAt.Sub(now), rs.swap.Load
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -39,6 +39,8 @@
 	drainNotice = 2500 * time.Millisecond
 	// exitMargin is left of the grace period to exit in.
 	exitMargin = 900 * time.Millisecond
+	// refuseMargin before the end, requests that no runner has are refused.
+	refuseMargin = 700 * time.Millisecond
 	// drainPoll is the pause between looks at the running requests.
 	drainPoll = 50 * time.Millisecond
 	// pageTimeout bounds requests for readiness and metrics.
@@ -238,7 +240,12 @@
 		_ = e.Clock.Sleep(e.ctx, drainPoll)
 	}
 	e.callers.StopAccepting()
+	waiting := true
 	for e.Clock.Now().Before(end) {
+		if waiting && e.Clock.Now().After(end.Add(-refuseMargin)) {
+			waiting = false
+			e.forward.EndWaiting()
+		}
 		e.forward.CloseIdle()
 		if e.forward.Connections() == 0 {
 			break
--- a/drforward/server.go
+++ b/drforward/server.go
@@ -61,6 +61,9 @@
 	// key is served, because the key may have been withdrawn.
 	freshness atomic.Int64 // nanoseconds
 
+	// ending is closed when requests must not wait any more.
+	ending chan struct{}
+
 	mu    sync.Mutex
 	conns map[*clientConn]struct{}
 	busy  atomic.Int64
@@ -68,7 +71,7 @@
 
 // New returns a Server.
 func New(c Config) *Server {
-	return &Server{Config: c, pool: newPool(c.Dialer, c.Clock), conns: make(map[*clientConn]struct{})}
+	return &Server{Config: c, pool: newPool(c.Dialer, c.Clock), conns: make(map[*clientConn]struct{}), ending: make(chan struct{})}
 }
 
 // SetFreshness sets the age of the configuration beyond which no request with
@@ -115,6 +118,9 @@
 // StartDrain has each further answer close its connection.
 func (s *Server) StartDrain() { s.draining.Store(true) }
 
+// EndWaiting refuses the requests that wait for a model. Call it once.
+func (s *Server) EndWaiting() { close(s.ending) }
+
 // Busy returns the number of requests that are being served.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
 
--- a/drforward/wait.go
+++ b/drforward/wait.go
@@ -50,6 +50,9 @@
 		select {
 		case <-changed:
 		case <-t.C():
+		case <-s.ending:
+			t.Stop()
+			return nil, x.noRunner(drwait.Decision{Why: "the VM stops"}), refused
 		case <-x.conn.done:
 			t.Stop()
 			return nil, refusal{}, clientGone
--- a/drplan/adapter.go
+++ b/drplan/adapter.go
@@ -82,6 +82,11 @@
 	taken := len(r.Coming) + added
 	for _, m := range r.Replicas {
 		taken += len(m.Adapters)
+		for _, name := range m.Adapters {
+			if slices.Contains(r.Leaving, Coming{m.Model, name}) {
+				taken-- // its place belongs to an adapter on its way
+			}
+		}
 	}
 	room := s.Engine.WeightMemory - (&planner{State: s}).held(r)
 	if taken < s.Engine.AdapterSlots && room >= s.Engine.Models[c.Model].AdapterSize*float64(1+added) {
@@ -108,7 +113,7 @@
 		for _, name := range m.Adapters {
 			c := Coming{m.Model, name}
 			wanted := slices.ContainsFunc(s.Wants, func(w Want) bool { return w.Model == c.Model && w.Adapter == c.Adapter })
-			if r.RunningAdapter[c] == 0 && !wanted && s.Now.Sub(r.UsedAdapter[c]) >= adapterSettle {
+			if r.RunningAdapter[c] == 0 && !wanted && !slices.Contains(r.Leaving, c) && s.Now.Sub(r.UsedAdapter[c]) >= adapterSettle {
 				cs = append(cs, c)
 			}
 		}
--- a/drplan/plan.go
+++ b/drplan/plan.go
@@ -50,8 +50,9 @@
 	FreeIn time.Duration
 	// Loading is the model that is being loaded.
 	Loading string
-	// Coming are adapters on their way.
-	Coming []Coming
+	// Coming are adapters on their way, Leaving those that they replace.
+	Coming  []Coming
+	Leaving []Coming
 	// Running counts the running requests by model, and by model and adapter.
 	Running        map[string]int
 	RunningAdapter map[Coming]int
--- a/drplan/plan_test.go
+++ b/drplan/plan_test.go
@@ -187,3 +187,24 @@
 	r.Ordered, r.Coming = false, []drplan.Coming{{Model: "a", Adapter: "a1"}}
 	is.Equal(len(drplan.PlanAdapters(state(engine("a"), []drplan.Want{w}, r))), 0)
 }
+
+// Replays two adapters that are wanted one after the other at a runner without
+// a free place: each needs a victim of its own, or the second load goes beyond
+// the runner's places.
+func TestPlanAdaptersNeedsVictimEach(t *testing.T) {
+	is := is.New(t)
+	r := runner("r1", []string{"a"}, nil)
+	r.Replicas[0].Adapters = []string{"a1", "a2"}
+	r.UsedAdapter = map[drplan.Coming]time.Time{{Model: "a", Adapter: "a2"}: start.Add(-time.Second)}
+	w := want("a")
+	w.Adapter = "a3"
+	first := drplan.PlanAdapters(state(engine("a"), []drplan.Want{w}, r))
+	is.Equal(*first[0].Unload, drplan.Coming{Model: "a", Adapter: "a1"})
+
+	r.Coming, r.Leaving = []drplan.Coming{first[0].Load}, []drplan.Coming{*first[0].Unload}
+	w.Adapter = "a4"
+	second := drplan.PlanAdapters(state(engine("a"), []drplan.Want{w}, r))
+	is.Equal(len(second), 1)
+	is.True(second[0].Unload != nil)
+	is.Equal(*second[0].Unload, drplan.Coming{Model: "a", Adapter: "a2"})
+}
--- a/drquota/allowance.go
+++ b/drquota/allowance.go
@@ -14,10 +14,10 @@
 	// controller last answered; then it spends its part of the rate: that of
 	// the recent spending, or an equal one.
 	controllerSilence = time.Second
-	// shareBurst is how much of its share a VM may save up, in time, and
-	// startBurst what it starts with, when its last spending is long past.
-	shareBurst = 500 * time.Millisecond
-	startBurst = time.Second
+	// shareBurst is how much of its share a VM may save up, in time, and what
+	// it starts with. All VMs may start at the same time, just after their
+	// former processes spent the burst.
+	shareBurst = 400 * time.Millisecond
 	// assumedVMs is the number of VMs before any controller has told it; a
 	// high number keeps the sum of the shares within the rate.
 	assumedVMs = 64
@@ -204,8 +204,8 @@
 	most := rate * shareBurst.Seconds()
 	now := s.clock.Now()
 	a.share = min(a.share+now.Sub(a.shareLast).Seconds()*rate, most)
-	if a.fresh && a.granted == 0 {
-		a.share = rate*startBurst.Seconds() + a.limit.Burst*part
+	if a.fresh {
+		a.share = most
 	}
 	a.fresh = false
 	a.shareLast = now
--- a/drquota/pool.go
+++ b/drquota/pool.go
@@ -21,10 +21,10 @@
 	aheadShare = 0.1
 	// lendShare is the part of the tokens that VMs hold idle which the pool
 	// admits requests of other VMs against.
-	lendShare = 0.8
+	lendShare = 0.5
 	// startShare is the part of the burst that a new controller starts with:
 	// what its predecessor admitted just before is not known.
-	startShare = 0.5
+	startShare = 0.25
 	// surgeWindow is the time over which refused tokens are averaged.
 	surgeWindow = time.Second
 	// maxRetryAfter bounds how long a client is asked to wait.
