--- a/drcontrol/controller_test.go
+++ b/drcontrol/controller_test.go
@@ -266,3 +266,18 @@
 	is.True(err != nil)
 	is.True(!slices.Contains(w.engines.holds("r1"), "c"))
 }
+
+// Replays a slow model with a low rate whose requests pile up: it counts as
+// busy, so that it gets another replica.
+func TestSlowModelCountsAsBusy(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(0, 0)
+	d := demand{at: start, runningAt: start}
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		d.add(0.5, now) // 5 requests per second
+		d.observe(20, now)
+	}
+	is.True(d.rate*workPerRequest < 0.2)
+	is.True(d.work() > 0.6)
+}
