--- a/drview/runner.go
+++ b/drview/runner.go
@@ -55,10 +55,11 @@
 // Source says where a description of a runner comes from.
 type Source int
 
-// Sources of descriptions.
+// Sources of descriptions. A runner wrote its own some time ago; the
+// controller's are settled by its orders.
 const (
-	FromRunner     Source = iota // written by the runner, some time ago
-	FromController               // settled by the controller's orders
+	FromRunner     Source = iota // runner
+	FromController               // controller
 )
 
 // OfferRunner takes a description unless it is older than what is known. It
--- a/drview/use.go
+++ b/drview/use.go
@@ -7,17 +7,22 @@
 	"github.com/dotterelridge/dotterelridge/drfleet"
 )
 
+//go:generate stringer -type=Result,Source -linecomment
+
 // Result says how a request went at a runner.
 type Result int
 
-// Results of requests.
+// Results of requests. Failed: the runner answered with an error, broke off or
+// was silent. Abandoned: this VM or its client ended the request, which says
+// nothing of the runner. Missing: the runner does not hold the replica.
+// Rejected: it had no room. Unreachable: it took no connection.
 const (
-	Succeeded   Result = iota
-	Failed             // the runner answered with an error, broke off or was silent
-	Abandoned          // ended by this VM or its client; says nothing of the runner
-	Missing            // the runner does not hold the replica
-	Rejected           // the runner had no room
-	Unreachable        // the runner took no connection
+	Succeeded   Result = iota // succeeded
+	Failed                    // failed
+	Abandoned                 // abandoned
+	Missing                   // missing
+	Rejected                  // rejected
+	Unreachable               // unreachable
 )
 
 // Use is one request on a runner.
