--- a/drcontrol/reader.go
+++ b/drcontrol/reader.go
@@ -104,7 +104,7 @@
 	if elapsed := r.clock.Uptime() - sent; !whole && len(page.Records) == 0 && elapsed >= wait {
 		confirmed += wait // the store waited so long for a newer version
 	}
-	if len(page.Records) > 0 || !whole {
+	if d, _ := r.view.Deployment(); d != nil {
 		r.view.ConfirmDeployment(confirmed)
 	}
 	return nil
--- a/drcontrol/store_loops.go
+++ b/drcontrol/store_loops.go
@@ -45,16 +45,12 @@
 			_ = n.Clock.Sleep(n.ctx, stalePoll)
 			continue
 		}
-		wait := deploymentWait
-		if !known {
-			wait = 0
-		}
-		err := n.reader.readDeployment(n.ctx, wait)
+		err := n.reader.readDeployment(n.ctx, deploymentWait)
 		unreachable = n.noteStore(unreachable, "deployments", err)
 		if d, _ := n.View.Deployment(); d != nil {
 			n.Allowances.SetLimits(limitsOf(d))
 		}
-		if pause := b.next(err != nil); err != nil || !known {
+		if pause := b.next(err != nil); err != nil {
 			_ = n.Clock.Sleep(n.ctx, pause)
 		}
 	}
@@ -78,15 +74,15 @@
 	unreachable := false
 	var b backoff
 	for n.ctx.Err() == nil {
-		_, age, known := n.View.Ages()
-		if known && age < staleAfter && n.controller.Load() == nil {
+		_, age, _ := n.View.Ages()
+		if n.View.RunnersKnown() && age < staleAfter && n.controller.Load() == nil {
 			_ = n.Clock.Sleep(n.ctx, stalePoll)
 			continue
 		}
 		err := n.reader.readRunners(n.ctx)
 		unreachable = n.noteStore(unreachable, "runners", err)
 		pause := b.next(err != nil)
-		if err == nil && known {
+		if err == nil {
 			pause = runnersPause
 		}
 		_ = n.Clock.Sleep(n.ctx, pause)
--- a/drview/view.go
+++ b/drview/view.go
@@ -116,6 +116,13 @@
 	v.seenRunners = true
 }
 
+// RunnersKnown reports whether the runner table has been read once.
+func (v *View) RunnersKnown() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.seenRunners
+}
+
 // Ages returns the ages of the deployment and of the runner table; known is
 // false until both have been read once.
 func (v *View) Ages() (deployment, runners time.Duration, known bool) {
