--- a/drquota/pool.go
+++ b/drquota/pool.go
@@ -24,7 +24,7 @@
 	lendShare = 0.5
 	// startShare is the part of the burst that a new controller starts with:
 	// what its predecessor admitted just before is not known.
-	startShare = 0.25
+	startShare = 0.35
 	// surgeWindow is the time over which refused tokens are averaged.
 	surgeWindow = time.Second
 	// maxRetryAfter bounds how long a client is asked to wait.
