--- a/drcontrol/controller_test.go
+++ b/drcontrol/controller_test.go
@@ -117,7 +117,7 @@
 		models[m] = drfleet.Model{Name: m, Size: 60, FromStore: time.Second, FromDisk: engineLoad, FromMemory: engineLoad}
 	}
 	d, err := drfleet.NewDeployment(drfleet.Config{Version: 1, Services: []drfleet.Service{
-		{Name: "llm", Engine: &drfleet.Engine{Slots: 8, WeightMemory: 130, AdapterSlots: 2, LoadsPerSecond: 5, Models: models}},
+		{Name: "llm", Engine: &drfleet.Engine{WeightMemory: 130, AdapterSlots: 2, LoadsPerSecond: 5, Models: models}},
 	}})
 	if err != nil {
 		t.Fatal(err)
--- a/drfleet/runner.go
+++ b/drfleet/runner.go
@@ -1,9 +1,6 @@
 package drfleet
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // Replica is a model that a runner holds, with the adapters loaded on it.
 type Replica struct {
@@ -28,8 +25,6 @@
 	Started  int64
 	Slots    int
 	Draining bool
-	// Leaves is the time left before the runner is gone, 0 if not announced.
-	Leaves time.Duration
 	// Beat is the number of this description among those of the incarnation.
 	Beat int
 	// Orders is the number of orders accepted since Started, 0 if not known.
@@ -59,10 +54,3 @@
 	p, ok := r.Replica(model)
 	return ok && p.HasAdapter(adapter)
 }
-
-// WithReplicas returns a copy that holds other replicas.
-func (r *Runner) WithReplicas(replicas []Replica) *Runner {
-	c := *r
-	c.Replicas = replicas
-	return &c
-}
--- a/drfleet/service.go
+++ b/drfleet/service.go
@@ -4,16 +4,12 @@
 
 // Service is a set of interchangeable runners.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int     // of one runner, over all callers
-	Engine         *Engine // nil for a plain service
+	Name   string
+	Engine *Engine // nil for a plain service
 }
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots        int     // requests that run at once
-	CacheTokens  int     // memory for tokens of running requests and kept prompts
 	WeightMemory float64 // for weights of models and adapters, in MB
 	AdapterSlots int
 	// LoadsPerSecond bounds loads from the weight store over all runners.
@@ -25,7 +21,6 @@
 type Model struct {
 	Name        string
 	Size        float64 // of the weights, in MB
-	Adapters    int     // how many adapters exist
 	AdapterSize float64 // in MB
 	// FromStore, FromDisk and FromMemory are load times by the place of the
 	// weights: the weight store, the runner's disk, the runner's host memory.
--- a/drforward/attempt.go
+++ b/drforward/attempt.go
@@ -151,7 +151,7 @@
 		}
 		a.answer = a.x.server.Wire.Answer(&a.header)
 		if a.answer.RequestID == "" || a.answer.RequestID == a.x.call.ID {
-			return nil
+			return a.checkSeal()
 		}
 		log.WithFields(log.Fields{"event": "stray-answer", "request-id": a.x.call.ID, "of": a.answer.RequestID,
 			"runner": a.runner.ID}).Warn("")
@@ -162,6 +162,15 @@
 	return a.fail(errors.New("too many answers to other requests"))
 }
 
+// checkSeal refuses a success that the runner has not signed: it may be bytes
+// that belong to no request.
+func (a *attempt) checkSeal() error {
+	if code := a.header.StatusCode(); code >= 200 && code < 300 && !a.answer.Sealed {
+		return a.fail(errors.New("the answer is not signed"))
+	}
+	return nil
+}
+
 // fail ends the attempt after an error on the connection.
 func (a *attempt) fail(err error) error {
 	x := a.x
--- a/drforward/wire.go
+++ b/drforward/wire.go
@@ -47,8 +47,8 @@
 	RequestID string
 	// NotExecuted says that the runner has not run the request and will not.
 	NotExecuted bool
-	Sealed      bool   // signed by the runner
-	Instance    string // "" if the runner did not say
+	// Sealed says that the answer is signed by the runner.
+	Sealed bool
 	// Idle is how long the runner keeps an idle connection, 0 if unknown.
 	Idle time.Duration
 }
--- a/drplan/order.go
+++ b/drplan/order.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
 )
@@ -52,7 +51,6 @@
 
 // Report is a runner's description of its state on request.
 type Report struct {
-	Asked    time.Time
 	Busy     bool // an order of a model is carried out
 	Orders   int
 	Started  int64 // 0 if the runner did not say
@@ -60,8 +58,6 @@
 	Coming   []Coming
 	InMemory []string
 	OnDisk   []string
-	Waiting  int
-	Running  int
 }
 
 // Engines sends orders to runners.
--- a/drplan/plan_test.go
+++ b/drplan/plan_test.go
@@ -15,11 +15,11 @@
 // engine returns an engine that holds three models of 60 GB each.
 func engine(models ...string) *drfleet.Engine {
 	e := &drfleet.Engine{
-		Slots: 64, WeightMemory: 200_000, AdapterSlots: 2, LoadsPerSecond: 3, Models: make(map[string]drfleet.Model),
+		WeightMemory: 200_000, AdapterSlots: 2, LoadsPerSecond: 3, Models: make(map[string]drfleet.Model),
 	}
 	for _, m := range models {
 		e.Models[m] = drfleet.Model{
-			Name: m, Size: 60_000, Adapters: 9, AdapterSize: 100,
+			Name: m, Size: 60_000, AdapterSize: 100,
 			FromStore: 6 * time.Second, FromDisk: 500 * time.Millisecond, FromMemory: 400 * time.Millisecond,
 		}
 	}
