Pass what is left of the accounts' tokens on in the lease

The levels, debts included, now stand in each renewal of the lease, and the next controller goes on from them. Tests replay a change of controller in a surge.

--- a/drcontrol/controller.go
+++ b/drcontrol/controller.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drlease"
 	"github.com/dotterelridge/dotterelridge/drmetric"
 	"github.com/dotterelridge/dotterelridge/drplan"
 	"github.com/dotterelridge/dotterelridge/drquota"
@@ -48,6 +49,8 @@
 	// is still valid, and is asked before each order.
 	Term  uint64
 	Holds func() bool
+	// Inherited is what the former controller passed on.
+	Inherited drlease.Handover
 	// QuietUntil is when the first order may be sent.
 	QuietUntil time.Time
 }
@@ -80,6 +83,9 @@
 		vms: make(map[string]*vm), totals: newTotals(), runners: make(map[string]*runnerState), demands: make(map[string]*demand),
 		loads: loadRate{since: c.Clock.Now()}, limits: -1,
 	}
+	if h := c.Inherited; len(h.Levels) > 0 {
+		k.pool.Inherit(h.Levels, c.Clock.Now().Round(0).Sub(h.Counted))
+	}
 	k.ctx, k.end = context.WithCancel(context.Background())
 	k.wg.Go(k.planLoop)
 	return k
--- a/drcontrol/lease_loop.go
+++ b/drcontrol/lease_loop.go
@@ -103,7 +103,7 @@
 func (n *Node) renew(c *Controller) {
 	ctx, cancel := context.WithTimeout(n.ctx, storeLimit)
 	defer cancel()
-	err := n.elector.Renew(ctx, c.VMs())
+	err := n.elector.Renew(ctx, c.Handover())
 	if errors.Is(err, drstore.ErrConflict) {
 		err = n.elector.Read(ctx)
 	}
@@ -148,7 +148,7 @@
 	if n.retired.Load() || n.Clock.Sleep(ctx, n.spread()) != nil || n.elector.Read(ctx) != nil || !n.elector.Vacant() {
 		return false
 	}
-	if err := n.elector.Acquire(ctx, n.Allowances.VMs()); err != nil {
+	if err := n.elector.Acquire(ctx); err != nil {
 		return false // another VM was faster, or the next read shows it
 	}
 	n.lead()
@@ -173,7 +173,7 @@
 			term, ok := n.elector.Holds()
 			return ok && term == l.Term
 		},
-		QuietUntil: n.Clock.Now().Add(n.OrderPause),
+		QuietUntil: n.Clock.Now().Add(n.OrderPause), Inherited: l.Handover,
 	}, n.View)
 	n.controller.Store(c)
 	n.setLeader(l)
--- a/drcontrol/reports.go
+++ b/drcontrol/reports.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/dotterelridge/dotterelridge/drlease"
 	"github.com/dotterelridge/dotterelridge/drpb"
 )
 
@@ -181,11 +182,12 @@
 	return n
 }
 
-// VMs returns the number of VMs that report to the controller.
-func (c *Controller) VMs() int {
+// Handover returns what the next controller needs.
+func (c *Controller) Handover() drlease.Handover {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.countVMs(c.Clock.Now())
+	vms := c.countVMs(c.Clock.Now())
+	c.mu.Unlock()
+	return drlease.Handover{VMs: vms, Levels: c.pool.Levels(), Counted: c.Clock.Now()}
 }
 
 func (c *Controller) fillLoads(name string, reply *drpb.FleetSyncReply) {
--- a/drlease/elector.go
+++ b/drlease/elector.go
@@ -26,8 +26,27 @@
 	// Term is the fencing token; it grows with each acquisition.
 	Term     uint64
 	Released bool
+	Handover
+}
+
+// Handover is what the holder passes on to the next one.
+type Handover struct {
 	// VMs is the number of VMs that reported to the holder, 0 if unknown.
 	VMs int
+	// Levels are the tokens left by client account, as of Counted.
+	Levels  map[string]float64
+	Counted time.Time
+}
+
+func handoverOf(m *drpb.FleetLease) Handover {
+	h := Handover{VMs: int(m.GetVms()), Counted: time.UnixMilli(m.GetCountedMs())}
+	if len(m.GetLevels()) > 0 {
+		h.Levels = make(map[string]float64, len(m.GetLevels()))
+	}
+	for _, l := range m.GetLevels() {
+		h.Levels[l.GetAccount()] = l.GetLevel()
+	}
+	return h
 }
 
 // Config configures an Elector.
@@ -108,7 +127,7 @@
 		log.WithFields(log.Fields{"event": "lease-record-unreadable", "offset": r.Offset}).WithError(err).Warn("")
 		return
 	}
-	l := Lease{m.GetVm(), m.GetAddress(), m.GetIncarnation(), m.GetTerm(), m.GetReleased(), int(m.GetVms())}
+	l := Lease{m.GetVm(), m.GetAddress(), m.GetIncarnation(), m.GetTerm(), m.GetReleased(), handoverOf(&m)}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l.Term < e.newest.Term {
@@ -129,30 +148,36 @@
 
 // Acquire tries to take a vacant lease after Read. drstore.ErrConflict means
 // that another VM was faster.
-// vms is the number of VMs to pass on.
-func (e *Elector) Acquire(ctx context.Context, vms int) error {
-	return e.append(ctx, Lease{Term: uint64(e.next) + 1, VMs: vms})
+// What the former holder passed on stays in the lease.
+func (e *Elector) Acquire(ctx context.Context) error {
+	l, _ := e.Newest()
+	return e.append(ctx, Lease{Term: uint64(e.next) + 1, Handover: l.Handover})
 }
 
 // Renew extends the lease of this process. drstore.ErrConflict means that
 // another VM has acquired it, or that an append whose outcome was unknown took
-// effect; Read tells which. vms is the number of VMs that report.
-func (e *Elector) Renew(ctx context.Context, vms int) error {
+// effect; Read tells which.
+func (e *Elector) Renew(ctx context.Context, h Handover) error {
 	l, _ := e.Newest()
-	return e.append(ctx, Lease{Term: l.Term, VMs: vms})
+	return e.append(ctx, Lease{Term: l.Term, Handover: h})
 }
 
 // Release ends the lease of this process, so that another VM need not wait.
 func (e *Elector) Release(ctx context.Context) error {
 	l, _ := e.Newest()
-	return e.append(ctx, Lease{Term: l.Term, VMs: l.VMs, Released: true})
+	return e.append(ctx, Lease{Term: l.Term, Handover: l.Handover, Released: true})
 }
 
 func (e *Elector) append(ctx context.Context, l Lease) error {
 	l.VM, l.Address, l.Incarnation = e.config.VM, e.config.Address, e.config.Incarnation
-	value, err := proto.Marshal(&drpb.FleetLease{
+	m := &drpb.FleetLease{
 		Vm: l.VM, Address: l.Address, Incarnation: l.Incarnation, Term: l.Term, Released: l.Released, Vms: uint32(l.VMs),
-	})
+		CountedMs: l.Counted.UnixMilli(),
+	}
+	for account, level := range l.Levels {
+		m.Levels = append(m.Levels, &drpb.FleetLevel{Account: account, Level: level})
+	}
+	value, err := proto.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("encode the lease: %w", err)
 	}
--- a/drquota/pool.go
+++ b/drquota/pool.go
@@ -22,9 +22,12 @@
 	// lendShare is the part of the tokens that VMs hold idle which the pool
 	// admits requests of other VMs against.
 	lendShare = 0.5
-	// startShare is the part of the burst that a new controller starts with:
-	// what its predecessor admitted just before is not known.
-	startShare = 0.35
+	// startShare is the part of the burst that an account starts with if no
+	// former controller passed on what was left of it.
+	startShare = 0.25
+	// maxHandoverAge bounds the refill for the time between the last count of
+	// a former controller and the start of the next; clocks of VMs may differ.
+	maxHandoverAge = 4 * time.Second
 	// surgeWindow is the time over which refused tokens are averaged.
 	surgeWindow = time.Second
 	// maxRetryAfter bounds how long a client is asked to wait.
@@ -43,6 +46,9 @@
 	clock    drclock.Clock
 	mu       sync.Mutex
 	accounts map[string]*account
+	// inherited are the levels of a former controller, and the time since.
+	inherited map[string]float64
+	since     time.Duration
 }
 
 type account struct {
@@ -68,6 +74,34 @@
 	return &Pool{clock: c, accounts: make(map[string]*account)}
 }
 
+// Inherit takes the levels that a former controller counted some time ago. It
+// is called before SetLimits.
+func (p *Pool) Inherit(levels map[string]float64, ago time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inherited, p.since = levels, min(max(ago, 0), maxHandoverAge)
+}
+
+// Levels returns what is left of each account.
+func (p *Pool) Levels() map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	levels := make(map[string]float64, len(p.accounts))
+	for name, a := range p.accounts {
+		p.refill(a)
+		levels[name] = a.level
+	}
+	return levels
+}
+
+// startLevel returns what an account starts with.
+func (p *Pool) startLevel(name string, l Limit) float64 {
+	if level, ok := p.inherited[name]; ok {
+		return min(level+p.since.Seconds()*l.Rate, l.Burst)
+	}
+	return l.Burst * startShare
+}
+
 // SetLimits takes the limits of all accounts with a limit.
 func (p *Pool) SetLimits(limits map[string]Limit) {
 	p.mu.Lock()
@@ -76,7 +110,7 @@
 		a, ok := p.accounts[name]
 		if !ok {
 			p.accounts[name] = &account{
-				limit: l, level: l.Burst * startShare, last: p.clock.Now(), vms: make(map[string]*holder),
+				limit: l, level: p.startLevel(name, l), last: p.clock.Now(), vms: make(map[string]*holder),
 			}
 			continue
 		}
@@ -89,6 +123,7 @@
 			delete(p.accounts, name)
 		}
 	}
+	p.inherited = nil // an account that comes later starts anew
 }
 
 func (p *Pool) refill(a *account) {
--- a/drquota/quota_test.go
+++ b/drquota/quota_test.go
@@ -144,3 +144,19 @@
 	}
 	is.True(surge > 3*time.Second)
 }
+
+// Replays a change of the controller while an account surges: the next one goes
+// on with what was left, which may be a debt.
+func TestInheritedLevel(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	former := drquota.NewPool(clock)
+	former.SetLimits(limit)
+	clock.Advance(10 * time.Second)
+	ok, _ := former.Reserve("a", "a", 3500)
+	is.True(ok)
+	next := drquota.NewPool(clock)
+	next.Inherit(former.Levels(), time.Second)
+	next.SetLimits(limit)
+	is.Equal(next.Levels()["a"], -500.0) // 2000 - 3500 + 1 s
+}
