Refuse at once while a plain service has no runner

Cause, found reading pick as a newcomer: a request for a service without any known runner waited like one for a cold model, for up to half of its time, though nothing would bring a runner. It now gets 503 with Retry-After 1 s at once.

--- a/drforward/wait.go
+++ b/drforward/wait.go
@@ -9,6 +9,14 @@
 	"github.com/dotterelridge/dotterelridge/drwait"
 )
 
+const (
+	// plainRetryAfter is the Retry-After while a plain service has no runner:
+	// about the time in which a restarted one is listed again.
+	plainRetryAfter = time.Second
+	// minRetryAfter keeps refused clients from coming back at once.
+	minRetryAfter = 50 * time.Millisecond
+)
+
 // waitResult says how the search for a runner ended.
 type waitResult int
 
@@ -28,10 +36,12 @@
 	if c := drpick.Choose(ask, s.View.Candidates(p), true); c != nil {
 		return c, refusal{}, found
 	}
-	if e := x.service.Engine; e != nil {
-		if _, ok := e.Models[p.Model]; !ok {
-			return nil, refusal{status: fasthttp.StatusNotFound, reason: "unknown-model"}, refused
-		}
+	if x.service.Engine == nil {
+		// Nobody starts runners of plain services, so there is nothing to wait for.
+		return nil, x.noRunner(drwait.Decision{RetryAfter: plainRetryAfter, Why: "no runner is known"}), refused
+	}
+	if _, ok := x.service.Engine.Models[p.Model]; !ok {
+		return nil, refusal{status: fasthttp.StatusNotFound, reason: "unknown-model"}, refused
 	}
 	began := s.Clock.Now()
 	w := s.View.Want(p, x.start.Add(x.route.Objective), x.timeoutAt, x.urgency())
@@ -70,6 +80,6 @@
 	if x.service.Engine != nil {
 		reason = "model-not-loaded"
 	}
-	return refusal{status: fasthttp.StatusServiceUnavailable, reason: reason, retryAfter: max(d.RetryAfter, 50*time.Millisecond),
+	return refusal{status: fasthttp.StatusServiceUnavailable, reason: reason, retryAfter: max(d.RetryAfter, minRetryAfter),
 		detail: d.Why}
 }
