--- a/drquota/allowance.go
+++ b/drquota/allowance.go
@@ -17,7 +17,7 @@
 	// shareBurst is how much of its share a VM may save up, in time, and what
 	// it starts with. All VMs may start at the same time, just after their
 	// former processes spent the burst.
-	shareBurst = time.Second
+	shareBurst = 500 * time.Millisecond
 	// assumedVMs is the number of VMs before any controller has told it; a
 	// high number keeps the sum of the shares within the rate.
 	assumedVMs = 64
