drlimit: Wait for cut-off holders while this VM's own share is new

Cause: a VM that has just taken over a share of a client account answers itself at once, with an empty bucket. That answer counted as word from a holder, so requests were refused as over rate after 2 s although the holders of the tokens were only cut off.

Change: an answer of the VM's own share counts only once the share has been held for the time that requests wait for silent holders.

--- a/drlimit/account.go
+++ b/drlimit/account.go
@@ -26,7 +26,7 @@
 	demand   demand
 	pumping  bool
 	reported time.Time
-	heardAt  time.Time // of the last answer of a holder
+	heardAt  time.Time // of the last answer of a holder that is not refilling
 	sequence uint64
 	fixed    *bucket // for EqualShares
 }
--- a/drlimit/holder.go
+++ b/drlimit/holder.go
@@ -147,10 +147,10 @@
 // holder may have lent the burst, unless there was none: then nobody has had
 // tokens of the account, and its callers would be refused for no reason.
 func (h *Holder) open(account string, limit drconfig.Limit, shares int, now time.Time) *holding {
-	e := &holding{bucket: newBucket(limit, 0, now)}
+	e := &holding{bucket: newBucket(limit, 0, now), opened: now}
 	if !h.opened.Has(account) && h.config.Shares.untouched(account, h.self) {
 		part := float64(shares) / ShareCount
-		e = &holding{bucket: newBucket(limit, part, now), active: shares, held: shares}
+		e = &holding{bucket: newBucket(limit, part, now), active: shares, held: shares, opened: now}
 		e.bucket.level = e.bucket.capacity()
 	}
 	h.opened.Add(account)
@@ -158,6 +158,15 @@
 	return e
 }
 
+// refilling reports whether this VM began to hold an account so recently that
+// an empty bucket does not show that the account is over its rate.
+func (h *Holder) refilling(account string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := h.accounts[account]
+	return e != nil && h.config.Clock.Now().Sub(e.opened) < silentWait
+}
+
 // holds reports whether this VM holds a share by the change at offset.
 func (h *Holder) holds(k shareKey, offset uint64) bool {
 	return h.config.Shares.holder(k.account, k.share) == shareHolder{h.self, offset}
--- a/drlimit/holding.go
+++ b/drlimit/holding.go
@@ -10,6 +10,7 @@
 	// loans are part of the burst.
 	active, held int
 	since        time.Time
+	opened       time.Time
 }
 
 // update takes note of the number of shares held and returns the active ones.
--- a/drlimit/limiter_test.go
+++ b/drlimit/limiter_test.go
@@ -289,6 +289,32 @@
 	})
 }
 
+// Guards against an over-rate refusal that only says that this VM's own share
+// is new and still empty, while the holders with the tokens are cut off.
+func TestWaitsWhileOwnShareIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3, Lending, 1, map[string]drconfig.Limit{"a": {Rate: 100, Burst: 1000}})
+		defer f.close()
+		time.Sleep(30 * time.Second)
+		f.grow(Lending)
+		joined := f.vms[3]
+		for joined.shares.HeldBy("a", joined.member.VM) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, v := range f.vms[:3] {
+			f.pause(v)
+		}
+		time.AfterFunc(maxWait+time.Second, func() {
+			for _, v := range f.vms[:3] {
+				f.resume(v)
+			}
+		})
+		_, err := joined.limiter.Reserve(t.Context(), "a", 100, time.Now().Add(30*time.Second))
+		is.NoErr(err)
+	})
+}
+
 // Guards against requests of one account overtaking each other.
 func TestWaitersAreServedInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/drlimit/pump.go
+++ b/drlimit/pump.go
@@ -155,7 +155,7 @@
 		now := l.config.Clock.Now()
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		if err == nil {
+		if own := l.config.Holder; err == nil && (own == nil || p != own.self || !own.refilling(a.name)) {
 			a.heardAt = now
 		}
 		s.answered(reply.GetTokens(), reply.GetLevel(), int(reply.GetShares()), err == nil, now)
