drcontrol: Wait for the controller's lease at the store instead of polling it

Cause: without a controller each VM read the lease every 250 to 450 ms and the configuration and the runners again after 1.2 s, and a new process read all three before it asked the controller. The controller confirms its view every 0.7 s, so that views of a fleet that reports every 0.54 s passed 1.2 s although nothing was wrong.

Change: a VM that looks for the controller asks for the next lease record with a wait as long as the lease is valid plus its delay; a new process waits 0.6 s for the controller to tell it everything; the age at which a VM reads the store itself follows from two new settings (config-propagation, runner-drain) instead of a constant; failed reads back off longer in a larger fleet; a controller that nobody reached does not take the lease again for 4 s.

--- a/drcontrol/lease_loop.go
+++ b/drcontrol/lease_loop.go
@@ -17,8 +17,14 @@
 	LeaseTTL = 1600 * time.Millisecond
 	// renewInterval leaves time for several renewals within LeaseTTL.
 	renewInterval = 450 * time.Millisecond
-	// leasePoll is how often a VM without a controller reads the lease.
+	// leasePoll is how often a VM looks whether it still reaches the controller.
 	leasePoll = 250 * time.Millisecond
+	// unreachedPause is the time between two reads of a lease that is renewed
+	// although this VM does not reach its holder.
+	unreachedPause = 900 * time.Millisecond
+	// deafPause is how long a VM that gave the lease up because no other VM
+	// reached it does not acquire it again.
+	deafPause = 4 * time.Second
 	// acquireSpread spreads the attempts of VMs to take a vacant lease, and
 	// weakDelay holds VMs back that lack a core compared with the strongest.
 	acquireSpread = 150 * time.Millisecond
@@ -45,11 +51,11 @@
 			pause = renewInterval
 		case n.hasLeader():
 		default:
-			if failed := n.seekLeader(); failed {
-				pause = b.next(true)
+			var err error
+			if pause, err = n.seekLeader(); err != nil {
+				pause = n.failed(&b) // the loops that read the view log the loss of the store
 			} else {
-				b.next(false)
-				pause = n.seekPause()
+				b.reset()
 			}
 		}
 		_ = n.Clock.Sleep(n.ctx, pause)
@@ -67,7 +73,15 @@
 
 // mustResign reports whether this VM should no longer be the controller.
 func (n *Node) mustResign(c *Controller) bool {
-	return n.retired.Load() || c.deaf(n.Clock.Now())
+	if n.retired.Load() {
+		return true
+	}
+	now := n.Clock.Now()
+	if !c.deaf(now) {
+		return false
+	}
+	n.deafUntil = now.Add(deafPause)
+	return true
 }
 
 // deaf reports whether other VMs reported to this controller before, but none
@@ -105,7 +119,7 @@
 	defer cancel()
 	err := n.elector.Renew(ctx, c.Handover())
 	if errors.Is(err, drstore.ErrConflict) {
-		err = n.elector.Read(ctx)
+		_, err = n.elector.Read(ctx, 0)
 	}
 	if newest, _ := n.elector.Newest(); newest.Term != c.Term || !c.Holds() {
 		n.controller.Store(nil)
@@ -120,39 +134,50 @@
 	}
 }
 
-// seekPause returns the time until the lease should be read again: soon if
-// another VM may be taking it, else when it is renewed or lapses.
-func (n *Node) seekPause() time.Duration {
-	if n.elector.Vacant() {
-		return leasePoll
-	}
-	return renewInterval
-}
-
 // seekLeader finds the controller in the lease, or takes a vacant lease. It
-// reports whether the store failed.
-func (n *Node) seekLeader() (failed bool) {
-	ctx, cancel := context.WithTimeout(n.ctx, storeLimit)
+// waits at the store until the lease changes or this VM may acquire it, so that
+// a change of the controller costs each VM few calls. It returns the pause
+// before the next look.
+func (n *Node) seekLeader() (pause time.Duration, err error) {
+	wait := n.elector.VacantIn() + n.spread()
+	ctx, cancel := context.WithTimeout(n.ctx, wait+storeLimit)
 	defer cancel()
-	if err := n.elector.Read(ctx); err != nil {
-		return true // the loops that read the view log the loss of the store
+	changed, err := n.elector.Read(ctx, wait)
+	if err != nil {
+		return 0, err
 	}
-	if l, ok := n.elector.Newest(); ok {
+	l, known := n.elector.Newest()
+	if known {
 		n.Allowances.Assume(l.VMs)
 	}
-	if !n.elector.Vacant() {
-		l, _ := n.elector.Newest()
-		n.setLeader(l)
-		return false
+	switch {
+	case !n.elector.Vacant():
+		return n.followLease(l), nil
+	case changed:
+		return 0, nil // released: the next wait spreads the VMs
+	case n.retired.Load() || n.Clock.Now().Before(n.deafUntil):
+		return leasePoll, nil
 	}
-	if n.retired.Load() || n.Clock.Sleep(ctx, n.spread()) != nil || n.elector.Read(ctx) != nil || !n.elector.Vacant() {
-		return false
-	}
-	if err := n.elector.Acquire(ctx); err != nil {
-		return false // another VM was faster, or the next read shows it
+	if err := n.elector.Acquire(ctx); errors.Is(err, drstore.ErrConflict) {
+		return 0, nil // another VM was faster
+	} else if err != nil {
+		return 0, err
 	}
 	n.lead()
-	return false
+	return 0, nil
+}
+
+// followLease takes the holder of a valid lease as the controller. It returns
+// the pause before the next look.
+func (n *Node) followLease(l drlease.Lease) time.Duration {
+	n.mu.Lock()
+	same := n.leader.VM == l.VM && n.leader.Term == l.Term
+	n.mu.Unlock()
+	n.setLeader(l)
+	if same {
+		return unreachedPause
+	}
+	return leasePoll
 }
 
 // spread returns this VM's delay before it takes a vacant lease.
--- a/drcontrol/node.go
+++ b/drcontrol/node.go
@@ -36,6 +36,9 @@
 	// OrderPause is the time without orders after the controller has changed,
 	// for runners that do not check fencing tokens.
 	OrderPause time.Duration
+	// Propagation and RunnerDrain are the times within which a change of the
+	// configuration and the leaving of a runner must be followed.
+	Propagation, RunnerDrain time.Duration
 	// Processor is the part of a core that this process may use.
 	Processor float64
 }
@@ -51,6 +54,9 @@
 	wg      sync.WaitGroup
 
 	controller atomic.Pointer[Controller]
+	// deafUntil is when this VM may acquire the lease again after no other VM
+	// reached it; only the lease loop uses it.
+	deafUntil time.Time
 	// retired is set once this VM must not acquire the lease any more.
 	retired atomic.Bool
 
--- a/drcontrol/store_loops.go
+++ b/drcontrol/store_loops.go
@@ -12,47 +12,96 @@
 	// reads the store.
 	deploymentWait = 700 * time.Millisecond
 	runnersPause   = 600 * time.Millisecond
-	// staleAfter is the age at which a VM reads the store itself.
-	staleAfter = 1200 * time.Millisecond
-	// readPause is the pause after a failed read of the store; it doubles up to
-	// maxReadPause, so that all VMs together do not press a store that is down.
-	readPause    = 200 * time.Millisecond
-	maxReadPause = 800 * time.Millisecond
+	// staleShare is the part of the time within which a change must be followed
+	// after which a VM that has heard nothing reads the store itself.
+	staleShare = 0.75
+	// startPatience is how long a new process waits for the controller to tell
+	// it everything before it reads the store itself.
+	startPatience = 600 * time.Millisecond
+	// readPause is the pause after a failed read of the store. It doubles up to
+	// a time that grows with the number of VMs by readPausePerVM, so that all
+	// VMs together do not press a store that is down.
+	readPause      = 200 * time.Millisecond
+	readPausePerVM = 15 * time.Millisecond
+	minMostPause   = 800 * time.Millisecond
+	maxMostPause   = 2 * time.Second
 	// stalePoll is how often a VM looks whether its view has become stale.
 	stalePoll = 100 * time.Millisecond
 )
 
-// backoff is the pause between attempts to read the store.
+// backoff is the pause between attempts to reach the store.
 type backoff struct{ pause time.Duration }
 
-// next returns the pause after an attempt that failed or not.
-func (b *backoff) next(failed bool) time.Duration {
-	if !failed {
-		b.pause = 0
-		return readPause
-	}
-	b.pause = min(max(2*b.pause, readPause), maxReadPause)
+func (b *backoff) reset() { b.pause = 0 }
+
+// next returns the pause after a failed attempt by one of a number of VMs.
+func (b *backoff) next(vms int) time.Duration {
+	most := min(max(time.Duration(vms)*readPausePerVM, minMostPause), maxMostPause)
+	b.pause = min(max(2*b.pause, readPause), most)
 	return b.pause/2 + rand.N(b.pause/2+1)
 }
 
+// failed returns the pause after a failed read. The controller reads for all
+// VMs and does not count the others.
+func (n *Node) failed(b *backoff) time.Duration {
+	if n.controller.Load() != nil {
+		return b.next(1)
+	}
+	return b.next(n.Allowances.VMs())
+}
+
+// awaitController gives the controller time to tell a new process everything.
+func (n *Node) awaitController() {
+	end := n.Clock.Now().Add(startPatience)
+	for n.controller.Load() == nil && n.Clock.Now().Before(end) {
+		if _, reached := n.Leader(); reached {
+			return
+		}
+		if n.Clock.Sleep(n.ctx, syncRetry) != nil {
+			return
+		}
+	}
+}
+
+// readsStore reports whether this VM must read a topic of the store itself: as
+// the controller, if what it knows has become too old, or if it knows nothing
+// and no controller can tell it.
+func (n *Node) readsStore(known bool, age, bound time.Duration) bool {
+	if n.controller.Load() != nil {
+		return true
+	}
+	if known {
+		return age >= time.Duration(float64(bound)*staleShare)
+	}
+	_, reached := n.Leader()
+	return !reached
+}
+
 // deploymentLoop keeps the configuration fresh.
 func (n *Node) deploymentLoop() {
 	unreachable := false
 	var b backoff
+	n.awaitController()
 	for n.ctx.Err() == nil {
-		age, _, known := n.View.Ages()
-		if known && age < staleAfter && n.controller.Load() == nil {
+		d, age := n.View.Deployment()
+		if !n.readsStore(d != nil, age, n.Propagation) {
 			_ = n.Clock.Sleep(n.ctx, stalePoll)
 			continue
 		}
-		err := n.reader.readDeployment(n.ctx, deploymentWait)
+		wait := time.Duration(0)
+		if d == nil || n.controller.Load() != nil {
+			wait = deploymentWait
+		}
+		err := n.reader.readDeployment(n.ctx, wait)
 		unreachable = n.noteStore(unreachable, "deployments", err)
 		if d, _ := n.View.Deployment(); d != nil {
 			n.Allowances.SetLimits(limitsOf(d))
 		}
-		if pause := b.next(err != nil); err != nil {
-			_ = n.Clock.Sleep(n.ctx, pause)
+		if err != nil {
+			_ = n.Clock.Sleep(n.ctx, n.failed(&b))
+			continue
 		}
+		b.reset()
 	}
 }
 
@@ -73,17 +122,20 @@
 func (n *Node) runnersLoop() {
 	unreachable := false
 	var b backoff
+	n.awaitController()
 	for n.ctx.Err() == nil {
 		_, age, _ := n.View.Ages()
-		if n.View.RunnersKnown() && age < staleAfter && n.controller.Load() == nil {
+		if !n.readsStore(n.View.RunnersKnown(), age, n.RunnerDrain) {
 			_ = n.Clock.Sleep(n.ctx, stalePoll)
 			continue
 		}
 		err := n.reader.readRunners(n.ctx)
 		unreachable = n.noteStore(unreachable, "runners", err)
-		pause := b.next(err != nil)
-		if err == nil {
-			pause = runnersPause
+		pause := runnersPause
+		if err != nil {
+			pause = n.failed(&b)
+		} else {
+			b.reset()
 		}
 		_ = n.Clock.Sleep(n.ctx, pause)
 	}
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -112,7 +112,7 @@
 		Clock: c.Clock, VM: s.VM, Zone: s.Zone, Address: s.Addresses.Peers, Incarnation: c.Incarnation,
 		Log: c.Platform.Log, Codec: c.Platform.Codec, Engines: c.Platform.Engines, Peers: e.peers, Registry: e.peers,
 		Metrics: e.metrics, View: e.view, Allowances: e.allowances, OrderPause: time.Duration(s.OrderPause),
-		Processor: s.Processor,
+		Processor: s.Processor, Propagation: time.Duration(s.Propagation), RunnerDrain: time.Duration(s.RunnerDrain),
 	})
 	e.retries.Store(&s.RetryBudget)
 	e.budgets = drforward.NewBudgets(e.budget(budgetVMs))
--- a/dredge/settings.go
+++ b/dredge/settings.go
@@ -22,6 +22,8 @@
 	Addresses    Addresses       `json:"addresses" doc:"Addresses that this process listens on, as IP:PORT."`
 	StoreAddress string          `json:"store-address" doc:"Address of the platform's store, as IP:PORT. Required."`
 	Revocation   drjson.Duration `json:"revocation" doc:"Time after which a withdrawn key must not work any more. A VM that has not confirmed its configuration for a second less refuses requests with a key. At least 2s."`
+	Propagation  drjson.Duration `json:"config-propagation" doc:"Time within which a change of the configuration must be followed. A VM that has heard nothing for three quarters of it reads the store itself. At least 500ms."`
+	RunnerDrain  drjson.Duration `json:"runner-drain" doc:"Time within which the leaving of a runner must be followed; as for config-propagation. At least 500ms."`
 	GracePeriod  drjson.Duration `json:"grace-period" doc:"Time between SIGTERM and the end of the process. At least 2s."`
 	RetryBudget  RetryBudget     `json:"retry-budget" doc:"Bounds on requests that are sent to a runner more than once, over all VMs."`
 	OrderPause   drjson.Duration `json:"order-pause" doc:"Time without orders to runners after the controller has changed. 0 if runners check fencing tokens."`
@@ -49,6 +51,8 @@
 func Default() Settings {
 	return Settings{
 		Revocation:  drjson.Duration(5 * time.Second),
+		Propagation: drjson.Duration(2 * time.Second),
+		RunnerDrain: drjson.Duration(2 * time.Second),
 		GracePeriod: drjson.Duration(8 * time.Second),
 		RetryBudget: RetryBudget{Share: 0.2, Extra: 100, Window: drjson.Duration(10 * time.Second)},
 		Processor:   1,
@@ -62,6 +66,7 @@
 
 const (
 	minRevocation  = 2 * time.Second
+	minFollowing   = 500 * time.Millisecond
 	minGracePeriod = 2 * time.Second
 	minWindow      = time.Second
 )
@@ -119,6 +124,8 @@
 	}
 	c.address("store-address", s.StoreAddress)
 	c.atLeast("revocation", s.Revocation, minRevocation)
+	c.atLeast("config-propagation", s.Propagation, minFollowing)
+	c.atLeast("runner-drain", s.RunnerDrain, minFollowing)
 	c.atLeast("grace-period", s.GracePeriod, minGracePeriod)
 	c.atLeast("retry-budget.window", s.RetryBudget.Window, minWindow)
 	if b := s.RetryBudget; b.Share < 0 || b.Extra < 0 {
--- a/dredge/settings_test.go
+++ b/dredge/settings_test.go
@@ -47,6 +47,8 @@
 		`10.0.0.9:80`:              `store`,
 		`"revocation": "5000ms"`:   `"revocation": "1s"`,
 		`"grace-period": "8s"`:     `"grace-period": "8"`,
+		`"grace-period": "8s",`:    `"grace-period": "8s", "config-propagation": "1ms",`,
+		`10.0.0.9:80",`:            `10.0.0.9:80", "runner-drain": "1ms",`,
 		`"vm": "front-1",`:         `"vm": "front-1", "processor-share": 0,`,
 		`"share": 0.2`:             `"share": -1`,
 		`"window": "10s"`:          `"window": "1ms"`,
--- a/drlease/elector.go
+++ b/drlease/elector.go
@@ -104,21 +104,23 @@
 	return l.VM == e.config.VM && l.Incarnation == e.config.Incarnation
 }
 
-// Read brings the newest lease up to date.
-func (e *Elector) Read(ctx context.Context) error {
-	page, err := e.config.Log.Read(ctx, drstore.Leases, e.next, 0)
+// Read brings the newest lease up to date. If there is no record that is new to
+// this VM, it waits for one, but not longer than wait. It reports whether there
+// was one.
+func (e *Elector) Read(ctx context.Context, wait time.Duration) (changed bool, err error) {
+	page, err := e.config.Log.Read(ctx, drstore.Leases, e.next, wait)
 	if expired, ok := errors.AsType[*drstore.ExpiredError](err); ok {
 		e.next = expired.First
 		page, err = e.config.Log.Read(ctx, drstore.Leases, e.next, 0)
 	}
 	if err != nil {
-		return fmt.Errorf("read the lease: %w", err)
+		return false, fmt.Errorf("read the lease: %w", err)
 	}
 	for _, r := range page.Records {
 		e.observe(r)
 	}
 	e.next = max(page.Next, page.End)
-	return nil
+	return len(page.Records) > 0, nil
 }
 
 func (e *Elector) observe(r drstore.Record) {
@@ -139,11 +141,18 @@
 // Vacant reports whether this VM may acquire the lease: there is none, it was
 // released, its holder has not renewed it for the TTL, or its holder was a
 // former process of this VM.
-func (e *Elector) Vacant() bool {
+func (e *Elector) Vacant() bool { return e.VacantIn() <= 0 }
+
+// VacantIn returns the time until this VM may acquire the lease if its holder
+// does not renew it, 0 if it may now.
+func (e *Elector) VacantIn() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	former := e.newest.VM == e.config.VM && e.newest.Incarnation < e.config.Incarnation
-	return !e.known || former || e.newest.Released || e.config.Uptime.Uptime()-e.seenAt > e.config.TTL+acquireMargin
+	if !e.known || former || e.newest.Released {
+		return 0
+	}
+	return max(e.seenAt+e.config.TTL+acquireMargin-e.config.Uptime.Uptime(), 0)
 }
 
 // Acquire tries to take a vacant lease after Read. drstore.ErrConflict means
