--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -1,6 +1,7 @@
 package dredge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -109,7 +110,7 @@
 		Addresses: func(vm string) (string, bool) { return e.node.PeerAddress(vm) },
 	})
 	e.node = drcontrol.New(drcontrol.Config{
-		Clock: c.Clock, VM: s.VM, Zone: s.Zone, Address: s.Addresses.Peers, Incarnation: c.Incarnation,
+		Clock: c.Clock, VM: s.VM, Zone: s.Zone, Address: cmp.Or(s.Addresses.PeersAdvertised, s.Addresses.Peers), Incarnation: c.Incarnation,
 		Log: c.Platform.Log, Codec: c.Platform.Codec, Engines: c.Platform.Engines, Peers: e.peers, Registry: e.peers,
 		Metrics: e.metrics, View: e.view, Allowances: e.allowances, OrderPause: time.Duration(s.OrderPause),
 		Processor: s.Processor, Propagation: time.Duration(s.Propagation), RunnerDrain: time.Duration(s.RunnerDrain),
--- a/dredge/settings.go
+++ b/dredge/settings.go
@@ -37,7 +37,9 @@
 	Callers   string `json:"callers" doc:"Listener for callers, behind the platform's balancer. Required."`
 	Readiness string `json:"readiness" doc:"Listener for the platform's readiness checks. Required."`
 	Peers     string `json:"peers" doc:"Listener for other entry VMs. Required."`
-	Metrics   string `json:"metrics" doc:"Listener for metrics; none if empty."`
+	// PeersAdvertised differs from Peers behind address translation.
+	PeersAdvertised string `json:"peers-advertised" doc:"Address under which other entry VMs reach the peers listener; that of the listener if empty."`
+	Metrics         string `json:"metrics" doc:"Listener for metrics; none if empty."`
 }
 
 // RetryBudget bounds retries of one service.
@@ -119,6 +121,9 @@
 	c.address("addresses.callers", s.Addresses.Callers)
 	c.address("addresses.readiness", s.Addresses.Readiness)
 	c.address("addresses.peers", s.Addresses.Peers)
+	if s.Addresses.PeersAdvertised != "" {
+		c.address("addresses.peers-advertised", s.Addresses.PeersAdvertised)
+	}
 	if s.Addresses.Metrics != "" {
 		c.address("addresses.metrics", s.Addresses.Metrics)
 	}
