drcontrol, drquota: Read topics to their end; no tokens without a known limit

The page was full before the newest records, yet the table counted as fresh; runner i-5a78f2d726, which had left at 19.4 s, came back by its entry at offset 43 and got a request at 23.8 s. Change: a read goes on to the end of the topic, and runners are read from their newest entries once the position is older than 1 s.

Change: the controller takes the limits before it answers; a pool that does not know an account grants nothing further and refuses to reserve, so that the VM spends its part; a failed question for tokens is logged.

Measured: TestReaderReadsToTheEnd and TestReaderSkipsOldHistory fail without the change; TestUnknownAccountGetsNothing and TestNewControllerKnowsLimits do not compile or fail without it.

--- a/drcontrol/controller.go
+++ b/drcontrol/controller.go
@@ -86,6 +86,10 @@
 	if h := c.Inherited; len(h.Levels) > 0 {
 		k.pool.Inherit(h.Levels, c.Clock.Now().Round(0).Sub(h.Counted))
 	}
+	// VMs may report before the first plan.
+	if d, _ := v.Deployment(); d != nil {
+		k.setLimits(d)
+	}
 	k.ctx, k.end = context.WithCancel(context.Background())
 	k.wg.Go(k.planLoop)
 	return k
--- a/drcontrol/controller_test.go
+++ b/drcontrol/controller_test.go
@@ -281,3 +281,18 @@
 	is.True(d.rate*workPerRequest < 0.2)
 	is.True(d.work() > 0.6)
 }
+
+// Guards against a controller that answers reports before its first plan
+// without knowing any limit.
+func TestNewControllerKnowsLimits(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.System{}
+	view := drview.New(clock)
+	d, err := drfleet.NewDeployment(drfleet.Config{Version: 1, Accounts: []drfleet.Account{{Name: "a", Rate: 10, Burst: 10}}})
+	is.NoErr(err)
+	view.OfferDeployment(d, nil)
+	c := NewController(ControllerConfig{Clock: clock, Metrics: drmetric.New(), Holds: func() bool { return false }}, view)
+	defer c.Close()
+	_, err = c.Reserve("vm", &drpb.FleetReserveRequest{Account: "a", Tokens: 1})
+	is.NoErr(err)
+}
--- a/drcontrol/node.go
+++ b/drcontrol/node.go
@@ -148,5 +148,5 @@
 	if c == nil || !c.Holds() {
 		return nil, errLeaseLost
 	}
-	return c.Reserve(from.VM, m), nil
+	return c.Reserve(from.VM, m)
 }
--- a/drcontrol/reader.go
+++ b/drcontrol/reader.go
@@ -17,6 +17,10 @@
 	lapseGrace = 2200 * time.Millisecond
 	// readLimit bounds one read of the store beyond its wait.
 	readLimit = time.Second
+	// historyLimit is the age of a position beyond which the newest entries of
+	// the runners are read instead of their history, which grows with runners
+	// times time.
+	historyLimit = time.Second
 )
 
 // reader brings a view up to date from the store. Each topic is read by one
@@ -44,6 +48,7 @@
 type position struct {
 	next    int64
 	started bool
+	readAt  time.Duration // uptime at which it was read up to next
 }
 
 func newReader(l drstore.Log, c drstore.Codec, v *drview.View, clock drview.Clock) *reader {
@@ -53,25 +58,34 @@
 	}
 }
 
-// page reads a topic on, or from its newest records if it has not been read
-// yet or its records have expired. whole is set in the latter case.
-func (r *reader) page(ctx context.Context, t drstore.Topic, p *position, wait time.Duration) (page drstore.Page, whole bool, err error) {
-	if p.started {
-		page, err = r.log.Read(ctx, t, p.next, wait)
-		if _, expired := errors.AsType[*drstore.ExpiredError](err); !expired {
-			if err == nil {
-				p.next = page.Next
-			}
-			return page, false, err
+// read reads a topic on to its end, or from its newest records if it has not
+// been read yet or its records have expired. whole is set in the latter case.
+func (r *reader) read(ctx context.Context, t drstore.Topic, p *position, wait time.Duration) (records []drstore.Record, whole bool, err error) {
+	for p.started {
+		sent := r.clock.Uptime()
+		page, err := r.log.Read(ctx, t, p.next, wait)
+		if _, expired := errors.AsType[*drstore.ExpiredError](err); expired {
+			log.WithFields(log.Fields{"event": "store-records-expired", "topic": t, "offset": p.next}).Info("")
+			break
+		}
+		if err != nil {
+			return nil, false, err
 		}
-		log.WithFields(log.Fields{"event": "store-records-expired", "topic": t, "offset": p.next}).Info("")
+		p.next, p.readAt = page.Next, sent
+		records = append(records, page.Records...)
+		// A page is limited in size, so the newest records may be missing.
+		if page.Next >= page.End {
+			return records, false, nil
+		}
+		wait = 0
 	}
-	page, err = r.log.Newest(ctx, t)
+	sent := r.clock.Uptime()
+	page, err := r.log.Newest(ctx, t)
 	if err != nil {
-		return page, false, err
+		return nil, false, err
 	}
-	p.next, p.started = page.Next, true
-	return page, true, nil
+	p.next, p.started, p.readAt = page.Next, true, sent
+	return page.Records, true, nil
 }
 
 // readDeployment reads the configuration, waiting for a newer one up to wait.
@@ -84,11 +98,11 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+readLimit)
 	defer cancel()
 	sent := r.clock.Uptime()
-	page, whole, err := r.page(ctx, drstore.Deployments, &r.deployments, wait)
+	records, whole, err := r.read(ctx, drstore.Deployments, &r.deployments, wait)
 	if err != nil {
 		return err
 	}
-	for _, rec := range page.Records {
+	for _, rec := range records {
 		d, err := r.codec.Deployment(rec.Value)
 		if err != nil {
 			log.WithFields(log.Fields{"event": "deployment-unreadable", "offset": rec.Offset}).WithError(err).Error("")
@@ -99,9 +113,9 @@
 				"source": "store"}).Info("")
 		}
 	}
-	r.changed = len(page.Records) > 0
+	r.changed = len(records) > 0
 	confirmed := sent
-	if elapsed := r.clock.Uptime() - sent; !whole && len(page.Records) == 0 && elapsed >= wait {
+	if elapsed := r.clock.Uptime() - sent; !whole && len(records) == 0 && elapsed >= wait {
 		confirmed += wait // the store waited so long for a newer version
 	}
 	if d, _ := r.view.Deployment(); d != nil {
@@ -115,13 +129,14 @@
 	ctx, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
 	sent := r.clock.Uptime()
-	page, whole, err := r.page(ctx, drstore.Runners, &r.runners, 0)
+	r.runners.started = r.runners.started && sent-r.runners.readAt <= historyLimit
+	records, whole, err := r.read(ctx, drstore.Runners, &r.runners, 0)
 	if err != nil {
 		r.failedAt, r.failed = r.clock.Uptime(), true
 		return err
 	}
 	listed := make(map[string]bool)
-	for _, rec := range page.Records {
+	for _, rec := range records {
 		listed[rec.Key] = true
 		r.takeRunner(rec)
 	}
--- a/drcontrol/reader_test.go
+++ b/drcontrol/reader_test.go
@@ -135,3 +135,50 @@
 	s.clock.Suspend(s.delay)
 	return page, err
 }
+
+// pagedLog returns one record a page, as a store does with large records.
+type pagedLog struct{ *drstandin.MemoryStore }
+
+func (l pagedLog) Read(ctx context.Context, t drstore.Topic, from int64, wait time.Duration) (drstore.Page, error) {
+	page, err := l.MemoryStore.Read(ctx, t, from, wait)
+	if len(page.Records) > 1 {
+		page.Records, page.Next = page.Records[:1], from+1
+	}
+	return page, err
+}
+
+// Guards against a runner table that counts as fresh although only the first
+// page of the history was read: a runner that has left comes back by its old
+// entries and is sent requests.
+func TestReaderReadsToTheEnd(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderWorld()
+	w.reader.log = pagedLog{w.store}
+	w.store.Put(drstore.Runners, "leaves", []byte("1 1"))
+	is.NoErr(w.reader.readRunners(ctx))
+	w.view.RemoveRunner("leaves") // the controller said so
+	w.store.Put(drstore.Runners, "leaves", []byte("1 2"))
+	w.store.Put(drstore.Runners, "stays", []byte("1 1"))
+	w.store.Put(drstore.Runners, "leaves", nil)
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 1)
+}
+
+// Guards against reading the whole history of the runners after a time in which
+// the controller told what changed.
+func TestReaderSkipsOldHistory(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderWorld()
+	w.reader.log = pagedLog{w.store}
+	w.store.Put(drstore.Runners, "r", []byte("1 1"))
+	is.NoErr(w.reader.readRunners(ctx))
+	for beat := range 100 {
+		w.store.Put(drstore.Runners, "r", fmt.Appendf(nil, "1 %d", beat+2))
+	}
+	w.clock.Advance(historyLimit + time.Millisecond)
+	before := w.store.Calls()
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.store.Calls()-before, 1)
+	r, _ := w.view.Runner("r")
+	is.Equal(r.Beat, 101)
+}
--- a/drcontrol/reports.go
+++ b/drcontrol/reports.go
@@ -10,10 +10,13 @@
 	"github.com/dotterelridge/dotterelridge/drpb"
 )
 
-// Reserve takes tokens for one request of a VM.
-func (c *Controller) Reserve(vm string, m *drpb.FleetReserveRequest) *drpb.FleetReserveReply {
-	ok, retryAfter := c.pool.Reserve(vm, m.GetAccount(), m.GetTokens())
-	return &drpb.FleetReserveReply{Granted: ok, RetryAfterMs: uint32(retryAfter.Milliseconds())}
+// Reserve takes tokens for one request of a VM. The error is that of the pool.
+func (c *Controller) Reserve(vm string, m *drpb.FleetReserveRequest) (*drpb.FleetReserveReply, error) {
+	ok, retryAfter, err := c.pool.Reserve(vm, m.GetAccount(), m.GetTokens())
+	if err != nil {
+		return nil, err
+	}
+	return &drpb.FleetReserveReply{Granted: ok, RetryAfterMs: uint32(retryAfter.Milliseconds())}, nil
 }
 
 // Sync takes a VM's report and answers with what changed. It waits for a
--- a/drcontrol/sync.go
+++ b/drcontrol/sync.go
@@ -204,6 +204,8 @@
 	}
 	reply := new(drpb.FleetReserveReply)
 	if err := n.Peers.Call(ctx, leader.VM, methodReserve, &drpb.FleetReserveRequest{Account: account, Tokens: tokens}, reply); err != nil {
+		log.WithFields(log.Fields{"event": "reserve-failed", "account": account, "tokens": tokens, "controller": leader.VM,
+			"term": leader.Term}).WithError(err).Info("")
 		return false, 0, false
 	}
 	return reply.GetGranted(), time.Duration(reply.GetRetryAfterMs()) * time.Millisecond, true
--- a/drquota/pool.go
+++ b/drquota/pool.go
@@ -4,6 +4,8 @@
 package drquota
 
 import (
+	"errors"
+	"fmt"
 	"math"
 	"sync"
 	"time"
@@ -179,7 +181,7 @@
 	defer p.mu.Unlock()
 	a, ok := p.accounts[name]
 	if !ok {
-		return Grant{Granted: math.Inf(1)}
+		return Grant{Granted: granted} // the VM knows a newer configuration
 	}
 	p.refill(a)
 	h := a.holder(vm, spent, granted, p.clock.Now())
@@ -271,14 +273,18 @@
 	h.spent, h.last = spent, now
 }
 
+// ErrUnknownAccount means that the pool has no limit of the client account.
+var ErrUnknownAccount = errors.New("the client account has no limit here")
+
 // Reserve takes tokens for one request that exceeds a VM's allowance. If there
-// are too few, it returns when there will be enough.
-func (p *Pool) Reserve(vm, name string, tokens float64) (ok bool, retryAfter time.Duration) {
+// are too few, it returns when there will be enough. The error is
+// ErrUnknownAccount.
+func (p *Pool) Reserve(vm, name string, tokens float64) (ok bool, retryAfter time.Duration, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a, found := p.accounts[name]
 	if !found {
-		return true, 0
+		return false, 0, fmt.Errorf("%w: %q", ErrUnknownAccount, name)
 	}
 	p.refill(a)
 	// A request above the burst is admitted from a full bucket, which it
@@ -289,13 +295,13 @@
 	if need := min(tokens, a.limit.Burst); have < need {
 		a.refuse(tokens, p.clock.Now())
 		wait := time.Duration((need - have) / max(a.limit.Rate, 1) * float64(time.Second))
-		return false, a.retryAfter(wait)
+		return false, a.retryAfter(wait), nil
 	}
 	a.level -= tokens
 	if h := a.vms[vm]; h != nil {
 		h.granted += tokens
 	}
-	return true, 0
+	return true, 0, nil
 }
 
 // refuse averages the rate of refused tokens over surgeWindow.
--- a/drquota/quota_test.go
+++ b/drquota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -24,8 +25,8 @@
 	if d.down {
 		return false, 0, false
 	}
-	ok, wait := d.pool.Reserve(d.vm, account, tokens)
-	return ok, wait, true
+	ok, wait, err := d.pool.Reserve(d.vm, account, tokens)
+	return ok, wait, err == nil
 }
 
 func (d *direct) report(a *drquota.Allowances, vms int) {
@@ -165,9 +166,11 @@
 	pool := drquota.NewPool(clock)
 	pool.SetLimits(limit)
 	clock.Advance(10 * time.Second)
-	ok, _ := pool.Reserve("a", "a", 5000)
+	ok, _, err := pool.Reserve("a", "a", 5000)
+	is.NoErr(err)
 	is.True(ok)
-	ok, wait := pool.Reserve("a", "a", 10)
+	ok, wait, err := pool.Reserve("a", "a", 10)
+	is.NoErr(err)
 	is.True(!ok)
 	is.True(wait > 3*time.Second)
 }
@@ -181,14 +184,17 @@
 	pool := drquota.NewPool(clock)
 	pool.SetLimits(limit)
 	clock.Advance(10 * time.Second)
-	ok, _ := pool.Reserve("a", "a", 2000)
+	ok, _, err := pool.Reserve("a", "a", 2000)
+	is.NoErr(err)
 	is.True(ok)
-	_, single := pool.Reserve("a", "a", 100)
+	_, single, err := pool.Reserve("a", "a", 100)
+	is.NoErr(err)
 	is.True(single >= 100*time.Millisecond)
 	is.True(single < time.Second)
 	var surge time.Duration
 	for range 300 {
-		_, surge = pool.Reserve("a", "a", 100)
+		_, surge, err = pool.Reserve("a", "a", 100)
+		is.NoErr(err)
 		clock.Advance(10 * time.Millisecond)
 	}
 	is.True(surge > 3*time.Second)
@@ -203,7 +209,8 @@
 	former := drquota.NewPool(clock)
 	former.SetLimits(limit)
 	clock.Advance(10 * time.Second)
-	ok, _ := former.Reserve("a", "a", 3500)
+	ok, _, err := former.Reserve("a", "a", 3500)
+	is.NoErr(err)
 	is.True(ok)
 	next := drquota.NewPool(clock)
 	next.Inherit(former.Levels(), time.Second)
@@ -263,3 +270,16 @@
 	// Each start may spend half a second of the rate ahead.
 	is.True(admitted <= 12*1000+6*500)
 }
+
+// Guards against a controller that does not know an account yet, right after
+// its start or while its configuration is older than a VM's: it must not hand
+// out tokens without a limit. Seed 1009 of the soak was over its limit for this
+// cause.
+func TestUnknownAccountGetsNothing(t *testing.T) {
+	is := is.New(t)
+	pool := drquota.NewPool(drclock.NewFake(time.Unix(0, 0)))
+	is.Equal(pool.Report("vm", "a", 50, 80), drquota.Grant{Granted: 80})
+	ok, _, err := pool.Reserve("vm", "a", 10)
+	is.True(errors.Is(err, drquota.ErrUnknownAccount))
+	is.True(!ok)
+}
