drcontrol: Name the runners in the test of reading to the end

Cause: the test counted the runners, and the wrong one made the same number, so it passed without the change. Now it fails without it and passes with it.

--- a/drcontrol/reader_test.go
+++ b/drcontrol/reader_test.go
@@ -161,7 +161,10 @@
 	w.store.Put(drstore.Runners, "stays", []byte("1 1"))
 	w.store.Put(drstore.Runners, "leaves", nil)
 	is.NoErr(w.reader.readRunners(ctx))
-	is.Equal(w.runners(), 1)
+	_, back := w.view.Runner("leaves")
+	is.True(!back)
+	_, known := w.view.Runner("stays")
+	is.True(known)
 }
 
 // Guards against reading the whole history of the runners after a time in which
