drforward, drcontrol, drplan: One loop for attempts, one state for a plan

The loop of a stream whose header has been sent repeated that of other requests, without drawing on the retry budget after a refusal; each plan built its state twice; drplan.loss had an unused parameter and a bare divisor, drplan.Runner.FreeIn was never read; an unreadable settings file during a reload left no log line.

Change: one loop with a function that ends the request; adapter swaps that have begun are taken into the state; the rest removed or named; one line when the settings file becomes unreadable or readable.

--- a/drcontrol/controller.go
+++ b/drcontrol/controller.go
@@ -152,10 +152,11 @@
 		c.loads.perSecond = service.Engine.LoadsPerSecond
 		// Adapters go first: they load in milliseconds, but not while the
 		// runner loads a model.
-		for _, swap := range drplan.PlanAdapters(c.state(service, now)) {
+		s := c.state(service, now)
+		for _, swap := range drplan.PlanAdapters(s) {
 			c.beginAdapter(swap)
 		}
-		s := c.state(service, now)
+		c.refreshAdapters(&s)
 		c.wanted = len(s.Wants)
 		for _, swap := range drplan.Plan(s) {
 			c.begin(service, swap, now)
--- a/drcontrol/fleet.go
+++ b/drcontrol/fleet.go
@@ -291,7 +291,7 @@
 			UsedAdapter: rs.usedAdapter, Coming: rs.coming, Leaving: rs.leaving,
 		}
 		if rs.swap != nil {
-			p.Ordered, p.FreeIn, p.Loading = true, rs.doneAt.Sub(now), rs.swap.Load
+			p.Ordered, p.Loading = true, rs.swap.Load
 		}
 		s.Runners = append(s.Runners, p)
 	}
@@ -299,6 +299,14 @@
 	return s
 }
 
+// refreshAdapters takes the adapter swaps that have begun since into a state.
+func (c *Controller) refreshAdapters(s *drplan.State) {
+	for i := range s.Runners {
+		rs := c.runners[s.Runners[i].ID]
+		s.Runners[i].Coming, s.Runners[i].Leaving = rs.coming, rs.leaving
+	}
+}
+
 // wants joins the wants of all VMs by model and adapter.
 func (c *Controller) wants(service string, now time.Time) []drplan.Want {
 	byReplica := make(map[drplan.Coming]*drplan.Want)
--- a/dredge/reload.go
+++ b/dredge/reload.go
@@ -23,9 +23,7 @@
 	signal.Notify(hangUp, syscall.SIGHUP)
 	defer signal.Stop(hangUp)
 	last, err := os.ReadFile(path)
-	if err != nil {
-		log.WithFields(log.Fields{"event": "settings-unreadable", "path": path}).WithError(err).Warn("")
-	}
+	readable := e.noteSettings(path, true, err)
 	for {
 		t := e.Clock.NewTimer(reloadInterval)
 		signalled := false
@@ -39,6 +37,7 @@
 		}
 		t.Stop()
 		src, err := os.ReadFile(path)
+		readable = e.noteSettings(path, readable, err)
 		if err != nil || bytes.Equal(src, last) && !signalled {
 			continue // it is being replaced, or has not changed
 		}
@@ -47,6 +46,19 @@
 	}
 }
 
+// noteSettings logs when the settings file becomes unreadable or readable.
+func (e *Edge) noteSettings(path string, was bool, err error) (readable bool) {
+	fields := log.Fields{"event": "settings-readable", "path": path}
+	switch {
+	case err != nil && was:
+		fields["event"] = "settings-unreadable"
+		log.WithFields(fields).WithError(err).Warn("")
+	case err == nil && !was:
+		log.WithFields(fields).Info("")
+	}
+	return err == nil
+}
+
 func (e *Edge) reload(path string, src []byte, signalled bool) {
 	s, problems := Parse(path, src)
 	if len(problems) > 0 {
--- a/drforward/plain.go
+++ b/drforward/plain.go
@@ -53,8 +53,9 @@
 }
 
 // next picks a runner and sends the request, again where the runner has
-// certainly not run it. It returns nil after it has answered the client.
-func (x *exchange) next(j *journey, lastEvent int, silence time.Duration) *attempt {
+// certainly not run it. It returns nil after it has answered the client, by end
+// if no runner answers.
+func (x *exchange) next(j *journey, lastEvent int, silence time.Duration, end func(refusal)) *attempt {
 	for {
 		c, ref, result := x.pick(j.tried)
 		switch result {
@@ -62,7 +63,7 @@
 			x.gone()
 			return nil
 		case refused:
-			x.giveUp(j, ref)
+			end(ref)
 			return nil
 		}
 		j.tried[c.Runner.ID] = true
@@ -80,13 +81,13 @@
 			if j.unsent < maxUnsent && x.left() > answerMargin && (err != nil || x.retry()) {
 				continue
 			}
-			x.giveUp(j, refusal{status: fasthttp.StatusServiceUnavailable, reason: "runners-full", retryAfter: overloadRetryAfter})
+			end(refusal{status: fasthttp.StatusServiceUnavailable, reason: "runners-full", retryAfter: overloadRetryAfter})
 			return nil
 		}
 		j.runs++
 		j.lastErr = err
 		if !x.again(j) {
-			x.giveUp(j, refusal{})
+			end(refusal{})
 			return nil
 		}
 	}
@@ -126,7 +127,7 @@
 	j := newJourney()
 	var fallback *plainAnswer
 	for {
-		a := x.next(j, 0, x.silenceLimit(j))
+		a := x.next(j, 0, x.silenceLimit(j), func(r refusal) { x.giveUp(j, r) })
 		if a == nil {
 			return
 		}
--- a/drforward/stream.go
+++ b/drforward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -81,29 +82,14 @@
 	if x.silenceLimit(j) > 0 {
 		silence = firstSilence * x.route.Objective
 	}
-	if !st.started {
-		return x.next(j, st.last, silence)
-	}
-	for x.left() > answerMargin {
-		c, ref, result := x.pick(j.tried)
-		if result != found {
-			j.lastErr = errors.Join(j.lastErr, errors.New(ref.reason))
-			break
-		}
-		j.tried[c.Runner.ID] = true
-		a, err := x.begin(c.Runner, st.last, silence)
-		if err == nil && !a.notRun() {
-			j.runs++
-			return a
-		}
-		j.unsent++
-		if errors.Is(err, errBroken) || j.unsent >= maxUnsent {
-			j.lastErr = err
-			break
+	return x.next(j, st.last, silence, func(r refusal) {
+		if st.started {
+			j.lastErr = errors.Join(j.lastErr, errors.New(cmp.Or(r.reason, "no further attempt")))
+			st.abort(j)
+			return
 		}
-	}
-	st.abort(j)
-	return nil
+		x.giveUp(j, r)
+	})
 }
 
 // streamFailed handles an answer that is no stream. It reports whether the
--- a/drplan/plan.go
+++ b/drplan/plan.go
@@ -21,6 +21,8 @@
 	// spareLoad is the share below which a busy model still gets a second
 	// replica, so that the loss of a runner does not stop it.
 	spareLoad = 0.08
+	// spareWeight is what a replica that the others could replace is worth.
+	spareWeight = 0.1
 	// maxReplicas bounds the replicas of one model.
 	maxReplicas = 6
 	// urgentStep is how much one step of urgency weighs against waiting
@@ -46,8 +48,6 @@
 	*drfleet.Runner
 	// Ordered is set while an order of a model is carried out.
 	Ordered bool
-	// FreeIn is the time until that order should be done.
-	FreeIn time.Duration
 	// Loading is the model that is being loaded.
 	Loading string
 	// Coming are adapters on their way, Leaving those that they replace.
@@ -250,7 +250,7 @@
 		if need <= 0 {
 			break
 		}
-		loss := p.loss(r, v)
+		loss := p.loss(v)
 		if why == "busy" && loss >= p.gain(m.Name) {
 			return Swap{}, 0, false
 		}
@@ -298,7 +298,7 @@
 		vs = append(vs, m.Model)
 	}
 	slices.SortFunc(vs, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.loss(r, a), p.loss(r, b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(p.loss(a), p.loss(b)), cmp.Compare(a, b))
 	})
 	return vs
 }
@@ -309,7 +309,7 @@
 
 // loss estimates what dropping a replica costs, in requests per second that
 // would have to wait or crowd the remaining replicas.
-func (p *planner) loss(_ *Runner, model string) float64 {
+func (p *planner) loss(model string) float64 {
 	n := p.replicas[model]
 	if n <= 1 {
 		return p.Rate[model]
@@ -317,7 +317,7 @@
 	if p.Work[model] > hotLoad*float64(n-1) || n == 2 && p.Work[model] > spareLoad {
 		return p.Rate[model] / float64(n)
 	}
-	return p.Rate[model] / float64(n) / 10
+	return p.Rate[model] / float64(n) * spareWeight
 }
 
 // gain estimates what another replica of a busy model brings.
