drwait: Refuse at once on a VM that is cut off from the controller

Change: once no controller has answered a VM for 3 s, longer than a change of the controller takes, such a request is refused at once; the client's next connection reaches another VM.

--- a/drcontrol/sync.go
+++ b/drcontrol/sync.go
@@ -137,6 +137,7 @@
 	}
 	n.heardAt = n.Clock.Now()
 	n.mu.Unlock()
+	n.View.ConfirmController()
 	if n.controller.Load() == nil {
 		n.applyTable(reply)
 		n.applyDeployment(reply)
--- a/drforward/wait.go
+++ b/drforward/wait.go
@@ -50,6 +50,7 @@
 	for {
 		situation := drwait.Situation{
 			Now: s.Clock.Now(), Began: x.start, Objective: x.route.Objective, TimeoutAt: x.timeoutAt,
+			Silence: s.View.ControllerSilence(),
 		}
 		situation.Expected, situation.Forecast = s.View.Forecast(p)
 		decision := drwait.Decide(situation)
--- a/drview/view.go
+++ b/drview/view.go
@@ -32,6 +32,8 @@
 	deploymentAt, runnersAt time.Duration
 	seenDeployment          bool
 	seenRunners             bool
+	// controllerAt is the uptime at which a controller last answered.
+	controllerAt time.Duration
 
 	runners   map[string]*entry
 	revision  uint64
@@ -50,7 +52,7 @@
 // New returns an empty View.
 func New(c Clock) *View {
 	return &View{
-		clock: c, changed: make(chan struct{}), runners: make(map[string]*entry),
+		clock: c, controllerAt: c.Uptime(), changed: make(chan struct{}), runners: make(map[string]*entry),
 		wants: make(map[Replica]*want), forecasts: make(map[Replica]forecast), wanted: make(chan struct{}, 1),
 	}
 }
@@ -123,6 +125,21 @@
 	return v.seenRunners
 }
 
+// ConfirmController notes that a controller answers.
+func (v *View) ConfirmController() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.controllerAt = v.clock.Uptime()
+}
+
+// ControllerSilence returns the time since a controller last answered, or since
+// the process started.
+func (v *View) ControllerSilence() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.clock.Uptime() - v.controllerAt
+}
+
 // Ages returns the ages of the deployment and of the runner table; known is
 // false until both have been read once.
 func (v *View) Ages() (deployment, runners time.Duration, known bool) {
--- a/drwait/wait.go
+++ b/drwait/wait.go
@@ -12,6 +12,12 @@
 	// unknownShare is the part of its time that a request waits without a
 	// forecast, as while another VM becomes the controller.
 	unknownShare = 0.5
+	// aloneFor is how long the controller must have been silent for this VM alone
+	// to be cut off: another one takes over sooner than that.
+	aloneFor = 3 * time.Second
+	// aloneRetryAfter is the Retry-After of a VM that is cut off; the client's
+	// next connection reaches another VM.
+	aloneRetryAfter = 50 * time.Millisecond
 	// minRetryAfter keeps refused clients from coming back before anything
 	// can have changed.
 	minRetryAfter = 200 * time.Millisecond
@@ -26,6 +32,8 @@
 	// Expected is when the controller expects the model, if Forecast is set.
 	Expected time.Time
 	Forecast bool
+	// Silence is the time since a controller last answered this VM.
+	Silence time.Duration
 }
 
 // Decision says whether a request goes on waiting.
@@ -45,6 +53,9 @@
 	if !s.Now.Before(last) {
 		return Decision{RetryAfter: minRetryAfter, Why: "no time left"}
 	}
+	if !s.Forecast && s.Silence > aloneFor {
+		return Decision{RetryAfter: aloneRetryAfter, Why: "cut off from the controller"}
+	}
 	if !s.Forecast {
 		if patience := s.TimeoutAt.Sub(s.Began).Seconds() * unknownShare; s.Now.Sub(s.Began).Seconds() > patience {
 			return Decision{RetryAfter: minRetryAfter, Why: "no forecast"}
--- a/drwait/wait_test.go
+++ b/drwait/wait_test.go
@@ -53,3 +53,17 @@
 	is.True(d.Wait)
 	is.True(d.Again <= 150*time.Millisecond)
 }
+
+// Replays a VM that is cut off from the others for longer than a change of the
+// controller takes: it refuses at once what it cannot serve, because the
+// client's next connection reaches another VM.
+func TestRefusesWhileCutOff(t *testing.T) {
+	is := is.New(t)
+	s := situation(0, 0, false)
+	s.Silence = 4 * time.Second
+	d := drwait.Decide(s)
+	is.True(!d.Wait)
+	is.True(d.RetryAfter < time.Second)
+	s.Silence = 2 * time.Second
+	is.True(drwait.Decide(s).Wait)
+}
