drcontrol: Let strong VMs take the lease; back off from an overloaded controller

VMs notice the loss of a controller up to 1.1 s apart, more than the 0.47 s by which weak VMs waited, and repeated their reports, which ask for the whole table, every 50 ms.

Change: a weak VM leaves a vacant lease to stronger ones for 3 s times what it lacks of a core; the strongest is named in the lease, so that a new process knows it. Failed reports back off up to 0.8 s, and an answer with the whole table may take 2.5 s.

--- a/drcontrol/change_test.go
+++ b/drcontrol/change_test.go
@@ -62,17 +62,17 @@
 	}
 	f.store.Put(drstore.Deployments, "config", []byte("1"))
 	for i := range vms {
-		f.start(fmt.Sprintf("vm-%d", i))
+		f.start(fmt.Sprintf("vm-%d", i), 1)
 	}
 	return f
 }
 
-func (f *nodeFleet) start(name string) {
+func (f *nodeFleet) start(name string, processor float64) {
 	n := &fleetNode{fleet: f, name: name, handlers: make(map[string]drpeer.Handler)}
 	n.Node = New(Config{
 		Clock: f.clock, VM: name, Address: name, Incarnation: 1, Log: n, Codec: versions{}, Engines: &engines{},
 		Peers: n, Registry: n, Metrics: drmetric.New(), View: drview.New(f.clock), Allowances: drquota.NewAllowances(f.clock),
-		Processor: 1, Propagation: 2 * time.Second, RunnerDrain: 2 * time.Second,
+		Processor: processor, Propagation: 2 * time.Second, RunnerDrain: 2 * time.Second,
 	})
 	f.mu.Lock()
 	f.nodes[name] = n
@@ -218,3 +218,32 @@
 		is.True(calls[drstore.Runners] <= 2*vms)
 	})
 }
+
+// Guards against a weak VM that becomes the controller of a large fleet because
+// it notices the loss of the former one first: a fleet whose controller had a
+// sixth of a core and a link of 10 Mbit/s was without one for 8 s.
+func TestStrongVMTakesTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newNodeFleet(2) // strong
+		defer f.close()
+		for i := range 20 {
+			f.start(fmt.Sprintf("weak-%d", i), 0.2)
+		}
+		time.Sleep(5 * time.Second)
+		lost := f.controllers()[0]
+		is.True(lost.Processor == 1)
+		for _, n := range f.nodes {
+			if n.Processor < 1 { // these notice it at once, the strong one only by its reports
+				n.forgetLeader(lost.name)
+			}
+		}
+		lost.setCut()
+		time.Sleep(5 * time.Second)
+		is.Equal(len(f.controllers()), 1)
+		is.True(f.controllers()[0].Processor == 1)
+		f.controllers()[0].setCut()
+		time.Sleep(8 * time.Second)
+		is.Equal(len(f.controllers()), 1) // a weak one, when no strong one is left
+	})
+}
--- a/drcontrol/lease_loop.go
+++ b/drcontrol/lease_loop.go
@@ -25,10 +25,14 @@
 	// deafPause is how long a VM that gave the lease up because no other VM
 	// reached it does not acquire it again.
 	deafPause = 4 * time.Second
-	// acquireSpread spreads the attempts of VMs to take a vacant lease, and
-	// weakDelay holds VMs back that lack a core compared with the strongest.
+	// acquireSpread spreads the attempts of VMs to take a vacant lease. weakDelay
+	// holds a VM back that lacks a core compared with the strongest: by more
+	// than the time within which VMs notice that the controller is lost, because
+	// a weak controller of a large fleet cannot answer it. unknownDelay does so,
+	// compared with a full core, before the first controller.
 	acquireSpread = 150 * time.Millisecond
-	weakDelay     = 700 * time.Millisecond
+	weakDelay     = 3 * time.Second
+	unknownDelay  = 700 * time.Millisecond
 	// storeLimit bounds one call to the store for the lease.
 	storeLimit = 1200 * time.Millisecond
 	// releaseLimit bounds the release of the lease at the end of a process.
@@ -149,6 +153,9 @@
 	l, known := n.elector.Newest()
 	if known {
 		n.Allowances.Assume(l.VMs)
+		n.mu.Lock()
+		n.mostProcessor = max(n.mostProcessor, l.MostProcessor)
+		n.mu.Unlock()
 	}
 	switch {
 	case !n.elector.Vacant():
@@ -185,9 +192,18 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(n.VM))
 	n.mu.Lock()
-	weak := time.Duration(max(n.mostProcessor-n.Processor, 0) * float64(weakDelay))
+	most := n.mostProcessor
 	n.mu.Unlock()
-	return weak + time.Duration(h.Sum32()%1000)*acquireSpread/1000
+	return weaknessDelay(n.Processor, most) + time.Duration(h.Sum32()%1000)*acquireSpread/1000
+}
+
+// weaknessDelay returns how long a VM leaves a vacant lease to stronger ones,
+// given the parts of a core that it and the strongest VM may use.
+func weaknessDelay(own, most float64) time.Duration {
+	if most == 0 {
+		return time.Duration(max(1-own, 0) * float64(unknownDelay))
+	}
+	return time.Duration(max(most-own, 0) * float64(weakDelay))
 }
 
 func (n *Node) lead() {
--- a/drcontrol/node.go
+++ b/drcontrol/node.go
@@ -69,14 +69,14 @@
 	// tellAll is set if the controller may have missed a report.
 	tellAll  bool
 	syncWait time.Duration
-	// mostProcessor is the largest part of a core that any VM may use; a full
-	// one until a controller has told it.
+	// mostProcessor is the largest part of a core that any VM may use, 0 until a
+	// controller or the lease has told it.
 	mostProcessor float64
 }
 
 // New returns a Node. Start starts it.
 func New(c Config) *Node {
-	n := &Node{Config: c, tellAll: true, syncWait: minSyncWait, mostProcessor: 1, reader: newReader(c.Log, c.Codec, c.View, c.Clock)}
+	n := &Node{Config: c, tellAll: true, syncWait: minSyncWait, reader: newReader(c.Log, c.Codec, c.View, c.Clock)}
 	n.elector = drlease.New(drlease.Config{
 		Log: c.Log, Uptime: c.Clock, VM: c.VM, Address: c.Address, Incarnation: c.Incarnation, TTL: LeaseTTL,
 	})
--- a/drcontrol/reports.go
+++ b/drcontrol/reports.go
@@ -167,9 +167,7 @@
 		})
 	}
 	vms := c.countVMs(now)
-	for _, v := range c.vms {
-		reply.MostProcessor = max(reply.MostProcessor, v.processor)
-	}
+	reply.MostProcessor = c.mostProcessor()
 	reply.Vms = uint32(vms)
 	reply.NextWaitMs = uint32(milliseconds(time.Duration(vms) * syncPerVM))
 }
@@ -185,12 +183,22 @@
 	return n
 }
 
+// mostProcessor returns the largest part of a core that any VM may use. The
+// caller holds mu.
+func (c *Controller) mostProcessor() float64 {
+	most := 0.0
+	for _, v := range c.vms {
+		most = max(most, v.processor)
+	}
+	return most
+}
+
 // Handover returns what the next controller needs.
 func (c *Controller) Handover() drlease.Handover {
 	c.mu.Lock()
-	vms := c.countVMs(c.Clock.Now())
+	vms, most := c.countVMs(c.Clock.Now()), c.mostProcessor()
 	c.mu.Unlock()
-	return drlease.Handover{VMs: vms, Levels: c.pool.Levels(), Counted: c.Clock.Now()}
+	return drlease.Handover{VMs: vms, MostProcessor: most, Levels: c.pool.Levels(), Counted: c.Clock.Now()}
 }
 
 func (c *Controller) fillLoads(name string, reply *drpb.FleetSyncReply) {
--- a/drcontrol/sync.go
+++ b/drcontrol/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -22,22 +23,31 @@
 	// syncPerVM is the time between two reports per VM, which bounds the
 	// controller's work for reports.
 	syncPerVM = 4 * time.Millisecond
-	// syncRetry is the pause after a failed report.
-	syncRetry = 50 * time.Millisecond
+	// syncRetry is the pause after a failed report. It doubles up to
+	// maxSyncRetry, so that a fleet does not keep an overloaded controller from
+	// answering anybody.
+	syncRetry    = 50 * time.Millisecond
+	maxSyncRetry = 800 * time.Millisecond
+	// wholeLimit is how long a VM waits for an answer with the whole table.
+	wholeLimit = 2500 * time.Millisecond
 	// reserveLimit bounds a question for tokens.
 	reserveLimit = 250 * time.Millisecond
 )
 
 // syncLoop reports to the controller and takes its changes.
 func (n *Node) syncLoop() {
+	retry := syncRetry
 	for n.ctx.Err() == nil {
 		if n.controller.Load() == nil && !n.knowsLeader() {
 			_ = n.Clock.Sleep(n.ctx, syncRetry)
 			continue
 		}
-		if !n.sync() {
-			_ = n.Clock.Sleep(n.ctx, syncRetry)
+		if n.sync() {
+			retry = syncRetry
+			continue
 		}
+		_ = n.Clock.Sleep(n.ctx, retry/2+rand.N(retry/2))
+		retry = min(2*retry, maxSyncRetry)
 	}
 }
 
@@ -50,9 +60,13 @@
 // sync makes one report. A new want of this VM is not held back: it cuts the
 // report short, so that the next one carries it.
 func (n *Node) sync() bool {
-	ctx, cancel := context.WithTimeout(n.ctx, maxSyncWait+syncLimit)
-	defer cancel()
 	n.mu.Lock()
+	limit := maxSyncWait + syncLimit
+	if n.term != n.leader.Term {
+		limit = wholeLimit
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, limit)
+	defer cancel()
 	leader, request := n.leader, &drpb.FleetSyncRequest{
 		Zone: n.Zone, Term: n.term, Revision: n.revision, WaitMs: uint32(n.syncWait.Milliseconds()), Whole: n.tellAll,
 		Processor: n.Processor,
--- a/drlease/elector.go
+++ b/drlease/elector.go
@@ -33,13 +33,16 @@
 type Handover struct {
 	// VMs is the number of VMs that reported to the holder, 0 if unknown.
 	VMs int
+	// MostProcessor is the largest part of a core that any of them may use, 0 if
+	// unknown.
+	MostProcessor float64
 	// Levels are the tokens left by client account, as of Counted.
 	Levels  map[string]float64
 	Counted time.Time
 }
 
 func handoverOf(m *drpb.FleetLease) Handover {
-	h := Handover{VMs: int(m.GetVms()), Counted: time.UnixMilli(m.GetCountedMs())}
+	h := Handover{VMs: int(m.GetVms()), MostProcessor: m.GetMostProcessor(), Counted: time.UnixMilli(m.GetCountedMs())}
 	if len(m.GetLevels()) > 0 {
 		h.Levels = make(map[string]float64, len(m.GetLevels()))
 	}
@@ -181,7 +184,7 @@
 	l.VM, l.Address, l.Incarnation = e.config.VM, e.config.Address, e.config.Incarnation
 	m := &drpb.FleetLease{
 		Vm: l.VM, Address: l.Address, Incarnation: l.Incarnation, Term: l.Term, Released: l.Released, Vms: uint32(l.VMs),
-		CountedMs: l.Counted.UnixMilli(),
+		CountedMs: l.Counted.UnixMilli(), MostProcessor: l.MostProcessor,
 	}
 	for account, level := range l.Levels {
 		m.Levels = append(m.Levels, &drpb.FleetLevel{Account: account, Level: level})
