drforward: Give a silent stream up only if it can go on somewhere

Cause: a resumable stream whose runner paused for longer than permitted was given up whenever it had an attempt left, also when the retry budget was used up or no runner was left that holds the model, as while its only runner leaves. Nothing could go on with it, so the client lost an answer that was merely late.

Change: the decision is made when the silence is over, below the readers of the body, and looks at the attempts, the budget and the runners.

--- a/drforward/plain.go
+++ b/drforward/plain.go
@@ -33,14 +33,14 @@
 
 func newJourney() *journey { return &journey{tried: make(map[string]bool)} }
 
-// again reports whether a request that has failed may be sent once more.
-func (x *exchange) again(j *journey) bool {
-	if !x.route.Idempotent() || j.runs >= x.route.Attempts || x.left() < answerMargin {
-		return false
-	}
-	return x.retry()
+// mayRepeat reports whether a request may run at one more runner.
+func (x *exchange) mayRepeat(j *journey) bool {
+	return x.route.Idempotent() && j.runs < x.route.Attempts && x.left() >= answerMargin
 }
 
+// again reports whether a request that has failed is sent once more.
+func (x *exchange) again(j *journey) bool { return x.mayRepeat(j) && x.retry() }
+
 // retry takes a retry from the service's budget.
 func (x *exchange) retry() bool {
 	ok := x.server.Budgets.Of(x.service.Name).Retry()
--- a/drforward/stream.go
+++ b/drforward/stream.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelridge/dotterelridge/drmetric"
+	"github.com/dotterelridge/dotterelridge/drpick"
 	"github.com/dotterelridge/dotterelridge/drview"
 )
 
@@ -56,7 +57,7 @@
 			}
 			continue
 		}
-		err := st.relay(a, x.route.Idempotent() && j.runs < x.route.Attempts)
+		err := st.relay(j, a)
 		switch {
 		case err == nil:
 			st.finish(a)
@@ -115,17 +116,38 @@
 	return true
 }
 
+// replaceable reports whether a runner can go on with the stream on a new
+// connection.
+func (st *stream) replaceable(j *journey) bool {
+	x := st.x
+	if !x.mayRepeat(j) || !x.server.Budgets.Of(x.service.Name).Left() {
+		return false
+	}
+	return drpick.Choose(x.ask(j.tried), x.server.View.Candidates(x.replica()), true) != nil
+}
+
 // relay passes events on until the stream's end. A runner that is silent is
-// given up only if another one may go on: it may be merely slow.
-func (st *stream) relay(a *attempt, replaceable bool) error {
+// given up only if the stream can go on: it may be merely slow.
+func (st *stream) relay(j *journey, a *attempt) error {
 	x := st.x
 	r := bufio.NewReaderSize(a.body(), readBuffer)
-	for {
+	wait := func() {
 		limit := x.timeoutAt
-		if replaceable {
+		if x.mayRepeat(j) {
 			limit = earlier(limit, time.Now().Add(st.silence()))
 		}
 		_ = a.up.SetReadDeadline(limit)
+	}
+	a.up.patience = func() bool {
+		if x.left() <= 0 || st.replaceable(j) {
+			return false
+		}
+		wait()
+		return true
+	}
+	defer func() { a.up.patience = nil }()
+	for {
+		wait()
 		event, err := readEvent(r)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			return st.complete(a)
--- a/drforward/upstream.go
+++ b/drforward/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -34,6 +35,21 @@
 	reused  bool
 	// usableUntil is when the runner may close the idle connection.
 	usableUntil time.Time
+	// patience is asked when the read deadline passes; true means that it has
+	// set another one and reading goes on. Readers of a body cannot go on after
+	// an error, so the decision is made below them.
+	patience func() bool
+}
+
+// Read implements io.Reader.
+func (u *upstream) Read(p []byte) (int, error) {
+	for {
+		n, err := u.Conn.Read(p)
+		var ne net.Error
+		if n > 0 || u.patience == nil || !errors.As(err, &ne) || !ne.Timeout() || !u.patience() {
+			return n, err
+		}
+	}
 }
 
 // pool keeps idle connections to runners.
@@ -63,7 +79,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to runner: %w", err)
 	}
-	return &upstream{Conn: nc, address: address, r: bufio.NewReaderSize(nc, readBuffer)}, nil
+	u := &upstream{Conn: nc, address: address}
+	u.r = bufio.NewReaderSize(u, readBuffer)
+	return u, nil
 }
 
 func (p *pool) take(address string) *upstream {
--- a/drforward/wait.go
+++ b/drforward/wait.go
@@ -31,7 +31,7 @@
 func (x *exchange) pick(tried map[string]bool) (*drpick.Candidate, refusal, waitResult) {
 	s := x.server
 	p := x.replica()
-	ask := drpick.Ask{Zone: s.Zone, Engine: x.service.Engine != nil, Call: x.call, Tried: tried}
+	ask := x.ask(tried)
 	changed := s.View.Changed()
 	if c := drpick.Choose(ask, s.View.Candidates(p), true); c != nil {
 		return c, refusal{}, found
@@ -76,6 +76,11 @@
 	}
 }
 
+// ask returns what the choice of a runner depends on.
+func (x *exchange) ask(tried map[string]bool) drpick.Ask {
+	return drpick.Ask{Zone: x.server.Zone, Engine: x.service.Engine != nil, Call: x.call, Tried: tried}
+}
+
 func (x *exchange) noRunner(d drwait.Decision) refusal {
 	reason := "no-runner"
 	if x.service.Engine != nil {
--- a/drpick/budget.go
+++ b/drpick/budget.go
@@ -46,13 +46,26 @@
 	b.level = min(b.level+b.config.Share, b.config.Burst)
 }
 
-// Retry takes one retry if the budget has one left.
-func (b *Budget) Retry() bool {
+// Left reports whether the budget has a retry left.
+func (b *Budget) Left() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.refill()
+	return b.level >= 1
+}
+
+// refill adds what came in since the last call. The caller holds mu.
+func (b *Budget) refill() {
 	now := b.config.Clock.Now()
 	b.level = min(b.level+now.Sub(b.last).Seconds()*b.config.Floor, b.config.Burst)
 	b.last = now
+}
+
+// Retry takes one retry if the budget has one left.
+func (b *Budget) Retry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill()
 	if b.level < 1 {
 		return false
 	}
