dredge: Close within the margin that is left of the grace period

Five parts are closed one after the other, each within 200 ms, which is more than the 900 ms that are left. Change: 100 ms each.

--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -259,8 +259,9 @@
 	return e.Close()
 }
 
-// closeLimit bounds the wait for each part at the end.
-const closeLimit = 200 * time.Millisecond
+// closeLimit bounds the wait for each part at the end; all of them together
+// must fit into exitMargin.
+const closeLimit = 100 * time.Millisecond
 
 // Close ends the Edge without waiting for requests.
 func (e *Edge) Close() error {
