--- a/drquota/quota_test.go
+++ b/drquota/quota_test.go
@@ -38,6 +38,21 @@
 	a.Heard(vms)
 }
 
+// newFleet returns the allowances of a number of VMs that know their number, and
+// what connects each to the pool.
+func newFleet(clock drclock.Clock, pool *drquota.Pool, limit map[string]drquota.Limit, vms int) ([]*drquota.Allowances, []*direct) {
+	var allowances []*drquota.Allowances
+	var callers []*direct
+	for i := range vms {
+		a := drquota.NewAllowances(clock)
+		a.SetLimits(limit)
+		a.Assume(vms)
+		allowances = append(allowances, a)
+		callers = append(callers, &direct{pool: pool, vm: strconv.Itoa(i)})
+	}
+	return allowances, callers
+}
+
 // Replays an account that sends many times its rate through all VMs: over any
 // span the VMs together admit no more than rate and burst.
 func TestFleetKeepsRate(t *testing.T) {
@@ -121,15 +136,7 @@
 	pool := drquota.NewPool(clock)
 	pool.SetLimits(limit)
 	const vms, cut = 9, 3
-	var allowances []*drquota.Allowances
-	var callers []*direct
-	for i := range vms {
-		a := drquota.NewAllowances(clock)
-		a.SetLimits(limit)
-		a.Heard(vms)
-		allowances = append(allowances, a)
-		callers = append(callers, &direct{pool: pool, vm: string(rune('a' + i))})
-	}
+	allowances, callers := newFleet(clock, pool, limit, vms)
 	admitted := 0.0
 	play := func(span time.Duration) float64 {
 		admitted = 0
@@ -150,8 +157,8 @@
 	for _, c := range callers[:cut] {
 		c.down = true
 	}
-	// Beyond the rate, the cut VMs have what they were granted, and half a
-	// second of their part saved up.
+	// Beyond the rate, the cut VMs have what they were granted, and their part
+	// of what was left.
 	is.True(play(5*time.Second) <= 1000*5+1000)
 	for _, c := range callers[:cut] {
 		c.down = false
@@ -237,14 +244,9 @@
 	levels := map[string]float64{"a": 0}
 	counted := clock.Now()
 	for kill := range 6 {
-		var allowances []*drquota.Allowances
-		var callers []*direct
-		for i := range vms {
-			a := drquota.NewAllowances(clock)
-			a.SetLimits(limit)
-			a.Assume(vms)
-			allowances = append(allowances, a)
-			callers = append(callers, &direct{vm: string(rune('a' + i)), down: true})
+		allowances, callers := newFleet(clock, nil, limit, vms)
+		for _, c := range callers {
+			c.down = true
 		}
 		for elapsed := time.Duration(0); elapsed < 2*time.Second; elapsed += step {
 			if kill%2 == 1 && elapsed == time.Second { // a controller is back
@@ -304,14 +306,9 @@
 		pool := drquota.NewPool(clock)
 		limit := map[string]drquota.Limit{"a": {Rate: rate, Burst: burst}}
 		pool.SetLimits(limit)
-		var allowances []*drquota.Allowances
-		var callers []*direct
-		for i := range vms {
-			a := drquota.NewAllowances(clock)
-			a.SetLimits(limit)
+		allowances, callers := newFleet(clock, pool, limit, vms)
+		for i, a := range allowances {
 			a.SetSlack(slack)
-			allowances = append(allowances, a)
-			callers = append(callers, &direct{pool: pool, vm: strconv.Itoa(i)})
 			callers[i].report(a, vms)
 		}
 		step := 50 * time.Millisecond
