--- /dev/null
+++ b/drcontrol/store_loops_test.go
@@ -0,0 +1,38 @@
+package drcontrol
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a fleet that presses a store that is down: the pause of each
+// VM grows with their number, but stays short enough to follow its return.
+func TestBackoffGrowsWithFleet(t *testing.T) {
+	is := is.New(t)
+	longest := func(vms int) time.Duration {
+		var b backoff
+		most := time.Duration(0)
+		for range 50 {
+			most = max(most, b.next(vms))
+		}
+		return most
+	}
+	is.True(longest(1) <= minMostPause)
+	is.True(longest(134) > minMostPause)
+	is.True(longest(1000) <= maxMostPause)
+	b := backoff{pause: maxMostPause}
+	b.reset()
+	is.True(b.next(1000) <= readPause)
+}
+
+// Guards against strong VMs that wait for no reason, and against weak ones that
+// take the lease as soon as they notice that it is vacant.
+func TestWeaknessDelay(t *testing.T) {
+	is := is.New(t)
+	is.Equal(weaknessDelay(0.8, 0.8), time.Duration(0))
+	is.True(weaknessDelay(0.134, 0.8) > maxSyncWait+syncLimit) // within which all notice
+	is.Equal(weaknessDelay(1, 0), time.Duration(0))
+	is.True(weaknessDelay(0.272, 0) < time.Second)
+}
--- a/drlease/elector_test.go
+++ b/drlease/elector_test.go
@@ -150,3 +150,22 @@
 	is.Equal(l.Levels["x"], -5.0)
 	is.True(l.Counted.Equal(clock.Now()))
 }
+
+// Guards against a VM that polls the lease, or sleeps on while another VM has
+// taken it: a read with a wait returns with the next record.
+func TestReadWaitsForNextRecord(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	store, clock := drstandin.NewMemoryStore(), drclock.NewFake(time.Unix(100, 0))
+	a, b := elector(store, clock, "a"), elector(store, clock, "b")
+	changed, err := b.Read(ctx, 0)
+	is.NoErr(err)
+	is.True(!changed)
+	is.Equal(b.VacantIn(), time.Duration(0))
+	time.AfterFunc(20*time.Millisecond, func() { _ = a.Acquire(ctx) }) // b sees whether it worked
+	changed, err = b.Read(ctx, 10*time.Second)
+	is.NoErr(err)
+	is.True(changed)
+	is.True(b.VacantIn() > ttl)
+	l, _ := b.Newest()
+	is.Equal(l.VM, "a")
+}
