--- a/drlog/fakes_test.go
+++ b/drlog/fakes_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,6 +162,7 @@
 
 // mesh calls between the PeerRelays of one test.
 type mesh struct {
+	calls    atomic.Int32 // in progress
 	mu       sync.Mutex
 	handlers map[string]map[string]drpeer.Handler
 	groups   map[string]int // VMs of different groups do not reach each other
@@ -215,6 +217,8 @@
 	if cut || h == nil {
 		return drverdict.New(drverdict.NotRun, drverdict.Unavailable, "no way to %s", vm)
 	}
+	e.calls.Add(1)
+	defer e.calls.Add(-1)
 	body, _ := proto.Marshal(req)
 	a, err := h(ctx, drpeer.Sender{VM: e.vm}, body)
 	if err != nil {
@@ -298,9 +302,17 @@
 	w.t.Fatal("did not happen: " + what)
 }
 
-// pass moves the clock in small steps, so that goroutines keep up.
+// callPatience bounds the real time that pass waits for calls in progress.
+const callPatience = 2 * time.Second
+
+// pass moves the clock in small steps, so that goroutines keep up. Calls take no
+// time on that clock: it stands still while one is in progress, or a large
+// answer on a busy machine would be late.
 func (w *world) pass(d time.Duration) {
 	for ; d > 0; d -= 50 * time.Millisecond {
+		for end := time.Now().Add(callPatience); w.mesh.calls.Load() > 0 && time.Now().Before(end); {
+			time.Sleep(500 * time.Microsecond)
+		}
 		w.clock.Advance(50 * time.Millisecond)
 		time.Sleep(500 * time.Microsecond)
 	}
