drcrash, drcontroller: Keep requests refused when the controller changes

What callers saw: after a change of the controller, a request that was refused for having crashed three runners was let through to further ones for a moment, or for good if the VMs that had seen the crashes were gone. Cause: the decision to refuse was the controller's alone. A new controller derived it from the crashes that the VMs reported to it one after the other, and told the first ones meanwhile that nothing was to be refused. Change: a block has a time at which it is lifted. Each VM keeps the blocks that it was told, also while it reaches no controller, and reports them to a new controller, which adopts them. Test: TestBlockOutlivesController fails before: the VM that reports first to the new controller stops refusing.

--- a/drcontroller/controller_test.go
+++ b/drcontroller/controller_test.go
@@ -372,17 +372,23 @@
 	is := is.New(t)
 	w := newControllerFixture(t)
 	request := drrequest.NewFingerprint("account", "POST /pay/", []byte("poison"))
-	report := func(vm string, crashes ...string) [][]byte {
+	refused := func(reply *drpb.FleetSyncReply) (requests []drrequest.Fingerprint) {
+		for _, b := range decodeBlocks(reply.GetBlocks()) {
+			requests = append(requests, b.Request)
+		}
+		return requests
+	}
+	report := func(vm string, crashes ...string) []drrequest.Fingerprint {
 		message := &drpb.FleetSyncRequest{}
 		for _, runner := range crashes {
 			fillCrashes(message, drcrash.Report{Crashes: []drcrash.Crash{{Request: request, Runner: runner}}})
 		}
-		return w.controller.Sync(context.Background(), vm, 1, message).GetBlocked()
+		return refused(w.controller.Sync(context.Background(), vm, 1, message))
 	}
 	is.Equal(len(report("vm1", "r1@1")), 0)
 	is.Equal(len(report("vm2", "r1@1", "r2@1")), 0)
-	is.Equal(decodeFingerprints(report("vm3", "r1@2")), []drrequest.Fingerprint{request})
+	is.Equal(report("vm3", "r1@2"), []drrequest.Fingerprint{request})
 	message := &drpb.FleetSyncRequest{}
 	fillCrashes(message, drcrash.Report{Cleared: []drrequest.Fingerprint{request}})
-	is.Equal(len(w.controller.Sync(context.Background(), "vm1", 1, message).GetBlocked()), 0)
+	is.Equal(len(refused(w.controller.Sync(context.Background(), "vm1", 1, message))), 0)
 }
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -93,12 +93,12 @@
 	for _, c := range report.Crashes {
 		request.Crashes = append(request.Crashes, &drpb.FleetCrash{Request: c.Request[:], Runner: c.Runner})
 	}
-	request.Cleared = encodeFingerprints(report.Cleared)
+	request.Cleared, request.Blocks = encodeFingerprints(report.Cleared), encodeBlocks(report.Blocks)
 }
 
 // decodeCrashes is the inverse of fillCrashes.
 func decodeCrashes(request *drpb.FleetSyncRequest) drcrash.Report {
-	report := drcrash.Report{Cleared: decodeFingerprints(request.GetCleared())}
+	report := drcrash.Report{Cleared: decodeFingerprints(request.GetCleared()), Blocks: decodeBlocks(request.GetBlocks())}
 	for _, c := range request.GetCrashes() {
 		for _, f := range decodeFingerprints([][]byte{c.GetRequest()}) {
 			report.Crashes = append(report.Crashes, drcrash.Crash{Request: f, Runner: c.GetRunner()})
@@ -107,6 +107,25 @@
 	return report
 }
 
+func encodeBlocks(blocks []drcrash.Block) []*drpb.FleetBlock {
+	var encoded []*drpb.FleetBlock
+	for _, b := range blocks {
+		encoded = append(encoded, &drpb.FleetBlock{Request: b.Request[:], LeftMs: uint32(milliseconds(b.Left))})
+	}
+	return encoded
+}
+
+// decodeBlocks leaves out blocks whose fingerprint has another length.
+func decodeBlocks(encoded []*drpb.FleetBlock) []drcrash.Block {
+	var blocks []drcrash.Block
+	for _, m := range encoded {
+		for _, f := range decodeFingerprints([][]byte{m.GetRequest()}) {
+			blocks = append(blocks, drcrash.Block{Request: f, Left: time.Duration(m.GetLeftMs()) * time.Millisecond})
+		}
+	}
+	return blocks
+}
+
 func encodeFingerprints(fingerprints []drrequest.Fingerprint) [][]byte {
 	var encoded [][]byte
 	for _, f := range fingerprints {
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -57,7 +57,7 @@
 		v := c.Validity()
 		reply.LeaseOffset, reply.LeaseLeftMs = uint64(v.Offset), uint32(milliseconds(v.Left))
 	}
-	reply.Blocked = encodeFingerprints(c.crashes.Blocked())
+	reply.Blocks = encodeBlocks(c.crashes.Blocks())
 	c.fillReply(name, request, reply)
 	return reply
 }
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -227,7 +227,7 @@
 			RetryAfter: time.Duration(g.GetRetryAfterMs()) * time.Millisecond,
 		})
 	}
-	n.Crashes.SetBlocked(decodeFingerprints(reply.GetBlocked()))
+	n.Crashes.SetBlocks(decodeBlocks(reply.GetBlocks()))
 	n.Allowances.RecordControllerReply(int(reply.GetVms()))
 }
 
--- a/drcrash/ledger_test.go
+++ b/drcrash/ledger_test.go
@@ -34,13 +34,18 @@
 // what all have reported.
 func (f *fleet) sync(all bool) {
 	for range 2 {
-		for _, l := range f.ledgers {
-			f.tally.Add(l.TakeReport(all))
-			l.SetBlocked(f.tally.Blocked())
+		for i := range f.ledgers {
+			f.report(i, all)
 		}
 	}
 }
 
+// report lets one VM report to the controller.
+func (f *fleet) report(vm int, all bool) {
+	f.tally.Add(f.ledgers[vm].TakeReport(all))
+	f.ledgers[vm].SetBlocks(f.tally.Blocks())
+}
+
 // crash records that a runner has crashed with requests of one VM.
 func (f *fleet) crash(vm int, runner string, requests ...drrequest.Fingerprint) {
 	for _, r := range requests {
@@ -54,20 +59,20 @@
 	is := is.New(t)
 	f := newFleet(4)
 	for i := range drcrash.MaxCrashes {
-		is.True(!f.ledgers[3].Blocked(poison))
+		is.True(!f.ledgers[3].Refuses(poison))
 		f.crash(i, fmt.Sprint("r", i), poison)
 		f.sync(false)
 	}
 	for _, l := range f.ledgers {
-		is.True(l.Blocked(poison))
-		is.True(!l.Blocked(innocent))
+		is.True(l.Refuses(poison))
+		is.True(!l.Refuses(innocent))
 	}
 	f.tally = drcrash.NewTally(f.clock) // another VM becomes the controller
 	f.sync(true)
-	is.True(f.ledgers[3].Blocked(poison))
+	is.True(f.ledgers[3].Refuses(poison))
 	f.clock.Advance(2 * time.Minute)
 	f.sync(true)
-	is.True(!f.ledgers[3].Blocked(poison))
+	is.True(!f.ledgers[3].Refuses(poison))
 	is.True(f.ledgers[0].Empty())
 }
 
@@ -83,7 +88,7 @@
 			f.crash(vm, runner, innocent)
 		}
 		f.sync(false)
-		is.True(!f.ledgers[0].Blocked(innocent))
+		is.True(!f.ledgers[0].Refuses(innocent))
 		f.ledgers[i%4].Clear(innocent)
 		f.sync(false)
 	}
@@ -98,3 +103,26 @@
 	}
 	is.True(len(f.ledgers[0].TakeReport(true).Crashes) <= 4096)
 }
+
+// Guards against a request that reaches further runners after a change of the
+// controller: the new one hears of its crashes from one VM after the other, and had
+// told the first ones meanwhile to refuse nothing.
+func TestBlockOutlivesController(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for i := range drcrash.MaxCrashes {
+		f.crash(i, fmt.Sprint("r", i), poison)
+	}
+	f.sync(false)
+	f.tally = drcrash.NewTally(f.clock)
+	for i := range f.ledgers {
+		f.report(i, true)
+		for _, l := range f.ledgers {
+			is.True(l.Refuses(poison))
+		}
+	}
+	f.ledgers = f.ledgers[3:] // the VMs that saw the crashes are gone
+	f.tally = drcrash.NewTally(f.clock)
+	f.sync(true)
+	is.True(f.ledgers[0].Refuses(poison))
+}
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -232,7 +232,7 @@
 		return refusal{}, true
 	}
 	f := x.fingerprint()
-	if !c.Blocked(f) {
+	if !c.Refuses(f) {
 		return refusal{}, true
 	}
 	return refusal{
