drcrash, drcontroller: Try a blocked request once at a time

What callers saw: a request that goes on coming was refused for a minute after its last crash, then crashed three further runners, a minute later three more, and so on. Cause: with the end of the block all that was known of the request was forgotten, and all VMs let it through at once. Change: VMs tell the controller which blocked requests they refuse. A success lifts the block; so does the end of the time if no VM refuses the request any more.

--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -93,12 +93,15 @@
 	for _, c := range report.Crashes {
 		request.Crashes = append(request.Crashes, &drpb.FleetCrash{Request: c.Request[:], Runner: c.Runner})
 	}
-	request.Cleared, request.Blocks = encodeFingerprints(report.Cleared), encodeBlocks(report.Blocks)
+	request.Cleared, request.Refused = encodeFingerprints(report.Cleared), encodeFingerprints(report.Refused)
+	request.Blocks = encodeBlocks(report.Blocks)
 }
 
 // decodeCrashes is the inverse of fillCrashes.
 func decodeCrashes(request *drpb.FleetSyncRequest) drcrash.Report {
-	report := drcrash.Report{Cleared: decodeFingerprints(request.GetCleared()), Blocks: decodeBlocks(request.GetBlocks())}
+	report := drcrash.Report{
+		Cleared: decodeFingerprints(request.GetCleared()), Refused: decodeFingerprints(request.GetRefused()), Blocks: decodeBlocks(request.GetBlocks()),
+	}
 	for _, c := range request.GetCrashes() {
 		for _, f := range decodeFingerprints([][]byte{c.GetRequest()}) {
 			report.Crashes = append(report.Crashes, drcrash.Crash{Request: f, Runner: c.GetRunner()})
@@ -110,7 +113,9 @@
 func encodeBlocks(blocks []drcrash.Block) []*drpb.FleetBlock {
 	var encoded []*drpb.FleetBlock
 	for _, b := range blocks {
-		encoded = append(encoded, &drpb.FleetBlock{Request: b.Request[:], LeftMs: uint32(milliseconds(b.Left))})
+		encoded = append(encoded, &drpb.FleetBlock{
+			Request: b.Request[:], LeftMs: uint32(milliseconds(b.Left)), SpanMs: uint32(milliseconds(b.Span)), Probe: b.Probe,
+		})
 	}
 	return encoded
 }
@@ -120,7 +125,9 @@
 	var blocks []drcrash.Block
 	for _, m := range encoded {
 		for _, f := range decodeFingerprints([][]byte{m.GetRequest()}) {
-			blocks = append(blocks, drcrash.Block{Request: f, Left: time.Duration(m.GetLeftMs()) * time.Millisecond})
+			blocks = append(blocks, drcrash.Block{
+				Request: f, Left: time.Duration(m.GetLeftMs()) * time.Millisecond, Span: time.Duration(m.GetSpanMs()) * time.Millisecond, Probe: m.GetProbe(),
+			})
 		}
 	}
 	return blocks
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -57,14 +57,14 @@
 		v := c.Validity()
 		reply.LeaseOffset, reply.LeaseLeftMs = uint64(v.Offset), uint32(milliseconds(v.Left))
 	}
-	reply.Blocks = encodeBlocks(c.crashes.Blocks())
+	reply.Blocks = encodeBlocks(c.crashes.BlocksFor(name))
 	c.fillReply(name, request, reply)
 	return reply
 }
 
 // addCrashes adds the crashes that a VM reports.
 func (c *Controller) addCrashes(name string, request *drpb.FleetSyncRequest) {
-	for _, blocked := range c.crashes.Add(decodeCrashes(request)) {
+	for _, blocked := range c.crashes.Add(name, decodeCrashes(request)) {
 		log.WithFields(log.Fields{"event": "request-blocked", "fingerprint": blocked, "crashes": drcrash.MaxCrashes,
 			"reported-by": name, "term": c.Term}).Warn("")
 	}
--- a/drcrash/crash.go
+++ b/drcrash/crash.go
@@ -32,6 +32,8 @@
 	Crashes []Crash
 	// Cleared are requests that have succeeded after a crash.
 	Cleared []drrequest.Fingerprint
+	// Refused are blocked requests that the VM has refused.
+	Refused []drrequest.Fingerprint
 	// Blocks are those that the VM knows. They are set only in a report to a
 	// controller that may know none.
 	Blocks []Block
--- a/drcrash/ledger.go
+++ b/drcrash/ledger.go
@@ -1,8 +1,10 @@
 package drcrash
 
 import (
+	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drrequest"
@@ -15,16 +17,26 @@
 
 	mu      sync.Mutex
 	records records
-	blocked blocks // by the controller
-	// unreported and cleared are what the controller has not been told yet. Both
-	// are bounded, because reports may fail for long.
+	blocked map[drrequest.Fingerprint]*knownBlock // by the controller
+	// unreported, cleared and refused are what the controller has not been told
+	// yet. They are bounded, because reports may fail for long.
 	unreported []Crash
 	cleared    []drrequest.Fingerprint
+	refused    map[drrequest.Fingerprint]struct{}
+}
+
+// knownBlock is a block that the controller has told the VM.
+type knownBlock struct {
+	liftAt time.Time
+	span   time.Duration
+	probe  bool // the next such request may run
 }
 
 // NewLedger returns a Ledger without crashes.
 func NewLedger(c drclock.Clock) *Ledger {
-	return &Ledger{clock: c, records: make(records), blocked: make(blocks)}
+	return &Ledger{
+		clock: c, records: make(records), blocked: make(map[drrequest.Fingerprint]*knownBlock), refused: make(map[drrequest.Fingerprint]struct{}),
+	}
 }
 
 // Empty reports whether no request is remembered, so that none needs to be looked
@@ -59,13 +71,22 @@
 	l.cleared = append(trimmed(l.cleared), request)
 }
 
-// Refuses reports whether the controller has told this VM to refuse a request. A VM
-// does not decide that itself: the request may have succeeded on another.
+// Refuses reports whether the controller has told this VM to refuse a request, and
+// counts it as refused. A VM does not decide that itself: the request may have
+// succeeded on another.
 func (l *Ledger) Refuses(request drrequest.Fingerprint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	liftAt, ok := l.blocked[request]
-	return ok && l.clock.Now().Before(liftAt)
+	b, ok := l.blocked[request]
+	if !ok || !l.clock.Now().Before(b.liftAt) {
+		return false
+	}
+	if b.probe {
+		b.probe = false
+		return false
+	}
+	l.refused[request] = struct{}{}
+	return true
 }
 
 // TakeReport returns what the controller has not been told yet, or all that this VM
@@ -73,8 +94,9 @@
 func (l *Ledger) TakeReport(all bool) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	report := Report{Crashes: l.unreported, Cleared: l.cleared}
+	report := Report{Crashes: l.unreported, Cleared: l.cleared, Refused: slices.Collect(maps.Keys(l.refused))}
 	l.unreported, l.cleared = nil, nil
+	clear(l.refused)
 	if !all {
 		return report
 	}
@@ -86,8 +108,11 @@
 			report.Crashes = append(report.Crashes, Crash{Request: request, Runner: runner})
 		}
 	}
-	l.blocked.dropLifted(now)
-	report.Blocks = l.blocked.list(now)
+	for request, b := range l.blocked {
+		if now.Before(b.liftAt) {
+			report.Blocks = append(report.Blocks, Block{Request: request, Left: b.liftAt.Sub(now), Span: b.span})
+		}
+	}
 	return report
 }
 
@@ -95,6 +120,10 @@
 func (l *Ledger) SetBlocks(list []Block) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.blocked = make(blocks, len(list))
-	l.blocked.adopt(list, l.clock.Now())
+	now, former := l.clock.Now(), l.blocked
+	l.blocked = make(map[drrequest.Fingerprint]*knownBlock, len(list))
+	for _, b := range list {
+		mayProbe := b.Probe || former[b.Request] != nil && former[b.Request].probe
+		l.blocked[b.Request] = &knownBlock{liftAt: now.Add(b.Left), span: b.Span, probe: mayProbe}
+	}
 }
--- a/drcrash/ledger_test.go
+++ b/drcrash/ledger_test.go
@@ -42,8 +42,9 @@
 
 // report lets one VM report to the controller.
 func (f *fleet) report(vm int, all bool) {
-	f.tally.Add(f.ledgers[vm].TakeReport(all))
-	f.ledgers[vm].SetBlocks(f.tally.Blocks())
+	name := fmt.Sprint("vm", vm)
+	f.tally.Add(name, f.ledgers[vm].TakeReport(all))
+	f.ledgers[vm].SetBlocks(f.tally.BlocksFor(name))
 }
 
 // crash records that a runner has crashed with requests of one VM.
@@ -126,3 +127,44 @@
 	f.sync(true)
 	is.True(f.ledgers[0].Refuses(poison))
 }
+
+// playHour has a request come to a VM each second for an hour, and returns how often
+// it ran. crashes says whether it then crashes its runner.
+func (f *fleet) playHour(crashes bool) (runs int) {
+	for second := range int(time.Hour / time.Second) {
+		vm := second % len(f.ledgers)
+		f.clock.Advance(time.Second)
+		if !f.ledgers[vm].Refuses(poison) {
+			runs++
+			if crashes {
+				f.crash(vm, fmt.Sprint("r", second), poison)
+			} else {
+				f.ledgers[vm].Clear(poison)
+			}
+		}
+		f.sync(false)
+	}
+	return runs
+}
+
+// Guards against a request that goes on coming and crashes three more runners each
+// time that its block ends.
+func TestBlockGrowsWithEachTry(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	is.Equal(f.playHour(true), drcrash.MaxCrashes+2) // tries after 1 and 9 minutes
+	is.Equal(f.playHour(true), 1)                    // and after 73
+}
+
+// Guards against refusing a request for good once its runners have been mended.
+func TestSuccessfulTryLiftsBlock(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for i := range drcrash.MaxCrashes {
+		f.crash(i, fmt.Sprint("r", i), poison)
+	}
+	f.sync(false)
+	refused := int(time.Hour/time.Second) - f.playHour(false)
+	is.True(refused <= 60+len(f.ledgers)+1) // until the VM that may try it gets the next one
+	is.True(f.ledgers[0].Empty())
+}
--- a/drcrash/tally.go
+++ b/drcrash/tally.go
@@ -23,7 +23,7 @@
 
 // Add adds the report of a VM and returns the requests that are to be refused from
 // now on.
-func (t *Tally) Add(report Report) (blocked []drrequest.Fingerprint) {
+func (t *Tally) Add(vm string, report Report) (blocked []drrequest.Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
@@ -33,15 +33,20 @@
 		if !t.records.add(c, now) {
 			continue
 		}
-		_, known := t.blocks[c.Request]
-		if !known && len(t.records[c.Request].runners) < MaxCrashes {
-			continue
-		}
-		t.blocks[c.Request] = now.Add(blockTime)
-		if !known {
+		b, known := t.blocks[c.Request]
+		switch {
+		case known:
+			b.recordCrash(now)
+		case len(t.records[c.Request].runners) >= MaxCrashes:
+			t.blocks.add(c.Request, now)
 			blocked = append(blocked, c.Request)
 		}
 	}
+	for _, request := range report.Refused {
+		if b, known := t.blocks[request]; known {
+			b.recordRefusal(vm, now)
+		}
+	}
 	for _, request := range report.Cleared {
 		delete(t.records, request)
 		delete(t.blocks, request)
@@ -49,11 +54,12 @@
 	return blocked
 }
 
-// Blocks returns the blocks in force.
-func (t *Tally) Blocks() []Block {
+// BlocksFor returns what a VM is to be told. A try of a blocked request is granted
+// to a VM only once.
+func (t *Tally) BlocksFor(vm string) []Block {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.blocks.dropLifted(now)
-	return t.blocks.list(now)
+	return t.blocks.listFor(vm, now)
 }
--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -33,7 +33,7 @@
 		crashes := w.server.Crashes.TakeReport(false).Crashes
 		is.Equal(len(crashes), 1)
 		is.Equal(crashes[0].Runner, "app-0@0")
-		w.server.Crashes.SetBlocks([]drcrash.Block{{Request: crashes[0].Request, Left: time.Minute}})
+		w.server.Crashes.SetBlocks([]drcrash.Block{{Request: crashes[0].Request, Left: time.Minute, Span: time.Minute}})
 		again, _ := w.ask("/pay/poison", "y") // the same request under another ID
 		is.Equal(again.status, 503)
 		is.Equal(*runs, 1)
