drproxy: Look for a block before each attempt

What callers saw: a request that had been blocked while its first attempt ran, or while it waited for its model, was sent to one more runner and crashed it. Cause: the block was looked up once, when the request arrived. Change: it is looked up again before each attempt, and the only try of a blocked request has no second attempt. Tests: TestBlockedRequestIsNotRetried and TestBlockedRequestIsTriedOnce fail without the check (200 from a second runner in place of 502).

--- a/drcrash/ledger.go
+++ b/drcrash/ledger.go
@@ -71,14 +71,30 @@
 	l.cleared = append(trimmed(l.cleared), request)
 }
 
-// Refuses reports whether the controller has told this VM to refuse a request, and
-// counts it as refused. A VM does not decide that itself: the request may have
-// succeeded on another.
+// Blocked reports whether the controller has told this VM to refuse a request. A VM
+// does not decide that itself: the request may have succeeded on another.
+func (l *Ledger) Blocked(request drrequest.Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.block(request) != nil
+}
+
+// block returns the block of a request, nil if it has none. The caller holds mu.
+func (l *Ledger) block(request drrequest.Fingerprint) *knownBlock {
+	if b := l.blocked[request]; b != nil && l.clock.Now().Before(b.liftAt) {
+		return b
+	}
+	return nil
+}
+
+// Refuses reports whether a request that has arrived must be refused, and counts it
+// as refused then. A blocked request may run nevertheless if the controller has let
+// this VM try it.
 func (l *Ledger) Refuses(request drrequest.Fingerprint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b, ok := l.blocked[request]
-	if !ok || !l.clock.Now().Before(b.liftAt) {
+	b := l.block(request)
+	if b == nil {
 		return false
 	}
 	if b.probe {
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -5,14 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
-	"github.com/dotterelridge/dotterelridge/drcrash"
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 )
@@ -225,21 +222,13 @@
 		return errClientGone
 	}
 	a.end(drfleetview.Failed)
-	if connectionBroke(err) {
-		x.server.Crashes.Record(drcrash.Crash{Request: x.fingerprint(), Runner: fmt.Sprintf("%s@%d", a.runner.ID, a.runner.Started)})
-	}
+	a.recordCrash(err)
 	if !x.server.Clock.Now().Before(x.timeoutAt) {
 		return fmt.Errorf("%w: %w", errTimeout, err)
 	}
 	return fmt.Errorf("%w: %w", errAnswerIncomplete, err)
 }
 
-// connectionBroke reports whether an error shows that the runner has ended the
-// connection, as one that crashes does.
-func connectionBroke(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // clientLeft reports whether the client has closed its connection.
 func (x *exchange) clientLeft() bool {
 	select {
--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dotterelridge/dotterelridge/drcrash"
+	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
 // newCrashingWorld returns a world whose preferred runners crash with each request,
@@ -56,3 +57,40 @@
 		is.Equal(len(w.server.Crashes.TakeReport(true).Crashes), 0)
 	})
 }
+
+// Guards against a further attempt of a request that the controller has blocked
+// while its first attempt ran.
+func TestBlockedRequestIsNotRetried(t *testing.T) {
+	prepareBubble()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		request, runs := drrequest.NewFingerprint("", "POST /get/poison", nil), 0
+		var w *orderWorld
+		w = newScriptedWorld(func(conn *memoryConn, _ string) {
+			runs++
+			w.server.Crashes.SetBlocks([]drcrash.Block{{Request: request, Left: time.Minute, Span: time.Minute}})
+			conn.Reset()
+		})
+		defer w.close(t)
+		answer, _ := w.ask("/get/poison", "x")
+		is.Equal(answer.status, 502)
+		is.Equal(runs, 1)
+	})
+}
+
+// Guards against a blocked request that runs more than once when it is tried again.
+func TestBlockedRequestIsTriedOnce(t *testing.T) {
+	prepareBubble()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, runs := newCrashingWorld()
+		defer w.close(t)
+		request := drrequest.NewFingerprint("", "POST /get/poison", nil)
+		w.server.Crashes.SetBlocks([]drcrash.Block{{Request: request, Left: time.Minute, Span: time.Minute, Probe: true}})
+		answer, _ := w.ask("/get/poison", "x")
+		is.Equal(answer.status, 502)
+		again, _ := w.ask("/get/poison", "y")
+		is.Equal(again.status, 503)
+		is.Equal(*runs, 1)
+	})
+}
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -30,9 +30,6 @@
 	// configuration. It is short because the client's next connection reaches
 	// another VM.
 	retryAfterUnready = 100 * time.Millisecond
-	// blockedRetryAfter is the Retry-After of a request that has crashed several
-	// runners. It stays refused for a minute.
-	blockedRetryAfter = 30 * time.Second
 )
 
 // exchange is one request of a client together with its answer. One goroutine
@@ -64,6 +61,11 @@
 	// current is the attempt that was started last, nil before the first.
 	current *attempt
 
+	// triesBlocked is set if the request is blocked but may run once.
+	triesBlocked bool
+	// knownFingerprint is what fingerprint has returned, zero before.
+	knownFingerprint drrequest.Fingerprint
+
 	// attempts, runner (the last one tried) and waited (the time spent waiting
 	// for a model) appear only in the log.
 	attempts int
@@ -126,7 +128,7 @@
 		x.refuse(r)
 		return
 	}
-	if r, ok := x.checkCrashes(); !ok {
+	if r, ok := x.checkBlock(); !ok {
 		x.refuse(r)
 		return
 	}
@@ -224,37 +226,10 @@
 // the timeout.
 func (x *exchange) remaining() time.Duration { return x.timeoutAt.Sub(x.server.Clock.Now()) }
 
-// checkCrashes returns false and a refusal if the request has crashed so many runners
-// that no further one may have it.
-func (x *exchange) checkCrashes() (refusal, bool) {
-	c := x.server.Crashes
-	if c.Empty() {
-		return refusal{}, true
-	}
-	f := x.fingerprint()
-	if !c.Refuses(f) {
-		return refusal{}, true
-	}
-	return refusal{
-		status: fasthttp.StatusServiceUnavailable, reason: "crashes-runners", detail: "fingerprint " + f.String(), retryAfter: blockedRetryAfter,
-	}, false
-}
-
-// fingerprint returns what this request has in common with the same one sent again.
-func (x *exchange) fingerprint() drrequest.Fingerprint {
-	account := ""
-	if x.account != nil {
-		account = x.account.Name
-	}
-	return drrequest.NewFingerprint(account, string(x.header.Method())+" "+string(x.header.RequestURI()), x.body)
-}
-
 // recordServed logs a request whose answer was passed on and adds its duration
 // to the metrics.
 func (x *exchange) recordServed(status int, extra log.Fields) {
-	if !x.server.Crashes.Empty() {
-		x.server.Crashes.Clear(x.fingerprint())
-	}
+	x.clearCrashes()
 	took := x.server.Clock.Since(x.start)
 	x.server.Metrics.Observe(drmetric.RequestTime, took, x.route.Kind.String())
 	x.logEnd("request-served", status, extra)
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -81,6 +81,10 @@
 			onRefusal(ref)
 			return nil
 		}
+		if blocked, ok := x.mayAttempt(state); !ok {
+			onRefusal(blocked)
+			return nil
+		}
 		options := attemptOptions{lastEvent: lastEvent, firstByteTimeout: firstByteTimeout, repeated: state.tried[c.Runner.ID]}
 		state.tried[c.Runner.ID] = true
 		a, err := x.startAttempt(c.Runner, options)
