drproxy: Log what requests of ended runners have in common

Change: event runner-broke-off with the runner's incarnation, the request's fingerprint, model and ids of its prompt parts, and whether the answer had begun.

--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -45,7 +45,9 @@
 	answer        Answer
 	sentAt        time.Time
 	stopWatching  func()
-	ended         bool
+	// begun is set once the runner has sent an event or the whole answer.
+	begun bool
+	ended bool
 	attemptOptions
 }
 
--- a/drproxy/crash.go
+++ b/drproxy/crash.go
@@ -4,12 +4,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelridge/dotterelridge/drcrash"
+	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
@@ -68,9 +71,21 @@
 		return
 	}
 	x := a.exchange
+	log.WithFields(log.Fields{"event": "runner-broke-off", "request-id": x.call.ID, "runner": a.runner.ID, "started": a.runner.Started,
+		"fingerprint": x.fingerprint(), "model": x.call.Model, "prompt": promptIDs(x.call), "last-event": a.lastEvent,
+		"answering": a.begun}).WithError(err).Warn("")
 	x.server.Crashes.Record(drcrash.Crash{Request: x.fingerprint(), Runner: fmt.Sprintf("%s@%d", a.runner.ID, a.runner.Started)})
 }
 
+// promptIDs returns the ids of the call's prompt parts, in order.
+func promptIDs(call *drfleet.Call) string {
+	ids := make([]string, len(call.Prompt))
+	for i, p := range call.Prompt {
+		ids[i] = p.ID
+	}
+	return strings.Join(ids, ",")
+}
+
 // connectionBroke reports whether an error shows that the runner has ended the
 // connection, as one that crashes does.
 func connectionBroke(err error) bool {
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -166,6 +166,7 @@
 		if err != nil {
 			return a.fail(err)
 		}
+		a.begun = true
 		id, ok := eventID(event)
 		if ok && id <= st.lastEvent {
 			continue // the client has this event from an earlier attempt
