drcrash, drproxy, drcontroller: Refuse prompts with a part that crashes runners

What callers saw: different requests with one part in their prompts ended one runner after another; sound requests beside them were cut off, refused or found no loaded model. Cause: crashes were counted by whole request only (account, target, body). Requests that crash runners because of something that they share were never recognized. Change: a crash counts also against each part of the prompt that other requests may share. The controller takes as cause the part on most of the ended runners, in at least two requests; what ran beside it has no other runners and is not blamed. Before it blocks a part it asks all VMs for a second whether requests with it were served in the last 10 s. Parts that nothing tells apart are blocked together and tried after 5 s. A better explanation lifts the blocks that rest on the former one.

--- a/drcontroller/controller_test.go
+++ b/drcontroller/controller_test.go
@@ -374,14 +374,14 @@
 	request := drrequest.NewFingerprint("account", "POST /pay/", []byte("poison"))
 	refused := func(reply *drpb.FleetSyncReply) (requests []drrequest.Fingerprint) {
 		for _, b := range decodeBlocks(reply.GetBlocks()) {
-			requests = append(requests, b.Request)
+			requests = append(requests, b.Cause)
 		}
 		return requests
 	}
 	report := func(vm string, crashes ...string) []drrequest.Fingerprint {
 		message := &drpb.FleetSyncRequest{}
 		for _, runner := range crashes {
-			fillCrashes(message, drcrash.Report{Crashes: []drcrash.Crash{{Request: request, Runner: runner}}})
+			fillCrashes(message, drcrash.Report{Crashes: []drcrash.Crash{{Identity: drcrash.Identity{Request: request}, Runner: runner}}})
 		}
 		return refused(w.controller.Sync(context.Background(), vm, 1, message))
 	}
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -91,7 +91,7 @@
 // fillCrashes adds to a report the crashes that the controller does not know yet.
 func fillCrashes(request *drpb.FleetSyncRequest, report drcrash.Report) {
 	for _, c := range report.Crashes {
-		request.Crashes = append(request.Crashes, &drpb.FleetCrash{Request: c.Request[:], Runner: c.Runner})
+		request.Crashes = append(request.Crashes, &drpb.FleetCrash{Request: c.Request[:], Parts: encodeFingerprints(c.Parts), Runner: c.Runner})
 	}
 	request.Cleared, request.Refused = encodeFingerprints(report.Cleared), encodeFingerprints(report.Refused)
 	request.Blocks = encodeBlocks(report.Blocks)
@@ -104,17 +104,28 @@
 	}
 	for _, c := range request.GetCrashes() {
 		for _, f := range decodeFingerprints([][]byte{c.GetRequest()}) {
-			report.Crashes = append(report.Crashes, drcrash.Crash{Request: f, Runner: c.GetRunner()})
+			identity := drcrash.Identity{Request: f, Parts: decodeFingerprints(c.GetParts())}
+			report.Crashes = append(report.Crashes, drcrash.Crash{Identity: identity, Runner: c.GetRunner()})
 		}
 	}
 	return report
 }
 
+// fillVerdict adds to a reply which requests the VM is to refuse.
+func fillVerdict(reply *drpb.FleetSyncReply, verdict drcrash.Verdict) {
+	reply.Blocks, reply.Suspects = encodeBlocks(verdict.Blocks), encodeFingerprints(verdict.Suspects)
+}
+
+// decodeVerdict is the inverse of fillVerdict.
+func decodeVerdict(reply *drpb.FleetSyncReply) drcrash.Verdict {
+	return drcrash.Verdict{Blocks: decodeBlocks(reply.GetBlocks()), Suspects: decodeFingerprints(reply.GetSuspects())}
+}
+
 func encodeBlocks(blocks []drcrash.Block) []*drpb.FleetBlock {
 	var encoded []*drpb.FleetBlock
 	for _, b := range blocks {
 		encoded = append(encoded, &drpb.FleetBlock{
-			Request: b.Request[:], LeftMs: uint32(milliseconds(b.Left)), SpanMs: uint32(milliseconds(b.Span)), Probe: b.Probe,
+			Cause: b.Cause[:], LeftMs: uint32(milliseconds(b.Left)), SpanMs: uint32(milliseconds(b.Span)), Probe: b.Probe,
 		})
 	}
 	return encoded
@@ -124,9 +135,9 @@
 func decodeBlocks(encoded []*drpb.FleetBlock) []drcrash.Block {
 	var blocks []drcrash.Block
 	for _, m := range encoded {
-		for _, f := range decodeFingerprints([][]byte{m.GetRequest()}) {
+		for _, f := range decodeFingerprints([][]byte{m.GetCause()}) {
 			blocks = append(blocks, drcrash.Block{
-				Request: f, Left: time.Duration(m.GetLeftMs()) * time.Millisecond, Span: time.Duration(m.GetSpanMs()) * time.Millisecond, Probe: m.GetProbe(),
+				Cause: f, Left: time.Duration(m.GetLeftMs()) * time.Millisecond, Span: time.Duration(m.GetSpanMs()) * time.Millisecond, Probe: m.GetProbe(),
 			})
 		}
 	}
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -8,7 +8,6 @@
 
 	"github.com/apex/log"
 
-	"github.com/dotterelridge/dotterelridge/drcrash"
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drlease"
 	"github.com/dotterelridge/dotterelridge/drpb"
@@ -57,7 +56,7 @@
 		v := c.Validity()
 		reply.LeaseOffset, reply.LeaseLeftMs = uint64(v.Offset), uint32(milliseconds(v.Left))
 	}
-	reply.Blocks = encodeBlocks(c.crashes.BlocksFor(name))
+	fillVerdict(reply, c.crashes.VerdictFor(name))
 	c.fillReply(name, request, reply)
 	return reply
 }
@@ -65,7 +64,11 @@
 // addCrashes adds the crashes that a VM reports.
 func (c *Controller) addCrashes(name string, request *drpb.FleetSyncRequest) {
 	for _, blocked := range c.crashes.Add(name, decodeCrashes(request)) {
-		log.WithFields(log.Fields{"event": "request-blocked", "fingerprint": blocked, "crashes": drcrash.MaxCrashes,
+		event := "request-blocked"
+		if blocked.Part {
+			event = "prompt-part-blocked"
+		}
+		log.WithFields(log.Fields{"event": event, "fingerprint": blocked.Cause, "crashes": blocked.Crashes, "span": blocked.Span,
 			"reported-by": name, "term": c.Term}).Warn("")
 	}
 }
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -227,7 +227,7 @@
 			RetryAfter: time.Duration(g.GetRetryAfterMs()) * time.Millisecond,
 		})
 	}
-	n.Crashes.SetBlocks(decodeBlocks(reply.GetBlocks()))
+	n.Crashes.SetVerdict(decodeVerdict(reply))
 	n.Allowances.RecordControllerReply(int(reply.GetVms()))
 }
 
--- a/drcrash/block.go
+++ b/drcrash/block.go
@@ -1,67 +1,81 @@
 package drcrash
 
 import (
-	"maps"
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
 const (
-	// firstSpan is how long a request is refused before one VM may try it again,
+	// firstSpan is how long requests are refused before one VM may try one again,
 	// spanFactor the growth of that time with each try that crashes a runner, and
-	// maxSpan its bound. So a request that goes on coming crashes three more runners
-	// in its first hour and a half, and then one a day.
-	firstSpan  = time.Minute
-	spanFactor = 8
-	maxSpan    = 24 * time.Hour
+	// maxSpan its bound. So requests that go on coming crash three more runners in
+	// their first hour and a half, and then one a day.
+	firstSpan = time.Minute
+	// ambiguousSpan replaces firstSpan for parts of prompts that have crashed exactly
+	// the same runners, so that only a try can tell which of them is the cause.
+	ambiguousSpan = 5 * time.Second
+	spanFactor    = 8
+	maxSpan       = 24 * time.Hour
 )
 
-// Block says that a request is refused because it has crashed its runners.
+// Block says that requests are refused because they have crashed their runners.
 type Block struct {
-	Request drrequest.Fingerprint
-	// Left is the time until the block is lifted, unless VMs go on refusing the
-	// request.
+	// Cause is the fingerprint of a request, or of a part of the requests' prompts.
+	Cause drrequest.Fingerprint
+	// Left is the time until the block is lifted, unless VMs go on refusing such
+	// requests.
 	Left time.Duration
-	// Span is the time for which the request is refused between two tries.
+	// Span is the time for which such requests are refused between two tries.
 	Span time.Duration
-	// Probe lets the VM that receives the block run the request once.
+	// Probe lets the VM that receives the block run one such request.
 	Probe bool
 }
 
 // block is a Block of the controller.
 type block struct {
-	// retryAt is when one VM may try the request again.
+	// retryAt is when one VM may try such a request again.
 	retryAt time.Time
 	span    time.Duration
-	// prober is the VM that may try the request, "" before retryAt. probeSent is
-	// set once the VM has been told.
+	// prober is the VM that may try one, "" before retryAt. probeSent is set once
+	// the VM has been told.
 	prober    string
 	probeSent bool
+	// lastRunner is the runner that crashed last.
+	lastRunner string
 }
 
-// liftAt is when the block is lifted, unless VMs go on refusing the request.
+// liftAt is when the block is lifted, unless VMs go on refusing such requests.
 func (b *block) liftAt() time.Time { return b.retryAt.Add(b.span) }
 
-// blocks holds the blocks by request.
+// blocks holds the blocks by cause.
 type blocks map[drrequest.Fingerprint]*block
 
-func (b blocks) add(request drrequest.Fingerprint, now time.Time) {
-	b[request] = &block{retryAt: now.Add(firstSpan), span: firstSpan}
+// add blocks a cause, and returns false if it is blocked already.
+func (b blocks) add(cause drrequest.Fingerprint, span time.Duration, now time.Time) bool {
+	if _, known := b[cause]; known {
+		return false
+	}
+	b[cause] = &block{retryAt: now.Add(span), span: span}
+	return true
 }
 
 // adopt adds the blocks that a VM has been told by a former controller.
 func (b blocks) adopt(known []Block, now time.Time) {
 	for _, k := range known {
-		if _, ok := b[k.Request]; !ok && len(b) < maxRecords {
-			b[k.Request] = &block{retryAt: now.Add(k.Left - k.Span), span: k.Span}
+		if _, ok := b[k.Cause]; !ok && len(b) < maxRecords {
+			b[k.Cause] = &block{retryAt: now.Add(k.Left - k.Span), span: k.Span}
 		}
 	}
 }
 
 // recordCrash extends a block after a further crash. If that ended a try, the time
-// until the next one grows.
-func (b *block) recordCrash(now time.Time) {
+// until the next one grows. Several VMs may report one crash.
+func (b *block) recordCrash(runner string, now time.Time) {
+	if runner == b.lastRunner {
+		return
+	}
+	b.lastRunner = runner
 	if b.prober != "" {
 		b.span = min(b.span*spanFactor, maxSpan)
 		b.prober, b.probeSent = "", false
@@ -69,7 +83,7 @@
 	b.retryAt = now.Add(b.span)
 }
 
-// recordRefusal lets a VM that has refused the request try it, if it is time.
+// recordRefusal lets a VM that has refused such a request try one, if it is time.
 func (b *block) recordRefusal(vm string, now time.Time) {
 	if now.Before(b.retryAt) {
 		return
@@ -77,18 +91,13 @@
 	b.prober, b.probeSent, b.retryAt = vm, false, now.Add(b.span)
 }
 
-// dropLifted drops the blocks that nobody has needed for a while.
-func (b blocks) dropLifted(now time.Time) {
-	maps.DeleteFunc(b, func(_ drrequest.Fingerprint, x *block) bool { return !now.Before(x.liftAt()) })
-}
-
 // listFor returns all blocks as they are to be told to a VM.
 func (b blocks) listFor(vm string, now time.Time) []Block {
 	var list []Block
-	for request, x := range b {
+	for cause, x := range b {
 		probe := x.prober == vm && !x.probeSent
 		x.probeSent = x.probeSent || probe
-		list = append(list, Block{Request: request, Left: x.liftAt().Sub(now), Span: x.span, Probe: probe})
+		list = append(list, Block{Cause: cause, Left: x.liftAt().Sub(now), Span: x.span, Probe: probe})
 	}
 	return list
 }
--- a/drcrash/crash.go
+++ b/drcrash/crash.go
@@ -1,28 +1,51 @@
-// Package drcrash finds requests that crash the runners that run them. Each VM
-// keeps a Ledger of the crashes that it has seen; the controller's Tally adds them
-// up for the whole fleet and tells the VMs which requests to refuse.
+// Package drcrash finds requests that crash the runners that run them, and parts of
+// prompts that do so in whichever request they are. Each VM keeps a Ledger of the
+// crashes that it has seen; the controller's Tally adds them up for the whole fleet
+// and tells the VMs which requests to refuse.
 package drcrash
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
 const (
-	// MaxCrashes is the number of runners that a request may have crashed, without
-	// ever having succeeded, before it is refused. Requests that merely ran on
-	// crashing runners rarely reach it: one success clears them.
+	// MaxCrashes is the number of runners that a request, or the requests with one
+	// part in their prompts, may have crashed without ever having succeeded, before
+	// they are refused. Requests that merely ran on crashing runners rarely reach
+	// it: one success clears them and the parts of their prompts.
 	MaxCrashes = 3
-	// recordTTL is how long a request is remembered after its last crash.
+	// minPartRequests is the number of different requests among those crashes from
+	// which a part of their prompts can be the cause.
+	minPartRequests = 2
+	// vouchTime is how long VMs have to report that requests with a part succeed.
+	vouchTime = time.Second
+	// successTTL is how long a success speaks for the parts of its prompt. It is
+	// short because a part may begin to crash runners with their next version.
+	successTTL = 10 * time.Second
+	// recordTTL is how long a crash is remembered.
 	recordTTL = time.Minute
-	// maxRecords bounds the requests that a Ledger or a Tally remembers.
+	// maxRecords bounds each kind of things that a Ledger or a Tally remembers.
 	maxRecords = 4096
 )
 
+// Identity tells what may make a request crash its runners: the request as a whole,
+// or one of the parts of its prompt, in order, that other requests may share.
+type Identity struct {
+	Request drrequest.Fingerprint
+	Parts   []drrequest.Fingerprint
+}
+
+// Causes returns the fingerprints of the request and of its parts.
+func (i Identity) Causes() []drrequest.Fingerprint {
+	return append([]drrequest.Fingerprint{i.Request}, i.Parts...)
+}
+
 // Crash is one runner that ended while it ran a request.
 type Crash struct {
-	Request drrequest.Fingerprint
+	Identity
 	// Runner identifies the incarnation of the runner.
 	Runner string
 }
@@ -30,19 +53,28 @@
 // Report is what a VM tells the controller.
 type Report struct {
 	Crashes []Crash
-	// Cleared are requests that have succeeded after a crash.
+	// Cleared are requests that have succeeded after a crash, and parts of prompts
+	// of requests that have succeeded.
 	Cleared []drrequest.Fingerprint
-	// Refused are blocked requests that the VM has refused.
+	// Refused are the causes for which the VM has refused requests.
 	Refused []drrequest.Fingerprint
 	// Blocks are those that the VM knows. They are set only in a report to a
 	// controller that may know none.
 	Blocks []Block
 }
 
+// Verdict is what the controller tells a VM.
+type Verdict struct {
+	Blocks []Block
+	// Suspects are parts of prompts that will be blocked unless a VM reports that
+	// requests with them succeed.
+	Suspects []drrequest.Fingerprint
+}
+
 // trimmed returns a list without its older half if it has maxRecords elements.
 func trimmed[T any](list []T) []T {
 	if len(list) < maxRecords {
 		return list
 	}
-	return append([]T(nil), list[len(list)/2:]...)
+	return slices.Clone(list[len(list)/2:])
 }
--- a/drcrash/ledger.go
+++ b/drcrash/ledger.go
@@ -10,14 +10,18 @@
 	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
-// Ledger holds the crashes that one VM has seen, and which requests the controller
-// has told it to refuse. It is safe for concurrent use.
+// Ledger holds the crashes and successes that one VM has seen, and which requests the
+// controller has told it to refuse. It is safe for concurrent use.
 type Ledger struct {
 	clock drclock.Clock
 
 	mu      sync.Mutex
-	records records
-	blocked map[drrequest.Fingerprint]*knownBlock // by the controller
+	crashes []recentCrash // of the last recordTTL, the oldest first
+	// servedAt is when a request with a part last succeeded.
+	servedAt map[drrequest.Fingerprint]time.Time
+	// blocked and suspects are what the controller has told.
+	blocked  map[drrequest.Fingerprint]*knownBlock
+	suspects map[drrequest.Fingerprint]struct{}
 	// unreported, cleared and refused are what the controller has not been told
 	// yet. They are bounded, because reports may fail for long.
 	unreported []Crash
@@ -25,6 +29,11 @@
 	refused    map[drrequest.Fingerprint]struct{}
 }
 
+type recentCrash struct {
+	Crash
+	at time.Time
+}
+
 // knownBlock is a block that the controller has told the VM.
 type knownBlock struct {
 	liftAt time.Time
@@ -35,53 +44,89 @@
 // NewLedger returns a Ledger without crashes.
 func NewLedger(c drclock.Clock) *Ledger {
 	return &Ledger{
-		clock: c, records: make(records), blocked: make(map[drrequest.Fingerprint]*knownBlock), refused: make(map[drrequest.Fingerprint]struct{}),
+		clock: c, servedAt: make(map[drrequest.Fingerprint]time.Time), blocked: make(map[drrequest.Fingerprint]*knownBlock),
+		refused: make(map[drrequest.Fingerprint]struct{}),
 	}
 }
 
-// Empty reports whether no request is remembered, so that none needs to be looked
-// up.
+// Empty reports whether no crash is remembered and nothing is blocked, so that no
+// request needs to be looked up.
 func (l *Ledger) Empty() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.records) == 0 && len(l.blocked) == 0
+	return len(l.crashes) == 0 && len(l.blocked) == 0
 }
 
-// Record records that a runner ended while it ran a request.
-func (l *Ledger) Record(crash Crash) {
+// RecordCrash records that a runner ended while it ran a request.
+func (l *Ledger) RecordCrash(crash Crash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.records.add(crash, l.clock.Now()) {
-		l.unreported = append(trimmed(l.unreported), crash)
+	l.crashes = append(trimmed(l.crashes), recentCrash{crash, l.clock.Now()})
+	l.unreported = append(trimmed(l.unreported), crash)
+}
+
+// RecordServed records that requests with the given parts succeed. If a part is
+// suspected, the controller is told.
+func (l *Ledger) RecordServed(parts []drrequest.Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for _, p := range parts {
+		if len(l.servedAt) >= maxRecords {
+			l.dropOlderServed()
+		}
+		l.servedAt[p] = now
+		_, suspected := l.suspects[p]
+		if suspected || l.blocked[p] != nil {
+			l.clear(p)
+		}
 	}
 }
 
+// dropOlderServed forgets the older half of the successes. The caller holds mu.
+func (l *Ledger) dropOlderServed() {
+	times := slices.SortedFunc(maps.Values(l.servedAt), time.Time.Compare)
+	middle := times[len(times)/2]
+	maps.DeleteFunc(l.servedAt, func(_ drrequest.Fingerprint, at time.Time) bool { return !at.After(middle) })
+}
+
+// clear tells the controller that a cause is none. The caller holds mu.
+func (l *Ledger) clear(cause drrequest.Fingerprint) {
+	delete(l.blocked, cause)
+	l.cleared = append(trimmed(l.cleared), cause)
+}
+
 // Clear forgets the crashes of a request that has succeeded.
 func (l *Ledger) Clear(request drrequest.Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, recorded := l.records[request]
-	_, blocked := l.blocked[request]
-	if !recorded && !blocked {
+	ofRequest := func(c Crash) bool { return c.Request == request }
+	recorded := slices.ContainsFunc(l.crashes, func(c recentCrash) bool { return ofRequest(c.Crash) })
+	if !recorded && l.blocked[request] == nil {
 		return
 	}
-	delete(l.records, request)
-	delete(l.blocked, request)
-	l.unreported = slices.DeleteFunc(l.unreported, func(c Crash) bool { return c.Request == request })
-	l.cleared = append(trimmed(l.cleared), request)
+	l.crashes = slices.DeleteFunc(l.crashes, func(c recentCrash) bool { return ofRequest(c.Crash) })
+	l.unreported = slices.DeleteFunc(l.unreported, ofRequest)
+	l.clear(request)
 }
 
-// Blocked reports whether the controller has told this VM to refuse a request. A VM
-// does not decide that itself: the request may have succeeded on another.
-func (l *Ledger) Blocked(request drrequest.Fingerprint) bool {
+// Blocked returns the cause for which the controller has told this VM to refuse a
+// request, and false if there is none. A VM does not decide that itself: requests
+// with the same cause may have succeeded on another.
+func (l *Ledger) Blocked(request Identity) (cause drrequest.Fingerprint, blocked bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.block(request) != nil
+	for _, cause := range request.Causes() {
+		if l.block(cause) != nil {
+			return cause, true
+		}
+	}
+	return cause, false
 }
 
-// block returns the block of a request, nil if it has none. The caller holds mu.
-func (l *Ledger) block(request drrequest.Fingerprint) *knownBlock {
-	if b := l.blocked[request]; b != nil && l.clock.Now().Before(b.liftAt) {
+// block returns the block of a cause, nil if it has none. The caller holds mu.
+func (l *Ledger) block(cause drrequest.Fingerprint) *knownBlock {
+	if b := l.blocked[cause]; b != nil && l.clock.Now().Before(b.liftAt) {
 		return b
 	}
 	return nil
@@ -90,18 +135,26 @@
 // Refuses reports whether a request that has arrived must be refused, and counts it
 // as refused then. A blocked request may run nevertheless if the controller has let
 // this VM try it.
-func (l *Ledger) Refuses(request drrequest.Fingerprint) bool {
+func (l *Ledger) Refuses(request Identity) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.block(request)
-	if b == nil {
-		return false
+	var blocks []*knownBlock
+	for _, cause := range request.Causes() {
+		if b := l.block(cause); b != nil {
+			blocks = append(blocks, b)
+		}
 	}
-	if b.probe {
-		b.probe = false
+	if !slices.ContainsFunc(blocks, func(b *knownBlock) bool { return !b.probe }) {
+		for _, b := range blocks {
+			b.probe = false
+		}
 		return false
 	}
-	l.refused[request] = struct{}{}
+	for _, cause := range request.Causes() {
+		if l.block(cause) != nil {
+			l.refused[cause] = struct{}{}
+		}
+	}
 	return true
 }
 
@@ -110,6 +163,8 @@
 func (l *Ledger) TakeReport(all bool) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.clock.Now()
+	l.dropExpired(now)
 	report := Report{Crashes: l.unreported, Cleared: l.cleared, Refused: slices.Collect(maps.Keys(l.refused))}
 	l.unreported, l.cleared = nil, nil
 	clear(l.refused)
@@ -117,29 +172,39 @@
 		return report
 	}
 	report.Crashes = nil
-	now := l.clock.Now()
-	l.records.dropExpired(now)
-	for request, x := range l.records {
-		for runner := range x.runners {
-			report.Crashes = append(report.Crashes, Crash{Request: request, Runner: runner})
-		}
+	for _, c := range l.crashes {
+		report.Crashes = append(report.Crashes, c.Crash)
 	}
-	for request, b := range l.blocked {
+	for cause, b := range l.blocked {
 		if now.Before(b.liftAt) {
-			report.Blocks = append(report.Blocks, Block{Request: request, Left: b.liftAt.Sub(now), Span: b.span})
+			report.Blocks = append(report.Blocks, Block{Cause: cause, Left: b.liftAt.Sub(now), Span: b.span})
 		}
 	}
 	return report
 }
 
-// SetBlocks replaces the blocks by those that the controller has told this VM.
-func (l *Ledger) SetBlocks(list []Block) {
+// dropExpired forgets crashes of recordTTL and successes of successTTL ago. The caller holds mu.
+func (l *Ledger) dropExpired(now time.Time) {
+	l.crashes = slices.DeleteFunc(l.crashes, func(c recentCrash) bool { return now.Sub(c.at) > recordTTL })
+	maps.DeleteFunc(l.servedAt, func(_ drrequest.Fingerprint, at time.Time) bool { return now.Sub(at) > successTTL })
+}
+
+// SetVerdict replaces what the controller has told this VM. The controller is told of
+// the suspects with which requests have succeeded here.
+func (l *Ledger) SetVerdict(verdict Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now, former := l.clock.Now(), l.blocked
-	l.blocked = make(map[drrequest.Fingerprint]*knownBlock, len(list))
-	for _, b := range list {
-		mayProbe := b.Probe || former[b.Request] != nil && former[b.Request].probe
-		l.blocked[b.Request] = &knownBlock{liftAt: now.Add(b.Left), span: b.Span, probe: mayProbe}
+	l.blocked = make(map[drrequest.Fingerprint]*knownBlock, len(verdict.Blocks))
+	for _, b := range verdict.Blocks {
+		mayProbe := b.Probe || former[b.Cause] != nil && former[b.Cause].probe
+		l.blocked[b.Cause] = &knownBlock{liftAt: now.Add(b.Left), span: b.Span, probe: mayProbe}
+	}
+	l.suspects = make(map[drrequest.Fingerprint]struct{}, len(verdict.Suspects))
+	for _, s := range verdict.Suspects {
+		l.suspects[s] = struct{}{}
+		if at, served := l.servedAt[s]; served && now.Sub(at) <= successTTL {
+			l.clear(s)
+		}
 	}
 }
--- a/drcrash/ledger_test.go
+++ b/drcrash/ledger_test.go
@@ -12,7 +12,7 @@
 	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
-var poison, innocent = drrequest.Fingerprint{1}, drrequest.Fingerprint{2}
+var poison, innocent = drcrash.Identity{Request: drrequest.Fingerprint{1}}, drcrash.Identity{Request: drrequest.Fingerprint{2}}
 
 // fleet is a controller's Tally with the Ledgers of its VMs.
 type fleet struct {
@@ -44,13 +44,13 @@
 func (f *fleet) report(vm int, all bool) {
 	name := fmt.Sprint("vm", vm)
 	f.tally.Add(name, f.ledgers[vm].TakeReport(all))
-	f.ledgers[vm].SetBlocks(f.tally.BlocksFor(name))
+	f.ledgers[vm].SetVerdict(f.tally.VerdictFor(name))
 }
 
 // crash records that a runner has crashed with requests of one VM.
-func (f *fleet) crash(vm int, runner string, requests ...drrequest.Fingerprint) {
+func (f *fleet) crash(vm int, runner string, requests ...drcrash.Identity) {
 	for _, r := range requests {
-		f.ledgers[vm].Record(drcrash.Crash{Request: r, Runner: runner})
+		f.ledgers[vm].RecordCrash(drcrash.Crash{Identity: r, Runner: runner})
 	}
 }
 
@@ -90,7 +90,7 @@
 		}
 		f.sync(false)
 		is.True(!f.ledgers[0].Refuses(innocent))
-		f.ledgers[i%4].Clear(innocent)
+		f.ledgers[i%4].Clear(innocent.Request)
 		f.sync(false)
 	}
 }
@@ -100,7 +100,7 @@
 	is := is.New(t)
 	f := newFleet(1)
 	for i := range 20000 {
-		f.crash(0, "r", drrequest.NewFingerprint("a", fmt.Sprint(i), nil))
+		f.crash(0, "r", drcrash.Identity{Request: drrequest.NewFingerprint("a", fmt.Sprint(i), nil)})
 	}
 	is.True(len(f.ledgers[0].TakeReport(true).Crashes) <= 4096)
 }
@@ -139,7 +139,7 @@
 			if crashes {
 				f.crash(vm, fmt.Sprint("r", second), poison)
 			} else {
-				f.ledgers[vm].Clear(poison)
+				f.ledgers[vm].Clear(poison.Request)
 			}
 		}
 		f.sync(false)
--- a/drcrash/record.go
+++ b/drcrash/record.go
@@ -1,6 +1,7 @@
 package drcrash
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -8,28 +9,43 @@
 	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
-// record holds the crashes of one request.
+// record holds the crashes with one possible cause, a request or a part of prompts.
 type record struct {
 	runners map[string]struct{}
-	lastAt  time.Time
+	// requests are the different requests that ran on them.
+	requests map[drrequest.Fingerprint]struct{}
+	// depth is the greatest position of a part in its prompts.
+	depth  int
+	lastAt time.Time
+	// suspectSince is when the record had so many crashes that the VMs were asked
+	// for successes, zero before.
+	suspectSince time.Time
 }
 
-// records holds the crashes by request. A request's record is dropped recordTTL
-// after its last crash.
+// records holds the crashes by possible cause. A record is dropped recordTTL after
+// its last crash.
 type records map[drrequest.Fingerprint]*record
 
-// add records a crash and reports whether it was unknown.
-func (r records) add(crash Crash, now time.Time) bool {
-	x, ok := r[crash.Request]
+// add records a crash under one of its possible causes, at a position in the prompt,
+// and reports whether the runner was new.
+func (r records) add(cause drrequest.Fingerprint, crash Crash, depth int, now time.Time) bool {
+	x, ok := r[cause]
 	if !ok {
 		r.makeRoom()
-		x = &record{runners: make(map[string]struct{})}
-		r[crash.Request] = x
+		x = &record{runners: make(map[string]struct{}), requests: make(map[drrequest.Fingerprint]struct{})}
+		r[cause] = x
+	}
+	x.depth = max(x.depth, depth)
+	if len(x.requests) < maxRecords {
+		x.requests[crash.Request] = struct{}{}
 	}
 	if _, known := x.runners[crash.Runner]; known {
 		return false
 	}
 	x.runners[crash.Runner], x.lastAt = struct{}{}, now
+	if len(x.runners) >= MaxCrashes-1 && x.suspectSince.IsZero() {
+		x.suspectSince = now
+	}
 	return true
 }
 
@@ -39,8 +55,8 @@
 		return
 	}
 	byAge := slices.SortedFunc(maps.Keys(r), func(a, b drrequest.Fingerprint) int { return r[a].lastAt.Compare(r[b].lastAt) })
-	for _, request := range byAge[:len(byAge)/2] {
-		delete(r, request)
+	for _, cause := range byAge[:len(byAge)/2] {
+		delete(r, cause)
 	}
 }
 
@@ -48,3 +64,97 @@
 func (r records) dropExpired(now time.Time) {
 	maps.DeleteFunc(r, func(_ drrequest.Fingerprint, x *record) bool { return now.Sub(x.lastAt) > recordTTL })
 }
+
+// suspects returns the parts that VMs are to report successes of.
+func (r records) suspects() []drrequest.Fingerprint {
+	var list []drrequest.Fingerprint
+	for part, x := range r {
+		if !x.suspectSince.IsZero() {
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
+// explanation tells which parts of prompts have crashed which runners.
+type explanation struct {
+	// spans holds the causes, with how long requests with them are refused at first.
+	spans map[drrequest.Fingerprint]time.Duration
+	// runners are those that the causes have crashed.
+	runners set
+}
+
+// set is a set of runner incarnations.
+type set = map[string]struct{}
+
+// explain returns the parts that best explain the crashes. What ran beside a cause was
+// on some of the same runners. So the part with the most runners is taken first, and
+// then what has crashed enough other runners. Parts on exactly the same runners are
+// taken together, unless the first was blocked alone before. A part waits until VMs
+// have had the time to report successes, and with it those that come after it.
+func (r records) explain(blocked blocks, now time.Time) explanation {
+	e := explanation{spans: make(map[drrequest.Fingerprint]time.Duration), runners: make(set)}
+	for {
+		cause, crashes := r.likeliestCause(e.runners)
+		if crashes < MaxCrashes || now.Sub(r[cause].suspectSince) < vouchTime {
+			return e
+		}
+		e.spans[cause] = firstSpan
+		for _, other := range r.inseparable(cause, e) {
+			if blocked[cause] == nil || blocked[other] != nil {
+				e.spans[cause], e.spans[other] = ambiguousSpan, ambiguousSpan
+			}
+		}
+		maps.Copy(e.runners, r[cause].runners)
+	}
+}
+
+// likeliestCause returns the part with the most unexplained crashes, among those with
+// different requests. Between equals it takes the one with the fewest requests: a part
+// of many is on all runners by chance. Last, it takes the later one in the prompt,
+// which fewer requests share.
+func (r records) likeliestCause(explained set) (cause drrequest.Fingerprint, crashes int) {
+	var best *record
+	for part, x := range r {
+		if !x.isCandidate() {
+			continue
+		}
+		n := x.unexplained(explained)
+		if best == nil || cmp.Or(n-crashes, len(best.requests)-len(x.requests), x.depth-best.depth) > 0 {
+			cause, best, crashes = part, x, n
+		}
+	}
+	return cause, crashes
+}
+
+// inseparable returns the other candidates that have crashed the same unexplained
+// runners as a cause.
+func (r records) inseparable(cause drrequest.Fingerprint, e explanation) []drrequest.Fingerprint {
+	var others []drrequest.Fingerprint
+	beyondCause := maps.Clone(e.runners)
+	maps.Copy(beyondCause, r[cause].runners)
+	crashes := r[cause].unexplained(e.runners)
+	for part, x := range r {
+		if part != cause && x.isCandidate() && x.unexplained(e.runners) == crashes && x.unexplained(beyondCause) == 0 {
+			others = append(others, part)
+		}
+	}
+	return others
+}
+
+// isCandidate reports whether a part has crashed enough runners, in different
+// requests, to be a cause.
+func (x *record) isCandidate() bool {
+	return len(x.runners) >= MaxCrashes && len(x.requests) >= minPartRequests
+}
+
+// unexplained counts the runners of a record that have no other explanation.
+func (x *record) unexplained(explained set) int {
+	n := 0
+	for runner := range x.runners {
+		if _, ok := explained[runner]; !ok {
+			n++
+		}
+	}
+	return n
+}
--- a/drcrash/tally.go
+++ b/drcrash/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drrequest"
@@ -11,55 +12,114 @@
 type Tally struct {
 	clock drclock.Clock
 
-	mu      sync.Mutex
-	records records
-	blocks  blocks
+	mu       sync.Mutex
+	requests records
+	parts    records
+	blocks   blocks
 }
 
 // NewTally returns a Tally without crashes.
 func NewTally(c drclock.Clock) *Tally {
-	return &Tally{clock: c, records: make(records), blocks: make(blocks)}
+	return &Tally{clock: c, requests: make(records), parts: make(records), blocks: make(blocks)}
 }
 
-// Add adds the report of a VM and returns the requests that are to be refused from
-// now on.
-func (t *Tally) Add(vm string, report Report) (blocked []drrequest.Fingerprint) {
+// Blocked is a cause for which requests are refused from now on.
+type Blocked struct {
+	Cause drrequest.Fingerprint
+	// Part is set if the cause is a part of prompts, not a single request.
+	Part bool
+	// Crashes is the number of runners that it has crashed.
+	Crashes int
+	// Span is the time until one VM may try such a request.
+	Span time.Duration
+}
+
+// Add adds the report of a VM and returns the causes for which requests are to be
+// refused from now on.
+func (t *Tally) Add(vm string, report Report) []Blocked {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	t.records.dropExpired(now)
+	t.dropExpired(now)
 	t.blocks.adopt(report.Blocks, now)
 	for _, c := range report.Crashes {
-		if !t.records.add(c, now) {
-			continue
+		t.addCrash(c, now)
+	}
+	for _, cause := range report.Refused {
+		if b, known := t.blocks[cause]; known {
+			b.recordRefusal(vm, now)
 		}
-		b, known := t.blocks[c.Request]
-		switch {
-		case known:
-			b.recordCrash(now)
-		case len(t.records[c.Request].runners) >= MaxCrashes:
-			t.blocks.add(c.Request, now)
-			blocked = append(blocked, c.Request)
+	}
+	for _, cause := range report.Cleared {
+		delete(t.requests, cause)
+		delete(t.parts, cause)
+		delete(t.blocks, cause)
+	}
+	return t.decide(now)
+}
+
+// dropExpired drops old crashes, and blocks that nobody has needed for a while together
+// with the crashes that they rest on.
+func (t *Tally) dropExpired(now time.Time) {
+	t.requests.dropExpired(now)
+	t.parts.dropExpired(now)
+	for cause, b := range t.blocks {
+		if !now.Before(b.liftAt()) {
+			delete(t.blocks, cause)
+			delete(t.requests, cause)
+			delete(t.parts, cause)
 		}
 	}
-	for _, request := range report.Refused {
-		if b, known := t.blocks[request]; known {
-			b.recordRefusal(vm, now)
+}
+
+// addCrash adds one crash to all of its possible causes.
+func (t *Tally) addCrash(crash Crash, now time.Time) {
+	t.requests.add(crash.Request, crash, 0, now)
+	for depth, part := range crash.Parts {
+		t.parts.add(part, crash, depth, now)
+	}
+	for _, cause := range crash.Causes() {
+		if b, known := t.blocks[cause]; known {
+			b.recordCrash(crash.Runner, now)
+		}
+	}
+}
+
+// decide blocks the parts of prompts that best explain the crashes, and the requests
+// that have crashed MaxCrashes other runners. It lifts the blocks whose crashes have
+// found a better explanation.
+func (t *Tally) decide(now time.Time) (blocked []Blocked) {
+	if len(t.parts) == 0 && len(t.requests) == 0 {
+		return nil
+	}
+	e := t.parts.explain(t.blocks, now)
+	for part, x := range t.parts {
+		span, isCause := e.spans[part]
+		switch {
+		case isCause && t.blocks.add(part, span, now):
+			blocked = append(blocked, Blocked{Cause: part, Part: true, Crashes: len(x.runners), Span: span})
+		case !isCause && len(x.runners) >= MaxCrashes && x.unexplained(e.runners) < MaxCrashes:
+			delete(t.blocks, part)
 		}
 	}
-	for _, request := range report.Cleared {
-		delete(t.records, request)
-		delete(t.blocks, request)
+	for request, x := range t.requests {
+		switch {
+		case len(x.runners) < MaxCrashes:
+		case x.unexplained(e.runners) < MaxCrashes:
+			delete(t.blocks, request)
+		case t.blocks.add(request, firstSpan, now):
+			blocked = append(blocked, Blocked{Cause: request, Crashes: len(x.runners), Span: firstSpan})
+		}
 	}
 	return blocked
 }
 
-// BlocksFor returns what a VM is to be told. A try of a blocked request is granted
+// VerdictFor returns what a VM is to be told. A try of a blocked request is granted
 // to a VM only once.
-func (t *Tally) BlocksFor(vm string) []Block {
+func (t *Tally) VerdictFor(vm string) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	t.blocks.dropLifted(now)
-	return t.blocks.listFor(vm, now)
+	t.dropExpired(now)
+	return Verdict{Blocks: t.blocks.listFor(vm, now), Suspects: t.parts.suspects()}
 }
--- a/drproxy/crash.go
+++ b/drproxy/crash.go
@@ -24,11 +24,15 @@
 // crashed so many runners that no further one may have it.
 func (x *exchange) checkBlock() (refusal, bool) {
 	c := x.server.Crashes
-	if c.Empty() || !c.Blocked(x.fingerprint()) {
+	if c.Empty() {
 		return refusal{}, true
 	}
-	if c.Refuses(x.fingerprint()) {
-		return x.blockedRefusal(), false
+	cause, blocked := c.Blocked(x.identity())
+	if !blocked {
+		return refusal{}, true
+	}
+	if c.Refuses(x.identity()) {
+		return blockedRefusal(cause), false
 	}
 	x.triesBlocked = true
 	return refusal{}, true
@@ -38,30 +42,46 @@
 // because it has been blocked since it arrived, or has had its only try.
 func (x *exchange) mayAttempt(state *retryState) (refusal, bool) {
 	c := x.server.Crashes
-	if x.triesBlocked && state.possibleRuns == 0 || c.Empty() || !c.Blocked(x.fingerprint()) {
+	if x.triesBlocked && state.possibleRuns == 0 || c.Empty() {
 		return refusal{}, true
 	}
-	return x.blockedRefusal(), false
+	if cause, blocked := c.Blocked(x.identity()); blocked {
+		return blockedRefusal(cause), false
+	}
+	return refusal{}, true
 }
 
-func (x *exchange) blockedRefusal() refusal {
+func blockedRefusal(cause drrequest.Fingerprint) refusal {
 	return refusal{
-		status: fasthttp.StatusServiceUnavailable, reason: "crashes-runners", detail: "fingerprint " + x.fingerprint().String(),
+		status: fasthttp.StatusServiceUnavailable, reason: "crashes-runners", detail: "fingerprint " + cause.String(),
 		retryAfter: blockedRetryAfter,
 	}
 }
 
-// fingerprint returns what this request has in common with the same one sent again.
-func (x *exchange) fingerprint() drrequest.Fingerprint {
-	if x.knownFingerprint != (drrequest.Fingerprint{}) {
-		return x.knownFingerprint
+// identity returns what this request has in common with the same one sent again, and
+// with others whose prompts share a part.
+func (x *exchange) identity() drcrash.Identity {
+	if x.knownIdentity.Request != (drrequest.Fingerprint{}) {
+		return x.knownIdentity
 	}
 	account := ""
 	if x.account != nil {
 		account = x.account.Name
 	}
-	x.knownFingerprint = drrequest.NewFingerprint(account, string(x.header.Method())+" "+string(x.header.RequestURI()), x.body)
-	return x.knownFingerprint
+	x.knownIdentity = drcrash.Identity{
+		Request: drrequest.NewFingerprint(account, string(x.header.Method())+" "+string(x.header.RequestURI()), x.body), Parts: sharedParts(x.call),
+	}
+	return x.knownIdentity
+}
+
+// sharedParts returns the fingerprints of the call's prompt parts that other sessions
+// may share, in order.
+func sharedParts(call *drfleet.Call) []drrequest.Fingerprint {
+	var parts []drrequest.Fingerprint
+	for _, p := range call.Prompt[:max(len(call.Prompt)-1, 0)] {
+		parts = append(parts, drrequest.NewPartFingerprint(p.ID))
+	}
+	return parts
 }
 
 // recordCrash records that the runner has ended the attempt's connection, if the
@@ -72,9 +92,9 @@
 	}
 	x := a.exchange
 	log.WithFields(log.Fields{"event": "runner-broke-off", "request-id": x.call.ID, "runner": a.runner.ID, "started": a.runner.Started,
-		"fingerprint": x.fingerprint(), "model": x.call.Model, "prompt": promptIDs(x.call), "last-event": a.lastEvent,
+		"fingerprint": x.identity().Request, "model": x.call.Model, "prompt": promptIDs(x.call), "last-event": a.lastEvent,
 		"answering": a.begun}).WithError(err).Warn("")
-	x.server.Crashes.Record(drcrash.Crash{Request: x.fingerprint(), Runner: fmt.Sprintf("%s@%d", a.runner.ID, a.runner.Started)})
+	x.server.Crashes.RecordCrash(drcrash.Crash{Identity: x.identity(), Runner: fmt.Sprintf("%s@%d", a.runner.ID, a.runner.Started)})
 }
 
 // promptIDs returns the ids of the call's prompt parts, in order.
@@ -92,10 +112,12 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// clearCrashes clears the request, which has been served, of the crashes of its
-// runners.
+// clearCrashes clears the request, which has been served, and the parts of its prompt
+// of the crashes of runners.
 func (x *exchange) clearCrashes() {
-	if !x.server.Crashes.Empty() {
-		x.server.Crashes.Clear(x.fingerprint())
+	c := x.server.Crashes
+	c.RecordServed(sharedParts(x.call))
+	if !c.Empty() {
+		c.Clear(x.identity().Request)
 	}
 }
--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -34,7 +34,7 @@
 		crashes := w.server.Crashes.TakeReport(false).Crashes
 		is.Equal(len(crashes), 1)
 		is.Equal(crashes[0].Runner, "app-0@0")
-		w.server.Crashes.SetBlocks([]drcrash.Block{{Request: crashes[0].Request, Left: time.Minute, Span: time.Minute}})
+		w.server.Crashes.SetVerdict(drcrash.Verdict{Blocks: []drcrash.Block{{Cause: crashes[0].Request, Left: time.Minute, Span: time.Minute}}})
 		again, _ := w.ask("/pay/poison", "y") // the same request under another ID
 		is.Equal(again.status, 503)
 		is.Equal(*runs, 1)
@@ -68,7 +68,7 @@
 		var w *orderWorld
 		w = newScriptedWorld(func(conn *memoryConn, _ string) {
 			runs++
-			w.server.Crashes.SetBlocks([]drcrash.Block{{Request: request, Left: time.Minute, Span: time.Minute}})
+			w.server.Crashes.SetVerdict(drcrash.Verdict{Blocks: []drcrash.Block{{Cause: request, Left: time.Minute, Span: time.Minute}}})
 			conn.Reset()
 		})
 		defer w.close(t)
@@ -86,7 +86,7 @@
 		w, runs := newCrashingWorld()
 		defer w.close(t)
 		request := drrequest.NewFingerprint("", "POST /get/poison", nil)
-		w.server.Crashes.SetBlocks([]drcrash.Block{{Request: request, Left: time.Minute, Span: time.Minute, Probe: true}})
+		w.server.Crashes.SetVerdict(drcrash.Verdict{Blocks: []drcrash.Block{{Cause: request, Left: time.Minute, Span: time.Minute, Probe: true}}})
 		answer, _ := w.ask("/get/poison", "x")
 		is.Equal(answer.status, 502)
 		again, _ := w.ask("/get/poison", "y")
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -10,10 +10,10 @@
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
+	"github.com/dotterelridge/dotterelridge/drcrash"
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drmetric"
-	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
 const (
@@ -63,8 +63,8 @@
 
 	// triesBlocked is set if the request is blocked but may run once.
 	triesBlocked bool
-	// knownFingerprint is what fingerprint has returned, zero before.
-	knownFingerprint drrequest.Fingerprint
+	// knownIdentity is what identity has returned, zero before.
+	knownIdentity drcrash.Identity
 
 	// attempts, runner (the last one tried) and waited (the time spent waiting
 	// for a model) appear only in the log.
--- a/drrequest/fingerprint.go
+++ b/drrequest/fingerprint.go
@@ -14,6 +14,10 @@
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// NewPartFingerprint identifies a part of prompts by its id. It differs from the
+// fingerprints of all requests.
+func NewPartFingerprint(id string) Fingerprint { return NewFingerprint("", "prompt-part", []byte(id)) }
+
 // NewFingerprint hashes the parts of a request. The target is the model and
 // adapter of a generation, or the method and path of a call. Account and target
 // are hashed with their lengths, so that moving bytes from one to the other
