drproxy: Continue a stream only with events that go on with it

What operators of similar systems saw: a stream had begun and broke off, the next runner answered with an error, and clients found its text, at times its whole head, in the middle of their stream. Cause here: errors with another status than 200 ended the stream unfinished, as they should. Change: a further answer goes on with a stream only if it has the same content type, and only from its first event that has an id; comments may come before. Else it counts as failed.

--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -45,7 +45,7 @@
 	answer        Answer
 	sentAt        time.Time
 	stopWatching  func()
-	// begun is set once the runner has sent an event or the whole answer.
+	// begun is set once the runner has sent an event with an id.
 	begun bool
 	ended bool
 	attemptOptions
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -33,6 +33,10 @@
 	maxBytesWithoutProgress = 256 << 10
 )
 
+// errNoContinuation means that a further runner of a stream began with something that
+// has no id, such as the text of an error.
+var errNoContinuation = errors.New("the runner's answer does not continue the stream")
+
 var errNoProgress = fmt.Errorf("the runner sent %d bytes without a new event", maxBytesWithoutProgress)
 
 // stream is an answer of server-sent events on its way to the client. Several
@@ -41,8 +45,9 @@
 	exchange *exchange
 	// lastEvent is the id of the last event that the client has, 0 if none.
 	lastEvent        int
-	events           int  // number sent to the client by this VM
-	started          bool // the header has been sent to the client
+	events           int      // number sent to the client by this VM
+	started          bool     // the header has been sent to the client
+	first            *attempt // whose header has been sent, nil before
 	chunks           io.WriteCloser
 	timeToFirstEvent time.Duration // from the request's arrival
 }
@@ -58,7 +63,7 @@
 		if a == nil {
 			return
 		}
-		if code := a.header.StatusCode(); code != fasthttp.StatusOK {
+		if a.header.StatusCode() != fasthttp.StatusOK || !st.continuedBy(a) {
 			if x.handleNonStream(state, st, a) {
 				return
 			}
@@ -101,8 +106,15 @@
 	})
 }
 
-// handleNonStream handles an answer whose status is not 200. It reports whether
-// the exchange is over; otherwise the request is to be tried again.
+// continuedBy reports whether the answer to an attempt may go on with what the client
+// has of the stream. A text about an error may come with status 200.
+func (st *stream) continuedBy(a *attempt) bool {
+	return st.first == nil || bytes.Equal(st.first.header.ContentType(), a.header.ContentType())
+}
+
+// handleNonStream handles an answer whose status is not 200, or that does not go on
+// with the stream. It reports whether the exchange is over; otherwise the request is
+// to be tried again.
 func (x *exchange) handleNonStream(state *retryState, st *stream, a *attempt) bool {
 	p, err := a.readPlain()
 	if errors.Is(err, errClientGone) {
@@ -166,8 +178,11 @@
 		if err != nil {
 			return a.fail(err)
 		}
-		a.begun = true
 		id, ok := eventID(event)
+		if !ok && !a.begun && st.first != nil && st.first != a && !isComment(event) {
+			return a.fail(errNoContinuation)
+		}
+		a.begun = a.begun || ok
 		if ok && id <= st.lastEvent {
 			continue // the client has this event from an earlier attempt
 		}
@@ -185,6 +200,16 @@
 	}
 }
 
+// isComment reports whether all lines of an event are comments.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(bytes.TrimSpace(event)) {
+		if !bytes.HasPrefix(line, []byte(":")) {
+			return false
+		}
+	}
+	return true
+}
+
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
@@ -295,7 +320,7 @@
 	if _, err := h.WriteTo(x.conn.writer); err != nil {
 		return err
 	}
-	st.started = true
+	st.started, st.first = true, a
 	st.chunks = httputil.NewChunkedWriter(x.conn.writer)
 	return nil
 }
