drfleetview, drproxy, drcontroller, platform: Believe a runner that says it leaves

Cause: nothing read the header by which a runner says in its answers that it leaves. Requests went on to it until the store listed it as draining, which may come late, or never while the store is away. Change: the adapter decodes the header; the VM marks that incarnation as draining, and no entry of the store or of the controller undoes that. Its next report tells the controller, which loads elsewhere what would go with it and tells all VMs with the runner table. A request that was opening a connection there meanwhile goes to another runner. A value other than 1 is ignored, logged and counted.

--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drlease"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
@@ -30,6 +31,7 @@
 func (c *Controller) Sync(ctx context.Context, name string, incarnation uint64, request *drpb.FleetSyncRequest) *drpb.FleetSyncReply {
 	received := c.Clock.Uptime()
 	c.addCrashes(name, request)
+	c.markLeaving(name, request)
 	c.awaitChange(ctx, c.applyReport(name, incarnation, request), request)
 	reply := &drpb.FleetSyncReply{Leading: c.Holds(), Term: c.Term}
 	after := request.GetRevision()
@@ -73,6 +75,18 @@
 	}
 }
 
+// markLeaving marks the runners that have told a VM that they leave. All VMs learn it
+// with the runner table, and models that would go with them are loaded elsewhere.
+func (c *Controller) markLeaving(name string, request *drpb.FleetSyncRequest) {
+	for _, i := range request.GetLeaving() {
+		if c.view.MarkLeaving(drfleetview.Incarnation{Runner: i.GetRunner(), Started: i.GetStarted()}) {
+			log.WithFields(log.Fields{"event": "runner-leaving", "runner": i.GetRunner(), "started": i.GetStarted(), "source": "vm",
+				"reported-by": name, "term": c.Term}).Info("")
+			c.requestPlan()
+		}
+	}
+}
+
 // fillDeployment adds a compressed configuration to a reply. VMs of an earlier
 // version of the program get it uncompressed.
 func fillDeployment(reply *drpb.FleetSyncReply, deflated []byte, readsDeflated bool) {
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -144,6 +144,9 @@
 	request.Deployment = version
 	request.Wants = encodeWants(n.View.DemandSummaries())
 	request.Uses = encodeUses(n.View.Uses(request.GetWhole()))
+	for _, i := range n.View.Leaving() {
+		request.Leaving = append(request.Leaving, &drpb.FleetIncarnation{Runner: i.Runner, Started: i.Started})
+	}
 	fillCrashes(request, n.Crashes.TakeReport(request.GetWhole()))
 	for _, s := range n.Allowances.Spendings() {
 		request.Spendings = append(request.Spendings, &drpb.FleetSpending{
--- /dev/null
+++ b/drfleetview/leaving.go
@@ -0,0 +1,80 @@
+package drfleetview
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/dotterelridge/dotterelridge/drfleet"
+)
+
+// Incarnation is one incarnation of a runner; see drfleet.Runner.
+type Incarnation struct {
+	Runner  string
+	Started int64
+}
+
+// MarkLeaving records that an incarnation of a runner has said in an answer that it
+// leaves. From then on it counts as draining here until it ends, whatever else
+// describes it. MarkLeaving returns false if that was known, or if the runner is not
+// known or of another incarnation.
+func (v *View) MarkLeaving(i Incarnation) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e, ok := v.runners[i.Runner]
+	if !ok || e.runner.Started != i.Started || e.saysLeaving() {
+		return false
+	}
+	e.leaving = &i
+	if !e.runner.Draining {
+		e.runner = draining(e.runner)
+		v.bumpRevision(e)
+	}
+	return true
+}
+
+// saysLeaving reports whether the present incarnation has said that it leaves.
+func (e *entry) saysLeaving() bool { return e.leaving != nil && e.leaving.Started == e.runner.Started }
+
+// Leaving returns the incarnations that MarkLeaving has recorded and that are still
+// listed, sorted by runner.
+func (v *View) Leaving() []Incarnation {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var list []Incarnation
+	for _, id := range slices.Sorted(maps.Keys(v.runners)) {
+		if e := v.runners[id]; !e.removed && e.saysLeaving() {
+			list = append(list, *e.leaving)
+		}
+	}
+	return list
+}
+
+// MayStart reports whether a request may still be sent to a runner that was chosen a
+// moment ago: that incarnation has not said meanwhile that it wants none.
+func (v *View) MayStart(runner *drfleet.Runner) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e, ok := v.runners[runner.ID]
+	return !ok || e.runner.Started != runner.Started || !e.saysLeaving()
+}
+
+// Usable returns the number of listed runners of a service that take requests of this
+// VM.
+func (v *View) Usable(service string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, e := range v.runners {
+		if !e.removed && !e.runner.Draining && e.runner.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// draining returns the description of a runner with Draining set.
+func draining(runner *drfleet.Runner) *drfleet.Runner {
+	changed := *runner
+	changed.Draining = true
+	return &changed
+}
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -47,6 +47,9 @@
 	failureShareAt    time.Time
 	fleetFailureShare float64
 	unreachableUntil  time.Time
+	// leaving is the incarnation that has said in an answer that it leaves, nil if
+	// none has.
+	leaving *Incarnation
 }
 
 // replicaCounters counts the requests of this VM for one replica on one runner.
@@ -105,6 +108,9 @@
 	if source == FromRunner {
 		e.reportedReplicas = runner.Replicas
 	}
+	if e.leaving != nil && e.leaving.Started == runner.Started && !runner.Draining {
+		runner = draining(runner)
+	}
 	old := e.runner
 	same := runner.Started == old.Started && !e.removed
 	if same {
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -22,6 +22,9 @@
 	// errAnswerIncomplete means that the runner may have run the request, so it
 	// is retried only on idempotent routes.
 	errAnswerIncomplete = errors.New("the runner's answer is missing or incomplete")
+	// errUnwanted means that the runner has said, while a connection to it was
+	// being opened, that it wants no requests.
+	errUnwanted = errors.New("the runner wants no requests")
 	// errClientGone means that the client has closed its connection, so that
 	// nobody is left to receive an answer.
 	errClientGone = errors.New("the client has closed its connection")
@@ -79,6 +82,10 @@
 		a.end(drfleetview.Unreachable)
 		return a, fmt.Errorf("%w: %w", errNotSent, err)
 	}
+	if !x.server.View.MayStart(runner) {
+		a.end(drfleetview.Abandoned)
+		return a, fmt.Errorf("%w: %w", errNotSent, errUnwanted)
+	}
 	a.watchClient()
 	if err := a.send(); err != nil {
 		return a, err
@@ -187,6 +194,7 @@
 		}
 		a.answer = a.exchange.server.Wire.Answer(&a.header)
 		if a.isOwnAnswer() {
+			a.recordStatements()
 			return a.checkSignature()
 		}
 		log.WithFields(log.Fields{"event": "stray-answer", "request-id": a.exchange.call.ID, "of": a.answer.RequestID,
--- /dev/null
+++ b/drproxy/statement.go
@@ -0,0 +1,48 @@
+package drproxy
+
+import (
+	"github.com/apex/log"
+
+	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drmetric"
+)
+
+// maxLoggedValue bounds what the log shows of a malformed header, in bytes.
+const maxLoggedValue = 64
+
+// recordStatements records what the runner says of itself in the header of its answer.
+// The answer of another runner, which has got the address, says nothing of this one.
+func (a *attempt) recordStatements() {
+	for _, m := range a.answer.Malformed {
+		a.exchange.server.Metrics.Counter(drmetric.MalformedStatements).Inc(1)
+		a.logStatement("runner-statement-malformed", log.Fields{"header": m[:min(len(m), maxLoggedValue)]})
+	}
+	if a.answer.Instance != "" && a.answer.Instance != a.runner.ID {
+		return
+	}
+	if a.answer.Leaving && a.exchange.server.View.MarkLeaving(a.incarnation()) {
+		a.logStatement("runner-leaving", nil)
+		a.warnIfNoneLeft()
+	}
+}
+
+func (a *attempt) incarnation() drfleetview.Incarnation {
+	return drfleetview.Incarnation{Runner: a.runner.ID, Started: a.runner.Started}
+}
+
+// logStatement logs what a runner has said of itself in the answer to a request.
+func (a *attempt) logStatement(event string, extra log.Fields) {
+	f := log.Fields{"event": event, "runner": a.runner.ID, "started": a.runner.Started, "service": a.runner.Service,
+		"source": "answer", "request-id": a.exchange.call.ID, "status": a.header.StatusCode()}
+	for k, v := range extra {
+		f[k] = v
+	}
+	log.WithFields(f).Info("")
+}
+
+// warnIfNoneLeft logs that no runner of the service takes requests of this VM any more.
+func (a *attempt) warnIfNoneLeft() {
+	if a.exchange.server.View.Usable(a.runner.Service) == 0 {
+		log.WithFields(log.Fields{"event": "service-without-runners", "service": a.runner.Service, "last": a.runner.ID}).Warn("")
+	}
+}
--- a/drproxy/wire.go
+++ b/drproxy/wire.go
@@ -52,6 +52,12 @@
 	NotExecuted bool
 	// Sealed is set if the answer carries the runner's signature.
 	Sealed bool
+	// Leaving says that the runner leaves: it must get no new requests.
+	Leaving bool
+	// Instance is the ID of the runner that answered, "" if it is not stated.
+	Instance string
+	// Malformed lists the headers whose value is none, as "name: value".
+	Malformed []string
 	// Idle is the runner's idle timeout for this connection, 0 if not stated.
 	Idle time.Duration
 }
