drfleetview, drproxy, dradmission, platform: Give runners the pause that they ask for

Cause: the Retry-After of a runner's 503 was not read. A full runner that asked for a time without requests got further ones at once. Change: that incarnation gets no requests of this VM until the time is over, also none whose connection was being opened; a longer pause goes before a shorter one. While all runners are paused, a request waits if one comes back within its objective, else it is refused at once with the time that is left. Requests that wait and clients come back over half a second, and for a second other runners go before the one that returns. Values without meaning are ignored, logged and counted; an hour is the most. An alarm line tells when no runner of a service is left.

--- a/dradmission/wait.go
+++ b/dradmission/wait.go
@@ -22,6 +22,12 @@
 	// cutOffRetryAfter is the Retry-After of a VM that is cut off. It is short
 	// because the client's next connection reaches another VM.
 	cutOffRetryAfter = 50 * time.Millisecond
+	// minRecheck keeps a request that waits for the end of a pause from asking in a
+	// loop.
+	minRecheck = time.Millisecond
+	// plainRetryAfter is the Retry-After while a plain service has no runner: about
+	// the time that a restarted runner takes to be listed again.
+	plainRetryAfter = time.Second
 	// minRetryAfter is the least Retry-After otherwise, so that refused clients
 	// do not retry before anything can have changed.
 	minRetryAfter = 200 * time.Millisecond
@@ -40,6 +46,12 @@
 	Forecast bool
 	// Silence is the time since a controller last answered this VM.
 	Silence time.Duration
+	// Paused is set if a runner that could serve the request takes none until
+	// PauseEnd.
+	Paused   bool
+	PauseEnd time.Time
+	// Loadable is set if the model can be loaded on other runners.
+	Loadable bool
 }
 
 // Decision says whether a request goes on waiting. RetryAfter and Why are set
@@ -52,8 +64,25 @@
 	Why        string
 }
 
+// pauseEndsInTime reports whether a paused runner comes back within the request's
+// objective, and no later than the model is expected elsewhere.
+func (r WaitingRequest) pauseEndsInTime(latestStart time.Time) bool {
+	if !r.Paused || r.PauseEnd.After(r.Began.Add(r.Objective)) || r.PauseEnd.After(latestStart) {
+		return false
+	}
+	return !r.Forecast || !r.PauseEnd.After(r.Expected)
+}
+
+// refuseUnloadable refuses a request whose service has no runner that takes it now.
+func (r WaitingRequest) refuseUnloadable() Decision {
+	if r.Paused {
+		return Decision{RetryAfter: max(r.PauseEnd.Sub(r.Now), minRetryAfter), Why: "all runners want no requests for a time"}
+	}
+	return Decision{RetryAfter: plainRetryAfter, Why: "the service has no available runner"}
+}
+
 // Decide lets a request wait as long as its model is expected early enough to
-// serve it before the timeout. If the forecast is later, as under overload, the
+// serve it before the timeout, or a paused runner comes back within its objective. If the forecast is later, as under overload, the
 // request is refused at once, with a Retry-After that lasts until the model is
 // expected.
 func Decide(request WaitingRequest) Decision {
@@ -61,6 +90,12 @@
 	if !request.Now.Before(latestStart) {
 		return Decision{RetryAfter: minRetryAfter, Why: "too little time left before the timeout"}
 	}
+	if request.pauseEndsInTime(latestStart) {
+		return Decision{Wait: true, RecheckAfter: max(min(recheckInterval, request.PauseEnd.Sub(request.Now)), minRecheck)}
+	}
+	if !request.Loadable {
+		return request.refuseUnloadable()
+	}
 	if !request.Forecast && request.Silence > controllerSilenceLimit {
 		return Decision{RetryAfter: cutOffRetryAfter, Why: "cut off from the controller"}
 	}
--- a/dradmission/wait_test.go
+++ b/dradmission/wait_test.go
@@ -15,7 +15,7 @@
 	now := arrival.Add(age)
 	return dradmission.WaitingRequest{
 		Now: now, Began: arrival, Objective: 2 * time.Second, TimeoutAt: arrival.Add(10 * time.Second),
-		Expected: now.Add(expectedIn), Forecast: forecast,
+		Expected: now.Add(expectedIn), Forecast: forecast, Loadable: true,
 	}
 }
 
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -211,6 +211,7 @@
 	e.metrics.GaugeFunc(drmetric.RunnersAge, func() int64 { _, runnersAge, _ := e.view.Ages(); return int64(runnersAge) })
 	e.metrics.GaugeFunc(drmetric.KnownRunners, func() int64 { return int64(len(e.view.Runners(""))) })
 	e.metrics.GaugeFunc(drmetric.LeavingRunners, func() int64 { return int64(len(e.view.Leaving())) })
+	e.metrics.GaugeFunc(drmetric.PausedRunners, func() int64 { return int64(e.view.Paused()) })
 	e.metrics.GaugeFunc(drmetric.Controlling, func() int64 {
 		if e.controllerNode.Controlling() {
 			return 1
--- a/drfleetview/leaving.go
+++ b/drfleetview/leaving.go
@@ -49,29 +49,6 @@
 	return list
 }
 
-// MayStart reports whether a request may still be sent to a runner that was chosen a
-// moment ago: that incarnation has not said meanwhile that it wants none.
-func (v *View) MayStart(runner *drfleet.Runner) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	e, ok := v.runners[runner.ID]
-	return !ok || e.runner.Started != runner.Started || !e.saysLeaving()
-}
-
-// Usable returns the number of listed runners of a service that take requests of this
-// VM.
-func (v *View) Usable(service string) int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	n := 0
-	for _, e := range v.runners {
-		if !e.removed && !e.runner.Draining && e.runner.Service == service {
-			n++
-		}
-	}
-	return n
-}
-
 // draining returns the description of a runner with Draining set.
 func draining(runner *drfleet.Runner) *drfleet.Runner {
 	changed := *runner
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -50,6 +50,7 @@
 	// leaving is the incarnation that has said in an answer that it leaves, nil if
 	// none has.
 	leaving *Incarnation
+	pause   pause
 }
 
 // replicaCounters counts the requests of this VM for one replica on one runner.
@@ -267,7 +268,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, e := range v.runners {
-		if !e.removed && !e.runner.Draining && e.runner.Service == replica.Service && e.runner.Holds(replica.Model, replica.Adapter) {
+		if e.serves(replica) {
 			return true
 		}
 	}
@@ -289,21 +290,21 @@
 }
 
 // Candidates returns the runners that can take a request for a replica, with
-// their load and share of failures. Runners that were just unreachable are left
-// out, but for a plain service they are returned if there are no others.
+// their load and share of failures. Runners that want no requests of this VM for a
+// time are left out, and those that were just unreachable, but for a plain service they are returned if there are no others.
 func (v *View) Candidates(replica Replica) []drbalancer.Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.clock.Now()
+	now, uptime := v.clock.Now(), v.clock.Uptime()
 	var cs, unreachable []drbalancer.Candidate
 	for _, e := range v.runners {
-		if e.removed || e.runner.Draining || e.runner.Service != replica.Service || !e.runner.Holds(replica.Model, replica.Adapter) {
+		if !e.serves(replica) || e.pauseLeft(uptime) > 0 {
 			continue
 		}
 		if u := e.counters[replica]; u != nil && now.Before(u.missingUntil) {
 			continue
 		}
-		c := drbalancer.Candidate{Runner: e.runner, Load: e.running + e.runningElsewhere, Failing: max(e.decayedFailureShare(now), e.fleetFailureShare)}
+		c := drbalancer.Candidate{Runner: e.runner, Load: e.running + e.runningElsewhere + e.returning(uptime), Failing: max(e.decayedFailureShare(now), e.fleetFailureShare)}
 		if now.Before(e.unreachableUntil) {
 			unreachable = append(unreachable, c)
 			continue
--- a/drmetric/name.go
+++ b/drmetric/name.go
@@ -42,6 +42,7 @@
 	RunnersAge          = "dotterelridge_runners_age_seconds"
 	KnownRunners        = "dotterelridge_known_runners"
 	LeavingRunners      = "dotterelridge_leaving_runners"
+	PausedRunners       = "dotterelridge_paused_runners"
 	MalformedStatements = "dotterelridge_malformed_statements_total"
 	Controlling         = "dotterelridge_controlling"
 	TimelineOverwrites  = "dotterelridge_timeline_overwrites_total"
@@ -88,6 +89,7 @@
 	{RunnersAge, Gauge, Seconds, nil, "Time since the store last confirmed the runner table."},
 	{KnownRunners, Gauge, Count, nil, "Runners in the runner table."},
 	{LeavingRunners, Gauge, Count, nil, "Listed runners that have said in an answer to this VM that they leave."},
+	{PausedRunners, Gauge, Count, nil, "Listed runners that want no requests of this VM for a time."},
 	{MalformedStatements, Counter, Count, nil, "Headers in which a runner speaks of itself and that have no valid value."},
 	{Controlling, Gauge, Count, nil, "1 while this VM is the controller, else 0."},
 	{TimelineOverwrites, Counter, Count, nil, "Events that left the time line because its ring was full."},
--- a/drproxy/statement.go
+++ b/drproxy/statement.go
@@ -1,14 +1,20 @@
 package drproxy
 
 import (
+	"time"
+
 	"github.com/apex/log"
 
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drmetric"
 )
 
-// maxLoggedValue bounds what the log shows of a malformed header, in bytes.
-const maxLoggedValue = 64
+const (
+	// maxLoggedValue bounds what the log shows of a malformed header, in bytes.
+	maxLoggedValue = 64
+	// maxPause bounds the time for which a runner may ask for no requests.
+	maxPause = time.Hour
+)
 
 // recordStatements records what the runner says of itself in the header of its answer.
 // The answer of another runner, which has got the address, says nothing of this one.
@@ -24,6 +30,10 @@
 		a.logStatement("runner-leaving", nil)
 		a.warnIfNoneLeft()
 	}
+	if length := min(a.answer.Pause, maxPause); length > 0 && a.exchange.server.View.Pause(a.incarnation(), length) {
+		a.logStatement("runner-paused", log.Fields{"for": length, "asked": a.answer.Pause})
+		a.warnIfNoneLeft()
+	}
 }
 
 func (a *attempt) incarnation() drfleetview.Incarnation {
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -1,21 +1,23 @@
 package drproxy
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelridge/dotterelridge/dradmission"
 	"github.com/dotterelridge/dotterelridge/drbalancer"
+	"github.com/dotterelridge/dotterelridge/drfleetview"
 )
 
 const (
-	// plainRetryAfter is the Retry-After while a plain service has no runner:
-	// about the time that a restarted runner takes to be listed again.
-	plainRetryAfter = time.Second
 	// minRetryAfter is the least Retry-After for requests without a runner, so
 	// that refused clients do not retry at once.
 	minRetryAfter = 50 * time.Millisecond
+	// pauseSpread is the time after a pause over which the clients and requests that
+	// wait for its end come back.
+	pauseSpread = 500 * time.Millisecond
 )
 
 // waitResult says how pickRunner ended.
@@ -38,26 +40,21 @@
 	if c := drbalancer.Choose(request, s.View.Candidates(p), true); c != nil {
 		return c, refusal{}, runnerFound
 	}
-	if x.service.Engine == nil {
-		// The controller starts no runners of plain services, so waiting would
-		// not help.
-		return nil, x.noRunnerRefusal(dradmission.Decision{RetryAfter: plainRetryAfter, Why: "the service has no available runner"}), refused
-	}
-	if _, ok := x.service.Engine.Models[p.Model]; !ok {
-		return nil, refusal{status: fasthttp.StatusNotFound, reason: "unknown-model"}, refused
+	giveUpAt := x.giveUpAt()
+	if x.service.Engine != nil {
+		if _, ok := x.service.Engine.Models[p.Model]; !ok {
+			return nil, refusal{status: fasthttp.StatusNotFound, reason: "unknown-model"}, refused
+		}
+		// The controller starts no runners of plain services, so it hears only of
+		// requests that wait for a model.
+		waiter := s.View.AddWaiter(p, x.start.Add(x.route.Objective), giveUpAt, x.urgency())
+		defer waiter.Close()
 	}
 	began := s.Clock.Now()
-	giveUpAt := x.giveUpAt()
-	waiter := s.View.AddWaiter(p, x.start.Add(x.route.Objective), giveUpAt, x.urgency())
-	defer waiter.Close()
 	defer func() { x.waited += s.Clock.Since(began) }()
+	afterPause := rand.N(pauseSpread)
 	for {
-		waiting := dradmission.WaitingRequest{
-			Now: s.Clock.Now(), Began: x.start, Objective: x.route.Objective, TimeoutAt: giveUpAt,
-			Silence: s.View.ControllerSilence(),
-		}
-		waiting.Expected, waiting.Forecast = s.View.Forecast(p)
-		decision := dradmission.Decide(waiting)
+		decision := dradmission.Decide(x.waitingRequest(p, giveUpAt, afterPause))
 		if !decision.Wait {
 			return nil, x.noRunnerRefusal(decision), refused
 		}
@@ -80,6 +77,22 @@
 	}
 }
 
+// waitingRequest returns what dradmission needs to decide about the request. afterPause
+// is how long after the end of a pause it comes back.
+func (x *exchange) waitingRequest(replica drfleetview.Replica, giveUpAt time.Time, afterPause time.Duration) dradmission.WaitingRequest {
+	s := x.server
+	now := s.Clock.Now()
+	waiting := dradmission.WaitingRequest{
+		Now: now, Began: x.start, Objective: x.route.Objective, TimeoutAt: giveUpAt, Silence: s.View.ControllerSilence(),
+		Loadable: x.service.Engine != nil,
+	}
+	waiting.Expected, waiting.Forecast = s.View.Forecast(replica)
+	var left time.Duration
+	left, waiting.Paused = s.View.PauseLeft(replica)
+	waiting.PauseEnd = now.Add(left + afterPause)
+	return waiting
+}
+
 // giveUpAt returns when the client stops waiting for the beginning of its answer.
 func (x *exchange) giveUpAt() time.Time {
 	if x.route.Patience <= 0 {
