--- a/drcrash/ledger_test.go
+++ b/drcrash/ledger_test.go
@@ -177,3 +177,16 @@
 	is.True(refused <= 60+len(f.ledgers)+1) // until the VM that may try it gets the next one
 	is.True(f.ledgers[0].Empty())
 }
+
+// Guards against a verdict that was delayed on its way and undoes a later one.
+func TestOlderVerdictIsIgnored(t *testing.T) {
+	is := is.New(t)
+	l := newFleet(1).ledgers[0]
+	block := []drcrash.Block{{Cause: poison.Request, Left: time.Minute, Span: time.Minute}}
+	l.SetVerdict(drcrash.Verdict{Term: 2, Revision: 3, Blocks: block})
+	l.SetVerdict(drcrash.Verdict{Term: 2, Revision: 2})
+	l.SetVerdict(drcrash.Verdict{Term: 1, Revision: 9})
+	is.True(l.Refuses(poison))
+	l.SetVerdict(drcrash.Verdict{Term: 3, Revision: 0})
+	is.True(!l.Refuses(poison))
+}
--- a/drcrash/part_test.go
+++ b/drcrash/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,9 +29,12 @@
 	}
 }
 
+// refuses reports whether any VM refuses a request.
 func (f *fleet) refuses(request drcrash.Identity) bool {
-	_, blocked := f.ledgers[len(f.ledgers)-1].Blocked(request)
-	return blocked
+	return slices.ContainsFunc(f.ledgers, func(l *drcrash.Ledger) bool {
+		_, blocked := l.Blocked(request)
+		return blocked
+	})
 }
 
 // Guards against requests, no two alike, that crash one runner after another because
