drcontroller: Keep what a failed report says of crashes

Cause: a report that failed, or was superseded because requests began to wait for a model, was followed by one with all crashes, but the successes and refusals in it were lost. A request that had been served stayed suspected, and could be refused for a minute. Change: what the controller has not confirmed goes into the next report.

--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/dotterelridge/dotterelridge/drcrash"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drlease"
 	"github.com/dotterelridge/dotterelridge/drpb"
@@ -97,7 +98,7 @@
 	n.fullReport = true // reset by applyReply if this report arrives
 	n.mu.Unlock()
 	clearSignal(n.View.DemandAdded())
-	n.fillRequest(request)
+	crashes := n.fillRequest(request)
 	done := make(chan struct{})
 	defer close(done)
 	var superseded atomic.Bool
@@ -114,6 +115,7 @@
 	sent := n.Clock.Uptime()
 	reply := new(drpb.FleetSyncReply)
 	if err := n.Peers.Call(ctx, leader.VM, methodSync, request, reply); err != nil {
+		n.Crashes.Requeue(crashes)
 		if superseded.Load() {
 			return true
 		}
@@ -121,6 +123,7 @@
 		return false
 	}
 	if !reply.GetLeading() {
+		n.Crashes.Requeue(crashes)
 		n.forgetLeader(leader.VM)
 		return false
 	}
@@ -137,9 +140,9 @@
 }
 
 // fillRequest adds to a report the version of the configuration that this VM
-// has, its waiting requests, its use of runners and the tokens that it has
-// spent.
-func (n *Node) fillRequest(request *drpb.FleetSyncRequest) {
+// has, its waiting requests, its use of runners, the tokens that it has spent and
+// what it has not reported about crashes, which it returns.
+func (n *Node) fillRequest(request *drpb.FleetSyncRequest) drcrash.Report {
 	_, version, _ := n.View.DeploymentRecord()
 	request.Deployment = version
 	request.Wants = encodeWants(n.View.DemandSummaries())
@@ -147,12 +150,14 @@
 	for _, i := range n.View.Leaving() {
 		request.Leaving = append(request.Leaving, &drpb.FleetIncarnation{Runner: i.Runner, Started: i.Started})
 	}
-	request.CrashReport, request.Verdict = encodeCrashes(n.Crashes.TakeReport(request.GetWhole())), n.Crashes.Revision()
+	crashes := n.Crashes.TakeReport(request.GetWhole())
+	request.CrashReport, request.Verdict = encodeCrashes(crashes), n.Crashes.Revision()
 	for _, s := range n.Allowances.Spendings() {
 		request.Spendings = append(request.Spendings, &drpb.FleetSpending{
 			Account: s.Account, Spent: s.Spent, Granted: s.Granted, Requested: s.Requested, Unasked: s.Unasked,
 		})
 	}
+	return crashes
 }
 
 // recordLeaderFailure logs that the controller no longer replies. The leader
--- a/drcrash/ledger.go
+++ b/drcrash/ledger.go
@@ -201,12 +201,14 @@
 	return report
 }
 
-// Requeue puts back what TakeReport has returned, because the controller has not been
-// told.
+// Requeue puts back what TakeReport has returned, because the controller may not have
+// been told.
 func (l *Ledger) Requeue(report Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unreported = append(trimmed(l.unreported), report.Crashes...)
+	for _, c := range report.Crashes {
+		l.unreported = append(trimmed(l.unreported), c)
+	}
 	l.cleared = append(trimmed(l.cleared), report.Cleared...)
 	for _, cause := range report.Refused {
 		l.refused[cause] = struct{}{}
@@ -220,7 +222,8 @@
 	return l.revision
 }
 
-// dropExpired forgets crashes of recordTTL and successes of successTTL ago. The caller holds mu.
+// dropExpired forgets crashes of recordTTL and successes of successTTL ago. The
+// caller holds mu.
 func (l *Ledger) dropExpired(now time.Time) {
 	l.crashes = slices.DeleteFunc(l.crashes, func(c recentCrash) bool { return now.Sub(c.at) > recordTTL })
 	maps.DeleteFunc(l.servedAt, func(_ drrequest.Fingerprint, at time.Time) bool { return now.Sub(at) > successTTL })
--- a/drcrash/tally.go
+++ b/drcrash/tally.go
@@ -61,7 +61,7 @@
 }
 
 // Revision returns the revision of the present verdict. It grows when blocks are added
-// or lifted.
+// or lifted, but not when one just ends: VMs know when.
 func (t *Tally) Revision() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
