drconfig: Keep problems of rejected changes as text

Cause: an operator's change with bytes in an object that are no text is rejected, and the problem that is kept quotes them. Change: such bytes are replaced where the problem is kept.

--- a/drconfig/fold.go
+++ b/drconfig/fold.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -131,7 +132,9 @@
 			result.Problems = append(result.Problems, fmt.Sprintf("and %d more", len(problems)-i))
 			break
 		}
-		result.Problems = append(result.Problems, p.String())
+		// A problem may quote bytes of the change that are no text; a snapshot holds
+		// only text.
+		result.Problems = append(result.Problems, strings.ToValidUTF8(p.String(), "\uFFFD"))
 	}
 	f.results[c.ID] = result
 	f.resultIDs = append(f.resultIDs, c.ID)
