drproxy: Take only successes for successes when runners end

Cause, found by reading: an answer with an error that was passed on cleared its request, and the parts of its prompt, of the crashes of runners. A runner that fails requests without running them would have vouched for a part that ends others, for 10 s each time. Change: only answers with 2xx clear. Test: TestErrorClearsNothing fails before. Two comments are wrapped.

--- a/dradmission/wait.go
+++ b/dradmission/wait.go
@@ -82,9 +82,9 @@
 }
 
 // Decide lets a request wait as long as its model is expected early enough to
-// serve it before the timeout, or a paused runner comes back within its objective. If the forecast is later, as under overload, the
-// request is refused at once, with a Retry-After that lasts until the model is
-// expected.
+// serve it before the timeout, or a paused runner comes back within its objective.
+// If the forecast is later, as under overload, the request is refused at once, with
+// a Retry-After that lasts until the model is expected.
 func Decide(request WaitingRequest) Decision {
 	latestStart := request.TimeoutAt.Add(-serviceTime)
 	if !request.Now.Before(latestStart) {
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -291,7 +291,8 @@
 
 // Candidates returns the runners that can take a request for a replica, with
 // their load and share of failures. Runners that want no requests of this VM for a
-// time are left out, and those that were just unreachable, but for a plain service they are returned if there are no others.
+// time are left out. So are those that were just unreachable, but for a plain service
+// they are returned if there are no others.
 func (v *View) Candidates(replica Replica) []drbalancer.Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/drproxy/crash.go
+++ b/drproxy/crash.go
@@ -112,8 +112,9 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// clearCrashes clears the request, which has been served, and the parts of its prompt
-// of the crashes of runners.
+// clearCrashes clears the request, which has succeeded, and the parts of its prompt of
+// the crashes of runners. An answer with an error clears nothing: the runner may have
+// sent it without running the request.
 func (x *exchange) clearCrashes() {
 	c := x.server.Crashes
 	c.RecordServed(sharedParts(x.call))
--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -94,3 +94,28 @@
 		is.Equal(*runs, 1)
 	})
 }
+
+// Guards against taking an answer with an error for a success, which would clear a
+// request, or a part of prompts, of the crashes of its runners.
+func TestErrorClearsNothing(t *testing.T) {
+	prepareBubble()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		runs := 0
+		w := newScriptedWorld(func(conn *memoryConn, id string) {
+			runs++
+			if runs == 1 {
+				conn.Reset()
+				return
+			}
+			writeAll(conn, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\nSeal: s\r\nId: "+id+"\r\n\r\n")
+		})
+		defer w.close(t)
+		w.view.RemoveRunner("app-1")
+		first, _ := w.ask("/pay/poison", "x")
+		is.Equal(first.status, 502)
+		again, _ := w.ask("/pay/poison", "y")
+		is.Equal(again.status, 500)
+		is.Equal(len(w.server.Crashes.TakeReport(true).Crashes), 1)
+	})
+}
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -229,7 +229,9 @@
 // recordServed logs a request whose answer was passed on and adds its duration
 // to the metrics.
 func (x *exchange) recordServed(status int, extra log.Fields) {
-	x.clearCrashes()
+	if status < fasthttp.StatusMultipleChoices {
+		x.clearCrashes()
+	}
 	took := x.server.Clock.Since(x.start)
 	x.server.Metrics.Observe(drmetric.RequestTime, took, x.route.Kind.String())
 	x.logEnd("request-served", status, extra)
