drcrash: Let no part of the evidence lift a former controller's block

Cause, read off the code: a new controller adopts the blocks that VMs know, but hears of the crashes from one VM after another. While another part was on all of the runners that it had heard of, that part explained the crashes, and the adopted block was lifted. Change: what a former controller has blocked explains its crashes first, and is lifted only by a success or with time. Test: TestPartOfEvidenceLiftsNoBlock fails before.

--- a/drcrash/block.go
+++ b/drcrash/block.go
@@ -43,6 +43,9 @@
 	probeSent bool
 	// lastRunner is the runner that crashed last.
 	lastRunner string
+	// adopted is set if a former controller has decided it, whose evidence this one
+	// may have in part only.
+	adopted bool
 }
 
 // liftAt is when the block is lifted, unless VMs go on refusing such requests.
@@ -64,7 +67,7 @@
 func (b blocks) adopt(known []Block, now time.Time) {
 	for _, k := range known {
 		if _, ok := b[k.Cause]; !ok && len(b) < maxRecords {
-			b[k.Cause] = &block{retryAt: now.Add(k.Left - k.Span), span: k.Span}
+			b[k.Cause] = &block{retryAt: now.Add(k.Left - k.Span), span: k.Span, adopted: true}
 		}
 	}
 }
--- a/drcrash/part_test.go
+++ b/drcrash/part_test.go
@@ -149,3 +149,27 @@
 	}
 	is.True(!f.refuses(withParts(101, "system")))
 }
+
+// Guards against lifting a former controller's block, and blaming another part, because
+// the new controller has heard of a part of the crashes only. Hunted day
+// tainted-controllers, seed 1015490697045 of snorrute-grown, broke so.
+func TestPartOfEvidenceLiftsNoBlock(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for i := range 2 * drcrash.MaxCrashes {
+		f.crash(i%2, fmt.Sprint("r", i), withParts(i, "beside", "deadly"))
+	}
+	f.ledgers[3].RecordServed(withParts(0, "beside").Parts)
+	f.syncFor(3 * time.Second)
+	is.True(f.refuses(withParts(100, "deadly")))
+	is.True(!f.refuses(withParts(101, "beside")))
+	f.clock.Advance(11 * time.Second) // nobody speaks for the other part any more
+	f.changeController()
+	for i := range drcrash.MaxCrashes {
+		f.crash(2, fmt.Sprint("s", i), withParts(50+i, "beside"))
+	}
+	f.report(0, true)
+	f.report(2, true)
+	f.syncFor(3 * time.Second)
+	is.True(f.refuses(withParts(102, "deadly")))
+}
--- a/drcrash/record.go
+++ b/drcrash/record.go
@@ -91,9 +91,15 @@
 // on some of the same runners. So the part with the most runners is taken first, and
 // then what has crashed enough other runners. Parts on exactly the same runners are
 // taken together, unless the first was blocked alone before. A part waits until VMs
-// have had the time to report successes, and with it those that come after it.
+// have had the time to report successes, and with it those that come after it. What a
+// former controller has blocked explains its crashes first.
 func (r records) explain(blocked blocks, now time.Time) explanation {
 	e := explanation{spans: make(map[drrequest.Fingerprint]time.Duration), runners: make(set)}
+	for cause, b := range blocked {
+		if x := r[cause]; x != nil && b.adopted {
+			maps.Copy(e.runners, x.runners)
+		}
+	}
 	for {
 		cause, crashes := r.likeliestCause(e.runners)
 		if crashes < MaxCrashes || now.Sub(r[cause].suspectSince) < vouchTime {
--- a/drcrash/tally.go
+++ b/drcrash/tally.go
@@ -68,6 +68,14 @@
 	return t.revision
 }
 
+// unblockExplained lifts a block whose crashes have found a better explanation. That of
+// a former controller stays: this one may have heard of a part of the crashes only.
+func (t *Tally) unblockExplained(cause drrequest.Fingerprint) {
+	if b, blocked := t.blocks[cause]; blocked && !b.adopted {
+		t.unblock(cause)
+	}
+}
+
 func (t *Tally) unblock(cause drrequest.Fingerprint) {
 	if _, blocked := t.blocks[cause]; blocked {
 		t.revision++
@@ -124,14 +132,14 @@
 		case isCause && t.block(part, span, now):
 			blocked = append(blocked, Blocked{Cause: part, Part: true, Crashes: len(x.runners), Span: span})
 		case !isCause && len(x.runners) >= MaxCrashes && x.unexplained(e.runners) < MaxCrashes:
-			t.unblock(part)
+			t.unblockExplained(part)
 		}
 	}
 	for request, x := range t.requests {
 		switch {
 		case len(x.runners) < MaxCrashes:
 		case x.unexplained(e.runners) < MaxCrashes:
-			t.unblock(request)
+			t.unblockExplained(request)
 		case t.block(request, firstSpan, now):
 			blocked = append(blocked, Blocked{Cause: request, Crashes: len(x.runners), Span: firstSpan})
 		}
