--- a/drcrash/ledger_test.go
+++ b/drcrash/ledger_test.go
@@ -190,3 +190,19 @@
 	l.SetVerdict(drcrash.Verdict{Term: 3, Revision: 0})
 	is.True(!l.Refuses(poison))
 }
+
+// Guards against refusing, for a minute, what many clients send alike because it ran on
+// the runners that another request has crashed: it gets a try soon, or is not blocked.
+func TestRequestBesideCauseIsNotBlocked(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for i := range drcrash.MaxCrashes {
+		f.crash(0, fmt.Sprint("r", i), poison, innocent)
+	}
+	f.sync(false)
+	is.True(f.ledgers[1].Refuses(poison))
+	f.crash(1, "s", poison)
+	f.sync(false)
+	is.True(f.ledgers[2].Refuses(poison))
+	is.True(!f.ledgers[2].Refuses(innocent))
+}
--- a/drcrash/record.go
+++ b/drcrash/record.go
@@ -76,7 +76,14 @@
 	return list
 }
 
-// explanation tells which parts of prompts have crashed which runners.
+// rule says which records of crashes make a cause: with how many different requests,
+// and how long after VMs were asked for successes.
+type rule struct {
+	minRequests int
+	wait        time.Duration
+}
+
+// explanation tells which causes have crashed which runners.
 type explanation struct {
 	// spans holds the causes, with how long requests with them are refused at first.
 	spans map[drrequest.Fingerprint]time.Duration
@@ -87,26 +94,28 @@
 // set is a set of runner incarnations.
 type set = map[string]struct{}
 
-// explain returns the parts that best explain the crashes. What ran beside a cause was
-// on some of the same runners. So the part with the most runners is taken first, and
-// then what has crashed enough other runners. Parts on exactly the same runners are
-// taken together, unless the first was blocked alone before. A part waits until VMs
+// explain returns the causes that best explain the crashes, besides those of runners
+// that have another explanation. What ran beside a cause was on some of the same
+// runners. So the record with the most runners is taken first, and then what has
+// crashed enough other runners. Records of exactly the same runners are taken
+// together, unless the first was blocked alone before. A cause waits until VMs
 // have had the time to report successes, and with it those that come after it. What a
 // former controller has blocked explains its crashes first.
-func (r records) explain(blocked blocks, now time.Time) explanation {
+func (r records) explain(rule rule, explained set, blocked blocks, now time.Time) explanation {
 	e := explanation{spans: make(map[drrequest.Fingerprint]time.Duration), runners: make(set)}
+	maps.Copy(e.runners, explained)
 	for cause, b := range blocked {
 		if x := r[cause]; x != nil && b.adopted {
 			maps.Copy(e.runners, x.runners)
 		}
 	}
 	for {
-		cause, crashes := r.likeliestCause(e.runners)
-		if crashes < MaxCrashes || now.Sub(r[cause].suspectSince) < vouchTime {
+		cause, crashes := r.likeliestCause(rule, e.runners)
+		if crashes < MaxCrashes || now.Sub(r[cause].suspectSince) < rule.wait {
 			return e
 		}
 		e.spans[cause] = firstSpan
-		for _, other := range r.inseparable(cause, e) {
+		for _, other := range r.inseparable(rule, cause, e) {
 			if blocked[cause] == nil || blocked[other] != nil {
 				e.spans[cause], e.spans[other] = ambiguousSpan, ambiguousSpan
 			}
@@ -115,14 +124,13 @@
 	}
 }
 
-// likeliestCause returns the part with the most unexplained crashes, among those with
-// different requests. Between equals it takes the one with the fewest requests: a part
+// likeliestCause returns the candidate with the most unexplained crashes. Between equals it takes the one with the fewest requests: a part
 // of many is on all runners by chance. Last, it takes the later one in the prompt,
 // which fewer requests share.
-func (r records) likeliestCause(explained set) (cause drrequest.Fingerprint, crashes int) {
+func (r records) likeliestCause(rule rule, explained set) (cause drrequest.Fingerprint, crashes int) {
 	var best *record
 	for part, x := range r {
-		if !x.isCandidate() {
+		if !x.isCandidate(rule) {
 			continue
 		}
 		n := x.unexplained(explained)
@@ -135,23 +143,22 @@
 
 // inseparable returns the other candidates that have crashed the same unexplained
 // runners as a cause.
-func (r records) inseparable(cause drrequest.Fingerprint, e explanation) []drrequest.Fingerprint {
+func (r records) inseparable(rule rule, cause drrequest.Fingerprint, e explanation) []drrequest.Fingerprint {
 	var others []drrequest.Fingerprint
 	beyondCause := maps.Clone(e.runners)
 	maps.Copy(beyondCause, r[cause].runners)
 	crashes := r[cause].unexplained(e.runners)
 	for part, x := range r {
-		if part != cause && x.isCandidate() && x.unexplained(e.runners) == crashes && x.unexplained(beyondCause) == 0 {
+		if part != cause && x.isCandidate(rule) && x.unexplained(e.runners) == crashes && x.unexplained(beyondCause) == 0 {
 			others = append(others, part)
 		}
 	}
 	return others
 }
 
-// isCandidate reports whether a part has crashed enough runners, in different
-// requests, to be a cause.
-func (x *record) isCandidate() bool {
-	return len(x.runners) >= MaxCrashes && len(x.requests) >= minPartRequests
+// isCandidate reports whether a record has enough runners and requests to be a cause.
+func (x *record) isCandidate(rule rule) bool {
+	return len(x.runners) >= MaxCrashes && len(x.requests) >= rule.minRequests
 }
 
 // unexplained counts the runners of a record that have no other explanation.
--- a/drcrash/tally.go
+++ b/drcrash/tally.go
@@ -118,30 +118,33 @@
 	}
 }
 
+// Rules for parts of prompts and for single requests.
+var (
+	partRule    = rule{minRequests: minPartRequests, wait: vouchTime}
+	requestRule = rule{minRequests: 1}
+)
+
 // decide blocks the parts of prompts that best explain the crashes, and the requests
-// that have crashed MaxCrashes other runners. It lifts the blocks whose crashes have
-// found a better explanation.
-func (t *Tally) decide(now time.Time) (blocked []Blocked) {
+// that best explain the others. It lifts the blocks whose crashes have found a better
+// explanation.
+func (t *Tally) decide(now time.Time) []Blocked {
 	if len(t.parts) == 0 && len(t.requests) == 0 {
 		return nil
 	}
-	e := t.parts.explain(t.blocks, now)
-	for part, x := range t.parts {
-		span, isCause := e.spans[part]
+	parts := t.parts.explain(partRule, nil, t.blocks, now)
+	requests := t.requests.explain(requestRule, parts.runners, t.blocks, now)
+	return append(t.apply(t.parts, parts, true, now), t.apply(t.requests, requests, false, now)...)
+}
+
+// apply blocks the causes of an explanation and lifts the blocks of what they explain.
+func (t *Tally) apply(r records, e explanation, parts bool, now time.Time) (blocked []Blocked) {
+	for cause, x := range r {
+		span, isCause := e.spans[cause]
 		switch {
-		case isCause && t.block(part, span, now):
-			blocked = append(blocked, Blocked{Cause: part, Part: true, Crashes: len(x.runners), Span: span})
+		case isCause && t.block(cause, span, now):
+			blocked = append(blocked, Blocked{Cause: cause, Part: parts, Crashes: len(x.runners), Span: span})
 		case !isCause && len(x.runners) >= MaxCrashes && x.unexplained(e.runners) < MaxCrashes:
-			t.unblockExplained(part)
-		}
-	}
-	for request, x := range t.requests {
-		switch {
-		case len(x.runners) < MaxCrashes:
-		case x.unexplained(e.runners) < MaxCrashes:
-			t.unblockExplained(request)
-		case t.block(request, firstSpan, now):
-			blocked = append(blocked, Blocked{Cause: request, Crashes: len(x.runners), Span: firstSpan})
+			t.unblockExplained(cause)
 		}
 	}
 	return blocked
