drcrash, drproxy: Drop a result that nobody reads and a state that repeats another

Cause: records.add reported whether a runner was new, which nothing asks since requests are weighed like parts of prompts; stream.started was set exactly when stream.first is. Change: both are gone; behaviour is the same.

--- a/drcrash/record.go
+++ b/drcrash/record.go
@@ -26,9 +26,8 @@
 // its last crash.
 type records map[drrequest.Fingerprint]*record
 
-// add records a crash under one of its possible causes, at a position in the prompt,
-// and reports whether the runner was new.
-func (r records) add(cause drrequest.Fingerprint, crash Crash, depth int, now time.Time) bool {
+// add records a crash under one of its possible causes, at a position in the prompt.
+func (r records) add(cause drrequest.Fingerprint, crash Crash, depth int, now time.Time) {
 	x, ok := r[cause]
 	if !ok {
 		r.makeRoom()
@@ -40,13 +39,12 @@
 		x.requests[crash.Request] = struct{}{}
 	}
 	if _, known := x.runners[crash.Runner]; known {
-		return false
+		return
 	}
 	x.runners[crash.Runner], x.lastAt = struct{}{}, now
 	if len(x.runners) >= MaxCrashes-1 && x.suspectSince.IsZero() {
 		x.suspectSince = now
 	}
-	return true
 }
 
 // makeRoom drops the older half of the records if there are too many.
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -46,8 +46,7 @@
 	// lastEvent is the id of the last event that the client has, 0 if none.
 	lastEvent        int
 	events           int      // number sent to the client by this VM
-	started          bool     // the header has been sent to the client
-	first            *attempt // whose header has been sent, nil before
+	first            *attempt // whose header has been sent to the client, nil before
 	chunks           io.WriteCloser
 	timeToFirstEvent time.Duration // from the request's arrival
 }
@@ -97,7 +96,7 @@
 		firstEventTimeout = firstEventFactor * x.route.Objective
 	}
 	return x.nextAttempt(state, st.lastEvent, firstEventTimeout, func(response refusal) {
-		if st.started {
+		if st.first != nil {
 			state.lastErr = errors.Join(state.lastErr, errors.New(cmp.Or(response.reason, "no further attempt is allowed")))
 			st.abort(state)
 			return
@@ -306,7 +305,7 @@
 // sendHeader sends the header of a's answer to the client, unless a header has
 // already been sent.
 func (st *stream) sendHeader(a *attempt) error {
-	if st.started {
+	if st.first != nil {
 		return nil
 	}
 	x := st.exchange
@@ -320,7 +319,7 @@
 	if _, err := h.WriteTo(x.conn.writer); err != nil {
 		return err
 	}
-	st.started, st.first = true, a
+	st.first = a
 	st.chunks = httputil.NewChunkedWriter(x.conn.writer)
 	return nil
 }
@@ -363,7 +362,7 @@
 // which tells the client that the stream is incomplete.
 func (st *stream) abort(state *retryState) {
 	x := st.exchange
-	if !st.started {
+	if st.first == nil {
 		x.failRequest(state, refusal{})
 		return
 	}
