drcrash: Keep the block that was first when another request has crashed as many

Between equals the order of a map decided, and one order blocked both. Change: between equals, the cause that is blocked already is taken first. Tests: TestLaterReportOfSameRunnersBlocksNothing fails before; 3,000 worlds of TestRandomTraffic hold.

--- a/drcrash/block.go
+++ b/drcrash/block.go
@@ -63,6 +63,19 @@
 	return true
 }
 
+// compare returns 1 if only the first cause is blocked, -1 if only the second is, and otherwise 0.
+func (b blocks) compare(first, second drrequest.Fingerprint) int {
+	_, firstBlocked := b[first]
+	_, secondBlocked := b[second]
+	switch {
+	case firstBlocked && !secondBlocked:
+		return 1
+	case secondBlocked && !firstBlocked:
+		return -1
+	}
+	return 0
+}
+
 // adopt adds the blocks that a VM has been told by a former controller.
 func (b blocks) adopt(known []Block, now time.Time) {
 	for _, k := range known {
--- a/drcrash/ledger_test.go
+++ b/drcrash/ledger_test.go
@@ -206,3 +206,23 @@
 	is.True(f.ledgers[2].Refuses(poison))
 	is.True(!f.ledgers[2].Refuses(innocent))
 }
+
+// Guards against refusing a request that ran beside one that is blocked, on exactly the
+// same runners, because another VM reported its crashes later.
+func TestLaterReportOfSameRunnersBlocksNothing(t *testing.T) {
+	is := is.New(t)
+	for range 20 { // the order of the records is random
+		f := newFleet(4)
+		for i := range drcrash.MaxCrashes {
+			f.crash(0, fmt.Sprint("r", i), poison)
+		}
+		f.sync(false)
+		is.True(f.refuses(poison))
+		for i := range drcrash.MaxCrashes {
+			f.crash(1, fmt.Sprint("r", i), innocent)
+		}
+		f.sync(false)
+		is.True(!f.refuses(innocent))
+		is.True(f.refuses(poison))
+	}
+}
--- a/drcrash/record.go
+++ b/drcrash/record.go
@@ -108,7 +108,7 @@
 		}
 	}
 	for {
-		cause, crashes := r.likeliestCause(rule, e.runners)
+		cause, crashes := r.likeliestCause(rule, e.runners, blocked)
 		if crashes < MaxCrashes || now.Sub(r[cause].suspectSince) < rule.wait {
 			return e
 		}
@@ -122,18 +122,19 @@
 	}
 }
 
-// likeliestCause returns the candidate with the most unexplained crashes. Between equals it takes the one with the fewest requests: a part
-// of many is on all runners by chance. Last, it takes the later one in the prompt,
-// which fewer requests share.
-func (r records) likeliestCause(rule rule, explained set) (cause drrequest.Fingerprint, crashes int) {
+// likeliestCause returns the candidate with the most unexplained crashes. Between equals
+// it takes one that is blocked: its crashes were known first. Then it takes the one with
+// the fewest requests: a part of many is on all runners by chance. Last, it takes the
+// later one in the prompt, which fewer requests share.
+func (r records) likeliestCause(rule rule, explained set, blocked blocks) (cause drrequest.Fingerprint, crashes int) {
 	var best *record
-	for part, x := range r {
+	for other, x := range r {
 		if !x.isCandidate(rule) {
 			continue
 		}
 		n := x.unexplained(explained)
-		if best == nil || cmp.Or(n-crashes, len(best.requests)-len(x.requests), x.depth-best.depth) > 0 {
-			cause, best, crashes = part, x, n
+		if best == nil || cmp.Or(n-crashes, blocked.compare(other, cause), len(best.requests)-len(x.requests), x.depth-best.depth) > 0 {
+			cause, best, crashes = other, x, n
 		}
 	}
 	return cause, crashes
