drcrash: Let a success at any VM speak for a request, too

What callers saw: a request that many clients send alike and that ran on three runners which another one crashed was refused for a minute if its own crashes were reported first, although other VMs served it at that time. Cause, read off the code: VMs spoke only for parts of prompts. The success of a whole request counted only at the VM that had seen it crash. Change: requests with two crashes are among the suspects of the verdict, and each VM reports those that it has served within 2 s. RecordServed takes the whole identity and replaces Clear; the parts are no longer hashed a second time. Tests: TestServedRequestIsNotBlockedForLong fails without the suspects; TestFormerSuccessSpeaksForShortTime bounds what a former success may allow and fails with the 10 s of parts.

--- a/drcontroller/crash_loop_test.go
+++ b/drcontroller/crash_loop_test.go
@@ -35,7 +35,7 @@
 	crashed, served := drcrash.Identity{Request: drrequest.Fingerprint{1}}, drcrash.Identity{Request: drrequest.Fingerprint{2}}
 	n.Crashes.RecordCrash(drcrash.Crash{Identity: crashed, Runner: "r1"})
 	n.Crashes.RecordCrash(drcrash.Crash{Identity: served, Runner: "r1"})
-	n.Crashes.Clear(served.Request)
+	n.Crashes.RecordServed(served)
 	for _, report := range []func(){func() { n.report() }, n.reportCrashes} {
 		n.lastReplyAt = f.clock.Now()
 		report()
--- a/drcrash/crash.go
+++ b/drcrash/crash.go
@@ -22,9 +22,11 @@
 	minPartRequests = 2
 	// vouchTime is how long VMs have to report that requests with a part succeed.
 	vouchTime = 700 * time.Millisecond
-	// successTTL is how long a success speaks for the parts of its prompt. It is
-	// short because a part may begin to crash runners with their next version.
-	successTTL = 10 * time.Second
+	// partSuccessTTL is how long a success speaks for the parts of its prompt, and
+	// requestSuccessTTL for the request. They are short because runners may begin to
+	// crash with their next version.
+	partSuccessTTL    = 10 * time.Second
+	requestSuccessTTL = 2 * time.Second
 	// recordTTL is how long a crash is remembered.
 	recordTTL = time.Minute
 	// maxRecords bounds each kind of things that a Ledger or a Tally remembers.
@@ -69,7 +71,7 @@
 	// term.
 	Term, Revision uint64
 	Blocks         []Block
-	// Suspects are parts of prompts that will be blocked unless a VM reports that
+	// Suspects are causes that will be blocked, or have been, unless a VM reports that
 	// requests with them succeed.
 	Suspects []drrequest.Fingerprint
 }
--- a/drcrash/ledger.go
+++ b/drcrash/ledger.go
@@ -17,8 +17,8 @@
 
 	mu      sync.Mutex
 	crashes []recentCrash // of the last recordTTL, the oldest first
-	// servedAt is when a request with a part last succeeded.
-	servedAt map[drrequest.Fingerprint]time.Time
+	// parts and requests are what has succeeded lately.
+	parts, requests successes
 	// blocked and suspects are what the controller of a term has told, in its
 	// verdict of a revision.
 	term     uint64
@@ -49,8 +49,8 @@
 // NewLedger returns a Ledger without crashes.
 func NewLedger(c drclock.Clock) *Ledger {
 	return &Ledger{
-		clock: c, servedAt: make(map[drrequest.Fingerprint]time.Time), blocked: make(map[drrequest.Fingerprint]*knownBlock),
-		refused: make(map[drrequest.Fingerprint]struct{}), news: make(chan struct{}, 1),
+		clock: c, parts: newSuccesses(partSuccessTTL), requests: newSuccesses(requestSuccessTTL),
+		blocked: make(map[drrequest.Fingerprint]*knownBlock), refused: make(map[drrequest.Fingerprint]struct{}), news: make(chan struct{}, 1),
 	}
 }
 
@@ -83,29 +83,32 @@
 	l.signalNews()
 }
 
-// RecordServed records that requests with the given parts succeed. If a part is
-// suspected, the controller is told.
-func (l *Ledger) RecordServed(parts []drrequest.Fingerprint) {
+// RecordServed records that a request has succeeded. The controller is told if it has
+// crashed a runner before, or if it or one of its parts is suspected or blocked.
+func (l *Ledger) RecordServed(served Identity) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	for _, p := range parts {
-		if len(l.servedAt) >= maxRecords {
-			l.dropOlderServed()
-		}
-		l.servedAt[p] = now
-		_, suspected := l.suspects[p]
-		if suspected || l.blocked[p] != nil {
-			l.clear(p)
+	l.requests.add(served.Request, now)
+	for _, p := range served.Parts {
+		l.parts.add(p, now)
+	}
+	crashed := l.forgetCrashes(served.Request)
+	for _, cause := range served.Causes() {
+		_, suspected := l.suspects[cause]
+		if suspected || l.blocked[cause] != nil || crashed && cause == served.Request {
+			l.clear(cause)
 		}
 	}
 }
 
-// dropOlderServed forgets the older half of the successes. The caller holds mu.
-func (l *Ledger) dropOlderServed() {
-	times := slices.SortedFunc(maps.Values(l.servedAt), time.Time.Compare)
-	middle := times[len(times)/2]
-	maps.DeleteFunc(l.servedAt, func(_ drrequest.Fingerprint, at time.Time) bool { return !at.After(middle) })
+// forgetCrashes drops the crashes of a request, and returns false if there are none.
+// The caller holds mu.
+func (l *Ledger) forgetCrashes(request drrequest.Fingerprint) bool {
+	known := len(l.crashes)
+	l.crashes = slices.DeleteFunc(l.crashes, func(c recentCrash) bool { return c.Request == request })
+	l.unreported = slices.DeleteFunc(l.unreported, func(c Crash) bool { return c.Request == request })
+	return len(l.crashes) < known
 }
 
 // clear tells the controller that a cause is none. The caller holds mu.
@@ -114,20 +117,6 @@
 	l.cleared = append(trimmed(l.cleared), cause)
 }
 
-// Clear forgets the crashes of a request that has succeeded.
-func (l *Ledger) Clear(request drrequest.Fingerprint) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	ofRequest := func(c Crash) bool { return c.Request == request }
-	recorded := slices.ContainsFunc(l.crashes, func(c recentCrash) bool { return ofRequest(c.Crash) })
-	if !recorded && l.blocked[request] == nil {
-		return
-	}
-	l.crashes = slices.DeleteFunc(l.crashes, func(c recentCrash) bool { return ofRequest(c.Crash) })
-	l.unreported = slices.DeleteFunc(l.unreported, ofRequest)
-	l.clear(request)
-}
-
 // Blocked returns the cause for which the controller has told this VM to refuse a
 // request, and false if there is none. A VM does not decide that itself: requests
 // with the same cause may have succeeded on another.
@@ -222,11 +211,11 @@
 	return l.revision
 }
 
-// dropExpired forgets crashes of recordTTL and successes of successTTL ago. The
-// caller holds mu.
+// dropExpired forgets crashes of recordTTL ago and old successes. The caller holds mu.
 func (l *Ledger) dropExpired(now time.Time) {
 	l.crashes = slices.DeleteFunc(l.crashes, func(c recentCrash) bool { return now.Sub(c.at) > recordTTL })
-	maps.DeleteFunc(l.servedAt, func(_ drrequest.Fingerprint, at time.Time) bool { return now.Sub(at) > successTTL })
+	l.parts.dropExpired(now)
+	l.requests.dropExpired(now)
 }
 
 // SetVerdict replaces what the controller has told this VM, unless the verdict is older.
@@ -247,7 +236,7 @@
 	l.suspects = make(map[drrequest.Fingerprint]struct{}, len(verdict.Suspects))
 	for _, s := range verdict.Suspects {
 		l.suspects[s] = struct{}{}
-		if at, served := l.servedAt[s]; served && now.Sub(at) <= successTTL {
+		if l.parts.has(s, now) || l.requests.has(s, now) {
 			l.clear(s)
 		}
 	}
--- a/drcrash/ledger_test.go
+++ b/drcrash/ledger_test.go
@@ -99,7 +99,7 @@
 		}
 		f.sync(false)
 		is.True(!f.ledgers[0].Refuses(innocent))
-		f.ledgers[i%4].Clear(innocent.Request)
+		f.ledgers[i%4].RecordServed(innocent)
 		f.sync(false)
 	}
 }
@@ -148,7 +148,7 @@
 			if crashes {
 				f.crash(vm, fmt.Sprint("r", second), poison)
 			} else {
-				f.ledgers[vm].Clear(poison.Request)
+				f.ledgers[vm].RecordServed(poison)
 			}
 		}
 		f.sync(false)
@@ -226,3 +226,35 @@
 		is.True(f.refuses(poison))
 	}
 }
+
+// Guards against refusing, for a minute, what many clients send alike because its crashes
+// were reported before those of the request that caused them: it has just succeeded at
+// another VM.
+func TestServedRequestIsNotBlockedForLong(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for i := range drcrash.MaxCrashes {
+		f.ledgers[3].RecordServed(innocent)
+		f.crash(0, fmt.Sprint("r", i), innocent)
+		f.report(0, false)
+		f.clock.Advance(100 * time.Millisecond)
+	}
+	f.syncFor(300 * time.Millisecond)
+	is.True(!f.refuses(innocent))
+}
+
+// Guards against a request that goes on crashing runners because it succeeded before.
+func TestFormerSuccessSpeaksForShortTime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	f.ledgers[3].RecordServed(poison)
+	runs := 0
+	for range 20 {
+		if !f.ledgers[1].Refuses(poison) {
+			f.crash(1, fmt.Sprint("r", runs), poison)
+			runs++
+		}
+		f.syncFor(time.Second)
+	}
+	is.True(runs <= 2*drcrash.MaxCrashes)
+}
--- a/drcrash/part_test.go
+++ b/drcrash/part_test.go
@@ -46,7 +46,7 @@
 	for i := range drcrash.MaxCrashes {
 		is.True(!f.refuses(withParts(100, "system", "deadly")))
 		f.crash(i, fmt.Sprint("r", i), withParts(i, "system", "deadly"))
-		f.ledgers[3].RecordServed(withParts(0, "system").Parts) // no crash was seen there
+		f.ledgers[3].RecordServed(withParts(0, "system")) // no crash was seen there
 		f.syncFor(600 * time.Millisecond)
 	}
 	f.syncFor(time.Second)
@@ -100,7 +100,7 @@
 			if runs[part]++; part == "deadly" {
 				f.crash(0, fmt.Sprint("s", second), request)
 			} else {
-				f.ledgers[0].RecordServed(request.Parts)
+				f.ledgers[0].RecordServed(request)
 			}
 		}
 	}
@@ -124,7 +124,7 @@
 	for i := range 2 * drcrash.MaxCrashes {
 		f.crash(0, fmt.Sprint("s", i), withParts(i, "common"))
 	}
-	f.ledgers[3].RecordServed(withParts(0, "common").Parts)
+	f.ledgers[3].RecordServed(withParts(0, "common"))
 	f.changeController()
 	for i := range f.ledgers {
 		f.report(i, true)
@@ -159,7 +159,7 @@
 	for i := range 2 * drcrash.MaxCrashes {
 		f.crash(i%2, fmt.Sprint("r", i), withParts(i, "beside", "deadly"))
 	}
-	f.ledgers[3].RecordServed(withParts(0, "beside").Parts)
+	f.ledgers[3].RecordServed(withParts(0, "beside"))
 	f.syncFor(3 * time.Second)
 	is.True(f.refuses(withParts(100, "deadly")))
 	is.True(!f.refuses(withParts(101, "beside")))
--- a/drcrash/record.go
+++ b/drcrash/record.go
@@ -63,7 +63,7 @@
 	maps.DeleteFunc(r, func(_ drrequest.Fingerprint, x *record) bool { return now.Sub(x.lastAt) > recordTTL })
 }
 
-// suspects returns the parts that VMs are to report successes of.
+// suspects returns the causes that VMs are to report successes of.
 func (r records) suspects() []drrequest.Fingerprint {
 	var list []drrequest.Fingerprint
 	for part, x := range r {
--- a/drcrash/tally.go
+++ b/drcrash/tally.go
@@ -157,5 +157,5 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.dropExpired(now)
-	return Verdict{Revision: t.revision, Blocks: t.blocks.listFor(vm, now), Suspects: t.parts.suspects()}
+	return Verdict{Revision: t.revision, Blocks: t.blocks.listFor(vm, now), Suspects: append(t.parts.suspects(), t.requests.suspects()...)}
 }
--- a/drcrash/traffic_test.go
+++ b/drcrash/traffic_test.go
@@ -127,8 +127,7 @@
 			continue
 		}
 		w.running = slices.DeleteFunc(w.running, func(r *trafficRun) bool { return r == run })
-		w.ledgers[run.vm].RecordServed(run.Parts)
-		w.ledgers[run.vm].Clear(run.Request)
+		w.ledgers[run.vm].RecordServed(run.Identity)
 	}
 }
 
--- a/drproxy/crash.go
+++ b/drproxy/crash.go
@@ -111,14 +111,3 @@
 func connectionBroke(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
-
-// clearCrashes clears the request, which has succeeded, and the parts of its prompt of
-// the crashes of runners. An answer with an error clears nothing: the runner may have
-// sent it without running the request.
-func (x *exchange) clearCrashes() {
-	c := x.server.Crashes
-	c.RecordServed(sharedParts(x.call))
-	if !c.Empty() {
-		c.Clear(x.identity().Request)
-	}
-}
