drmetric, dredge: Count leaving and paused runners by service

Cause: the two gauges counted all runners of the fleet, so that a service of which all runners leave or are paused could not be told from them. Change: dotterelridge_leaving_runners and dotterelridge_paused_runners have the label service; the series are registered for the services of the configuration.

--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -210,8 +210,6 @@
 	e.metrics.GaugeFunc(drmetric.DeploymentAge, func() int64 { deploymentAge, _, _ := e.view.Ages(); return int64(deploymentAge) })
 	e.metrics.GaugeFunc(drmetric.RunnersAge, func() int64 { _, runnersAge, _ := e.view.Ages(); return int64(runnersAge) })
 	e.metrics.GaugeFunc(drmetric.KnownRunners, func() int64 { return int64(len(e.view.Runners(""))) })
-	e.metrics.GaugeFunc(drmetric.LeavingRunners, func() int64 { return int64(len(e.view.Leaving())) })
-	e.metrics.GaugeFunc(drmetric.PausedRunners, func() int64 { return int64(e.view.Paused()) })
 	e.metrics.GaugeFunc(drmetric.Controlling, func() int64 {
 		if e.controllerNode.Controlling() {
 			return 1
@@ -220,6 +218,20 @@
 	})
 }
 
+// registerServiceMetrics registers the metrics of each service of the configuration,
+// which may have changed.
+func (e *Edge) registerServiceMetrics() {
+	deployment, _ := e.view.Deployment()
+	if deployment == nil {
+		return
+	}
+	for _, service := range deployment.Services {
+		name := service.Name
+		e.metrics.GaugeFunc(drmetric.LeavingRunners, func() int64 { return int64(e.view.LeavingCount(name)) }, name)
+		e.metrics.GaugeFunc(drmetric.PausedRunners, func() int64 { return int64(e.view.PausedCount(name)) }, name)
+	}
+}
+
 // updateRetryBudgets adapts this VM's part of the retry budget whenever the
 // number of VMs changes, until the Edge is closed.
 func (e *Edge) updateRetryBudgets() {
@@ -260,6 +272,7 @@
 		ctx.Error("not found", fasthttp.StatusNotFound)
 		return
 	}
+	e.registerServiceMetrics()
 	ctx.SetContentType(drmetric.ContentType)
 	if err := e.metrics.Write(ctx); err != nil {
 		log.WithField("event", "metrics-failed").WithError(err).Error("")
--- a/drfleetview/leaving.go
+++ b/drfleetview/leaving.go
@@ -49,6 +49,10 @@
 	return list
 }
 
+// LeavingCount returns the number of listed runners of a service that have said in an
+// answer to this VM that they leave.
+func (v *View) LeavingCount(service string) int { return v.countListed(service, (*entry).saysLeaving) }
+
 // draining returns the description of a runner with Draining set.
 func draining(runner *drfleet.Runner) *drfleet.Runner {
 	changed := *runner
--- a/drfleetview/leaving_test.go
+++ b/drfleetview/leaving_test.go
@@ -40,6 +40,8 @@
 	v.OfferRunner(leavingRunner(1, 4, false), drfleetview.FromRunner)
 	is.Equal(len(v.Candidates(replica)), 0)
 	is.Equal(len(v.Leaving()), 1)
+	is.Equal(v.LeavingCount("s"), 1)
+	is.Equal(v.LeavingCount("other"), 0)
 	v.OfferRunner(leavingRunner(2, 1, false), drfleetview.FromRunner) // restarted
 	is.Equal(len(v.Candidates(replica)), 1)
 	is.True(v.MayStart(leavingRunner(2, 1, false)))
--- a/drfleetview/pause.go
+++ b/drfleetview/pause.go
@@ -71,14 +71,20 @@
 	return !e.removed && !e.runner.Draining && e.runner.Service == replica.Service && e.runner.Holds(replica.Model, replica.Adapter)
 }
 
-// Paused returns the number of listed runners that want no requests of this VM for a
-// time.
-func (v *View) Paused() int {
+// PausedCount returns the number of listed runners of a service that want no requests of
+// this VM for a time.
+func (v *View) PausedCount(service string) int {
+	uptime := v.clock.Uptime()
+	return v.countListed(service, func(e *entry) bool { return e.pauseLeft(uptime) > 0 })
+}
+
+// countListed returns the number of listed runners of a service with a property.
+func (v *View) countListed(service string, has func(e *entry) bool) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	n, uptime := 0, v.clock.Uptime()
+	n := 0
 	for _, e := range v.runners {
-		if !e.removed && e.pauseLeft(uptime) > 0 {
+		if !e.removed && e.runner.Service == service && has(e) {
 			n++
 		}
 	}
@@ -100,13 +106,6 @@
 // Usable returns the number of listed runners of a service that take requests of this
 // VM.
 func (v *View) Usable(service string) int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	n, uptime := 0, v.clock.Uptime()
-	for _, e := range v.runners {
-		if !e.removed && !e.runner.Draining && e.runner.Service == service && e.pauseLeft(uptime) <= 0 {
-			n++
-		}
-	}
-	return n
+	uptime := v.clock.Uptime()
+	return v.countListed(service, func(e *entry) bool { return !e.runner.Draining && e.pauseLeft(uptime) <= 0 })
 }
--- a/drfleetview/pause_test.go
+++ b/drfleetview/pause_test.go
@@ -30,7 +30,7 @@
 	is.Equal(len(v.Candidates(replica)), 0)
 	is.True(!v.MayStart(r))
 	is.Equal(v.Usable("s"), 0)
-	is.Equal(v.Paused(), 1)
+	is.Equal(v.PausedCount("s"), 1)
 	left, paused := v.PauseLeft(replica)
 	is.True(paused)
 	is.Equal(left, 2*time.Second)
@@ -49,7 +49,7 @@
 	restarted.Started = 2
 	v.OfferRunner(&restarted, drfleetview.FromRunner)
 	is.Equal(len(v.Candidates(replica)), 1)
-	is.Equal(v.Paused(), 0)
+	is.Equal(v.PausedCount("s"), 0)
 }
 
 // Guards against the same in any order of pauses that overlap, entries, restarts and
