drcontroller: Load models elsewhere while their runners want no requests

What callers saw: in one of seven plays of TestHalfOfServicePauses, 76 of 2,880 requests within the limit were refused with 503, and 84 of 2,479 in another one: all for an adapter whose only runner had asked every VM for 8 s without requests. Each waited a second for it. Cause, from the logs of the second play: only the VMs knew of the pause. The controller took the runner for usable and loaded the adapter nowhere else. Change: VMs report the pauses of their runners. A plan counts a runner as leaving while half of the VMs whose requests wait for its service keep away from it for a second or longer.

--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drscheduler"
 )
@@ -41,6 +42,8 @@
 	lastReportAt    time.Time
 	wants           []*drpb.FleetWant
 	wantsReceivedAt time.Time
+	// pausedUntil is when the runners that want no requests of the VM take them again.
+	pausedUntil     map[drfleetview.Incarnation]time.Time
 	uses            map[replicaKey]replicaUse
 	resultsByRunner map[string]resultCounters
 	runningByRunner map[string]int
@@ -303,6 +306,7 @@
 		state.Rate[model] = d.rate
 		state.Work[model] = d.utilization()
 	}
+	pauses := c.plannedPauses(service.Name, now)
 	for _, r := range c.view.Runners(service.Name) {
 		if !r.Draining {
 			for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
@@ -314,7 +318,7 @@
 			continue
 		}
 		runner := drscheduler.Runner{
-			Runner: r, Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
+			Runner: pauses.apply(r), Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
 			UsedAdapter: tracked.usedAdapter, LoadingAdapters: tracked.loadingAdapters, UnloadingAdapters: tracked.unloadingAdapters,
 		}
 		if tracked.swap != nil {
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -132,6 +132,7 @@
 	first := v.lastReportAt.IsZero()
 	v.processor = request.GetProcessor()
 	v.lastReportAt, v.wants, v.wantsReceivedAt = now, request.GetWants(), now
+	v.pausedUntil = decodePauses(request.GetPauses(), now)
 	c.applyUses(v, request, first, now)
 	if len(v.wants) > 0 {
 		c.requestPlan()
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -150,6 +150,7 @@
 	for _, i := range n.View.Leaving() {
 		request.Leaving = append(request.Leaving, &drpb.FleetIncarnation{Runner: i.Runner, Started: i.Started})
 	}
+	request.Pauses = encodePauses(n.View.Pauses())
 	crashes := n.Crashes.TakeReport(request.GetWhole())
 	request.CrashReport, request.Verdict = encodeCrashes(crashes), n.Crashes.Revision()
 	for _, s := range n.Allowances.Spendings() {
--- a/drfleetview/pause.go
+++ b/drfleetview/pause.go
@@ -1,6 +1,8 @@
 package drfleetview
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
@@ -16,6 +18,27 @@
 	until   time.Duration
 }
 
+// Pause is a time for which an incarnation of a runner wants no requests of this VM.
+type Pause struct {
+	Incarnation
+	Left time.Duration
+}
+
+// Pauses returns the pauses of the listed runners, sorted by runner.
+func (v *View) Pauses() []Pause {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var list []Pause
+	uptime := v.clock.Uptime()
+	for _, id := range slices.Sorted(maps.Keys(v.runners)) {
+		e := v.runners[id]
+		if left := e.pauseLeft(uptime); !e.removed && left > 0 {
+			list = append(list, Pause{Incarnation{id, e.runner.Started}, left})
+		}
+	}
+	return list
+}
+
 // Pause records that an incarnation of a runner wants no requests of this VM for a
 // time from now. It returns false if that adds nothing, or if the runner is not known
 // or of another incarnation.
