--- a/drcontroller/pause_test.go
+++ b/drcontroller/pause_test.go
@@ -26,6 +26,22 @@
 	w.controller.Sync(context.Background(), vm, 1, request)
 }
 
+// Guards against a controller that never hears of pauses.
+func TestPausesAreReported(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(1)
+	defer f.close()
+	n := f.nodes["vm-0"].Node
+	n.View.OfferRunner(&drfleet.Runner{ID: "r1", Service: "llm", Started: 7}, drfleetview.FromRunner)
+	paused := drfleetview.Incarnation{Runner: "r1", Started: 7}
+	is.True(n.View.Pause(paused, 3*time.Second))
+	request := &drpb.FleetSyncRequest{}
+	n.fillRequest(request)
+	received := f.clock.Now()
+	left := decodePauses(request.GetPauses(), received)[paused].Sub(received)
+	is.True(left > 2*time.Second && left <= 3*time.Second)
+}
+
 // Guards against refusing requests for a model or an adapter for as long as its only
 // runner wants none, because the controller takes it for usable; and against loading
 // models elsewhere for a short pause or for that of one VM among many.
