--- a/drfleetview/statement_test.go
+++ b/drfleetview/statement_test.go
@@ -4,7 +4,9 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -208,12 +210,24 @@
 	if *statementSeed != 0 {
 		first, orders = *statementSeed, 1
 	}
-	for i := range orders {
-		w := newStatementWorld(first + uint64(i))
-		for range statementSteps {
-			if err := w.step(); err != nil {
-				t.Fatalf("-statement-seed %d: %v", first+uint64(i), err)
+	var running sync.WaitGroup
+	defer running.Wait()
+	workers := runtime.GOMAXPROCS(0)
+	for worker := range workers {
+		running.Go(func() {
+			for i := worker; i < orders && !t.Failed(); i += workers {
+				playStatements(t, first+uint64(i))
 			}
+		})
+	}
+}
+
+func playStatements(t *testing.T, seed uint64) {
+	w := newStatementWorld(seed)
+	for range statementSteps {
+		if err := w.step(); err != nil {
+			t.Errorf("-statement-seed %d: %v", seed, err)
+			return
 		}
 	}
 }
