drserve: Report ready only after the list of VMs has been read

Cause: Ready waited for the streams of the log only. The list of VMs names the backend servers; while it does not name this VM yet, reading it fails, and no server is known. Change: Ready also waits for the first successful read of the list.

--- a/drmember/membership.go
+++ b/drmember/membership.go
@@ -118,6 +118,13 @@
 	return ok
 }
 
+// ListRead reports whether the list of VMs has been read since the start.
+func (m *Membership) ListRead() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.polledAt.IsZero()
+}
+
 // Backends implements View. Callers must not change the slice.
 func (m *Membership) Backends(fleet string) []Backend {
 	m.mu.Lock()
--- a/drserve/admin_backend.go
+++ b/drserve/admin_backend.go
@@ -33,7 +33,8 @@
 type adminBackend struct{ vm *VM }
 
 // Ready implements dradmin.Backend. A VM is ready when it has started, has caught up
-// with every stream of the log once, is not draining and is not isolated.
+// with every stream of the log once, has read the list of VMs, which names the backend
+// servers, is not draining and is not isolated.
 func (b adminBackend) Ready() (bool, string) {
 	v := b.vm
 	switch {
@@ -49,6 +50,9 @@
 			return false, "stream " + f.Stream() + " has not been read to its end yet"
 		}
 	}
+	if !v.members.ListRead() {
+		return false, "the VM list has not been read yet"
+	}
 	if v.freshness.State() == drlog.Isolated {
 		return false, "isolated"
 	}
