--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -306,7 +306,7 @@
 		state.Rate[model] = d.rate
 		state.Work[model] = d.utilization()
 	}
-	pauses := c.plannedPauses(service.Name, now)
+	paused := c.runnersPausedForMost(service.Name, now)
 	for _, r := range c.view.Runners(service.Name) {
 		if !r.Draining {
 			for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
@@ -318,7 +318,7 @@
 			continue
 		}
 		runner := drscheduler.Runner{
-			Runner: pauses.apply(r), Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
+			Runner: paused.apply(r), Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
 			UsedAdapter: tracked.usedAdapter, LoadingAdapters: tracked.loadingAdapters, UnloadingAdapters: tracked.unloadingAdapters,
 		}
 		if tracked.swap != nil {
--- a/drcontroller/pause.go
+++ b/drcontroller/pause.go
@@ -35,14 +35,14 @@
 	return until
 }
 
-// plannedPauses are the runners that a plan counts as leaving, because they want no
+// pausedRunners are the runners that a plan counts as leaving, because they want no
 // requests for a time.
-type plannedPauses map[drfleetview.Incarnation]bool
+type pausedRunners map[drfleetview.Incarnation]bool
 
-// plannedPauses returns the runners from which at least half of the VMs whose requests
+// runnersPausedForMost returns the runners from which at least half of the VMs whose requests
 // wait for a service keep away for minPlannedPause or longer. A pause binds only the VM
 // that was asked, so that one of many does not move models. The caller holds mu.
-func (c *Controller) plannedPauses(service string, now time.Time) plannedPauses {
+func (c *Controller) runnersPausedForMost(service string, now time.Time) pausedRunners {
 	waiting, pausing := 0, make(map[drfleetview.Incarnation]int)
 	for _, v := range c.vms {
 		if now.Sub(v.lastReportAt) > vmReportTimeout || !v.waitsFor(service) {
@@ -55,11 +55,11 @@
 			}
 		}
 	}
-	planned := make(plannedPauses)
+	paused := make(pausedRunners)
 	for i, n := range pausing {
-		planned[i] = 2*n >= waiting
+		paused[i] = 2*n >= waiting
 	}
-	return planned
+	return paused
 }
 
 // waitsFor reports whether requests of the VM wait for a replica of a service.
@@ -73,7 +73,7 @@
 }
 
 // apply returns a runner as a plan sees it.
-func (p plannedPauses) apply(r *drfleet.Runner) *drfleet.Runner {
+func (p pausedRunners) apply(r *drfleet.Runner) *drfleet.Runner {
 	if !p[drfleetview.Incarnation{Runner: r.ID, Started: r.Started}] {
 		return r
 	}
