drcontroller: Log when plans begin or cease to count a paused runner as leaving

Cause: the swaps that follow from a pause were logged, the belief that they rest on was not. Change: one line, event=runner-plan-pause, for each change of an incarnation.

--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -173,6 +173,8 @@
 // addition to the runner's entry in the view.
 type runnerState struct {
 	started int64
+	// paused is set while plans count the runner as leaving; see asPlanned.
+	paused bool
 	// orderTurn holds a token while an order is being sent to the runner. Orders
 	// are sent one after another, because each names the count of those before.
 	orderTurn chan struct{}
@@ -318,7 +320,7 @@
 			continue
 		}
 		runner := drscheduler.Runner{
-			Runner: paused.apply(r), Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
+			Runner: c.asPlanned(r, tracked, paused), Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
 			UsedAdapter: tracked.usedAdapter, LoadingAdapters: tracked.loadingAdapters, UnloadingAdapters: tracked.unloadingAdapters,
 		}
 		if tracked.swap != nil {
--- a/drcontroller/pause.go
+++ b/drcontroller/pause.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
@@ -72,12 +74,18 @@
 	return false
 }
 
-// apply returns a runner as a plan sees it.
-func (p pausedRunners) apply(r *drfleet.Runner) *drfleet.Runner {
-	if !p[drfleetview.Incarnation{Runner: r.ID, Started: r.Started}] {
+// asPlanned returns a runner as a plan sees it. The caller holds mu.
+func (c *Controller) asPlanned(r *drfleet.Runner, tracked *runnerState, paused pausedRunners) *drfleet.Runner {
+	isPaused := paused[drfleetview.Incarnation{Runner: r.ID, Started: r.Started}]
+	if isPaused != tracked.paused {
+		tracked.paused = isPaused
+		log.WithFields(log.Fields{"event": "runner-plan-pause", "runner": r.ID, "started": r.Started, "service": r.Service,
+			"paused": isPaused, "term": c.Term}).Info("")
+	}
+	if !isPaused {
 		return r
 	}
-	paused := *r
-	paused.Draining = true
-	return &paused
+	planned := *r
+	planned.Draining = true
+	return &planned
 }
