drcontroller: Check in virtual time that no orders are sent in turns

Cause: the test sleeps for half of a pause of 400 ms of real time and takes it for granted that it wakes up before the end. Change: the test runs in a bubble with virtual time and looks 1 ms before the end of the pause instead of 200 ms. It is stricter: nothing but the controller decides it now.

--- a/drcontroller/controller_test.go
+++ b/drcontroller/controller_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -332,23 +333,25 @@
 // when the controller changes there and back: a late order of one could follow a new one
 // of the other. A plain change of the controller must not delay loads.
 func TestNoOrdersInTurns(t *testing.T) {
-	is := is.New(t)
-	const pause = 400 * time.Millisecond
-	returned := newControllerFixture(t, func(c *ControllerConfig) {
-		c.OrderPause, c.Inherited.RecentHolders = pause, []string{"vm", "other"}
-	})
-	is.Equal(returned.controller.Handover().RecentHolders, []string{"vm", "other"})
-	returned.reportWant("c")
-	time.Sleep(pause / 2)
-	is.Equal(len(returned.engines.sentOrders()), 0)
-	eventually(t, "c is loaded after the pause", func() bool { return slices.Contains(returned.engines.loadedModels("r1"), "c") })
-	is.Equal(len(returned.controller.Handover().RecentHolders), 0)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const pause = 400 * time.Millisecond
+		returned := newControllerFixture(t, func(c *ControllerConfig) {
+			c.OrderPause, c.Inherited.RecentHolders = pause, []string{"vm", "other"}
+		})
+		is.Equal(returned.controller.Handover().RecentHolders, []string{"vm", "other"})
+		returned.reportWant("c")
+		time.Sleep(pause - time.Millisecond)
+		is.Equal(len(returned.engines.sentOrders()), 0)
+		eventually(t, "c is loaded after the pause", func() bool { return slices.Contains(returned.engines.loadedModels("r1"), "c") })
+		is.Equal(len(returned.controller.Handover().RecentHolders), 0)
 
-	next := newControllerFixture(t, func(c *ControllerConfig) {
-		c.OrderPause, c.Inherited.RecentHolders = time.Minute, []string{"other"}
+		next := newControllerFixture(t, func(c *ControllerConfig) {
+			c.OrderPause, c.Inherited.RecentHolders = time.Minute, []string{"other"}
+		})
+		next.reportWant("c")
+		eventually(t, "c is loaded at once", func() bool { return slices.Contains(next.engines.loadedModels("r1"), "c") })
 	})
-	next.reportWant("c")
-	eventually(t, "c is loaded at once", func() bool { return slices.Contains(next.engines.loadedModels("r1"), "c") })
 }
 
 // Guards against a forecast of a second for a model that no runner has a copy of, which
