drproxy: Count no answer that is whole at the instant at which its attempt ends

Which came first is decided by the scheduler. Change: the check leaves out an answer that is whole at the very instant at which the VM closes its connection, and no other.

--- a/drproxy/order_check_test.go
+++ b/drproxy/order_check_test.go
@@ -70,13 +70,21 @@
 		}
 	case o.status != http.StatusOK:
 		for _, r := range runs {
-			if r.whole && !r.faulty && !r.ended && r.wholeAt.Before(o.ended) {
+			if r.whole && !r.faulty && !r.ended && r.wholeAt.Before(o.ended) && !r.gaveUpWhenWhole() {
 				w.report("%s was refused though %s had answered it", o, r.runner)
 			}
 		}
 	}
 }
 
+// gaveUpWhenWhole reports whether the VM closed the connection at the very instant of
+// virtual time at which the answer was whole: the time for the attempt was over, and which
+// of the two came first is not defined.
+func (r *worldRun) gaveUpWhenWhole() bool {
+	closedAt, _ := r.conn.peer.closeState()
+	return closedAt.Equal(r.wholeAt)
+}
+
 // minRouteTimeout is the least timeout of a route in any configuration.
 const minRouteTimeout = 600 * time.Millisecond
 
--- a/drproxy/order_runner_test.go
+++ b/drproxy/order_runner_test.go
@@ -43,6 +43,7 @@
 // runRecord is one request that a runner began to run.
 type runRecord struct {
 	runner string
+	conn   *memoryConn // the runner's end
 	// whole is set once all of a successful answer was written to a connection
 	// that the VM had not closed; then wholeAt is when.
 	whole   bool
@@ -131,7 +132,7 @@
 	if closedAt, _ := conn.peer.closeState(); !closedAt.IsZero() {
 		return false // the VM has given the request up before it began to run
 	}
-	run := r.world.beginRun(id, r.id)
+	run := r.world.beginRun(id, r.id, conn)
 	switch chosen {
 	case breaksBeforeAnswer:
 		run.fault()
--- a/drproxy/order_test.go
+++ b/drproxy/order_test.go
@@ -73,10 +73,10 @@
 	runRecord
 }
 
-func (w *orderWorld) beginRun(id, runner string) *worldRun {
+func (w *orderWorld) beginRun(id, runner string, conn *memoryConn) *worldRun {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	run := &worldRun{world: w, runRecord: runRecord{runner: runner}}
+	run := &worldRun{world: w, runRecord: runRecord{runner: runner, conn: conn}}
 	w.runs[id] = append(w.runs[id], run)
 	return run
 }
