drproxy: Drop a field of Dispatch that nobody sets or reads

Pause was added to the header for a runner beside the one of the runner's answer, which is the one in use. Result: the module builds; no behaviour changes.

--- a/drproxy/wire.go
+++ b/drproxy/wire.go
@@ -32,9 +32,6 @@
 
 // Dispatch holds what this VM adds to the header of a request to a runner.
 type Dispatch struct {
-	// Pause is how long the runner wants no further requests of this VM, 0 if it
-	// has not said so.
-	Pause time.Duration
 	// Instance is the ID of the only runner that may run the request.
 	Instance string
 	// Remaining is the time until the request's timeout, after which nobody
