drfleetview, drcontroller: Name and encode incarnations of runners in one place

The pair of id and start was put together from a runner in four places, and turned into a message and back in two each. IncarnationOf, encodeIncarnation and decodeIncarnation serve all of them. Result: the tests of leaving and paused runners pass; no behaviour changes.

--- a/drcontroller/executor.go
+++ b/drcontroller/executor.go
@@ -215,7 +215,7 @@
 	}
 	outcome, err := c.Engines.Order(ctx, current, order)
 	if outcome == drscheduler.Leaving {
-		c.recordLeaving(drfleetview.Incarnation{Runner: current.ID, Started: current.Started}, log.Fields{"source": "order"})
+		c.recordLeaving(drfleetview.IncarnationOf(current), log.Fields{"source": "order"})
 	}
 	log.WithFields(log.Fields{"event": "order", "runner": runner.ID, "operation": order.Operation, "model": order.Model,
 		"adapter": order.Adapter, "after": order.After, "term": c.Term, "outcome": outcome}).Info("")
@@ -375,7 +375,7 @@
 		return // the store delivers the entry of the new incarnation
 	}
 	if report.Leaving {
-		c.recordLeaving(drfleetview.Incarnation{Runner: runner.ID, Started: runner.Started}, log.Fields{"source": "report"})
+		c.recordLeaving(drfleetview.IncarnationOf(runner), log.Fields{"source": "report"})
 	}
 	older := false
 	listed := c.view.UpdateRunner(runner.ID, runner.Started, func(n drfleet.Runner) drfleet.Runner {
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -89,6 +89,14 @@
 	return r
 }
 
+func encodeIncarnation(i drfleetview.Incarnation) *drpb.FleetIncarnation {
+	return &drpb.FleetIncarnation{Runner: i.Runner, Started: i.Started}
+}
+
+func decodeIncarnation(m *drpb.FleetIncarnation) drfleetview.Incarnation {
+	return drfleetview.Incarnation{Runner: m.GetRunner(), Started: m.GetStarted()}
+}
+
 func encodeCrashes(report drcrash.Report) *drpb.FleetCrashReport {
 	m := &drpb.FleetCrashReport{
 		Cleared: encodeFingerprints(report.Cleared), Refused: encodeFingerprints(report.Refused), Blocks: encodeBlocks(report.Blocks),
--- a/drcontroller/pause.go
+++ b/drcontroller/pause.go
@@ -21,8 +21,7 @@
 func encodePauses(pauses []drfleetview.Pause) []*drpb.FleetPause {
 	var encoded []*drpb.FleetPause
 	for _, p := range pauses[:min(len(pauses), maxReportedPauses)] {
-		runner := &drpb.FleetIncarnation{Runner: p.Runner, Started: p.Started}
-		encoded = append(encoded, &drpb.FleetPause{Runner: runner, LeftMs: uint32(milliseconds(p.Left))})
+		encoded = append(encoded, &drpb.FleetPause{Runner: encodeIncarnation(p.Incarnation), LeftMs: uint32(milliseconds(p.Left))})
 	}
 	return encoded
 }
@@ -31,8 +30,7 @@
 func decodePauses(encoded []*drpb.FleetPause, received time.Time) map[drfleetview.Incarnation]time.Time {
 	until := make(map[drfleetview.Incarnation]time.Time)
 	for _, p := range encoded[:min(len(encoded), maxReportedPauses)] {
-		i := drfleetview.Incarnation{Runner: p.GetRunner().GetRunner(), Started: p.GetRunner().GetStarted()}
-		until[i] = received.Add(time.Duration(p.GetLeftMs()) * time.Millisecond)
+		until[decodeIncarnation(p.GetRunner())] = received.Add(time.Duration(p.GetLeftMs()) * time.Millisecond)
 	}
 	return until
 }
@@ -76,7 +74,7 @@
 
 // asPlanned returns a runner as a plan sees it. The caller holds mu.
 func (c *Controller) asPlanned(r *drfleet.Runner, tracked *runnerState, paused pausedRunners) *drfleet.Runner {
-	isPaused := paused[drfleetview.Incarnation{Runner: r.ID, Started: r.Started}]
+	isPaused := paused[drfleetview.IncarnationOf(r)]
 	if isPaused != tracked.paused {
 		tracked.paused = isPaused
 		log.WithFields(log.Fields{"event": "runner-plan-pause", "runner": r.ID, "started": r.Started, "service": r.Service,
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -85,8 +85,7 @@
 // recordLeavingOf records the runners that have told a VM that they leave.
 func (c *Controller) recordLeavingOf(vm string, request *drpb.FleetSyncRequest) {
 	for _, i := range request.GetLeaving() {
-		incarnation := drfleetview.Incarnation{Runner: i.GetRunner(), Started: i.GetStarted()}
-		c.recordLeaving(incarnation, log.Fields{"source": "vm", "reported-by": vm})
+		c.recordLeaving(decodeIncarnation(i), log.Fields{"source": "vm", "reported-by": vm})
 	}
 }
 
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -148,7 +148,7 @@
 	request.Wants = encodeWants(n.View.DemandSummaries())
 	request.Uses = encodeUses(n.View.Uses(request.GetWhole()))
 	for _, i := range n.View.Leaving() {
-		request.Leaving = append(request.Leaving, &drpb.FleetIncarnation{Runner: i.Runner, Started: i.Started})
+		request.Leaving = append(request.Leaving, encodeIncarnation(i))
 	}
 	request.Pauses = encodePauses(n.View.Pauses())
 	crashes := n.Crashes.TakeReport(request.GetWhole())
--- a/drfleetview/leaving.go
+++ b/drfleetview/leaving.go
@@ -13,6 +13,9 @@
 	Started int64
 }
 
+// IncarnationOf returns the incarnation that a description of a runner is of.
+func IncarnationOf(r *drfleet.Runner) Incarnation { return Incarnation{r.ID, r.Started} }
+
 // MarkLeaving records that an incarnation of a runner has said in an answer that it
 // leaves. From then on it counts as draining here until it ends, whatever else
 // describes it. MarkLeaving returns false if that was known, or if the runner is not
--- a/drproxy/statement.go
+++ b/drproxy/statement.go
@@ -26,20 +26,17 @@
 	if a.answer.Instance != "" && a.answer.Instance != a.runner.ID {
 		return
 	}
-	if a.answer.Leaving && a.exchange.server.View.MarkLeaving(a.incarnation()) {
+	speaker := drfleetview.IncarnationOf(a.runner)
+	if a.answer.Leaving && a.exchange.server.View.MarkLeaving(speaker) {
 		a.logStatement("runner-leaving", nil)
 		a.warnIfNoneLeft()
 	}
-	if length := min(a.answer.Pause, maxPause); length > 0 && a.exchange.server.View.Pause(a.incarnation(), length) {
+	if length := min(a.answer.Pause, maxPause); length > 0 && a.exchange.server.View.Pause(speaker, length) {
 		a.logStatement("runner-paused", log.Fields{"for": length, "asked": a.answer.Pause})
 		a.warnIfNoneLeft()
 	}
 }
 
-func (a *attempt) incarnation() drfleetview.Incarnation {
-	return drfleetview.Incarnation{Runner: a.runner.ID, Started: a.runner.Started}
-}
-
 // logStatement logs what a runner has said of itself in the answer to a request.
 func (a *attempt) logStatement(event string, extra log.Fields) {
 	f := log.Fields{"event": event, "runner": a.runner.ID, "started": a.runner.Started, "service": a.runner.Service,
