drfleetview: List runners by property in one place, without sorting all of them

Leaving and Pauses, which run with every report of a VM, sorted the ids of all runners to return few or none; Runners and countListed walked the table in loops of their own. listed serves all four and sorts what it returns. WithDraining replaces two copies of the same three lines. Result: the tests of drfleetview and the random orders of drcontroller pass; no behaviour changes.

--- a/drcontroller/pause.go
+++ b/drcontroller/pause.go
@@ -83,7 +83,5 @@
 	if !isPaused {
 		return r
 	}
-	planned := *r
-	planned.Draining = true
-	return &planned
+	return r.WithDraining()
 }
--- a/drfleet/runner.go
+++ b/drfleet/runner.go
@@ -59,3 +59,10 @@
 	p, ok := r.Replica(model)
 	return ok && p.HasAdapter(adapter)
 }
+
+// WithDraining returns the description of the runner with Draining set.
+func (r *Runner) WithDraining() *Runner {
+	draining := *r
+	draining.Draining = true
+	return &draining
+}
--- a/drfleetview/leaving.go
+++ b/drfleetview/leaving.go
@@ -1,9 +1,6 @@
 package drfleetview
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/dotterelridge/dotterelridge/drfleet"
 )
 
@@ -29,7 +26,7 @@
 	}
 	e.leaving = &i
 	if !e.runner.Draining {
-		e.runner = draining(e.runner)
+		e.runner = e.runner.WithDraining()
 		v.bumpRevision(e)
 	}
 	return true
@@ -44,21 +41,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var list []Incarnation
-	for _, id := range slices.Sorted(maps.Keys(v.runners)) {
-		if e := v.runners[id]; !e.removed && e.saysLeaving() {
-			list = append(list, *e.leaving)
-		}
+	for _, e := range v.listed("", (*entry).saysLeaving) {
+		list = append(list, *e.leaving)
 	}
 	return list
 }
 
 // LeavingCount returns the number of listed runners of a service that have said in an
 // answer to this VM that they leave.
-func (v *View) LeavingCount(service string) int { return v.countListed(service, (*entry).saysLeaving) }
-
-// draining returns the description of a runner with Draining set.
-func draining(runner *drfleet.Runner) *drfleet.Runner {
-	changed := *runner
-	changed.Draining = true
-	return &changed
-}
+func (v *View) LeavingCount(service string) int { return v.count(service, (*entry).saysLeaving) }
--- a/drfleetview/pause.go
+++ b/drfleetview/pause.go
@@ -1,8 +1,6 @@
 package drfleetview
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
@@ -30,11 +28,8 @@
 	defer v.mu.Unlock()
 	var list []Pause
 	uptime := v.clock.Uptime()
-	for _, id := range slices.Sorted(maps.Keys(v.runners)) {
-		e := v.runners[id]
-		if left := e.pauseLeft(uptime); !e.removed && left > 0 {
-			list = append(list, Pause{Incarnation{id, e.runner.Started}, left})
-		}
+	for _, e := range v.listed("", func(e *entry) bool { return e.pauseLeft(uptime) > 0 }) {
+		list = append(list, Pause{IncarnationOf(e.runner), e.pauseLeft(uptime)})
 	}
 	return list
 }
@@ -98,20 +93,14 @@
 // this VM for a time.
 func (v *View) PausedCount(service string) int {
 	uptime := v.clock.Uptime()
-	return v.countListed(service, func(e *entry) bool { return e.pauseLeft(uptime) > 0 })
+	return v.count(service, func(e *entry) bool { return e.pauseLeft(uptime) > 0 })
 }
 
-// countListed returns the number of listed runners of a service with a property.
-func (v *View) countListed(service string, has func(e *entry) bool) int {
+// count returns the number of listed runners of a service with a property.
+func (v *View) count(service string, has func(e *entry) bool) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	n := 0
-	for _, e := range v.runners {
-		if !e.removed && e.runner.Service == service && has(e) {
-			n++
-		}
-	}
-	return n
+	return len(v.listed(service, has))
 }
 
 // MayStart reports whether a request may still be sent to a runner that was chosen a
@@ -130,5 +119,5 @@
 // VM.
 func (v *View) Usable(service string) int {
 	uptime := v.clock.Uptime()
-	return v.countListed(service, func(e *entry) bool { return !e.runner.Draining && e.pauseLeft(uptime) <= 0 })
+	return v.count(service, func(e *entry) bool { return !e.runner.Draining && e.pauseLeft(uptime) <= 0 })
 }
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -1,6 +1,7 @@
 package drfleetview
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -110,7 +111,7 @@
 		e.reportedReplicas = runner.Replicas
 	}
 	if e.leaving != nil && e.leaving.Started == runner.Started && !runner.Draining {
-		runner = draining(runner)
+		runner = runner.WithDraining()
 	}
 	old := e.runner
 	same := runner.Started == old.Started && !e.removed
@@ -229,14 +230,25 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var rs []*drfleet.Runner
-	for _, id := range slices.Sorted(maps.Keys(v.runners)) {
-		if e := v.runners[id]; !e.removed && (service == "" || e.runner.Service == service) {
-			rs = append(rs, e.runner)
-		}
+	for _, e := range v.listed(service, func(*entry) bool { return true }) {
+		rs = append(rs, e.runner)
 	}
 	return rs
 }
 
+// listed returns the listed runners of a service that have a property, sorted by id. An
+// empty service selects those of all services. The caller holds mu.
+func (v *View) listed(service string, has func(e *entry) bool) []*entry {
+	var list []*entry
+	for _, e := range v.runners {
+		if !e.removed && (service == "" || e.runner.Service == service) && has(e) {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.runner.ID, b.runner.ID) })
+	return list
+}
+
 // Runner returns the runner with an id, and false if it is not listed.
 func (v *View) Runner(id string) (*drfleet.Runner, bool) {
 	v.mu.Lock()
