--- a/drcrash/block.go
+++ b/drcrash/block.go
@@ -67,13 +67,13 @@
 func (b blocks) compare(first, second drrequest.Fingerprint) int {
 	_, firstBlocked := b[first]
 	_, secondBlocked := b[second]
-	switch {
-	case firstBlocked && !secondBlocked:
+	if firstBlocked == secondBlocked {
+		return 0
+	}
+	if firstBlocked {
 		return 1
-	case secondBlocked && !firstBlocked:
-		return -1
 	}
-	return 0
+	return -1
 }
 
 // adopt adds the blocks that a VM has been told by a former controller.
