--- a/review/_harness/fleet_test.go
+++ b/review/_harness/fleet_test.go
@@ -36,14 +36,25 @@
 // connects from it, so that a port that was free stays so until the VM takes it.
 var vmHost = fmt.Sprintf("127.%d.%d.%d", 1+rand.N(250), rand.N(250), 1+rand.N(250))
 
-// freeAddress returns an address of vmHost that nothing listens on.
+// chosen holds the addresses that freeAddress has returned: until their VM listens, the
+// kernel may offer their ports again.
+var chosen = make(map[string]bool)
+
+// freeAddress returns an address of vmHost that nothing listens on, each time another
+// one. It is called from one goroutine.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", vmHost+":0")
-	if err != nil {
-		return "", err
+	for {
+		l, err := net.Listen("tcp", vmHost+":0")
+		if err != nil {
+			return "", err
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !chosen[address] {
+			chosen[address] = true
+			return address, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
 
 // record writes the record of a run.
