--- a/review/_harness/harness_test.go
+++ b/review/_harness/harness_test.go
@@ -3,7 +3,7 @@
 // by `go test -c` and must be started in the root of the repository, after the build of
 // the deploy file:
 //
-//	harness CASE RECORD
+//	harness CASE with|without RECORD
 package harness_test
 
 import (
@@ -21,6 +21,9 @@
 	statusHeld   = 0
 	statusBroken = 1
 	statusNotRun = 2
+	// Values of the argument that says whether the disruption takes place.
+	withDisruption    = "with"
+	withoutDisruption = "without"
 	// runLimit bounds a run.
 	runLimit = 110 * time.Second
 )
@@ -41,16 +44,16 @@
 
 // TestMain runs the case that the arguments name instead of tests.
 func TestMain(_ *testing.M) {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil || os.Args[2] != withDisruption && os.Args[2] != withoutDisruption {
+		fmt.Fprintln(os.Stderr, "usage: harness CASE with|without RECORD")
 		os.Exit(statusNotRun)
 	}
-	os.Exit(run(os.Args[1], os.Args[2]))
+	os.Exit(run(os.Args[1], os.Args[2] == withDisruption, os.Args[3]))
 }
 
 // run runs a case and returns the exit status. It ends all processes that the case has
 // started.
-func run(name, recordPath string) int {
+func run(name string, trouble bool, recordPath string) int {
 	out, err := os.Create(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -64,7 +67,6 @@
 		return statusNotRun
 	}
 	defer f.close()
-	trouble := os.Getenv("TROUBLE") != "0"
 	log.printf("case %s, trouble %t", name, trouble)
 	ended := make(chan error, 1)
 	go func() { ended <- cases[name](f, trouble) }()
