drproxy: Refuse requests that may outlast a draining VM

Cause: a draining VM compared the time left with the client's deadline and the route's timeout only, never with its own end. The answers that ended during the drain had sent their headers before it, so their clients did not know that the connection would close.

Change: Edge.Drain tells the proxy its end (EndBy). From the time at which new connections are no longer accepted, a request is passed on only if its timeout passes before the end; others are refused with 503, not run, at once, also while they wait for a model. Requests that must not be repeated are treated so from SIGTERM on. That works because nothing that the VM accepts late can still run when it closes its connections.

--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -45,6 +45,9 @@
 	// exitMargin is the end of the grace period that is reserved for closing
 	// the Edge and exiting.
 	exitMargin = 900 * time.Millisecond
+	// lastAnswerMargin is how long before the end of draining the timeouts of
+	// requests must have passed, so that their clients still get an answer.
+	lastAnswerMargin = 200 * time.Millisecond
 	// refuseWaitingMargin is how long before the end of draining requests that
 	// still wait for a runner are refused.
 	refuseWaitingMargin = 700 * time.Millisecond
@@ -280,15 +283,17 @@
 }
 
 // Drain stops this VM gracefully: it fails readiness checks, gives up the
-// controller's lease, lets running requests finish within the grace period and
-// then closes the Edge. It returns when the Edge is closed.
+// controller's lease, lets running requests finish within the grace period,
+// refuses late ones that may not, and then closes the Edge. It returns when the
+// Edge is closed.
 func (e *Edge) Drain() error {
 	start := e.Clock.Now()
 	e.draining.Store(true)
+	deadline := start.Add(time.Duration(e.Settings.GracePeriod) - exitMargin)
 	e.proxy.StartDrain()
+	e.proxy.EndBy(start.Add(stopAcceptingDelay), deadline.Add(-lastAnswerMargin))
 	e.controllerNode.Retire()
 	log.WithFields(log.Fields{"event": "draining", "vm": e.Settings.VM, "running": e.proxy.Busy()}).Info("")
-	deadline := start.Add(time.Duration(e.Settings.GracePeriod) - exitMargin)
 	for e.Clock.Since(start) < stopAcceptingDelay {
 		_ = e.Clock.Sleep(e.ctx, drainPollInterval)
 	}
--- /dev/null
+++ b/drproxy/drain_test.go
@@ -0,0 +1,46 @@
+package drproxy
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a draining VM that refuses requests it has time for, or takes some that
+// it has no time for. All routes time out within 0.6 s to 2.6 s.
+func TestDrainTakesWhatCanEnd(t *testing.T) {
+	prepareBubble()
+	for _, c := range []struct {
+		name, path string
+		late, end  time.Duration
+		status     int
+	}{
+		{"may be repeated, not late", "/get/x", 50 * time.Millisecond, 100 * time.Millisecond, 200},
+		{"may be repeated, late", "/get/x", 0, 100 * time.Millisecond, 503},
+		{"ends in time", "/get/x", 0, 3 * time.Second, 200},
+		{"stream, not late", "/stream/once/x", 50 * time.Millisecond, 100 * time.Millisecond, 200},
+		{"stream, late", "/stream/once/x", 0, 100 * time.Millisecond, 503},
+		{"must not be repeated, not late", "/pay/x", 50 * time.Millisecond, 100 * time.Millisecond, 503},
+		{"must not be repeated, ends in time", "/pay/x", 0, 3 * time.Second, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				runs := 0
+				w := newScriptedWorld(func(conn *memoryConn, id string) {
+					runs++
+					writeAll(conn, strings.Join(answerParts(id, c.path, 0, answersWhole), ""))
+				})
+				defer w.close(t)
+				w.server.StartDrain()
+				w.server.EndBy(time.Now().Add(c.late), time.Now().Add(c.end))
+				o, _ := w.ask(c.path, "x")
+				is.Equal(o.status, c.status)
+				is.Equal(runs > 0, c.status == 200)
+			})
+		})
+	}
+}
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -132,6 +132,10 @@
 		x.refuse(r)
 		return
 	}
+	if r, ok := x.checkDrain(); !ok {
+		x.refuse(r)
+		return
+	}
 	if x.remaining() <= 0 {
 		x.refuse(refusal{status: fasthttp.StatusServiceUnavailable, reason: "expired", detail: "unread for " + x.unread.Round(time.Millisecond).String()})
 		return
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -85,6 +85,10 @@
 			onRefusal(blocked)
 			return nil
 		}
+		if late, ok := x.checkDrain(); !ok && state.possibleRuns == 0 {
+			onRefusal(late)
+			return nil
+		}
 		options := attemptOptions{lastEvent: lastEvent, firstByteTimeout: firstByteTimeout, repeated: state.tried[c.Runner.ID]}
 		state.tried[c.Runner.ID] = true
 		a, err := x.startAttempt(c.Runner, options)
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -68,13 +68,15 @@
 }
 
 // Server serves the HTTP/1.1 connections of clients. It is safe for concurrent
-// use. To stop it gracefully, call StartDrain, then CloseIdle until Connections
-// returns 0, EndWaiting while time to answer remains, and last Close.
+// use. To stop it gracefully, call StartDrain and EndBy, then CloseIdle until
+// Connections returns 0, EndWaiting while time to answer remains, and last Close.
 type Server struct {
 	Config
 	pool     *pool
 	memory   memoryBudget
 	draining atomic.Bool
+	// drainEnd is nil until EndBy has been called.
+	drainEnd atomic.Pointer[drainEnd]
 	// freshness is the maximum age of the configuration at which requests with
 	// a key are served: in an older one the key may have been revoked since.
 	freshness atomic.Int64 // nanoseconds
@@ -142,14 +144,6 @@
 	return err == nil && reusable
 }
 
-// StartDrain makes each further answer carry Connection: close, so that clients
-// go to other VMs. Requests are still served.
-func (s *Server) StartDrain() { s.draining.Store(true) }
-
-// EndWaiting refuses all requests that wait for a model, now and later. It must
-// be called at most once.
-func (s *Server) EndWaiting() { close(s.stopWaiting) }
-
 // Busy returns the number of requests that are being read or answered.
 func (s *Server) Busy() int { return int(s.activeRequests.Load()) }
 
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -30,8 +30,8 @@
 )
 
 // pickRunner returns a runner for the next attempt. If none holds the model, the
-// request waits for one until dradmission refuses it, the server stops waiting
-// or the client leaves. The refusal is set only with the result refused.
+// request waits for one until dradmission refuses it, it may outlast the draining
+// server, the server stops waiting or the client leaves. The refusal is set only with the result refused.
 func (x *exchange) pickRunner(tried map[string]bool) (*drbalancer.Candidate, refusal, waitResult) {
 	s := x.server
 	p := x.replica()
@@ -54,6 +54,9 @@
 	defer func() { x.waited += s.Clock.Since(began) }()
 	afterPause := rand.N(pauseSpread)
 	for {
+		if late, ok := x.checkDrain(); !ok {
+			return nil, late, refused
+		}
 		decision := dradmission.Decide(x.waitingRequest(p, giveUpAt, afterPause))
 		if !decision.Wait {
 			return nil, x.noRunnerRefusal(decision), refused
