drgateway: Refuse requests that may outlast the drain

Change: Server.Drain knows the deadline of its context; a request whose timeout passes later is refused with 503 draining, not run.

--- a/drgateway/request.go
+++ b/drgateway/request.go
@@ -132,7 +132,7 @@
 
 // startContext starts ctx with the timeout of the Request-Timeout header, or with
 // defaultTimeout if there is no such header. If that is zero too, DefaultTimeout
-// applies.
+// applies. It refuses a request that may outlast the server's drain.
 func (r *request) startContext(defaultTimeout time.Duration) error {
 	r.recordDetail(drtimeline.RequestReceived, "")
 	timeout := defaultTimeout
@@ -147,6 +147,9 @@
 	}
 	clock := r.server.Clock
 	r.deadline = clock.Now().Add(timeout)
+	if end := r.server.drainEnd.Load(); end != nil && r.deadline.After(*end) {
+		return drerror.New(drerror.NotRun, drerror.Draining, "the server stops before the request's timeout passes")
+	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	r.cancel = cancel
 	r.ctx, r.cancelTimeout = drclock.WithTimeout(ctx, clock, timeout)
--- a/drgateway/server.go
+++ b/drgateway/server.go
@@ -23,6 +23,8 @@
 	Config
 	http     *fasthttp.Server
 	draining atomic.Bool
+	// drainEnd is when Drain stops waiting for requests, nil if that is not known.
+	drainEnd atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	closed bool
@@ -135,9 +137,14 @@
 func (s *Server) StartDrain() { s.draining.Store(true) }
 
 // Drain calls StartDrain and waits until no request is running and no response is
-// being written. It returns an error if ctx ends first.
+// being written. It returns an error if ctx ends first. Requests that arrive on open
+// connections are still served, unless their timeout passes after the deadline of ctx.
 func (s *Server) Drain(ctx context.Context) error {
 	s.StartDrain()
+	if deadline, ok := ctx.Deadline(); ok {
+		end := s.Clock.Now().Add(time.Until(deadline))
+		s.drainEnd.Store(&end)
+	}
 	for {
 		s.mu.Lock()
 		idle, done := s.idle, s.busyConns == 0 && s.runningRequests == 0
--- a/drgateway/server_test.go
+++ b/drgateway/server_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -357,6 +358,40 @@
 	is.NoErr(s.Close())
 }
 
+// Guards against a request that arrives on a kept connection while the server drains,
+// and is cut off when the server stops.
+func TestDrainRefusesWhatMayOutlastIt(t *testing.T) {
+	is := is.New(t)
+	f := newFakeSystem()
+	step := make(chan struct{})
+	var blocked atomic.Bool
+	f.beforeToken = func(_ context.Context, i int) error {
+		if i == 1 && blocked.CompareAndSwap(false, true) {
+			<-step
+		}
+		return nil
+	}
+	s := newTestServer(f)
+	running, late := dial(t, s), dial(t, s)
+	running.send("POST", "/v1/completions", streamBody, "Authorization: Bearer "+testKey)
+	running.readLine(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(ctx) }()
+	for s.drainEnd.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	late.send("POST", "/v1/completions", streamBody, "Authorization: Bearer "+testKey, "Request-Timeout: 60")
+	answer := late.receive(t)
+	close(step)
+	is.Equal(answer.StatusCode(), 503)
+	is.True(answer.ConnectionClose())
+	go func() { _, _ = running.reader.WriteTo(discard{}) }()
+	is.NoErr(<-drained)
+	is.NoErr(s.Close())
+}
+
 // discard is a writer for the rest of a response.
 type discard struct{}
 
