drcontroller: Keep only runners that may have been unable to write

Cause: after one failed read of the runners, each removed entry was kept for 2.2 s, as if the store had been away and the entry had expired. A reset of one idle connection of the controller's VM was enough, and all VMs follow the controller's table.

Change: an entry expires after three intervals of silence. The reader knows since when a runner has written its entry, and keeps it only if a read has failed and the runner has been silent for three intervals. A runner that has just written cannot have lapsed, whatever failed on the way to this VM. The interval is the new setting runner-heartbeat; runner-entry-lapsed logs what is kept and why.

TestReaderDropsRunnerThatLeftAfterFailedRead found 1 runner instead of 0 before.

--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -43,6 +43,9 @@
 	// on this VM, and RunnerDrain the maximum time until this VM stops using a
 	// runner that leaves.
 	Propagation, RunnerDrain time.Duration
+	// RunnerHeartbeat is the interval at which runners write their entries to the
+	// store.
+	RunnerHeartbeat time.Duration
 	// Processor is the part of a core that this process may use, 1 being a full
 	// core.
 	Processor float64
@@ -97,7 +100,8 @@
 // does nothing else until Start is called.
 func New(c Config) *Node {
 	c.Codec = guardedCodec{c.Codec}
-	n := &Node{Config: c, fullReport: true, leaderLost: make(chan struct{}, 1), leaderFound: make(chan struct{}, 1), syncWait: minSyncWait, reader: newReader(c.Log, c.Codec, c.View, c.Clock)}
+	n := &Node{Config: c, fullReport: true, leaderLost: make(chan struct{}, 1), leaderFound: make(chan struct{}, 1), syncWait: minSyncWait}
+	n.reader = newReader(readerConfig{log: c.Log, codec: c.Codec, view: c.View, clock: c.Clock, heartbeat: c.RunnerHeartbeat})
 	n.elector = drlease.New(drlease.Config{
 		Log: c.Log, Uptime: c.Clock, VM: c.VM, Address: c.Address, Incarnation: c.Incarnation, TTL: LeaseTTL,
 	})
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -16,6 +16,9 @@
 	// an outage of the store, so that it can write the entry again after the
 	// store has recovered.
 	lapsedEntryGrace = 2200 * time.Millisecond
+	// missedHeartbeats is how many intervals a runner must have been silent for
+	// its entry to expire.
+	missedHeartbeats = 3
 	// readTimeout is the timeout of one read of the store, in addition to the
 	// time that the read may wait at the store.
 	readTimeout = time.Second
@@ -28,11 +31,7 @@
 // reader updates a view from the store. Each topic must be read by one
 // goroutine at a time.
 type reader struct {
-	log   drstore.Log
-	codec drstore.Codec
-	view  *drfleetview.View
-	clock drfleetview.Clock
-
+	readerConfig
 	deployments, runners position
 	// deploymentChanged is set if the last read returned a new configuration.
 	deploymentChanged bool
@@ -40,24 +39,38 @@
 	// is valid if runnersFailed is set.
 	runnersFailedAt time.Duration
 	runnersFailed   bool
-	// lapsed contains the runners whose entries expired during or shortly after
-	// an outage of the store, with the uptime at which they are removed.
+	// lapsed contains the runners whose entries may have expired during or shortly
+	// after an outage of the store, with the uptime at which they are removed.
 	lapsed map[string]time.Duration
+	// writtenSince contains, by runner, an uptime since which it has written its
+	// entry. A runner that has not written since the first read is missing.
+	writtenSince map[string]time.Duration
 	// unreadable is the set of runners whose entries were logged as unreadable,
 	// so that each is logged only once.
 	unreadable map[string]bool
 }
 
+// readerConfig configures a reader. Heartbeat is the interval at which runners
+// write their entries.
+type readerConfig struct {
+	log       drstore.Log
+	codec     drstore.Codec
+	view      *drfleetview.View
+	clock     drfleetview.Clock
+	heartbeat time.Duration
+}
+
 // position is the read position in a topic.
 type position struct {
 	next    int64
 	started bool
 	readAt  time.Duration // uptime at which the last successful read was sent
+	hasRead bool          // readAt is valid
 }
 
-func newReader(l drstore.Log, c drstore.Codec, v *drfleetview.View, clock drfleetview.Clock) *reader {
+func newReader(config readerConfig) *reader {
 	return &reader{
-		log: l, codec: c, view: v, clock: clock, lapsed: make(map[string]time.Duration),
+		readerConfig: config, lapsed: make(map[string]time.Duration), writtenSince: make(map[string]time.Duration),
 		unreadable: make(map[string]bool),
 	}
 }
@@ -76,7 +89,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		pos.next, pos.readAt = page.Next, sent
+		pos.next, pos.readAt, pos.hasRead = page.Next, sent, true
 		records = append(records, page.Records...)
 		// Pages are limited in size, so this one may not contain the newest
 		// records.
@@ -90,7 +103,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	pos.next, pos.started, pos.readAt = page.Next, true, sent
+	pos.next, pos.started, pos.readAt, pos.hasRead = page.Next, true, sent, true
 	return page.Records, true, nil
 }
 
@@ -142,6 +155,7 @@
 	defer cancel()
 	sent := r.clock.Uptime()
 	r.runners.started = r.runners.started && sent-r.runners.readAt <= maxHistoryAge
+	last := r.runners
 	records, fromNewest, err := r.readTopic(ctx, drstore.Runners, &r.runners, 0)
 	if err != nil {
 		r.runnersFailedAt, r.runnersFailed = r.clock.Uptime(), true
@@ -150,6 +164,9 @@
 	listed := make(map[string]bool)
 	for _, rec := range records {
 		listed[rec.Key] = true
+		if last.hasRead && rec.Offset >= last.next && len(rec.Value) > 0 {
+			r.writtenSince[rec.Key] = last.readAt
+		}
 		r.applyRunnerRecord(rec)
 	}
 	if fromNewest {
@@ -193,22 +210,47 @@
 	}
 }
 
-// dropRunner removes a runner whose entry is gone from the view. It does so
-// only after lapsedEntryGrace if a read of the store has failed recently,
-// because the entry may have expired during the outage.
+// dropRunner removes a runner whose entry is gone from the view. It does so only
+// after lapsedEntryGrace if the entry may have expired during an outage of the
+// store.
 func (r *reader) dropRunner(id string) {
 	if _, known := r.view.Runner(id); !known {
 		return
 	}
-	if r.runnersFailed && r.clock.Uptime()-r.runnersFailedAt < lapsedEntryGrace {
-		if _, ok := r.lapsed[id]; !ok {
-			r.lapsed[id] = r.clock.Uptime() + lapsedEntryGrace
-		}
+	if r.mayHaveLapsed(id) {
+		r.keepLapsed(id)
 		return
 	}
 	r.removeRunner(id, "entry removed from the store")
 }
 
+// mayHaveLapsed reports whether a runner's entry may have expired because the runner
+// could not write it: a read of the store has failed recently, too, and the runner has
+// been silent for long enough. A failed read alone is no sign of it, as the connection of
+// this VM may have broken while the store served the runners.
+func (r *reader) mayHaveLapsed(id string) bool {
+	now := r.clock.Uptime()
+	if !r.runnersFailed || now-r.runnersFailedAt >= lapsedEntryGrace {
+		return false
+	}
+	since, known := r.writtenSince[id]
+	return !known || now-since >= missedHeartbeats*r.heartbeat
+}
+
+// keepLapsed keeps a runner whose entry may have expired for lapsedEntryGrace.
+func (r *reader) keepLapsed(id string) {
+	if _, ok := r.lapsed[id]; ok {
+		return
+	}
+	now := r.clock.Uptime()
+	r.lapsed[id] = now + lapsedEntryGrace
+	fields := log.Fields{"event": "runner-entry-lapsed", "runner": id, "read-failed-ago": now - r.runnersFailedAt, "kept-for": lapsedEntryGrace}
+	if since, known := r.writtenSince[id]; known {
+		fields["silent"] = now - since
+	}
+	log.WithFields(fields).Info("")
+}
+
 // removeLapsedRunners removes the runners that have not written their entry
 // again within lapsedEntryGrace.
 func (r *reader) removeLapsedRunners() {
@@ -221,6 +263,7 @@
 }
 
 func (r *reader) removeRunner(id, why string) {
+	delete(r.writtenSince, id)
 	if r.view.RemoveRunner(id) {
 		log.WithFields(log.Fields{"event": "runner-gone", "runner": id, "why": why, "source": "store"}).Info("")
 	}
--- a/drcontroller/reader_test.go
+++ b/drcontroller/reader_test.go
@@ -46,10 +46,13 @@
 	reader *reader
 }
 
+// testHeartbeat is the interval at which runners write their entries.
+const testHeartbeat = time.Second
+
 func newReaderFixture() *readerFixture {
 	clock := drclock.NewFake(time.Unix(1000, 0))
 	w := &readerFixture{store: drstandin.NewMemoryStore(), clock: clock, view: drfleetview.New(clock)}
-	w.reader = newReader(w.store, guardedCodec{textCodec{}}, w.view, clock)
+	w.reader = newReader(readerConfig{log: w.store, codec: guardedCodec{textCodec{}}, view: w.view, clock: clock, heartbeat: testHeartbeat})
 	return w
 }
 
@@ -104,6 +107,24 @@
 	is.Equal(w.runners(), 0)
 }
 
+// Guards against a runner that has left and goes on being used because a read of the
+// store has failed shortly before, as after a reset of its connection.
+func TestReaderDropsRunnerThatLeftAfterFailedRead(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderFixture()
+	w.store.Put(drstore.Runners, "leaves", []byte("1 1"))
+	is.NoErr(w.reader.readRunners(ctx))
+	w.store.Put(drstore.Runners, "leaves", []byte("1 2"))
+	is.NoErr(w.reader.readRunners(ctx))
+	w.clock.Advance(missedHeartbeats*testHeartbeat - time.Millisecond)
+	w.store.SetFault(drstandin.ErrNoAnswer, false)
+	is.True(w.reader.readRunners(ctx) != nil)
+	w.store.SetFault(nil, false)
+	w.store.Put(drstore.Runners, "leaves", nil)
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 0)
+}
+
 // Guards against unreadable entries, for example of other writers, that take
 // runners out of service, or the process down because the decoder panics.
 func TestReaderSkipsUnreadableEntries(t *testing.T) {
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -141,6 +141,7 @@
 		Log: config.Platform.Log, Codec: config.Platform.Codec, Engines: config.Platform.Engines, Peers: e.peers, Registry: e.peers,
 		Metrics: e.metrics, View: e.view, Allowances: e.allowances, Crashes: e.crashes, OrderPause: time.Duration(settings.OrderPause),
 		Processor: settings.Processor, Propagation: time.Duration(settings.Propagation), RunnerDrain: time.Duration(settings.RunnerDrain),
+		RunnerHeartbeat: time.Duration(settings.Heartbeat),
 	})
 	e.allowances.SetSlack(settings.QuotaSlack)
 	e.retryBudget.Store(&settings.RetryBudget)
--- a/dredge/settings.go
+++ b/dredge/settings.go
@@ -24,6 +24,7 @@
 	Revocation   drjson.Duration `json:"revocation" doc:"Time after which a withdrawn key must not work any more. A VM that has not confirmed its configuration for a second less refuses requests with a key. At least 2s."`
 	Propagation  drjson.Duration `json:"config-propagation" doc:"Time within which a change of the configuration must be followed. A VM that has heard nothing for three quarters of it reads the store itself. At least 500ms."`
 	RunnerDrain  drjson.Duration `json:"runner-drain" doc:"Time within which the leaving of a runner must be followed; as for config-propagation. At least 500ms."`
+	Heartbeat    drjson.Duration `json:"runner-heartbeat" doc:"Interval at which runners write their entries to the store. An entry that is removed sooner than three intervals after it was written has not expired: its runner has left. At least 100ms."`
 	GracePeriod  drjson.Duration `json:"grace-period" doc:"Time between SIGTERM and the end of the process. At least 2s."`
 	RetryBudget  RetryBudget     `json:"retry-budget" doc:"Bounds on requests that are sent to a runner more than once, over all VMs."`
 	QuotaSlack   float64         `json:"quota-slack" doc:"Tokens by which a client account may exceed its limit, over all VMs. VMs that reach no controller use a part of it."`
@@ -59,6 +60,7 @@
 		Revocation:  drjson.Duration(5 * time.Second),
 		Propagation: drjson.Duration(2 * time.Second),
 		RunnerDrain: drjson.Duration(2 * time.Second),
+		Heartbeat:   drjson.Duration(1200 * time.Millisecond),
 		GracePeriod: drjson.Duration(8 * time.Second),
 		RetryBudget: RetryBudget{Share: 0.2, Extra: 100, Window: drjson.Duration(10 * time.Second)},
 		Processor:   1,
@@ -74,6 +76,7 @@
 const (
 	minRevocation  = 2 * time.Second
 	minPropagation = 500 * time.Millisecond // of config-propagation and runner-drain
+	minHeartbeat   = 100 * time.Millisecond
 	minGracePeriod = 2 * time.Second
 	minRetryWindow = time.Second
 )
@@ -139,6 +142,7 @@
 	c.checkMinimum("revocation", settings.Revocation, minRevocation)
 	c.checkMinimum("config-propagation", settings.Propagation, minPropagation)
 	c.checkMinimum("runner-drain", settings.RunnerDrain, minPropagation)
+	c.checkMinimum("runner-heartbeat", settings.Heartbeat, minHeartbeat)
 	c.checkMinimum("grace-period", settings.GracePeriod, minGracePeriod)
 	c.checkMinimum("retry-budget.window", settings.RetryBudget.Window, minRetryWindow)
 	if budget := settings.RetryBudget; budget.Share < 0 || budget.Extra < 0 {
--- a/dredge/settings_test.go
+++ b/dredge/settings_test.go
@@ -51,6 +51,7 @@
 		`"grace-period": "8s"`:     `"grace-period": "8"`,
 		`"grace-period": "8s",`:    `"grace-period": "8s", "config-propagation": "1ms",`,
 		`10.0.0.9:80",`:            `10.0.0.9:80", "runner-drain": "1ms",`,
+		`"vm": "front-1", "zone"`:  `"vm": "front-1", "runner-heartbeat": "1ms", "zone"`,
 		`"vm": "front-1",`:         `"vm": "front-1", "processor-share": 0,`,
 		`"revocation": "5000ms",`:  `"revocation": "5000ms", "quota-slack": -1,`,
 		`"zone": "z1",`:            `"zone": "z1", "descriptor-limit": -1,`,
