drnet: Report a reset as such while reading is paused

Cause: while reading is paused, epoll reports the error of a reset and nothing to read; gnet closes the socket with io.EOF then and never asks for the error. drnet passed io.EOF on, which is the end of an answer without a length. A connection that could not pause reading ended the same way.

Change: gnet's own io.EOF, unlike one that a read returned, counts as a reset, after what had been received. The error of a failed pause is kept.

--- a/drnet/conn.go
+++ b/drnet/conn.go
@@ -88,7 +88,9 @@
 	// reason, or nil.
 	gnetClosed   bool
 	gnetCloseErr error
-	closed       bool
+	// pauseErr is why reading could not be paused, nil if it could.
+	pauseErr error
+	closed   bool
 
 	// readable holds an element if data or the end of the connection may have
 	// arrived since the last read.
@@ -151,7 +153,8 @@
 	if c.inbound.Len() < maxInboundBytes {
 		return false
 	}
-	return c.pauseReading() != nil
+	c.pauseErr = c.pauseReading()
+	return c.pauseErr != nil
 }
 
 // pauseReading makes the event loop stop reading the socket, so that TCP flow
@@ -184,10 +187,10 @@
 }
 
 // handleClose is called by the event loop just before it closes the socket. err
-// is nil or io.EOF if the connection ended without a fault.
+// is why it does, nil if handleData or this side has asked for it.
 func (c *conn) handleClose(err error) {
 	c.mu.Lock()
-	c.gnetClosed, c.gnetConn, c.gnetCloseErr = true, nil, err
+	c.gnetClosed, c.gnetConn, c.gnetCloseErr = true, nil, c.closeCause(err)
 	c.mu.Unlock()
 	c.closeDone()
 	close(c.socketClosed)
@@ -197,6 +200,21 @@
 	}
 }
 
+// closeCause returns the error of reads after gnet has closed the socket with
+// err, nil or one that wraps io.EOF if the peer has ended the connection in
+// order. The caller holds mu.
+func (c *conn) closeCause(err error) error {
+	switch {
+	case c.pauseErr != nil:
+		return c.pauseErr
+	case err == io.EOF: //nolint:errorlint // an end that was read is wrapped
+		// epoll has reported an error and nothing to read, as it does of a
+		// reset while reading is paused. gnet does not ask for the error.
+		return unix.ECONNRESET
+	}
+	return err
+}
+
 func (c *conn) closeDone() { c.doneOnce.Do(func() { close(c.done) }) }
 
 // wakeReader makes a blocked Read try again.
