drproxy: Count crashes and successes after the client has left

Cause: the error of an attempt was judged by whether the client still listened before its crash was recorded. A success without a client was not recorded either.

Change: what became of the runner is recorded first; then it is looked at whether the client is there.

--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -224,15 +224,16 @@
 
 // fail ends the attempt after an error on the connection and returns the error
 // that describes it: errClientGone, errTimeout or errAnswerIncomplete. An error
-// that follows the client's leaving does not count against the runner.
+// that follows the client's leaving does not count against the runner, but a
+// connection that the runner has ended counts as its crash all the same.
 func (a *attempt) fail(err error) error {
 	x := a.exchange
+	a.recordCrash(err)
 	if x.clientLeft() {
 		a.end(drfleetview.Abandoned)
 		return errClientGone
 	}
 	a.end(drfleetview.Failed)
-	a.recordCrash(err)
 	if !x.server.Clock.Now().Before(x.timeoutAt) {
 		return fmt.Errorf("%w: %w", errTimeout, err)
 	}
--- a/drproxy/crash.go
+++ b/drproxy/crash.go
@@ -97,6 +97,15 @@
 	x.server.Crashes.RecordCrash(drcrash.Crash{Identity: x.identity(), Runner: fmt.Sprintf("%s@%d", a.runner.ID, a.runner.Started)})
 }
 
+// recordSuccess records that a runner has answered the request completely, whether or not
+// its client still listens. A runner may send an error without running the request, so
+// only a 2xx status counts.
+func (x *exchange) recordSuccess(status int) {
+	if status < fasthttp.StatusMultipleChoices {
+		x.server.Crashes.RecordServed(x.identity())
+	}
+}
+
 // promptIDs returns the ids of the call's prompt parts, in order.
 func promptIDs(call *drfleet.Call) string {
 	ids := make([]string, len(call.Prompt))
--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -1,6 +1,7 @@
 package drproxy
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +44,58 @@
 	})
 }
 
+// Guards against a request whose client leaves before it crashes its runner, and that is
+// sent to ever more runners because nobody counts their crashes.
+func TestCrashCountsWithoutClient(t *testing.T) {
+	prepareBubble()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newScriptedWorld(func(conn *memoryConn, _ string) {
+			time.Sleep(250 * time.Millisecond)
+			conn.Reset()
+		})
+		defer w.close(t)
+		client, conn := newMemoryPipe()
+		w.running.Go(func() { w.server.ServeConn(conn) })
+		writeAll(client, "POST /pay/poison HTTP/1.1\r\nHost: h\r\nId: x\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(150 * time.Millisecond)
+		_ = client.Close()
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(len(w.server.Crashes.TakeReport(false).Crashes), 1)
+	})
+}
+
+// Guards against a request that runs to a good end after its client has left, and stays
+// blocked for the crashes before.
+func TestSuccessClearsWithoutClient(t *testing.T) {
+	prepareBubble()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var runs atomic.Int64
+		w := newScriptedWorld(func(conn *memoryConn, id string) {
+			if runs.Add(1) == 1 {
+				conn.Reset()
+				return
+			}
+			time.Sleep(250 * time.Millisecond)
+			writeAll(conn, plainText(id, 200, sealHeader+": s\r\n", "done"))
+		})
+		defer w.close(t)
+		w.view.RemoveRunner("app-1")
+		first, _ := w.ask("/pay/x", "x")
+		is.Equal(first.status, 502)
+		is.Equal(len(w.server.Crashes.TakeReport(true).Crashes), 1)
+		client, conn := newMemoryPipe()
+		w.running.Go(func() { w.server.ServeConn(conn) })
+		writeAll(client, "POST /pay/x HTTP/1.1\r\nHost: h\r\nId: y\r\nModel: m\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(150 * time.Millisecond)
+		_ = client.Close()
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(runs.Load(), int64(2))
+		is.Equal(len(w.server.Crashes.TakeReport(true).Crashes), 0)
+	})
+}
+
 // Guards against counting a crash against a request that ran on another runner
 // without crashing it.
 func TestServedRequestIsCleared(t *testing.T) {
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -233,9 +233,6 @@
 // recordServed logs a request whose answer was passed on and adds its duration
 // to the metrics.
 func (x *exchange) recordServed(status int, extra log.Fields) {
-	if status < fasthttp.StatusMultipleChoices { // the runner may have sent an error without running the request
-		x.server.Crashes.RecordServed(x.identity())
-	}
 	took := x.server.Clock.Since(x.start)
 	x.server.Metrics.Observe(drmetric.RequestTime, took, x.route.Kind.String())
 	x.logEnd("request-served", status, extra)
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -222,6 +222,7 @@
 // deliver sends a complete answer to the client and logs the outcome.
 func (x *exchange) deliver(answer *plainAnswer) {
 	h := answer.header
+	x.recordSuccess(h.StatusCode())
 	x.server.Wire.Deliver(h)
 	h.SetNoDefaultContentType(true)
 	if !x.header.IsHead() {
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -328,6 +328,7 @@
 // and ends the attempt as succeeded.
 func (st *stream) complete(a *attempt) error {
 	x := st.exchange
+	x.recordSuccess(a.header.StatusCode())
 	_ = x.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	err := st.sendHeader(a)
 	if err == nil {
