drproxy: Take room for bodies in chunks before they are read

Cause: only a stated length took from the budget for large messages. A body in chunks was read up to max-body-bytes, and each body was copied once more.

Change: readAll, which read answers in steps from the budget, reads bodies in chunks as well; a body with a length is read into the memory that was reserved for it. A refusal for want of memory has a Retry-After.

--- a/drproxy/body.go
+++ b/drproxy/body.go
@@ -43,7 +43,7 @@
 	case n >= 0:
 		return &exactReader{reader: a.upstream.reader, remaining: n}
 	case n == chunkedLength:
-		return &chunkedReader{chunks: httputil.NewChunkedReader(a.upstream.reader), reader: a.upstream.reader}
+		return newChunkedReader(a.upstream.reader)
 	default:
 		return a.upstream.reader
 	}
@@ -51,14 +51,19 @@
 
 // readBody reads the whole body of an answer, up to maxAnswerBody.
 func (a *attempt) readBody() ([]byte, error) {
-	r := a.body()
+	return a.exchange.readAll(a.body(), maxAnswerBody, errAnswerTooLarge)
+}
+
+// readAll reads a body to its end. It fails with tooLarge if there are more than limit
+// bytes, and with errOutOfMemory.
+func (x *exchange) readAll(r io.Reader, limit int, tooLarge error) ([]byte, error) {
 	var body []byte
 	for {
-		if len(body) > maxAnswerBody {
-			return nil, errAnswerTooLarge
+		if len(body) > limit {
+			return nil, tooLarge
 		}
 		var err error
-		if body, err = a.exchange.grow(body, maxAnswerBody+1); err != nil {
+		if body, err = x.grow(body, limit+1); err != nil {
 			return nil, err
 		}
 		n, err := r.Read(body[len(body):cap(body)])
@@ -114,6 +119,12 @@
 	done   bool
 }
 
+// newChunkedReader returns a reader of the chunked body at which reader stands. The
+// reader returns io.EOF only after the trailer.
+func newChunkedReader(reader *bufio.Reader) *chunkedReader {
+	return &chunkedReader{chunks: httputil.NewChunkedReader(reader), reader: reader}
+}
+
 // Read implements io.Reader.
 func (c *chunkedReader) Read(p []byte) (int, error) {
 	if c.done {
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -1,9 +1,9 @@
 package drproxy
 
 import (
-	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"time"
 
@@ -93,26 +93,31 @@
 }
 
 // readBody reads the body of the client's request, at most limit bytes. It
-// invites the body first if the client sent Expect: 100-continue.
+// invites the body first if the client sent Expect: 100-continue. The memory for it is
+// reserved before the bytes are read, in steps if their number is not stated.
 func (x *exchange) readBody(limit int) error {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	x.header.CopyTo(&req.Header)
-	if req.MayContinue() {
+	if string(x.header.Peek(fasthttp.HeaderExpect)) == "100-continue" {
 		if _, err := x.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return err
 		}
 	}
-	if n := req.Header.ContentLength(); n > 0 && n <= limit {
-		if err := x.reserve(n); err != nil {
-			return err
-		}
+	length := x.header.ContentLength()
+	switch {
+	case length == chunkedLength:
+		var err error
+		x.body, err = x.readAll(newChunkedReader(x.conn.reader), limit, fasthttp.ErrBodyTooLarge)
+		return err
+	case length <= 0:
+		return nil
+	case length > limit:
+		return fasthttp.ErrBodyTooLarge
 	}
-	if err := req.ContinueReadBody(x.conn.reader, limit, false); err != nil {
+	if err := x.reserve(length); err != nil {
 		return err
 	}
-	x.body = bytes.Clone(req.Body())
-	return nil
+	x.body = make([]byte, length)
+	_, err := io.ReadFull(x.conn.reader, x.body)
+	return err
 }
 
 // serve answers a request whose header and body have been read.
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -219,22 +219,22 @@
 func (x *exchange) handleReadError(err error) bool {
 	var ne net.Error
 	var small *fasthttp.ErrSmallBuffer
-	status := fasthttp.StatusBadRequest
+	response := refusal{status: fasthttp.StatusBadRequest, reason: "unreadable", detail: err.Error()}
 	switch {
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrUnexpectedEOF):
 		return false
 	case errors.As(err, &ne) && ne.Timeout():
-		status = fasthttp.StatusRequestTimeout
+		response.status = fasthttp.StatusRequestTimeout
 	case errors.As(err, &ne):
 		return false
 	case errors.Is(err, errOutOfMemory):
-		status = fasthttp.StatusServiceUnavailable
+		response.status, response.retryAfter = fasthttp.StatusServiceUnavailable, overloadRetryAfter
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
+		response.status = fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &small):
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		response.status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
 	x.keepAlive = false
-	x.refuse(refusal{status: status, reason: "unreadable", detail: err.Error()})
+	x.refuse(response)
 	return false
 }
--- a/drproxy/server_test.go
+++ b/drproxy/server_test.go
@@ -119,3 +119,38 @@
 		s.Close()
 	})
 }
+
+// Guards against a VM that runs out of memory because many clients send large bodies in
+// chunks at once, and against memory that stays taken after they have left.
+func TestBodiesInChunksShareMemory(t *testing.T) {
+	startDateLoop()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestServer()
+		const clients, size = 20, 3 << 20
+		body := fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("a", size)) // without its end
+		var conns []*memoryConn
+		for range clients {
+			client, conn := newMemoryPipe()
+			go s.ServeConn(conn)
+			writeAll(client, "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+body)
+			conns = append(conns, client)
+		}
+		synctest.Wait()
+		refused := 0
+		for _, c := range conns {
+			if c.PeerClosed() {
+				refused++
+			}
+		}
+		is.True(s.memory.left.Load() >= 0)
+		is.True(s.memory.left.Load() < defaultLargeMessages-size) // what is held counts
+		is.True((clients-refused)*size <= defaultLargeMessages+clients*freeBuffer)
+		is.True(refused < clients) // some have room
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		synctest.Wait()
+		is.Equal(s.memory.left.Load(), int64(defaultLargeMessages))
+	})
+}
