drproxy: Answer the requests that a stopping VM ends

Clients whose requests still ran when the grace period was nearly over saw their connection end without an answer.

Cause: Edge.Drain closed all connections at its deadline, whether or not the answer had begun.

Change: before that, Server.EndUnanswered closes the runs of requests whose answer has not begun; their clients get 504, which promises nothing, and the runner is not blamed. Streams that have begun are still broken off.

--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -48,6 +48,10 @@
 	// lastAnswerMargin is how long before the end of draining the timeouts of
 	// requests must have passed, so that their clients still get an answer.
 	lastAnswerMargin = 200 * time.Millisecond
+	// lastAnswerTime is how long the last answers may take at the end of
+	// draining. It is part of exitMargin.
+	lastAnswerTime = 100 * time.Millisecond
+	lastAnswerPoll = 5 * time.Millisecond
 	// refuseWaitingMargin is how long before the end of draining requests that
 	// still wait for a runner are refused.
 	refuseWaitingMargin = 700 * time.Millisecond
@@ -311,10 +315,24 @@
 		}
 		_ = e.Clock.Sleep(e.ctx, drainPollInterval)
 	}
+	e.answerRest()
 	log.WithFields(log.Fields{"event": "stopped", "vm": e.Settings.VM, "cut": e.proxy.Busy(), "took": e.Clock.Since(start)}).Info("")
 	return e.Close()
 }
 
+// answerRest answers the clients of requests that still run and whose answer has not
+// begun, so that they learn more than the end of their connection tells.
+func (e *Edge) answerRest() {
+	if e.proxy.Connections() == 0 {
+		return
+	}
+	e.proxy.EndUnanswered()
+	for end := e.Clock.Now().Add(lastAnswerTime); e.proxy.Busy() > 0 && e.Clock.Now().Before(end); {
+		e.proxy.CloseIdle()
+		_ = e.Clock.Sleep(e.ctx, lastAnswerPoll)
+	}
+}
+
 // closeTimeout is how long Close waits for the controller node and for each
 // listener. All waits together must fit into exitMargin.
 const closeTimeout = 100 * time.Millisecond
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -86,7 +86,7 @@
 		a.end(drfleetview.Abandoned)
 		return a, fmt.Errorf("%w: %w", errNotSent, errUnwanted)
 	}
-	a.watchClient()
+	a.watch()
 	if err := a.send(); err != nil {
 		return a, err
 	}
@@ -109,24 +109,34 @@
 	return err
 }
 
-// watchClient closes the connection to the runner when the client closes its
-// own, so that the runner stops working on the request. Requests on unsafe
-// routes are left to run to their end. stopWatching ends the watch and returns
-// once it cannot close the connection any more.
-func (a *attempt) watchClient() {
-	done := a.exchange.conn.Done()
-	a.stopWatching = func() {}
-	if a.exchange.route.Kind == drfleet.Unsafe {
-		return
+// watch closes the connection to the runner when the client closes its own, so that
+// the runner stops working on the request, and when the request must end because the
+// server stops. Requests on unsafe routes are left to run to their end when their client
+// leaves. stopWatching ends the watch and returns once it cannot close the connection any
+// more.
+func (a *attempt) watch() {
+	x := a.exchange
+	left := x.conn.Done()
+	if x.route.Kind == drfleet.Unsafe {
+		left = nil
 	}
 	ended, stopped := make(chan struct{}), make(chan struct{})
-	up := a.upstream
 	go func() {
 		defer close(stopped)
-		select {
-		case <-done:
-			_ = up.Close()
-		case <-ended:
+		stopping := x.server.stopAnswering
+		for {
+			select {
+			case <-left:
+			case <-ended:
+				return
+			case <-stopping:
+				if !x.mustGiveUp() {
+					stopping = nil
+					continue
+				}
+			}
+			_ = a.upstream.Close()
+			return
 		}
 	}()
 	a.stopWatching = func() {
@@ -233,6 +243,10 @@
 		a.end(drfleetview.Abandoned)
 		return errClientGone
 	}
+	if x.mustGiveUp() {
+		a.end(drfleetview.Abandoned)
+		return fmt.Errorf("%w: %w", errTimeout, errStopping)
+	}
 	a.end(drfleetview.Failed)
 	if !x.server.Clock.Now().Before(x.timeoutAt) {
 		return fmt.Errorf("%w: %w", errTimeout, err)
--- a/drproxy/drain.go
+++ b/drproxy/drain.go
@@ -1,6 +1,7 @@
 package drproxy
 
 import (
+	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,6 +13,9 @@
 // is short because the client's next connection reaches another VM.
 const drainRetryAfter = 50 * time.Millisecond
 
+// errStopping means that the VM exits before the runner has answered.
+var errStopping = errors.New("this VM stops")
+
 // drainEnd says until when a draining server has time for requests.
 type drainEnd struct {
 	// late is when no new connections come any more, but requests still do on those
@@ -35,6 +39,22 @@
 // be called at most once.
 func (s *Server) EndWaiting() { close(s.stopWaiting) }
 
+// EndUnanswered gives up the runs of all requests whose answer has not begun, now and
+// later, and answers their clients with 504. It must be called at most once, shortly before
+// the server is closed.
+func (s *Server) EndUnanswered() { close(s.stopAnswering) }
+
+// mustGiveUp reports whether the request must end because its answer has not begun and
+// the server is about to be closed.
+func (x *exchange) mustGiveUp() bool {
+	select {
+	case <-x.server.stopAnswering:
+		return !x.answering.Load()
+	default:
+		return false
+	}
+}
+
 // checkDrain returns false and a refusal if the request must not be passed on any more
 // because it may outlast this VM.
 func (x *exchange) checkDrain() (refusal, bool) {
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -58,6 +59,9 @@
 	// buffered is the number of bytes that reserve has been asked for.
 	buffered int
 
+	// answering is set once the header of a runner's stream is sent to the client.
+	answering atomic.Bool
+
 	// current is the attempt that was started last, nil before the first.
 	current *attempt
 
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -43,7 +43,7 @@
 // mayRetry reports whether the route and the remaining time allow that one more
 // runner runs the request. It does not look at the retry budget.
 func (x *exchange) mayRetry(state *retryState) bool {
-	return x.route.Idempotent() && state.possibleRuns < x.route.Attempts && x.remaining() >= answerMargin
+	return x.route.Idempotent() && state.possibleRuns < x.route.Attempts && x.remaining() >= answerMargin && !x.mustGiveUp()
 }
 
 // tryRetry reports whether a failed request may be sent once more, and if so
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -69,7 +69,8 @@
 
 // Server serves the HTTP/1.1 connections of clients. It is safe for concurrent
 // use. To stop it gracefully, call StartDrain and EndBy, then CloseIdle until
-// Connections returns 0, EndWaiting while time to answer remains, and last Close.
+// Connections returns 0, EndWaiting and EndUnanswered while time to answer remains, and
+// last Close.
 type Server struct {
 	Config
 	pool     *pool
@@ -83,6 +84,8 @@
 
 	// stopWaiting is closed when requests must no longer wait for a model.
 	stopWaiting chan struct{}
+	// stopAnswering is closed when requests whose answer has not begun must end.
+	stopAnswering chan struct{}
 
 	mu             sync.Mutex
 	conns          map[*clientConn]struct{}
@@ -95,7 +98,7 @@
 func New(config Config) *Server {
 	s := &Server{
 		Config: config, pool: newPool(config.Dialer, config.Clock), conns: make(map[*clientConn]struct{}), idle: list.New(),
-		stopWaiting: make(chan struct{}),
+		stopWaiting: make(chan struct{}), stopAnswering: make(chan struct{}),
 	}
 	s.memory.give(cmp.Or(config.LargeMessages, defaultLargeMessages))
 	return s
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -309,6 +309,7 @@
 		return nil
 	}
 	x := st.exchange
+	x.answering.Store(true)
 	var h fasthttp.ResponseHeader
 	a.header.CopyTo(&h)
 	x.server.Wire.Deliver(&h)
--- a/drproxy/upstream_test.go
+++ b/drproxy/upstream_test.go
@@ -35,7 +35,7 @@
 		upstream:      u,
 	}
 	a.header.SetStatusCode(fasthttp.StatusOK)
-	a.watchClient()
+	a.watch()
 	return a
 }
 
