--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -1,6 +1,7 @@
 package drproxy
 
 import (
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -44,6 +45,20 @@
 	})
 }
 
+// runTime is how long a runner works on a request whose client leaves before.
+const runTime = 250 * time.Millisecond
+
+// sendAndLeave sends a request, leaves before the runner has ended it, and waits until it
+// has.
+func (w *orderWorld) sendAndLeave(path, id string) {
+	client, conn := newMemoryPipe()
+	w.running.Go(func() { w.server.ServeConn(conn) })
+	writeAll(client, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: 0\r\n\r\n", path, id))
+	time.Sleep(runTime / 2)
+	_ = client.Close()
+	time.Sleep(runTime)
+}
+
 // Guards against a request whose client leaves before it crashes its runner, and that is
 // sent to ever more runners because nobody counts their crashes.
 func TestCrashCountsWithoutClient(t *testing.T) {
@@ -51,16 +66,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newScriptedWorld(func(conn *memoryConn, _ string) {
-			time.Sleep(250 * time.Millisecond)
+			time.Sleep(runTime)
 			conn.Reset()
 		})
 		defer w.close(t)
-		client, conn := newMemoryPipe()
-		w.running.Go(func() { w.server.ServeConn(conn) })
-		writeAll(client, "POST /pay/poison HTTP/1.1\r\nHost: h\r\nId: x\r\nContent-Length: 0\r\n\r\n")
-		time.Sleep(150 * time.Millisecond)
-		_ = client.Close()
-		time.Sleep(200 * time.Millisecond)
+		w.sendAndLeave("/pay/poison", "x")
 		is.Equal(len(w.server.Crashes.TakeReport(false).Crashes), 1)
 	})
 }
@@ -77,7 +87,7 @@
 				conn.Reset()
 				return
 			}
-			time.Sleep(250 * time.Millisecond)
+			time.Sleep(runTime)
 			writeAll(conn, plainText(id, 200, sealHeader+": s\r\n", "done"))
 		})
 		defer w.close(t)
@@ -85,12 +95,7 @@
 		first, _ := w.ask("/pay/x", "x")
 		is.Equal(first.status, 502)
 		is.Equal(len(w.server.Crashes.TakeReport(true).Crashes), 1)
-		client, conn := newMemoryPipe()
-		w.running.Go(func() { w.server.ServeConn(conn) })
-		writeAll(client, "POST /pay/x HTTP/1.1\r\nHost: h\r\nId: y\r\nModel: m\r\nContent-Length: 0\r\n\r\n")
-		time.Sleep(150 * time.Millisecond)
-		_ = client.Close()
-		time.Sleep(200 * time.Millisecond)
+		w.sendAndLeave("/pay/x", "y")
 		is.Equal(runs.Load(), int64(2))
 		is.Equal(len(w.server.Crashes.TakeReport(true).Crashes), 0)
 	})
