drproxy: Test the waits and tries that a drain ends

Two guards of the drain could be taken away without a failing test: the look before each attempt and the one while a request waits for a model.

--- a/drproxy/drain_test.go
+++ b/drproxy/drain_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drfleetview"
 )
 
 // Guards against a draining VM that refuses requests it has time for, or takes some that
@@ -44,3 +46,29 @@
 		})
 	}
 }
+
+// Guards against a request that arrives in time and is passed on late: after a runner has
+// refused it, or once its model is loaded. Its client must hear at once that it has to go
+// to another VM.
+func TestDrainEndsWaitsAndTries(t *testing.T) {
+	prepareBubble()
+	const late, end = 50 * time.Millisecond, 100 * time.Millisecond
+	for name, model := range map[string]string{"refused by a runner": "m", "waits for a model": "cold"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newScriptedWorld(func(conn *memoryConn, id string) {
+					time.Sleep(late)
+					refuse(conn, id)
+				})
+				defer w.close(t)
+				w.view.SetForecast(drfleetview.Replica{Service: "llm", Model: "cold"}, 200*time.Millisecond)
+				w.server.StartDrain()
+				w.server.EndBy(time.Now().Add(late), time.Now().Add(end))
+				o, took := w.askFor(model, "/stream/on/x", "x")
+				is.Equal(o.status, 503)
+				is.True(took < late+300*time.Millisecond)
+			})
+		})
+	}
+}
--- a/drproxy/endless_test.go
+++ b/drproxy/endless_test.go
@@ -78,10 +78,15 @@
 // ask sends a request and returns the status and body of its answer, and how long
 // it took.
 func (w *orderWorld) ask(path, id string) (o *orderOutcome, took time.Duration) {
+	return w.askFor("m", path, id)
+}
+
+// askFor is ask for a model.
+func (w *orderWorld) askFor(model, path, id string) (o *orderOutcome, took time.Duration) {
 	client, conn := newMemoryPipe()
 	w.running.Go(func() { w.server.ServeConn(conn) })
 	began := time.Now()
-	writeAll(client, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nModel: m\r\nDeadline: 3000\r\nContent-Length: 0\r\n\r\n", path, id))
+	writeAll(client, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nModel: %s\r\nDeadline: 3000\r\nContent-Length: 0\r\n\r\n", path, id, model))
 	o = &orderOutcome{id: id, path: path}
 	o.read(bufio.NewReader(client))
 	took = time.Since(began)
