dredge: End a drain as early as before

The last answers of a drain took up to 0.1 s beyond its deadline, out of the margin for closing the Edge and exiting. A reader of the runners kept the times of runners that the controller's table had removed.

Change: requests are given up 0.1 s before the deadline, and streams that have begun go on until it; a read of the newest entries drops the times of runners that are not listed.

--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -32,6 +33,7 @@
 // goroutine at a time.
 type reader struct {
 	readerConfig
+
 	deployments, runners position
 	// deploymentChanged is set if the last read returned a new configuration.
 	deploymentChanged bool
@@ -42,8 +44,8 @@
 	// lapsed contains the runners whose entries may have expired during or shortly
 	// after an outage of the store, with the uptime at which they are removed.
 	lapsed map[string]time.Duration
-	// writtenSince contains, by runner, an uptime since which it has written its
-	// entry. A runner that has not written since the first read is missing.
+	// writtenSince contains, by runner, an uptime after which its newest entry was
+	// written. A runner that has not written since the first read is missing.
 	writtenSince map[string]time.Duration
 	// unreadable is the set of runners whose entries were logged as unreadable,
 	// so that each is logged only once.
@@ -175,6 +177,7 @@
 				r.dropRunner(known.ID)
 			}
 		}
+		maps.DeleteFunc(r.writtenSince, func(id string, _ time.Duration) bool { return !listed[id] })
 	}
 	r.removeLapsedRunners()
 	r.view.ConfirmRunners(sent)
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -48,8 +48,9 @@
 	// lastAnswerMargin is how long before the end of draining the timeouts of
 	// requests must have passed, so that their clients still get an answer.
 	lastAnswerMargin = 200 * time.Millisecond
-	// lastAnswerTime is how long the last answers may take at the end of
-	// draining. It is part of exitMargin.
+	// lastAnswerTime is the end of draining in which the requests that are given
+	// up are answered, and lastAnswerPoll the pause between checks whether they
+	// have been.
 	lastAnswerTime = 100 * time.Millisecond
 	lastAnswerPoll = 5 * time.Millisecond
 	// refuseWaitingMargin is how long before the end of draining requests that
@@ -304,7 +305,7 @@
 	}
 	e.callerListener.StopAccepting()
 	waiting := true
-	for e.Clock.Now().Before(deadline) {
+	for e.Clock.Now().Before(deadline.Add(-lastAnswerTime)) {
 		if waiting && e.Clock.Now().After(deadline.Add(-refuseWaitingMargin)) {
 			waiting = false
 			e.proxy.EndWaiting()
@@ -315,19 +316,20 @@
 		}
 		_ = e.Clock.Sleep(e.ctx, drainPollInterval)
 	}
-	e.answerRest()
+	e.answerRest(deadline)
 	log.WithFields(log.Fields{"event": "stopped", "vm": e.Settings.VM, "cut": e.proxy.Busy(), "took": e.Clock.Since(start)}).Info("")
 	return e.Close()
 }
 
 // answerRest answers the clients of requests that still run and whose answer has not
-// begun, so that they learn more than the end of their connection tells.
-func (e *Edge) answerRest() {
+// begun, so that they learn more than the end of their connection tells. Answers that
+// have begun go on until the deadline.
+func (e *Edge) answerRest(deadline time.Time) {
 	if e.proxy.Connections() == 0 {
 		return
 	}
 	e.proxy.EndUnanswered()
-	for end := e.Clock.Now().Add(lastAnswerTime); e.proxy.Busy() > 0 && e.Clock.Now().Before(end); {
+	for e.proxy.Connections() > 0 && e.Clock.Now().Before(deadline) {
 		e.proxy.CloseIdle()
 		_ = e.Clock.Sleep(e.ctx, lastAnswerPoll)
 	}
