--- a/drproxy/drain.go
+++ b/drproxy/drain.go
@@ -16,8 +16,8 @@
 // errStopping means that the VM exits before the runner has answered.
 var errStopping = errors.New("this VM stops")
 
-// drainEnd says until when a draining server has time for requests.
-type drainEnd struct {
+// drainTimes says until when a draining server has time for requests.
+type drainTimes struct {
 	// late is when no new connections come any more, but requests still do on those
 	// that clients have kept.
 	late time.Time
@@ -33,7 +33,7 @@
 // is closed. A request that has not been passed on to a runner yet, and whose timeout
 // passes later, is refused: from late on, and at once if it must not be repeated, because
 // its client could not send it again after an answer that was broken off.
-func (s *Server) EndBy(late, end time.Time) { s.drainEnd.Store(&drainEnd{late: late, end: end}) }
+func (s *Server) EndBy(late, end time.Time) { s.drainEnd.Store(&drainTimes{late: late, end: end}) }
 
 // EndWaiting refuses all requests that wait for a model, now and later. It must
 // be called at most once.
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -77,7 +77,7 @@
 	memory   memoryBudget
 	draining atomic.Bool
 	// drainEnd is nil until EndBy has been called.
-	drainEnd atomic.Pointer[drainEnd]
+	drainEnd atomic.Pointer[drainTimes]
 	// freshness is the maximum age of the configuration at which requests with
 	// a key are served: in an older one the key may have been revoked since.
 	freshness atomic.Int64 // nanoseconds
