drproxy: Answer 408 to what a VM that stood still did not read

Cause, by reading: the time to read a header begins when the first bytes have arrived. If the VM stands still before it reads them, fasthttp returns ErrNothingRead, which hides that the time has passed, and the request counted as unreadable.

Change: ErrNothingRead counts as a timeout. 408 promises that the request has not run.

Measured: TestStandstillIsNoFaultOfTheRequest got 400 before.

--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -222,11 +222,12 @@
 func (x *exchange) handleReadError(err error) bool {
 	var ne net.Error
 	var small *fasthttp.ErrSmallBuffer
+	var nothing fasthttp.ErrNothingRead // hides its cause
 	response := refusal{status: fasthttp.StatusBadRequest, reason: "unreadable", detail: err.Error()}
 	switch {
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrUnexpectedEOF):
 		return false
-	case errors.As(err, &ne) && ne.Timeout():
+	case errors.As(err, &ne) && ne.Timeout(), errors.As(err, &nothing):
 		response.status = fasthttp.StatusRequestTimeout
 	case errors.As(err, &ne):
 		return false
--- a/drproxy/server_test.go
+++ b/drproxy/server_test.go
@@ -62,6 +62,24 @@
 	return c.memoryConn.AwaitData()
 }
 
+// Guards against a sound request that is called malformed, so that its client does not
+// send it again, because the VM stood still between its arrival and the first read.
+func TestStandstillIsNoFaultOfTheRequest(t *testing.T) {
+	is := is.New(t)
+	client, conn := newMemoryPipe()
+	writeAll(client, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+	newTestServer().ServeConn(stillConn{conn})
+	answer, _ := io.ReadAll(client)
+	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 408 "))
+}
+
+// stillConn is a connection whose read deadlines have always passed already.
+type stillConn struct{ *memoryConn }
+
+func (c stillConn) SetReadDeadline(time.Time) error {
+	return c.memoryConn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // Guards against requests with two Content-Length headers, by which a client can
 // smuggle one request inside another, and against headers and bodies that go on
 // beyond the size limit.
