drproxy: Do not count this VM's own close as a crash of a runner

Cause: records a crash before it looks whether the client is there. If a client leaves before the first byte of its answer, this VM closes the connection to the runner, and fasthttp reports any error on a first byte as io.EOF, which counts as the runner's end. Sound requests were blamed, and the cause was hidden among them.

Change: an attempt whose connection was closed by this VM records no crash.

Measured: TestOwnCloseIsNoCrash counted one crash instead of none on all four kinds of route before.

--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -48,6 +49,8 @@
 	answer        Answer
 	sentAt        time.Time
 	stopWatching  func()
+	// closedHere is set before watch closes the connection to the runner.
+	closedHere atomic.Bool
 	// begun is set once the runner has sent an event with an id.
 	begun bool
 	ended bool
@@ -135,6 +138,7 @@
 					continue
 				}
 			}
+			a.closedHere.Store(true)
 			_ = a.upstream.Close()
 			return
 		}
@@ -238,7 +242,9 @@
 // connection that the runner has ended counts as its crash all the same.
 func (a *attempt) fail(err error) error {
 	x := a.exchange
-	a.recordCrash(err)
+	if !a.closedHere.Load() {
+		a.recordCrash(err)
+	}
 	if x.clientLeft() {
 		a.end(drfleetview.Abandoned)
 		return errClientGone
--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -75,6 +75,33 @@
 	})
 }
 
+// Guards against counting it as a crash that this VM closes the connection to a runner,
+// because the client has left or the VM stops: sound requests would be refused.
+func TestOwnCloseIsNoCrash(t *testing.T) {
+	prepareBubble()
+	for _, path := range []string{"/get/x", "/stream/on/x", "/stream/once/x", "/pay/x"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newScriptedWorld(func(conn *memoryConn, _ string) { <-conn.Done() })
+				defer w.close(t)
+				client, conn := newMemoryPipe()
+				w.running.Go(func() { w.server.ServeConn(conn) })
+				writeAll(client, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: x\r\nModel: m\r\nContent-Length: 0\r\n\r\n", path))
+				time.Sleep(runTime / 2)
+				if path == "/pay/x" { // goes on when its client leaves
+					w.server.EndUnanswered()
+				} else {
+					_ = client.Close()
+				}
+				synctest.Wait()
+				is.Equal(len(w.server.Crashes.TakeReport(false).Crashes), 0)
+				_ = client.Close()
+			})
+		})
+	}
+}
+
 // Guards against a request that runs to a good end after its client has left, and stays
 // blocked for the crashes before.
 func TestSuccessClearsWithoutClient(t *testing.T) {
