drcontroller, drproxy: Keep one state and one check where the review left two

Read again, the changes for the review had a flag beside one that could say the same (position.hasRead beside started), a condition before recordCrash that belongs in it, and two tests that began a request in the same lines.

Change: whether the history of the runners is read is an argument of readTopic, so that started means that a topic has been read; recordCrash itself leaves out this VM's own close; the tests share sendHalfway. Behavior is unchanged.

Measured: the tests of drcontroller and drproxy pass with the race detector. TestOwnCloseIsNoCrash (four cases) and TestReaderDropsRunnerThatLeftAfterFailedRead fail again with their guard taken away.

--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -65,9 +65,8 @@
 // position is the read position in a topic.
 type position struct {
 	next    int64
-	started bool
+	started bool          // it has been read once
 	readAt  time.Duration // uptime at which the last successful read was sent
-	hasRead bool          // readAt is valid
 }
 
 func newReader(config readerConfig) *reader {
@@ -78,10 +77,10 @@
 }
 
 // readTopic reads a topic from the position to its end, or only its newest
-// records if it has not been read yet or the records at the position have
-// expired. fromNewest is set in the latter case.
-func (r *reader) readTopic(ctx context.Context, topic drstore.Topic, pos *position, wait time.Duration) (records []drstore.Record, fromNewest bool, err error) {
-	for pos.started {
+// records if history is not wanted, it has not been read yet or the records at
+// the position have expired. fromNewest is set in the latter cases.
+func (r *reader) readTopic(ctx context.Context, topic drstore.Topic, pos *position, history bool, wait time.Duration) (records []drstore.Record, fromNewest bool, err error) {
+	for history && pos.started {
 		sent := r.clock.Uptime()
 		page, err := r.log.Read(ctx, topic, pos.next, wait)
 		if _, expired := errors.AsType[*drstore.ExpiredError](err); expired {
@@ -91,7 +90,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		pos.next, pos.readAt, pos.hasRead = page.Next, sent, true
+		pos.next, pos.readAt = page.Next, sent
 		records = append(records, page.Records...)
 		// Pages are limited in size, so this one may not contain the newest
 		// records.
@@ -105,7 +104,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	pos.next, pos.started, pos.readAt, pos.hasRead = page.Next, true, sent, true
+	pos.next, pos.started, pos.readAt = page.Next, true, sent
 	return page.Records, true, nil
 }
 
@@ -120,7 +119,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	sent := r.clock.Uptime()
-	records, fromNewest, err := r.readTopic(ctx, drstore.Deployments, &r.deployments, wait)
+	records, fromNewest, err := r.readTopic(ctx, drstore.Deployments, &r.deployments, true, wait)
 	if err != nil {
 		return err
 	}
@@ -156,9 +155,9 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	sent := r.clock.Uptime()
-	r.runners.started = r.runners.started && sent-r.runners.readAt <= maxHistoryAge
 	last := r.runners
-	records, fromNewest, err := r.readTopic(ctx, drstore.Runners, &r.runners, 0)
+	history := sent-last.readAt <= maxHistoryAge
+	records, fromNewest, err := r.readTopic(ctx, drstore.Runners, &r.runners, history, 0)
 	if err != nil {
 		r.runnersFailedAt, r.runnersFailed = r.clock.Uptime(), true
 		return err
@@ -166,7 +165,7 @@
 	listed := make(map[string]bool)
 	for _, rec := range records {
 		listed[rec.Key] = true
-		if last.hasRead && rec.Offset >= last.next && len(rec.Value) > 0 {
+		if last.started && rec.Offset >= last.next && len(rec.Value) > 0 {
 			r.writtenSince[rec.Key] = last.readAt
 		}
 		r.applyRunnerRecord(rec)
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -242,9 +242,7 @@
 // connection that the runner has ended counts as its crash all the same.
 func (a *attempt) fail(err error) error {
 	x := a.exchange
-	if !a.closedHere.Load() {
-		a.recordCrash(err)
-	}
+	a.recordCrash(err)
 	if x.clientLeft() {
 		a.end(drfleetview.Abandoned)
 		return errClientGone
--- a/drproxy/crash.go
+++ b/drproxy/crash.go
@@ -85,9 +85,9 @@
 }
 
 // recordCrash records that the runner has ended the attempt's connection, if the
-// error says so.
+// error says so and this VM has not closed it.
 func (a *attempt) recordCrash(err error) {
-	if !connectionBroke(err) {
+	if a.closedHere.Load() || !connectionBroke(err) {
 		return
 	}
 	x := a.exchange
--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -48,14 +48,20 @@
 // runTime is how long a runner works on a request whose client leaves before.
 const runTime = 250 * time.Millisecond
 
-// sendAndLeave sends a request, leaves before the runner has ended it, and waits until it
-// has.
-func (w *orderWorld) sendAndLeave(path, id string) {
+// sendHalfway sends a request, waits until half of the time of its run has passed, and
+// returns the client's end of the connection.
+func (w *orderWorld) sendHalfway(path, id string) *memoryConn {
 	client, conn := newMemoryPipe()
 	w.running.Go(func() { w.server.ServeConn(conn) })
-	writeAll(client, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: 0\r\n\r\n", path, id))
+	writeAll(client, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nModel: m\r\nContent-Length: 0\r\n\r\n", path, id))
 	time.Sleep(runTime / 2)
-	_ = client.Close()
+	return client
+}
+
+// sendAndLeave sends a request, leaves before the runner has ended it, and waits until it
+// has.
+func (w *orderWorld) sendAndLeave(path, id string) {
+	_ = w.sendHalfway(path, id).Close()
 	time.Sleep(runTime)
 }
 
@@ -85,10 +91,7 @@
 				is := is.New(t)
 				w := newScriptedWorld(func(conn *memoryConn, _ string) { <-conn.Done() })
 				defer w.close(t)
-				client, conn := newMemoryPipe()
-				w.running.Go(func() { w.server.ServeConn(conn) })
-				writeAll(client, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: x\r\nModel: m\r\nContent-Length: 0\r\n\r\n", path))
-				time.Sleep(runTime / 2)
+				client := w.sendHalfway(path, "x")
 				if path == "/pay/x" { // goes on when its client leaves
 					w.server.EndUnanswered()
 				} else {
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -31,7 +31,8 @@
 
 // pickRunner returns a runner for the next attempt. If none holds the model, the
 // request waits for one until dradmission refuses it, it may outlast the draining
-// server, the server stops waiting or the client leaves. The refusal is set only with the result refused.
+// server, the server stops waiting or the client leaves. The refusal is set only
+// with the result refused.
 func (x *exchange) pickRunner(tried map[string]bool) (*drbalancer.Candidate, refusal, waitResult) {
 	s := x.server
 	p := x.replica()
