drrouter: Count crashes of an engine whose instance was not known

Cause, from the log: the VM did not know the engine's instance when it sent the request, so the crash reported by another request did not strike it, and its own report found a crash that was counted. Change: a run with an unknown instance counts as one on the instance that crashes.

--- a/drrouter/run.go
+++ b/drrouter/run.go
@@ -24,6 +24,10 @@
 // broke. announced is closed once the crash was broadcast.
 type crashEvent struct{ announced chan struct{} }
 
+// mayRunOn reports whether the request was sent to an instance of its backend server.
+// Where this VM did not know the instance, it was the one that has crashed since.
+func (r *Run) mayRunOn(instance string) bool { return r.instance == instance || r.instance == "" }
+
 // Succeed ends the run and clears the strikes of its request.
 func (r *Run) Succeed() { r.suspects.end(r, true) }
 
--- a/drrouter/suspects.go
+++ b/drrouter/suspects.go
@@ -370,7 +370,7 @@
 // too, and reportCrash would then give them no strike.
 func (s *Suspects) hasRuns(backend, instance string) bool {
 	for r := range s.runsByBackend[backend] {
-		if r.instance == instance {
+		if r.mayRunOn(instance) {
 			return true
 		}
 	}
@@ -383,7 +383,7 @@
 	notice := Notice{Kind: Strike, ID: s.newID(), VM: s.vm, Backend: run.backend, Instance: run.instance}
 	suspectedBefore := make(map[drrequest.Fingerprint]bool) // by request; false for requests without an earlier strike
 	for other := range s.runsByBackend[run.backend] {
-		if other.instance != run.instance {
+		if !other.mayRunOn(run.instance) {
 			continue
 		}
 		other.crash = crash
--- a/drrouter/suspects_test.go
+++ b/drrouter/suspects_test.go
@@ -80,6 +80,33 @@
 	is.True(s.RecentlyCrashed("s2", "i1")) // reported by another VM
 }
 
+// Guards against a crash that gives no strike to a request whose backend server had no
+// known instance when it was sent: it could crash three of them.
+func TestCrashOfUnknownInstanceCounts(t *testing.T) {
+	x, y := drrequest.Fingerprint{1}, drrequest.Fingerprint{2}
+	for _, reporter := range []string{"vm-a", "vm-b"} {
+		is := is.New(t)
+		ctx := context.Background()
+		n := &network{}
+		c := drclock.NewFake(time.Unix(0, 0))
+		a, b := n.addVM(c, "vm-a"), n.addVM(c, "vm-b")
+		unknown, err := a.Begin(ctx, x, "s1", "")
+		is.NoErr(err)
+		at := map[string]*Suspects{"vm-a": a, "vm-b": b}[reporter]
+		known, err := at.Begin(ctx, y, "s1", "i1")
+		is.NoErr(err)
+		known.Crash(ctx)
+		unknown.Crash(ctx)
+		is.NoErr(a.Check(x))
+		unknown.End()
+		again, err := a.Begin(ctx, x, "s1", "i2")
+		is.NoErr(err)
+		is.True(again != nil)
+		again.Crash(ctx)
+		is.True(a.Check(x) != nil) // two crashes
+	}
+}
+
 // Guards against a strike that is read from the log only after the request was
 // cleared and makes it a suspect again, and against a restarted VM that ignores
 // the strikes which it sent itself before the restart.
