drcontroller: Hold orders back while a runner unloads

It now waits for as long as unloads took lately, then for growing pauses, and asks whether a load is done after the delay that loads had lately.

--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -94,6 +94,10 @@
 	startedAt     time.Time
 	backlogs      map[string]modelBacklog // by service, as of its last plan
 	limitsVersion int64                   // version of the deployment whose limits the pool uses, -1 for none
+
+	// unloadWait is the wait after an unload, and loadDelay the wait after the
+	// expected end of a load.
+	unloadWait, loadDelay drscheduler.OrderWait
 }
 
 // NewController starts a controller that reads and updates the view of its VM.
--- a/drcontroller/executor.go
+++ b/drcontroller/executor.go
@@ -19,14 +19,12 @@
 const (
 	// orderTimeout is the timeout of one call to a runner.
 	orderTimeout = 600 * time.Millisecond
-	// minUnloadPause and maxUnloadPause bound the pause between two attempts to
-	// send the order that follows an unload. The runner refuses it until the
-	// unload is done, which waits for running requests.
-	minUnloadPause = 8 * time.Millisecond
-	maxUnloadPause = 40 * time.Millisecond
-	// loadPollInterval is the interval at which a runner is asked whether a
-	// load is done.
-	loadPollInterval = 40 * time.Millisecond
+	// minLoadPollPause is the minimum pause before a runner is asked again
+	// whether a load is done.
+	minLoadPollPause = 40 * time.Millisecond
+	// maxUsualLoadDelay is the time by which a load may exceed its expected time
+	// and still tell when others will be done. Slower ones are exceptions.
+	maxUsualLoadDelay = 100 * time.Millisecond
 	// maxOrderDelay is how long an order may exceed its expected time before
 	// the swap fails and the runner is queried.
 	maxOrderDelay = 6 * time.Second
@@ -92,13 +90,17 @@
 // executeSwap unloads the models that have to make room and loads the new one.
 // A runner carries out one order at a time and refuses others meanwhile.
 func (c *Controller) executeSwap(s *runnerState, swap drscheduler.Swap, epoch int) error {
-	for _, m := range swap.Unload {
-		if err := c.issueOrderWhenFree(s, swap.Runner, swapStep{operation: drscheduler.Unload, model: m, epoch: epoch}); err != nil {
+	for i, m := range swap.Unload {
+		unload := swapStep{operation: drscheduler.Unload, model: m, epoch: epoch, followsUnload: i > 0}
+		if err := c.issueOrderWhenFree(s, swap.Runner, unload); err != nil {
 			return fmt.Errorf("unload %s: %w", m, err)
 		}
 		c.Metrics.Counter(drmetric.Evictions, "memory").Inc(1)
 	}
-	load := swapStep{operation: drscheduler.Load, model: swap.Load, expected: swap.Expected - swapOverhead, epoch: epoch}
+	load := swapStep{
+		operation: drscheduler.Load, model: swap.Load, expected: swap.Expected - swapOverhead, epoch: epoch,
+		followsUnload: len(swap.Unload) > 0,
+	}
 	if err := c.issueOrderWhenFree(s, swap.Runner, load); err != nil {
 		return fmt.Errorf("load %s: %w", swap.Load, err)
 	}
@@ -112,20 +114,45 @@
 }
 
 // issueOrderWhenFree sends an order again until the runner no longer refuses it
-// because of the previous order, for at most maxOrderDelay.
+// because of the previous order, for at most maxOrderDelay. An order that follows
+// an unload is held back for as long as unloads took lately.
 func (c *Controller) issueOrderWhenFree(s *runnerState, runner *drfleet.Runner, step swapStep) error {
-	deadline := c.Clock.Now().Add(maxOrderDelay)
-	for pause := minUnloadPause; ; pause = min(2*pause, maxUnloadPause) {
-		outcome, err := c.issueOrder(s, runner, step)
-		if outcome != drscheduler.Conflicting || c.Clock.Now().After(deadline) {
-			return err
-		}
+	began := c.Clock.Now()
+	var pause time.Duration
+	if step.followsUnload {
+		pause = c.usualWait(&c.unloadWait)
+	}
+	for refused := 0; ; refused++ {
 		if c.Clock.Sleep(c.ctx, pause) != nil {
 			return errLeaseLost
 		}
+		outcome, err := c.issueOrder(s, runner, step)
+		elapsed := c.Clock.Since(began)
+		if step.followsUnload && outcome == drscheduler.Accepted {
+			c.learnWait(&c.unloadWait, elapsed, refused)
+		}
+		if outcome != drscheduler.Conflicting || elapsed > maxOrderDelay {
+			return err
+		}
+		pause = drscheduler.RetryWait(elapsed)
 	}
 }
 
+// usualWait returns how long to hold an order back until an operation is done.
+func (c *Controller) usualWait(wait *drscheduler.OrderWait) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return wait.First()
+}
+
+// learnWait updates a wait with the time after which an operation was found done
+// and the number of orders that were refused until then.
+func (c *Controller) learnWait(wait *drscheduler.OrderWait, took time.Duration, refused int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*wait = wait.WithResult(took, refused)
+}
+
 // swapOverhead is the part of a swap's expected time that is not spent on the
 // load.
 const swapOverhead = 150 * time.Millisecond
@@ -136,6 +163,9 @@
 	model, adapter string
 	expected       time.Duration
 	epoch          int // epoch of the runner's state that the step was planned from
+	// followsUnload is set if the previous step of the swap unloads a model. The
+	// runner refuses orders until that is done, which waits for running requests.
+	followsUnload bool
 }
 
 // awaitLoad waits until the runner has completed a load. It polls by sending
@@ -145,23 +175,30 @@
 	if current, ok := c.view.Runner(runner.ID); ok && current.Holds(step.model, step.adapter) {
 		return nil // the runner held it already
 	}
-	deadline := c.Clock.Now().Add(step.expected + maxOrderDelay)
+	expectedAt := c.Clock.Now().Add(step.expected)
 	pause := step.expected
-	for {
+	if step.adapter == "" {
+		pause += c.usualWait(&c.loadDelay)
+	}
+	for refused := 0; ; refused++ {
 		if err := c.Clock.Sleep(c.ctx, pause); err != nil {
 			return errLeaseLost
 		}
 		outcome, err := c.sendOrderInTurn(s, runner, step)
+		overdue := c.Clock.Since(expectedAt)
 		switch {
 		case outcome == drscheduler.Holds:
+			if step.adapter == "" && overdue <= maxUsualLoadDelay {
+				c.learnWait(&c.loadDelay, overdue, refused)
+			}
 			return c.applyOrder(runner, step, 0)
 		case outcome != drscheduler.Accepted && outcome != drscheduler.Conflicting && outcome != drscheduler.Unknown &&
 			outcome != drscheduler.Unreachable:
 			return errors.Join(fmt.Errorf("order outcome %s: %w", outcome, errStateUncertain), err)
-		case c.Clock.Now().After(deadline):
+		case overdue > maxOrderDelay:
 			return errors.Join(fmt.Errorf("load not completed in time: %w", errStateUncertain), err)
 		}
-		pause = loadPollInterval
+		pause = max(minLoadPollPause, drscheduler.RetryWait(overdue))
 	}
 }
 
