drscheduler: Load queued models before rare ones

A model whose requests queue now gets its next replica before them, one at a time, from the weight store if all runners with a copy hold it. Demand is followed within 2 s when it rises, and utilization counts the slots of runners with fewer than 24. A test's call of utilization has the new argument, 24, as before.

--- a/drcontroller/controller_test.go
+++ b/drcontroller/controller_test.go
@@ -311,7 +311,7 @@
 		d.averageIn(20, now)
 	}
 	is.True(d.rate*workPerRequest < 0.2)
-	is.True(d.utilization() > 0.6)
+	is.True(d.utilization(runningPerRunner) > 0.6)
 }
 
 // Guards against a controller that has no rate limits when VMs report before
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -16,13 +16,15 @@
 	// waiting and running requests count.
 	vmReportTimeout = 1500 * time.Millisecond
 	// rateWindow is the time constant of the moving average of a model's
-	// request rate.
-	rateWindow = 8 * time.Second
+	// request rate. A rise is followed within risingRateWindow, because loads
+	// take time, and a fall more slowly.
+	rateWindow       = 8 * time.Second
+	risingRateWindow = 2 * time.Second
 	// workPerRequest is the time in seconds for which one request keeps an
 	// engine from prefilling others.
 	workPerRequest = 0.02
 	// runningPerRunner is the number of running requests that fully utilizes a
-	// runner. Slow models reach it at a lower request rate.
+	// runner that has slots for them. Slow models reach it at a lower request rate.
 	runningPerRunner = 24
 	// runningWindow is the time over which the number of running requests is
 	// averaged.
@@ -112,8 +114,9 @@
 
 // demand is the moving average of the requests for one model.
 type demand struct {
-	rate      float64 // requests per second
-	decayedAt time.Time
+	rate       float64 // requests per second, averaged over rateWindow
+	recentRate float64 // averaged over risingRateWindow
+	decayedAt  time.Time
 	// averageRunning is the moving average of the number of running requests,
 	// as of averagedAt.
 	averageRunning float64
@@ -127,19 +130,22 @@
 	d.averagedAt = now
 }
 
-// utilization returns the model's load as a share of one runner's time.
-func (d *demand) utilization() float64 {
-	return max(d.rate*workPerRequest, d.averageRunning/runningPerRunner)
+// utilization returns the model's load as a share of the time of one runner, which
+// has the given number of slots.
+func (d *demand) utilization(slots int) float64 {
+	return max(d.rate*workPerRequest, d.recentRate*workPerRequest, d.averageRunning/float64(min(slots, runningPerRunner)))
 }
 
 func (d *demand) add(n float64, now time.Time) {
 	d.decay(now)
 	d.rate += n / rateWindow.Seconds()
+	d.recentRate += n / risingRateWindow.Seconds()
 }
 
 func (d *demand) decay(now time.Time) {
 	if elapsed := now.Sub(d.decayedAt); elapsed > 0 {
 		d.rate *= math.Exp(-elapsed.Seconds() / rateWindow.Seconds())
+		d.recentRate *= math.Exp(-elapsed.Seconds() / risingRateWindow.Seconds())
 		d.decayedAt = now
 	}
 }
@@ -302,11 +308,12 @@
 			byModel[m] += n
 		}
 	}
+	slots := c.slotsOf(service.Name)
 	for model, d := range c.demands {
 		d.decay(now)
 		d.averageIn(byModel[model], now)
 		state.Rate[model] = d.rate
-		state.Work[model] = d.utilization()
+		state.Work[model] = d.utilization(slots)
 	}
 	paused := c.runnersPausedForMost(service.Name, now)
 	for _, r := range c.view.Runners(service.Name) {
@@ -335,6 +342,18 @@
 	return state
 }
 
+// slotsOf returns the fewest slots of a service's runners, or runningPerRunner if
+// there are none.
+func (c *Controller) slotsOf(service string) int {
+	slots := runningPerRunner
+	for _, r := range c.view.Runners(service) {
+		if r.Slots > 0 {
+			slots = min(slots, r.Slots)
+		}
+	}
+	return slots
+}
+
 // copiesKnown reports whether the runners of a service have told this controller
 // which models they have local copies of. Entries that other VMs pass on lack
 // that, so a model could be loaded from the weight store in vain. The caller holds
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -108,11 +108,14 @@
 }
 
 // Plan returns the swaps to start now, at most one for each runner. It first
-// plans loads for models that requests wait for, in descending order of value,
-// then additional replicas of busy models, and then replicas on empty runners. A
-// model is loaded from the weight store, which blocks a runner for seconds, only if
-// no runner has a local copy of its weights, or into a runner that has no local
-// copies at all.
+// plans a further replica of each model whose requests queue at its runners: the
+// few runners with a copy of it would otherwise be taken by other models all the
+// time. It then plans loads for models that requests wait for, in descending order
+// of value, then additional replicas of busy models, and then replicas on empty
+// runners. A model is loaded from the weight store, which blocks a runner for
+// seconds, only if no runner has a local copy of its weights, into a runner that has
+// no local copies at all, or if its requests queue and all runners with a copy hold
+// it.
 func Plan(s State) []Swap {
 	p := &planner{State: s, swapPlanned: make(map[string]bool), replicas: make(map[string]int)}
 	for _, r := range s.Runners {
@@ -126,6 +129,9 @@
 			p.replicas[r.Loading]++
 		}
 	}
+	for _, m := range p.saturatedModels() {
+		p.planLoad(m, Busy)
+	}
 	for _, m := range p.missingModels() {
 		p.planLoad(m, Wanted)
 	}
@@ -189,9 +195,9 @@
 }
 
 // planLoad adds a swap that loads a model into the runner with the lowest cost
-// among those that have a local copy of its weights and no swap in this plan. A
-// model that requests wait for is loaded from the weight store if no runner has
-// a copy. planLoad adds nothing if no runner is suitable.
+// among those that have a local copy of its weights and no swap in this plan, or
+// else from the weight store if mayUseStore permits that. planLoad adds nothing if
+// no runner is suitable.
 func (p *planner) planLoad(name string, reason Reason) {
 	model, ok := p.Engine.Models[name]
 	if !ok {
@@ -212,8 +218,8 @@
 			best, bestCost = &swap, cost
 		}
 	}
-	if best == nil && !p.Stored[name] && reason == Wanted {
-		best = p.planStoreLoad(model)
+	if best == nil && p.mayUseStore(name, reason) {
+		best = p.planStoreLoad(model, reason)
 	}
 	if best != nil {
 		p.addSwap(*best)
@@ -237,7 +243,7 @@
 
 // planStoreLoad returns a swap that loads a model from the weight store, or nil
 // if the store's rate limit permits none or no runner is suitable.
-func (p *planner) planStoreLoad(model drfleet.Model) *Swap {
+func (p *planner) planStoreLoad(model drfleet.Model, reason Reason) *Swap {
 	if p.StoreLoads <= 0 {
 		return nil
 	}
@@ -245,10 +251,10 @@
 	var bestCost time.Duration
 	for i := range p.Runners {
 		r := &p.Runners[i]
-		if !p.acceptsSwap(r) {
+		if _, holds := r.Replica(model.Name); holds || !p.acceptsSwap(r) {
 			continue
 		}
-		if swap, cost, ok := p.planSwap(r, model, model.FromStore, Wanted); ok && (best == nil || cost < bestCost) {
+		if swap, cost, ok := p.planSwap(r, model, model.FromStore, reason); ok && (best == nil || cost < bestCost) {
 			swap.FromStore = true
 			best, bestCost = &swap, cost
 		}
