drscheduler: Spare models in use from patient requests

Requests that can wait now evict only models with less than one request a second; a queue weighs as much as all requests of a runner; copies on runners that hold models of more worth don't keep a queued model from the weight store.

--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -218,7 +218,7 @@
 			best, bestCost = &swap, cost
 		}
 	}
-	if best == nil && p.mayUseStore(name, reason) {
+	if best == nil && p.mayUseStore(model, reason) {
 		best = p.planStoreLoad(model, reason)
 	}
 	if best != nil {
@@ -285,18 +285,19 @@
 
 // planSwap plans the load of a model into one runner and the evictions that it
 // needs. The cost is the load time plus the eviction losses, as seconds. It
-// returns false if the runner cannot free enough memory, or if an eviction for
-// an additional replica would lose at least as much as the replica gains.
+// returns false if the runner cannot free enough memory, or if an eviction would
+// lose at least evictionLimit.
 func (p *planner) planSwap(r *Runner, model drfleet.Model, loadDuration time.Duration, reason Reason) (Swap, time.Duration, bool) {
 	missingMemory := model.Size - (p.Engine.WeightMemory - p.usedMemory(r))
 	swap := Swap{Runner: r.Runner, Load: model.Name, Expected: loadDuration + orderOverhead, Why: reason}
 	cost := swap.Expected
+	limit := p.evictionLimit(model.Name, swap.Expected, reason)
 	for _, v := range p.evictableModels(r) {
 		if missingMemory <= 0 {
 			break
 		}
 		loss := p.evictionLoss(v)
-		if reason == Busy && loss >= p.replicaGain(model.Name) {
+		if loss >= limit {
 			return Swap{}, 0, false
 		}
 		swap.Unload = append(swap.Unload, v)
@@ -371,7 +372,10 @@
 }
 
 // replicaGain estimates the benefit of another replica of a busy model, in the
-// unit of evictionLoss.
+// unit of evictionLoss. It relieves all requests of a runner at which they queue.
 func (p *planner) replicaGain(model string) float64 {
+	if p.isSaturated(model) {
+		return p.Rate[model] / float64(p.replicas[model])
+	}
 	return p.Rate[model] / float64(p.replicas[model]+1) / 2
 }
