drscheduler, drcontroller: See queues while VMs are cut off

It now assumes the same of VMs that have stopped reporting, for 10 s and 1.5 times at most; a queue is seen at 0.65 of a runner's time instead of 0.8; swap-planned says why=queued for it.

--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -32,6 +32,9 @@
 	// maxCopiesUnknown is how long a new controller waits for reports of all
 	// runners before it loads models from the weight store.
 	maxCopiesUnknown = time.Second
+	// maxUnheardFactor bounds the demand that is assumed of VMs that have stopped
+	// reporting, because the clients of those that have ended go to others.
+	maxUnheardFactor = 1.5
 	// failureWindow is the time constant of the moving average of a runner's
 	// failures.
 	failureWindow = 3 * time.Second
@@ -308,12 +311,12 @@
 			byModel[m] += n
 		}
 	}
-	slots := c.slotsOf(service.Name)
+	slots, unheard := c.slotsOf(service.Name), c.unheardFactor(now)
 	for model, d := range c.demands {
 		d.decay(now)
 		d.averageIn(byModel[model], now)
 		state.Rate[model] = d.rate
-		state.Work[model] = d.utilization(slots)
+		state.Work[model] = d.utilization(slots) * unheard
 	}
 	paused := c.runnersPausedForMost(service.Name, now)
 	for _, r := range c.view.Runners(service.Name) {
@@ -354,6 +357,22 @@
 	return slots
 }
 
+// unheardFactor returns the factor by which the demand that VMs report is extended
+// to those that have only just stopped reporting. They may be cut off from the
+// controller alone, and go on sending requests.
+func (c *Controller) unheardFactor(now time.Time) float64 {
+	heard := 0
+	for _, v := range c.vms {
+		if now.Sub(v.lastReportAt) <= vmReportTimeout {
+			heard++
+		}
+	}
+	if heard == 0 {
+		return 1
+	}
+	return min(float64(len(c.vms))/float64(heard), maxUnheardFactor)
+}
+
 // copiesKnown reports whether the runners of a service have told this controller
 // which models they have local copies of. Entries that other VMs pass on lack
 // that, so a model could be loaded from the weight store in vain. The caller holds
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -130,7 +130,7 @@
 		}
 	}
 	for _, m := range p.saturatedModels() {
-		p.planLoad(m, Busy)
+		p.planLoad(m, Queued)
 	}
 	for _, m := range p.missingModels() {
 		p.planLoad(m, Wanted)
--- a/drscheduler/reason.go
+++ b/drscheduler/reason.go
@@ -15,4 +15,7 @@
 	// Spread means that the runner was empty, so that it relieves the model's other
 	// replicas.
 	Spread // spread
+	// Queued means that requests queue at the model's replicas, or soon will at the
+	// only one.
+	Queued // queued
 )
--- a/drscheduler/saturated.go
+++ b/drscheduler/saturated.go
@@ -10,7 +10,7 @@
 const (
 	// saturatedLoad is the utilization per replica above which a model's requests
 	// queue at its runners, as a share of one runner's time.
-	saturatedLoad = 0.8
+	saturatedLoad = 0.65
 	// reservedForWanted is the number of loads from the weight store that are left
 	// to models that no runner holds while requests for others queue.
 	reservedForWanted = 1
@@ -57,7 +57,7 @@
 	if reason == Wanted {
 		return !p.Stored[model.Name]
 	}
-	return p.isSaturated(model.Name) && !p.isLoading(model.Name) && p.StoreLoads > reservedForWanted && !p.hasSpareCopy(model)
+	return reason == Queued && p.isSaturated(model.Name) && p.StoreLoads > reservedForWanted && !p.hasSpareCopy(model)
 }
 
 // hasSpareCopy reports whether a runner that does not hold a model has a copy of its
