drscheduler: Load busy models before those whose requests can wait

Models whose requests can all wait longer than a load takes are now planned after busy ones; those about to miss their objective go before them as they did.

--- a/drscheduler/patience.go
+++ b/drscheduler/patience.go
@@ -11,8 +11,8 @@
 	// requests would queue until they are loaded again.
 	patientEvictionLoss = 1
 	// patienceMargin is the time by which a load must be able to end before the
-	// objective of the requests that wait for it, so that they can wait for a
-	// runner that holds less used models.
+	// objective of the requests that wait for it, so that busy models go first and
+	// they can wait for a runner that holds less used models.
 	patienceMargin = 750 * time.Millisecond
 )
 
@@ -38,3 +38,14 @@
 	}
 	return true
 }
+
+// canWaitForLoad reports whether all requests that wait for a model can wait longer
+// than its load takes.
+func (p *planner) canWaitForLoad(name string) bool {
+	model := p.Engine.Models[name]
+	duration := model.FromDisk
+	if !p.Stored[name] {
+		duration = model.FromStore
+	}
+	return p.canWait(name, duration+orderOverhead+patienceMargin)
+}
--- a/drscheduler/patience_test.go
+++ b/drscheduler/patience_test.go
@@ -36,3 +36,18 @@
 	s.Rate, s.Work = map[string]float64{"hot": 0.5}, map[string]float64{"hot": 0.01}
 	is.Equal(len(drscheduler.Plan(s)), 1) // little used
 }
+
+// Rare models are asked for by requests that can wait, while demand grows for a
+// model. Guards against runners with a copy of it that all swap rare models until
+// its requests queue, and against rare models that wait past their objective.
+func TestPlanPutsBusyModelsBeforePatientRequests(t *testing.T) {
+	is := is.New(t)
+	patient := newBacklog("rare")
+	patient.ObjectiveLeft = 4 * time.Second
+	s := newState(newEngine("hot", "rare"), []drscheduler.Backlog{patient},
+		newRunner("r1", []string{"hot"}, nil), newRunner("r2", nil, []string{"hot", "rare"}))
+	s.Rate, s.Work = map[string]float64{"hot": 20}, map[string]float64{"hot": 0.4}
+	is.Equal(drscheduler.Plan(s)[0].Load, "hot")
+	s.Backlogs[0].ObjectiveLeft = time.Second
+	is.Equal(drscheduler.Plan(s)[0].Load, "rare")
+}
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -111,8 +111,8 @@
 // plans a further replica of each model whose requests queue at its runners: the
 // few runners with a copy of it would otherwise be taken by other models all the
 // time. It then plans loads for models that requests wait for, in descending order
-// of value, then additional replicas of busy models, and then replicas on empty
-// runners. A model is loaded from the weight store, which blocks a runner for
+// of value, then additional replicas of busy models, then loads for models whose
+// requests can wait, and then replicas on empty runners. A model is loaded from the weight store, which blocks a runner for
 // seconds, only if no runner has a local copy of its weights, into a runner that has
 // no local copies at all, or if its requests queue and all runners with a copy hold
 // it.
@@ -132,12 +132,16 @@
 	for _, m := range p.saturatedModels() {
 		p.planLoad(m, Queued)
 	}
-	for _, m := range p.missingModels() {
+	due, patient := p.missingModels()
+	for _, m := range due {
 		p.planLoad(m, Wanted)
 	}
 	for _, m := range p.busyModels() {
 		p.planLoad(m, Busy)
 	}
+	for _, m := range patient {
+		p.planLoad(m, Wanted)
+	}
 	p.spread()
 	return p.swaps
 }
@@ -150,22 +154,28 @@
 }
 
 // missingModels returns the models that requests wait for and that no runner
-// holds or loads, in descending order of the value of loading them now.
-func (p *planner) missingModels() []string {
+// holds or loads, in descending order of the value of loading them now. Those whose
+// requests all can wait are apart.
+func (p *planner) missingModels() (due, patient []string) {
 	value := make(map[string]float64)
 	for _, w := range p.Backlogs {
 		if p.replicas[w.Model] == 0 {
 			value[w.Model] += backlogValue(w)
 		}
 	}
-	var models []string
 	for m := range value {
-		models = append(models, m)
+		if p.canWaitForLoad(m) {
+			patient = append(patient, m)
+		} else {
+			due = append(due, m)
+		}
 	}
-	slices.SortFunc(models, func(a, b string) int {
+	byValue := func(a, b string) int {
 		return cmp.Or(cmp.Compare(value[b], value[a]), cmp.Compare(a, b))
-	})
-	return models
+	}
+	slices.SortFunc(due, byValue)
+	slices.SortFunc(patient, byValue)
+	return due, patient
 }
 
 // backlogValue returns the value of loading a model for its waiting requests.
