drcontroller: Let loads from the weight store take longer

The model no longer counted as loading, so that it could be planned on another runner, which slowed the store's loads further. A load may now take twice its expected time and 6 s.

--- a/drcontroller/executor.go
+++ b/drcontroller/executor.go
@@ -26,7 +26,9 @@
 	// and still tell when others will be done. Slower ones are exceptions.
 	maxUsualLoadDelay = 100 * time.Millisecond
 	// maxOrderDelay is how long an order may exceed its expected time before
-	// the swap fails and the runner is queried.
+	// the swap fails and the runner is queried. A load may exceed it by its
+	// expected time in addition, because loads from the weight store slow each
+	// other down. A load given up too early would be planned once more.
 	maxOrderDelay = 6 * time.Second
 	// failedOrderPause is the minimum pause after a failed swap of models or a
 	// failed query before a runner gets an order or query again.
@@ -195,7 +197,7 @@
 		case outcome != drscheduler.Accepted && outcome != drscheduler.Conflicting && outcome != drscheduler.Unknown &&
 			outcome != drscheduler.Unreachable:
 			return errors.Join(fmt.Errorf("order outcome %s: %w", outcome, errStateUncertain), err)
-		case overdue > maxOrderDelay:
+		case overdue > maxOrderDelay+step.expected:
 			return errors.Join(fmt.Errorf("load not completed in time: %w", errStateUncertain), err)
 		}
 		pause = max(minLoadPollPause, drscheduler.RetryWait(overdue))
--- a/drcontroller/order_wait_test.go
+++ b/drcontroller/order_wait_test.go
@@ -197,3 +197,17 @@
 		})
 	}
 }
+
+// Loads from the weight store slow each other down. Guards against a load that is
+// given up while it goes on, and then planned once more.
+func TestLoadMayTakeTwiceAsLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &slowEngine{unload: 50 * time.Millisecond, load: 16 * time.Second}
+		c, runner, s := newSlowRunner(t, e)
+		defer c.Close()
+		swap := drscheduler.Swap{Runner: runner, Unload: []string{"a"}, Load: "b", Expected: 8*time.Second + swapOverhead}
+		is.NoErr(c.executeSwap(s, swap, s.epoch))
+		is.True(e.received() < 60)
+	})
+}
