--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -108,11 +108,14 @@
 }
 
 // Plan returns the swaps to start now, at most one for each runner. It first
-// plans loads for models that requests wait for, in descending order of value,
-// then additional replicas of busy models, and then replicas on empty runners. A
-// model is loaded from the weight store, which blocks a runner for seconds, only if
-// no runner has a local copy of its weights, or into a runner that has no local
-// copies at all.
+// plans a further replica of each model whose requests queue at its runners: the
+// few runners with a copy of it would otherwise be taken by other models all the
+// time. It then plans loads for models that requests wait for, in descending order
+// of value, then additional replicas of busy models, then loads for models whose
+// requests can wait, and then replicas on empty runners. A model is loaded from the weight store, which blocks a runner for
+// seconds, only if no runner has a local copy of its weights, into a runner that has
+// no local copies at all, or if its requests queue and all runners with a copy hold
+// it.
 func Plan(s State) []Swap {
 	p := &planner{State: s, swapPlanned: make(map[string]bool), replicas: make(map[string]int)}
 	for _, r := range s.Runners {
@@ -126,12 +129,19 @@
 			p.replicas[r.Loading]++
 		}
 	}
-	for _, m := range p.missingModels() {
+	for _, m := range p.saturatedModels() {
+		p.planLoad(m, Queued)
+	}
+	due, patient := p.missingModels()
+	for _, m := range due {
 		p.planLoad(m, Wanted)
 	}
 	for _, m := range p.busyModels() {
 		p.planLoad(m, Busy)
 	}
+	for _, m := range patient {
+		p.planLoad(m, Wanted)
+	}
 	p.spread()
 	return p.swaps
 }
@@ -144,22 +154,28 @@
 }
 
 // missingModels returns the models that requests wait for and that no runner
-// holds or loads, in descending order of the value of loading them now.
-func (p *planner) missingModels() []string {
+// holds or loads, in descending order of the value of loading them now. Those whose
+// requests all can wait are apart.
+func (p *planner) missingModels() (due, patient []string) {
 	value := make(map[string]float64)
 	for _, w := range p.Backlogs {
 		if p.replicas[w.Model] == 0 {
 			value[w.Model] += backlogValue(w)
 		}
 	}
-	var models []string
 	for m := range value {
-		models = append(models, m)
+		if p.canWaitForLoad(m) {
+			patient = append(patient, m)
+		} else {
+			due = append(due, m)
+		}
 	}
-	slices.SortFunc(models, func(a, b string) int {
+	byValue := func(a, b string) int {
 		return cmp.Or(cmp.Compare(value[b], value[a]), cmp.Compare(a, b))
-	})
-	return models
+	}
+	slices.SortFunc(due, byValue)
+	slices.SortFunc(patient, byValue)
+	return due, patient
 }
 
 // backlogValue returns the value of loading a model for its waiting requests.
@@ -189,9 +205,9 @@
 }
 
 // planLoad adds a swap that loads a model into the runner with the lowest cost
-// among those that have a local copy of its weights and no swap in this plan. A
-// model that requests wait for is loaded from the weight store if no runner has
-// a copy. planLoad adds nothing if no runner is suitable.
+// among those that have a local copy of its weights and no swap in this plan, or
+// else from the weight store if mayUseStore permits that. planLoad adds nothing if
+// no runner is suitable.
 func (p *planner) planLoad(name string, reason Reason) {
 	model, ok := p.Engine.Models[name]
 	if !ok {
@@ -212,8 +228,8 @@
 			best, bestCost = &swap, cost
 		}
 	}
-	if best == nil && !p.Stored[name] && reason == Wanted {
-		best = p.planStoreLoad(model)
+	if best == nil && p.mayUseStore(model, reason) {
+		best = p.planStoreLoad(model, reason)
 	}
 	if best != nil {
 		p.addSwap(*best)
@@ -237,7 +253,7 @@
 
 // planStoreLoad returns a swap that loads a model from the weight store, or nil
 // if the store's rate limit permits none or no runner is suitable.
-func (p *planner) planStoreLoad(model drfleet.Model) *Swap {
+func (p *planner) planStoreLoad(model drfleet.Model, reason Reason) *Swap {
 	if p.StoreLoads <= 0 {
 		return nil
 	}
@@ -245,10 +261,10 @@
 	var bestCost time.Duration
 	for i := range p.Runners {
 		r := &p.Runners[i]
-		if !p.acceptsSwap(r) {
+		if _, holds := r.Replica(model.Name); holds || !p.acceptsSwap(r) {
 			continue
 		}
-		if swap, cost, ok := p.planSwap(r, model, model.FromStore, Wanted); ok && (best == nil || cost < bestCost) {
+		if swap, cost, ok := p.planSwap(r, model, model.FromStore, reason); ok && (best == nil || cost < bestCost) {
 			swap.FromStore = true
 			best, bestCost = &swap, cost
 		}
@@ -279,18 +295,19 @@
 
 // planSwap plans the load of a model into one runner and the evictions that it
 // needs. The cost is the load time plus the eviction losses, as seconds. It
-// returns false if the runner cannot free enough memory, or if an eviction for
-// an additional replica would lose at least as much as the replica gains.
+// returns false if the runner cannot free enough memory, or if an eviction would
+// lose at least evictionLimit.
 func (p *planner) planSwap(r *Runner, model drfleet.Model, loadDuration time.Duration, reason Reason) (Swap, time.Duration, bool) {
 	missingMemory := model.Size - (p.Engine.WeightMemory - p.usedMemory(r))
 	swap := Swap{Runner: r.Runner, Load: model.Name, Expected: loadDuration + orderOverhead, Why: reason}
 	cost := swap.Expected
+	limit := p.evictionLimit(model.Name, swap.Expected, reason)
 	for _, v := range p.evictableModels(r) {
 		if missingMemory <= 0 {
 			break
 		}
 		loss := p.evictionLoss(v)
-		if reason == Busy && loss >= p.replicaGain(model.Name) {
+		if loss >= limit {
 			return Swap{}, 0, false
 		}
 		swap.Unload = append(swap.Unload, v)
@@ -365,7 +382,10 @@
 }
 
 // replicaGain estimates the benefit of another replica of a busy model, in the
-// unit of evictionLoss.
+// unit of evictionLoss. It relieves all requests of a runner at which they queue.
 func (p *planner) replicaGain(model string) float64 {
+	if p.isSaturated(model) {
+		return p.Rate[model] / float64(p.replicas[model])
+	}
 	return p.Rate[model] / float64(p.replicas[model]+1) / 2
 }
