drbalancer, drprompt: Weigh kept prompts against the wait at each engine

The whole prompt was credited to the engine that hashing of its last part chose. That part never comes again, so the choice was nearly random, ignored slots, and no prompt found its beginning. Now the wait counts the slots and the requests beyond them, VMs with the same old news choose at random by the expected delay instead of all choosing the least busy engine, and the saving is what this VM believes that the engine holds, or what all VMs agree to send to one engine by the anchor of the prompt.

--- a/drbalancer/candidate.go
+++ b/drbalancer/candidate.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drprompt"
 )
 
 const (
@@ -41,6 +42,13 @@
 	Load int
 	// Failing is the share of recent requests that failed on the runner, 0 to 1.
 	Failing float64
+	// Elsewhere is the part of Load that other VMs run.
+	Elsewhere int
+	// KeptTokens is how much of the request's prompt this VM believes that the runner
+	// holds.
+	KeptTokens int
+	// Estimate is set by Choose if Request.Slots is.
+	Estimate Estimate
 }
 
 // HasFreeSlot reports whether the runner would begin a request at once.
@@ -54,6 +62,12 @@
 	// Tried holds the IDs of runners that have already had this request. It may
 	// be nil.
 	Tried map[string]bool
+	// Slots is how many requests an engine runs at once. If it is 0, the choice
+	// regards neither the slots nor what engines hold of the prompt.
+	Slots int
+	// Prompt is the call's prompt, without prefixes if the engines hold none or the
+	// route asks for no affinity.
+	Prompt drprompt.Prompt
 }
 
 // Choose returns the candidate with the least expected delay, nil if there is
@@ -61,6 +75,9 @@
 // allowTried is set, and then at the cost of a failed attempt. The requests of a
 // session prefer one runner, because it has their shared prompt in its cache.
 func Choose(request Request, candidates []Candidate, allowTried bool) *Candidate {
+	if request.Engine && request.Slots > 0 {
+		return chooseEngine(request, candidates, allowTried)
+	}
 	var best *Candidate
 	var bestDelay time.Duration
 	preferred := preferredRunner(request.Call.Session(), candidates)
--- a/drfleet/route.go
+++ b/drfleet/route.go
@@ -51,6 +51,9 @@
 	// Resumable is set if a stream that breaks off may continue on another
 	// runner after the last event that the client has.
 	Resumable bool
+	// Affinity is set if requests should go where the beginning of their prompt is
+	// kept.
+	Affinity bool
 }
 
 // Idempotent reports whether a request may run more than once.
--- a/drfleet/service.go
+++ b/drfleet/service.go
@@ -13,6 +13,10 @@
 type Engine struct {
 	WeightMemory float64 // for weights of models and adapters, in MB
 	AdapterSlots int     // adapters that one runner can have loaded
+	Slots        int     // requests that one runner runs at once, 0 if not stated
+	// PromptMemory is the number of tokens for which one runner has memory. Running
+	// requests and the prompts that it keeps share it; 0 if it keeps none.
+	PromptMemory int
 	// LoadsPerSecond bounds the loads from the weight store by all runners
 	// together.
 	LoadsPerSecond float64
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -317,7 +317,8 @@
 		if u := e.counters[replica]; u != nil && now.Before(u.missingUntil) {
 			continue
 		}
-		c := drbalancer.Candidate{Runner: e.runner, Load: e.running + e.runningElsewhere + e.returning(uptime), Failing: max(e.decayedFailureShare(now), e.fleetFailureShare)}
+		c := drbalancer.Candidate{Runner: e.runner, Load: e.running + e.runningElsewhere + e.returning(uptime),
+			Elsewhere: e.runningElsewhere, Failing: max(e.decayedFailureShare(now), e.fleetFailureShare)}
 		if now.Before(e.unreachableUntil) {
 			unreachable = append(unreachable, c)
 			continue
--- a/drmetric/name.go
+++ b/drmetric/name.go
@@ -20,6 +20,7 @@
 	BorrowedTokens      = "dotterelridge_borrowed_tokens_total"
 	ReturnedTokens      = "dotterelridge_returned_tokens_total"
 	Retries             = "dotterelridge_retries_total"
+	PromptTokens        = "dotterelridge_prompt_tokens_total"
 	Ejections           = "dotterelridge_ejections_total"
 	Strikes             = "dotterelridge_strikes_total"
 	LogAppends          = "dotterelridge_log_appends_total"
@@ -67,6 +68,7 @@
 	{BorrowedTokens, Counter, Tokens, []string{"account"}, "Tokens borrowed from share holders."},
 	{ReturnedTokens, Counter, Tokens, []string{"account"}, "Borrowed tokens that were returned unused."},
 	{Retries, Counter, Count, []string{"result"}, "Retries on another backend server by result: allowed or over-budget."},
+	{PromptTokens, Counter, Tokens, []string{"belief"}, "Tokens of prompts that engines have begun to answer, by what this VM believed of the engine when it chose it: kept or not-kept. Only where engines keep prompts and the route asks for affinity."},
 	{Ejections, Counter, Count, nil, "Backend servers ejected after consecutive failures."},
 	{Strikes, Counter, Count, nil, "Requests recorded as suspects because a backend server crashed while running them."},
 	{LogAppends, Counter, Count, []string{"stream", "result"}, "Appends to the log by result: appended, failed or unknown."},
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -11,10 +11,12 @@
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
+	"github.com/dotterelridge/dotterelridge/drbalancer"
 	"github.com/dotterelridge/dotterelridge/drcrash"
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drmetric"
+	"github.com/dotterelridge/dotterelridge/drprompt"
 )
 
 const (
@@ -52,6 +54,8 @@
 	route         *drfleet.Route
 	service       *drfleet.Service
 	account       *drfleet.Account
+	// prompt has no prefixes if the choice of a runner need not regard it.
+	prompt drprompt.Prompt
 	// timeoutAt is when the route's timeout or the client's deadline passes,
 	// whichever comes first.
 	timeoutAt time.Time
@@ -70,9 +74,10 @@
 	// knownIdentity is what identity has returned, zero before.
 	knownIdentity drcrash.Identity
 
-	// attempts, runner (the last one tried) and waited (the time spent waiting
-	// for a model) appear only in the log.
+	// attempts, runner (the last one tried), estimate (what its choice weighed) and
+	// waited (the time spent waiting for a model) appear only in the log.
 	attempts int
+	estimate drbalancer.Estimate
 	runner   string
 	waited   time.Duration
 }
@@ -175,6 +180,7 @@
 		return refusal{status: fasthttp.StatusNotFound, reason: "unknown-route", detail: x.call.Host + x.call.Path}, false
 	}
 	x.service = d.Service(x.route.Target(rand.Float64()))
+	x.setPrompt()
 	limit := x.route.Timeout
 	if limit <= 0 {
 		limit = defaultDeadline
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -91,6 +91,7 @@
 		}
 		options := attemptOptions{lastEvent: lastEvent, firstByteTimeout: firstByteTimeout, repeated: state.tried[c.Runner.ID]}
 		state.tried[c.Runner.ID] = true
+		x.estimate = c.Estimate
 		a, err := x.startAttempt(c.Runner, options)
 		if err == nil && !a.handleNotExecuted() {
 			state.possibleRuns++
--- a/drproxy/refusal.go
+++ b/drproxy/refusal.go
@@ -1,6 +1,7 @@
 package drproxy
 
 import (
+	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -87,6 +88,7 @@
 	if x.unread >= minLoggedUnread {
 		f["unread"] = x.unread.Round(time.Millisecond)
 	}
+	maps.Copy(f, x.weighed())
 	if x.waited > 0 {
 		f["waited"] = x.waited.Round(time.Millisecond)
 	}
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -74,6 +74,7 @@
 type Server struct {
 	Config
 	pool     *pool
+	prompts  *keptPrompts
 	memory   memoryBudget
 	draining atomic.Bool
 	// drainEnd is nil until EndBy has been called.
@@ -98,7 +99,7 @@
 func New(config Config) *Server {
 	s := &Server{
 		Config: config, pool: newPool(config.Dialer, config.Clock), conns: make(map[*clientConn]struct{}), idle: list.New(),
-		stopWaiting: make(chan struct{}), stopAnswering: make(chan struct{}),
+		prompts: newKeptPrompts(config.Clock, config.View), stopWaiting: make(chan struct{}), stopAnswering: make(chan struct{}),
 	}
 	s.memory.give(cmp.Or(config.LargeMessages, defaultLargeMessages))
 	return s
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -181,7 +181,10 @@
 		if !ok && !a.begun && st.first != nil && st.first != a && !isComment(event) {
 			return a.fail(errNoContinuation)
 		}
-		a.begun = a.begun || ok
+		if ok && !a.begun {
+			a.begun = true
+			x.recordPrompt(a.runner)
+		}
 		if ok && id <= st.lastEvent {
 			continue // the client has this event from an earlier attempt
 		}
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -38,7 +38,7 @@
 	p := x.replica()
 	request := x.balancerRequest(tried)
 	changed := s.View.Changed()
-	if c := drbalancer.Choose(request, s.View.Candidates(p), true); c != nil {
+	if c := drbalancer.Choose(request, x.candidates(p), true); c != nil {
 		return c, refusal{}, runnerFound
 	}
 	giveUpAt := x.giveUpAt()
@@ -75,7 +75,7 @@
 		}
 		t.Stop()
 		changed = s.View.Changed()
-		if c := drbalancer.Choose(request, s.View.Candidates(p), true); c != nil {
+		if c := drbalancer.Choose(request, x.candidates(p), true); c != nil {
 			return c, refusal{}, runnerFound
 		}
 	}
@@ -108,7 +108,11 @@
 // balancerRequest returns what drbalancer needs to choose a runner for the
 // request. tried holds the IDs of the runners that have already had it.
 func (x *exchange) balancerRequest(tried map[string]bool) drbalancer.Request {
-	return drbalancer.Request{Zone: x.server.Zone, Engine: x.service.Engine != nil, Call: x.call, Tried: tried}
+	request := drbalancer.Request{Zone: x.server.Zone, Engine: x.service.Engine != nil, Call: x.call, Tried: tried}
+	if request.Engine {
+		request.Slots, request.Prompt = x.service.Engine.Slots, x.prompt
+	}
+	return request
 }
 
 // noRunnerRefusal returns the refusal for a request that found no runner, with
