drbalancer, drcontroller: Tell of unread tokens and keep long prompts apart

VMs report the unread and running tokens of their requests by runner, the controller's news carries the sums, and long prompts go to engines on which all VMs agree by a hash of the runner.

--- a/drbalancer/candidate.go
+++ b/drbalancer/candidate.go
@@ -44,6 +44,9 @@
 	Failing float64
 	// Elsewhere is the part of Load that other VMs run.
 	Elsewhere int
+	// RunningTokens is how much of the runner's memory the requests of all VMs may
+	// come to need, and UnreadTokens how much of their prompts it has still to read.
+	RunningTokens, UnreadTokens int
 	// KeptTokens is how much of the request's prompt this VM believes that the runner
 	// holds.
 	KeptTokens int
@@ -65,6 +68,11 @@
 	// Slots is how many requests an engine runs at once. If it is 0, the choice
 	// regards neither the slots nor what engines hold of the prompt.
 	Slots int
+	// PromptMemory is the number of tokens that an engine has memory for, 0 if that is
+	// not known.
+	PromptMemory int
+	// LongShare is the share of long prompts in the tokens that engines read.
+	LongShare float64
 	// Prompt is the call's prompt, without prefixes if the engines hold none or the
 	// route asks for no affinity.
 	Prompt drprompt.Prompt
--- a/drbalancer/engine_test.go
+++ b/drbalancer/engine_test.go
@@ -117,3 +117,52 @@
 	is.Equal(e.KeptTokens, 8500)
 	is.True(e.Wait > 0 && e.Saved > 0 && e.Delay() == e.Wait-e.Saved)
 }
+
+// Guards against short requests that wait behind a long prompt of which only the news of
+// unread tokens tells: the engine with it runs fewer requests.
+func TestUnreadPromptsCount(t *testing.T) {
+	is := is.New(t)
+	cs := engines(2, 6, 6)
+	cs[0].UnreadTokens = 12_000
+	is.True(chosen(1000, cs, question)["r0"] < 100)
+}
+
+// Guards against mixing: while few of the tokens are in long prompts, these go to one
+// engine whatever the model, and the short ones mostly to the others. Where most are long
+// they must not crowd together.
+func TestLongPromptsAreKeptApart(t *testing.T) {
+	is := is.New(t)
+	spread := func(share float64, tokens int) map[string]int {
+		counts := make(map[string]int)
+		for i := range 1000 {
+			call := &drfleet.Call{Model: fmt.Sprint("m", i), Prompt: []drfleet.Part{{ID: "p", Tokens: tokens / 3}, {ID: "q", Tokens: tokens / 3 * 2}}}
+			request := engineRequest(call)
+			request.LongShare = share
+			counts[drbalancer.Choose(request, engines(2, 2, 2, 2), true).Runner.ID]++
+		}
+		return counts
+	}
+	long, short := spread(0.2, 9000), spread(0.2, 600)
+	is.Equal(len(long), 1)
+	for id := range long {
+		is.True(short[id] < 50)
+	}
+	is.True(len(spread(0.5, 9000)) == 2)
+	is.Equal(len(spread(0.95, 9000)), 4)
+	is.Equal(len(spread(0, 9000)), 4)
+}
+
+// Guards against a request that is sent where the running ones need the memory, so that
+// one of them is preempted, because the engine holds its prompt or has free slots.
+func TestMemoryNearlyUsedUp(t *testing.T) {
+	is := is.New(t)
+	cs := engines(3, 8, 8)
+	cs[0].KeptTokens, cs[0].RunningTokens = 6000, 185_000
+	counts := make(map[string]int)
+	for i := range 200 {
+		request := engineRequest(digest(i))
+		request.PromptMemory = 190_000
+		counts[drbalancer.Choose(request, cs, true).Runner.ID]++
+	}
+	is.True(counts["r0"] < 20)
+}
--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -88,6 +88,7 @@
 	mu            sync.Mutex
 	vms           map[string]*vm
 	running       runningTotals
+	tokens        tokensByRunner
 	runnerStates  map[string]*runnerState
 	demands       map[string]*demand
 	storeLoads    loadRate
@@ -101,7 +102,7 @@
 func NewController(c ControllerConfig, v *drfleetview.View) *Controller {
 	controller := &Controller{
 		ControllerConfig: c, view: v, pool: drtokenpool.NewPool(c.Clock), crashes: drcrash.NewTally(c.Clock), planRequests: make(chan struct{}, 1),
-		vms: make(map[string]*vm), running: newRunningTotals(), runnerStates: make(map[string]*runnerState), demands: make(map[string]*demand),
+		vms: make(map[string]*vm), running: newRunningTotals(), tokens: make(tokensByRunner), runnerStates: make(map[string]*runnerState), demands: make(map[string]*demand),
 		backlogs:   make(map[string]modelBacklog),
 		storeLoads: loadRate{createdAt: c.Clock.Now()}, startedAt: c.Clock.Now(), limitsVersion: -1,
 	}
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -47,6 +47,7 @@
 	uses            map[replicaKey]replicaUse
 	resultsByRunner map[string]resultCounters
 	runningByRunner map[string]int
+	tokens          tokensByRunner
 	// wakeups holds a token if the VM's pending report must be checked again,
 	// for example because a model that the VM waits for was loaded.
 	wakeups chan struct{}
@@ -73,7 +74,7 @@
 func newVM(incarnation uint64) *vm {
 	return &vm{
 		incarnation: incarnation, uses: make(map[replicaKey]replicaUse), resultsByRunner: make(map[string]resultCounters),
-		runningByRunner: make(map[string]int), wakeups: make(chan struct{}, 1),
+		runningByRunner: make(map[string]int), tokens: make(tokensByRunner), wakeups: make(chan struct{}, 1),
 	}
 }
 
@@ -228,6 +229,7 @@
 			s.recentResults.add(counterIncrease(u.GetSucceeded(), before.succeeded), counterIncrease(u.GetFailed(), before.failed), now)
 		}
 		v.resultsByRunner[u.GetRunner()] = resultCounters{u.GetSucceeded(), u.GetFailed()}
+		c.applyTokens(v, u)
 		for _, p := range u.GetReplicas() {
 			k := replicaKey{u.GetRunner(), u.GetStarted(), p.GetModel(), p.GetAdapter()}
 			before := v.uses[k]
@@ -250,6 +252,7 @@
 		v.uses[k] = u
 	}
 	clear(v.runningByRunner)
+	c.subtractTokens(v)
 }
 
 func (c *Controller) applyReplicaUse(s *runnerState, key replicaKey, use *drpb.FleetReplicaUse, requests float64, now time.Time) {
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -54,7 +54,8 @@
 func encodeUses(us []drfleetview.RunnerUse) []*drpb.FleetUse {
 	var out []*drpb.FleetUse
 	for _, u := range us {
-		m := &drpb.FleetUse{Runner: u.Runner, Started: u.Started, Succeeded: u.Succeeded, Failed: u.Failed}
+		m := &drpb.FleetUse{Runner: u.Runner, Started: u.Started, Succeeded: u.Succeeded, Failed: u.Failed,
+			RunningTokens: uint32(max(u.Tokens.Running, 0)), UnreadTokens: uint32(max(u.Tokens.Unread, 0))}
 		for _, p := range u.Replicas {
 			m.Replicas = append(m.Replicas, &drpb.FleetReplicaUse{
 				Model: p.Replica.Model, Adapter: p.Replica.Adapter, Running: uint32(p.Running), Requests: p.Requests,
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -286,9 +286,14 @@
 			others -= reporter.runningByRunner[id]
 		}
 		failing := uint32(c.runnerStates[id].recentResults.failureShare() * 100)
+		tokens := c.tokens[id]
+		if reporter != nil {
+			tokens = tokens.Minus(reporter.tokens[id])
+		}
 		if others > 0 || failing > 0 {
 			reply.Loads = append(reply.Loads, &drpb.FleetLoad{
 				Runner: id, Running: uint32(max(others, 0)), FailingPercent: failing,
+				RunningTokens: uint32(max(tokens.Running, 0)), UnreadTokens: uint32(max(tokens.Unread, 0)),
 			})
 		}
 	}
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -226,6 +226,7 @@
 	n.View.ForgetLoads()
 	for _, l := range reply.GetLoads() {
 		n.View.SetLoad(l.GetRunner(), int(l.GetRunning()), float64(l.GetFailingPercent())/100)
+		n.View.SetTokens(l.GetRunner(), decodeTokens(l.GetRunningTokens(), l.GetUnreadTokens()))
 	}
 	for _, f := range reply.GetForecasts() {
 		n.View.SetForecast(decodeReplica(f.GetReplica()), time.Duration(f.GetExpectedMs())*time.Millisecond)
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -41,6 +41,9 @@
 	counters         map[Replica]*replicaCounters
 	running          int
 	runningElsewhere int // requests of other VMs, as the controller last reported
+	// tokens are those of this VM's requests, as in the last report reportedTokens,
+	// and tokensElsewhere those of other VMs, as the controller last reported.
+	tokens, reportedTokens, tokensElsewhere Tokens
 	// succeeded and failed count the requests of this VM since the process
 	// started.
 	succeeded, failed uint64
@@ -318,7 +321,8 @@
 			continue
 		}
 		c := drbalancer.Candidate{Runner: e.runner, Load: e.running + e.runningElsewhere + e.returning(uptime),
-			Elsewhere: e.runningElsewhere, Failing: max(e.decayedFailureShare(now), e.fleetFailureShare)}
+			Elsewhere: e.runningElsewhere, RunningTokens: e.tokens.Running + e.tokensElsewhere.Running,
+			UnreadTokens: e.tokens.Unread + e.tokensElsewhere.Unread, Failing: max(e.decayedFailureShare(now), e.fleetFailureShare)}
 		if now.Before(e.unreachableUntil) {
 			unreachable = append(unreachable, c)
 			continue
--- a/drfleetview/use.go
+++ b/drfleetview/use.go
@@ -31,6 +31,7 @@
 	view    *View
 	entry   *entry
 	replica Replica
+	tokens  Tokens
 }
 
 // Begin counts a request of this VM as running on a runner until End is called,
@@ -51,7 +52,7 @@
 	u.running++
 	u.requests++
 	e.running++
-	return &ActiveRequest{v, e, replica}
+	return &ActiveRequest{view: v, entry: e, replica: replica}
 }
 
 // End stops counting the request as running and records its result, which
@@ -62,6 +63,7 @@
 	defer v.mu.Unlock()
 	now := v.clock.Now()
 	e.running--
+	e.tokens = e.tokens.Minus(u.tokens)
 	counters := e.counters[u.replica]
 	counters.running--
 	switch result {
@@ -85,6 +87,7 @@
 	Runner            string
 	Started           int64
 	Succeeded, Failed uint64
+	Tokens            Tokens
 	Replicas          []ReplicaUse
 }
 
@@ -109,7 +112,7 @@
 		if e.removed || len(e.counters) == 0 {
 			continue
 		}
-		u := RunnerUse{Runner: id, Started: e.runner.Started, Succeeded: e.succeeded, Failed: e.failed}
+		u := RunnerUse{Runner: id, Started: e.runner.Started, Succeeded: e.succeeded, Failed: e.failed, Tokens: e.tokens}
 		for p, x := range e.counters {
 			r := ReplicaUse{p, x.running, x.requests, now.Before(x.missingUntil)}
 			if all || r != x.lastReported {
@@ -117,7 +120,8 @@
 				x.lastReported = r
 			}
 		}
-		if len(u.Replicas) > 0 {
+		if len(u.Replicas) > 0 || u.Tokens != e.reportedTokens {
+			e.reportedTokens = u.Tokens
 			us = append(us, u)
 		}
 	}
@@ -142,6 +146,6 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, e := range v.runners {
-		e.runningElsewhere, e.fleetFailureShare = 0, 0
+		e.runningElsewhere, e.fleetFailureShare, e.tokensElsewhere = 0, 0, Tokens{}
 	}
 }
--- a/drprompt/index_test.go
+++ b/drprompt/index_test.go
@@ -113,3 +113,19 @@
 	is.Equal(prompt().Anchor(), drprompt.Prefix{})
 	is.Equal(prompt(drfleet.Part{ID: "empty"}, request).Anchor(), drprompt.Prefix{})
 }
+
+// Guards against a share of long prompts that stays after they have ceased.
+func TestMixForgets(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	m := drprompt.NewMix(clock)
+	is.Equal(m.LongShare(), 0.0)
+	m.Add(9000, 4000)
+	for range 8 {
+		m.Add(500, 500)
+	}
+	is.Equal(m.LongShare(), 0.5)
+	clock.Advance(2 * time.Minute)
+	m.Add(500, 500)
+	is.True(m.LongShare() < 0.15)
+}
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -78,6 +78,7 @@
 		return nil, errClientGone
 	}
 	a := &attempt{exchange: x, runner: runner, activeRequest: x.server.View.Begin(runner, x.replica()), attemptOptions: options}
+	a.activeRequest.SetTokens(x.tokens())
 	x.current = a
 	x.attempts++
 	x.runner = runner.ID
--- a/drproxy/prompt.go
+++ b/drproxy/prompt.go
@@ -18,13 +18,14 @@
 // runner table.
 type keptPrompts struct {
 	*drprompt.Index
+	mix  *drprompt.Mix
 	view *drfleetview.View
 	// followed is the revision of the table that the Index has been told of.
 	followed atomic.Uint64
 }
 
 func newKeptPrompts(clock drclock.Clock, view *drfleetview.View) *keptPrompts {
-	return &keptPrompts{Index: drprompt.NewIndex(clock), view: view}
+	return &keptPrompts{Index: drprompt.NewIndex(clock), mix: drprompt.NewMix(clock), view: view}
 }
 
 // follow tells the Index what has changed in the runner table.
@@ -67,6 +68,15 @@
 	return cs
 }
 
+// tokens returns the tokens that the request takes at the engine that was chosen for it.
+func (x *exchange) tokens() drfleetview.Tokens {
+	if x.service.Engine == nil || x.service.Engine.Slots == 0 {
+		return drfleetview.Tokens{}
+	}
+	prompt := max(x.call.PromptTokens, x.prompt.Tokens())
+	return drfleetview.Tokens{Running: prompt + x.call.OutputTokens, Unread: max(prompt-x.estimate.KeptTokens, 0)}
+}
+
 // recordPrompt notes that a runner has read the request's prompt.
 func (x *exchange) recordPrompt(runner *drfleet.Runner) {
 	if len(x.prompt.Prefixes) == 0 {
@@ -74,6 +84,7 @@
 	}
 	x.server.prompts.Record(runner, x.prompt, x.service.Engine.PromptMemory)
 	kept := min(x.estimate.KeptTokens, x.prompt.Tokens())
+	x.server.prompts.mix.Add(x.prompt.Tokens(), x.prompt.Tokens()-kept)
 	x.server.Metrics.Counter(drmetric.PromptTokens, "kept").Inc(int64(kept))
 	x.server.Metrics.Counter(drmetric.PromptTokens, "not-kept").Inc(int64(x.prompt.Tokens() - kept))
 }
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -183,6 +183,7 @@
 		}
 		if ok && !a.begun {
 			a.begun = true
+			a.activeRequest.PromptRead()
 			x.recordPrompt(a.runner)
 		}
 		if ok && id <= st.lastEvent {
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -110,7 +110,8 @@
 func (x *exchange) balancerRequest(tried map[string]bool) drbalancer.Request {
 	request := drbalancer.Request{Zone: x.server.Zone, Engine: x.service.Engine != nil, Call: x.call, Tried: tried}
 	if request.Engine {
-		request.Slots, request.Prompt = x.service.Engine.Slots, x.prompt
+		request.Slots, request.PromptMemory = x.service.Engine.Slots, x.service.Engine.PromptMemory
+		request.Prompt, request.LongShare = x.prompt, x.server.prompts.mix.LongShare()
 	}
 	return request
 }
