--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -41,6 +41,9 @@
 	counters         map[Replica]*replicaCounters
 	running          int
 	runningElsewhere int // requests of other VMs, as the controller last reported
+	// tokens are those of this VM's requests, as in the last report reportedTokens,
+	// and tokensElsewhere those of other VMs, as the controller last reported.
+	tokens, reportedTokens, tokensElsewhere Tokens
 	// succeeded and failed count the requests of this VM since the process
 	// started.
 	succeeded, failed uint64
@@ -317,7 +320,9 @@
 		if u := e.counters[replica]; u != nil && now.Before(u.missingUntil) {
 			continue
 		}
-		c := drbalancer.Candidate{Runner: e.runner, Load: e.running + e.runningElsewhere + e.returning(uptime), Failing: max(e.decayedFailureShare(now), e.fleetFailureShare)}
+		c := drbalancer.Candidate{Runner: e.runner, Load: e.running + e.runningElsewhere + e.returning(uptime),
+			Elsewhere: e.runningElsewhere, RunningTokens: e.tokens.Running + e.tokensElsewhere.Running,
+			UnreadTokens: e.tokens.Unread + e.tokensElsewhere.Unread, Failing: max(e.decayedFailureShare(now), e.fleetFailureShare)}
 		if now.Before(e.unreachableUntil) {
 			unreachable = append(unreachable, c)
 			continue
