--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -15,6 +16,14 @@
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
 )
 
+const (
+	// reserveProcessorShare is the part of this VM's processor that may go to calls
+	// about single requests. The rest is left for reports, plans and requests.
+	reserveProcessorShare = 0.25
+	// reserveCallCost is the processor time that one such call takes.
+	reserveCallCost = 100 * time.Microsecond
+)
+
 // Reserve takes tokens from a client account for one request of a VM. The error
 // is drtokenpool.ErrUnknownAccount if the account has no limit.
 func (c *Controller) Reserve(vm string, request *drpb.FleetReserveRequest) (*drpb.FleetReserveReply, error) {
@@ -22,7 +31,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &drpb.FleetReserveReply{Granted: r.Granted, Saturated: r.Saturated, RetryAfterMs: uint32(milliseconds(r.RetryAfter))}, nil
+	return &drpb.FleetReserveReply{
+		Granted: r.Granted, Saturated: r.Saturated, RetryAfterMs: uint32(milliseconds(r.RetryAfter)),
+		RefillUs: uint32(min(max(r.Refill.Microseconds(), 0), math.MaxUint32)),
+	}, nil
 }
 
 // Sync records a VM's report and replies with the changes since the revision
@@ -237,6 +249,7 @@
 	}
 	vms := c.countReportingVMs(now)
 	reply.MostProcessor = c.maxProcessor()
+	reply.ReserveCalls = c.Processor * reserveProcessorShare / reserveCallCost.Seconds()
 	reply.Vms = uint32(vms)
 	reply.NextWaitMs = uint32(milliseconds(time.Duration(vms) * syncIntervalPerVM))
 }
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -237,6 +237,7 @@
 		})
 	}
 	n.Crashes.SetVerdict(decodeVerdict(reply.GetTerm(), reply.GetVerdict()))
+	n.Allowances.SetCallRate(reply.GetReserveCalls())
 	n.Allowances.RecordControllerReply(int(reply.GetVms()))
 }
 
@@ -309,5 +310,6 @@
 	}
 	return drtokenpool.Reservation{
 		Granted: reply.GetGranted(), Saturated: reply.GetSaturated(), RetryAfter: time.Duration(reply.GetRetryAfterMs()) * time.Millisecond,
+		Refill: time.Duration(reply.GetRefillUs()) * time.Microsecond,
 	}, true
 }
--- a/drtokenpool/allowance.go
+++ b/drtokenpool/allowance.go
@@ -30,11 +30,12 @@
 	// unansweredPause is how long a VM does not ask the controller again after
 	// a call that it did not answer in time.
 	unansweredPause = 250 * time.Millisecond
-	// maxSaturatedCalls is how many calls a second all VMs together make to the
-	// controller about requests of saturated accounts, and minSaturatedCalls
-	// how many each VM may make at least.
-	maxSaturatedCalls = 300.0
-	minSaturatedCalls = 1.0
+	// defaultSaturatedCalls is how many calls a second all VMs together make to the
+	// controller about requests of saturated accounts until the controller states
+	// how many it can answer, and minSaturatedCalls how many each VM may make at
+	// least.
+	defaultSaturatedCalls = 300.0
+	minSaturatedCalls     = 1.0
 	// retryAfterSpread bounds the random deviation of the retry-after times that
 	// refused clients get, as a fraction, so that they do not return together.
 	retryAfterSpread = 0.25
@@ -61,9 +62,10 @@
 	vmCount             int
 	slack               float64
 	// calls is the number of calls that may be made now about requests of
-	// saturated accounts, as of callsAt.
-	calls   float64
-	callsAt time.Time
+	// saturated accounts, as of callsAt. All VMs together make callRate a second.
+	calls    float64
+	callsAt  time.Time
+	callRate float64
 }
 
 // allowance is the state of one client account on this VM. Amounts are in
@@ -103,7 +105,7 @@
 // NewAllowances returns allowances without accounts: Admit admits every request
 // until SetLimits is called.
 func NewAllowances(c drclock.Clock) *Allowances {
-	return &Allowances{clock: c, accounts: make(map[string]*allowance), vmCount: assumedVMs}
+	return &Allowances{clock: c, accounts: make(map[string]*allowance), vmCount: assumedVMs, callRate: defaultSaturatedCalls}
 }
 
 // SetLimits replaces the limits of all accounts. Accounts that are not in limits
@@ -175,6 +177,19 @@
 	s.slack = tokens
 }
 
+// SetCallRate sets how many calls a second about single requests of saturated accounts
+// the controller answers for all VMs together. The more it answers, the more of the
+// requests within an account's rate are the ones that are admitted. A rate of 0 stands for
+// the default.
+func (s *Allowances) SetCallRate(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if perSecond <= 0 {
+		perSecond = defaultSaturatedCalls
+	}
+	s.callRate = perSecond
+}
+
 // AssumeVMs sets the fleet size that a former controller recorded. It does
 // nothing once a controller has answered this process, or if vms is 0.
 func (s *Allowances) AssumeVMs(vms int) {
@@ -229,7 +244,7 @@
 	if a.deniedUntil.Before(now) || tokens < a.smallestDenied {
 		a.smallestDenied = tokens
 	}
-	a.deniedUntil, a.retryAfter = now.Add(min(reservation.RetryAfter, maxDenialReuse)), reservation.RetryAfter
+	a.deniedUntil, a.retryAfter = now.Add(min(reservation.Refill, maxDenialReuse)), reservation.RetryAfter
 	a.saturated = reservation.Saturated
 	return Admission{Basis: ByController, RetryAfter: spread(a.retryAfter)}
 }
@@ -276,7 +291,7 @@
 // takeCall takes one of the calls that this VM may make about requests of saturated
 // accounts, and reports whether there was one. The caller holds s.mu.
 func (s *Allowances) takeCall(now time.Time) bool {
-	rate := max(maxSaturatedCalls/float64(s.vmCount), minSaturatedCalls)
+	rate := max(s.callRate/float64(s.vmCount), minSaturatedCalls)
 	s.calls = min(s.calls+now.Sub(s.callsAt).Seconds()*rate, rate)
 	s.callsAt = now
 	if s.calls < 1 {
--- a/drtokenpool/pool.go
+++ b/drtokenpool/pool.go
@@ -417,11 +417,14 @@
 var ErrUnknownAccount = errors.New("the controller has no token limit for the client account")
 
 // Reservation is the answer to a request for the tokens of one request. Saturated is
-// as in Grant; RetryAfter is set only if Granted is not.
+// as in Grant; RetryAfter and Refill are set only if Granted is not.
 type Reservation struct {
 	Granted    bool
 	Saturated  bool
 	RetryAfter time.Duration
+	// Refill is the time until the pool has the tokens if no other request takes
+	// them. Until then a request of the same size would be denied, too.
+	Refill time.Duration
 }
 
 // Reserve deducts tokens for one request that exceeds the VM's grant. The only error
@@ -440,7 +443,7 @@
 	if need := min(tokens, a.limit.Burst); a.level < need {
 		a.recordRefusal(tokens, now)
 		wait := time.Duration((need - a.level) / max(a.limit.Rate, 1) * float64(time.Second))
-		return Reservation{Saturated: a.saturated(), RetryAfter: a.retryAfter(wait, now)}, nil
+		return Reservation{Saturated: a.saturated(), RetryAfter: a.retryAfter(wait, now), Refill: wait}, nil
 	}
 	a.level -= tokens
 	if u := a.vms[vm]; u != nil {
