drtokenpool: Decide contended claims in the order of arrival, and repeats after first calls

Cause: while an account sends several times its rate, its tokens went to whichever request reached the controller first, and half of them to clients that came back. Change: claims carry their age and the identity of the request; the controller decides contended ones at one age and gives repeats what first calls leave.

--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -94,6 +94,9 @@
 	// maxProcessor is the part of a core that the strongest VM may use, 0 until
 	// the controller or the lease has told it.
 	maxProcessor float64
+
+	// distance is that to the controller, which claims on tokens measure.
+	distance distance
 }
 
 // New returns a Node and registers its handlers for calls from other VMs. It
@@ -172,14 +175,26 @@
 	return c.Sync(ctx, from.VM, from.Incarnation, m), nil
 }
 
-func (n *Node) handleReserve(_ context.Context, from drpeer.Sender, body []byte) (proto.Message, error) {
+func (n *Node) handleReserve(ctx context.Context, from drpeer.Sender, body []byte) (proto.Message, error) {
 	m := new(drpb.FleetReserveRequest)
 	if err := proto.Unmarshal(body, m); err != nil {
 		return nil, err
 	}
 	c := n.controller.Load()
-	if c == nil || !c.Holds() {
+	if c == nil {
+		return nil, errLeaseLost
+	}
+	held, err := c.holdClaim(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	if !c.Holds() {
 		return nil, errLeaseLost
 	}
-	return c.Reserve(from.VM, m)
+	reply, err := c.Reserve(from.VM, m)
+	if err != nil {
+		return nil, err
+	}
+	reply.HeldUs = microseconds(held)
+	return reply, nil
 }
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -27,13 +26,13 @@
 // Reserve takes tokens from a client account for one request of a VM. The error
 // is drtokenpool.ErrUnknownAccount if the account has no limit.
 func (c *Controller) Reserve(vm string, request *drpb.FleetReserveRequest) (*drpb.FleetReserveReply, error) {
-	r, err := c.pool.Reserve(vm, request.GetAccount(), request.GetTokens())
+	r, err := c.pool.Claim(vm, request.GetAccount(), claimOf(request))
 	if err != nil {
 		return nil, err
 	}
 	return &drpb.FleetReserveReply{
 		Granted: r.Granted, Saturated: r.Saturated, RetryAfterMs: uint32(milliseconds(r.RetryAfter)),
-		RefillUs: uint32(min(max(r.Refill.Microseconds(), 0), math.MaxUint32)),
+		RefillUs: microseconds(r.Refill), Repeated: r.Repeated,
 	}, nil
 }
 
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -292,24 +292,3 @@
 	}
 	return record, deflated, err
 }
-
-// Reserve implements drtokenpool.Reserver by a call to the controller. ok is
-// false if no controller has replied lately or the call failed.
-func (n *Node) Reserve(ctx context.Context, account string, tokens float64) (r drtokenpool.Reservation, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	leader, reached := n.Leader()
-	if !reached {
-		return drtokenpool.Reservation{}, false
-	}
-	reply := new(drpb.FleetReserveReply)
-	if err := n.Peers.Call(ctx, leader.VM, methodReserve, &drpb.FleetReserveRequest{Account: account, Tokens: tokens}, reply); err != nil {
-		log.WithFields(log.Fields{"event": "reserve-failed", "account": account, "tokens": tokens, "controller": leader.VM,
-			"term": leader.Term}).WithError(err).Info("")
-		return drtokenpool.Reservation{}, false
-	}
-	return drtokenpool.Reservation{
-		Granted: reply.GetGranted(), Saturated: reply.GetSaturated(), RetryAfter: time.Duration(reply.GetRetryAfterMs()) * time.Millisecond,
-		Refill: time.Duration(reply.GetRefillUs()) * time.Microsecond,
-	}, true
-}
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -205,7 +205,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), x.timeoutAt)
 	defer cancel()
 	cost := x.account.Cost(x.call)
-	a := x.server.Allowances.Admit(ctx, x.server.Reserver, x.account.Name, cost)
+	a := x.server.Allowances.Admit(ctx, claimant{x}, x.account.Name, cost)
 	if a.Admitted {
 		return refusal{}, true
 	}
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -53,7 +53,7 @@
 	Wire       Wire
 	View       *drfleetview.View
 	Allowances *drtokenpool.Allowances
-	Reserver   drtokenpool.Reserver
+	Claimer    drtokenpool.Claimer
 	Crashes    *drcrash.Ledger
 	Budgets    *Budgets
 	Metrics    *drmetric.Metrics
--- a/drtokenpool/allowance.go
+++ b/drtokenpool/allowance.go
@@ -241,11 +241,20 @@
 		a.granted += tokens
 		return Admission{Admitted: true, Basis: ByController}
 	}
+	return a.recordDenial(reservation, tokens, now)
+}
+
+// recordDenial keeps what the controller's denial of a request says about later ones, and
+// returns the refusal. What it says about a repeated request holds for that one only.
+func (a *allowance) recordDenial(r Reservation, tokens float64, now time.Time) Admission {
+	a.saturated = r.Saturated
+	if r.Repeated {
+		return Admission{Basis: ByFirstComers, RetryAfter: spread(r.RetryAfter)}
+	}
 	if a.deniedUntil.Before(now) || tokens < a.smallestDenied {
 		a.smallestDenied = tokens
 	}
-	a.deniedUntil, a.retryAfter = now.Add(min(reservation.Refill, maxDenialReuse)), reservation.RetryAfter
-	a.saturated = reservation.Saturated
+	a.deniedUntil, a.retryAfter = now.Add(min(r.Refill, maxDenialReuse)), r.RetryAfter
 	return Admission{Basis: ByController, RetryAfter: spread(a.retryAfter)}
 }
 
--- a/drtokenpool/basis.go
+++ b/drtokenpool/basis.go
@@ -8,8 +8,10 @@
 // ByNoLimit admits requests of accounts without limit, ByGrant spends tokens that
 // the controller granted in advance, ByController is the controller's answer to
 // this request, ByRepeatedRefusal reuses its recent refusal, BySaturation refuses
-// without asking because few tokens of the account are left, and ByShare uses the local bucket
-// while no controller answers.
+// without asking because few tokens of the account are left, ByShare uses the local bucket
+// while no controller answers, and ByFirstComers is the controller's refusal of a request
+// that it refused shortly before, because requests that come for the first time leave too
+// few tokens.
 const (
 	ByNoLimit         Basis = iota // no-limit
 	ByGrant                        // grant
@@ -17,4 +19,5 @@
 	ByRepeatedRefusal              // repeated-refusal
 	BySaturation                   // saturated
 	ByShare                        // share-without-controller
+	ByFirstComers                  // first-comers
 )
--- a/drtokenpool/basis_string.go
+++ b/drtokenpool/basis_string.go
@@ -14,11 +14,12 @@
 	_ = x[ByRepeatedRefusal-3]
 	_ = x[BySaturation-4]
 	_ = x[ByShare-5]
+	_ = x[ByFirstComers-6]
 }
 
-const _Basis_name = "no-limitgrantcontrollerrepeated-refusalsaturatedshare-without-controller"
+const _Basis_name = "no-limitgrantcontrollerrepeated-refusalsaturatedshare-without-controllerfirst-comers"
 
-var _Basis_index = [...]uint8{0, 8, 13, 23, 39, 48, 72}
+var _Basis_index = [...]uint8{0, 8, 13, 23, 39, 48, 72, 84}
 
 func (i Basis) String() string {
 	idx := int(i) - 0
--- a/drtokenpool/pool.go
+++ b/drtokenpool/pool.go
@@ -70,6 +70,7 @@
 	mu        sync.Mutex
 	accounts  map[string]*account
 	inherited Inheritance
+	refused   *refusals
 	// historyUnknown is set until the first SetLimits if accounts may have been
 	// spent of before, by amounts that nobody knows.
 	historyUnknown bool
@@ -129,7 +130,7 @@
 // NewPool returns a pool without accounts. Call Inherit, if a former controller
 // handed over its levels, and then SetLimits before using it.
 func NewPool(c drclock.Clock) *Pool {
-	return &Pool{clock: c, accounts: make(map[string]*account)}
+	return &Pool{clock: c, accounts: make(map[string]*account), refused: newRefusals()}
 }
 
 // Inherit sets what a former controller has recorded. It must be called before the
@@ -419,17 +420,26 @@
 // Reservation is the answer to a request for the tokens of one request. Saturated is
 // as in Grant; RetryAfter and Refill are set only if Granted is not.
 type Reservation struct {
-	Granted    bool
-	Saturated  bool
+	Granted   bool
+	Saturated bool
+	// Repeated is set if the request was refused shortly before.
+	Repeated   bool
 	RetryAfter time.Duration
-	// Refill is the time until the pool has the tokens if no other request takes
-	// them. Until then a request of the same size would be denied, too.
+	// Refill is how long a request of the same size that arrives later would be
+	// denied, too, because the tokens are not there yet.
 	Refill time.Duration
 }
 
-// Reserve deducts tokens for one request that exceeds the VM's grant. The only error
+// Reserve deducts tokens for one request of which nothing else is known. The only error
 // is ErrUnknownAccount.
 func (p *Pool) Reserve(vm, name string, tokens float64) (Reservation, error) {
+	return p.Claim(vm, name, Claim{Tokens: tokens})
+}
+
+// Claim deducts tokens for one request that exceeds the VM's grant. Requests that come
+// for the first time get them in the order of the calls, and those that were refused
+// lately get what these leave. The only error is ErrUnknownAccount.
+func (p *Pool) Claim(vm, name string, c Claim) (Reservation, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a, found := p.accounts[name]
@@ -438,18 +448,21 @@
 	}
 	now := p.clock.Now()
 	p.refill(a)
-	// A request above the burst is admitted from a full bucket and overdraws it;
-	// otherwise it could never be admitted.
-	if need := min(tokens, a.limit.Burst); a.level < need {
-		a.recordRefusal(tokens, now)
+	repeated := p.refused.has(c.Identity, now)
+	if need := a.need(c, repeated); a.level < need {
+		a.recordRefusal(c.Tokens, now)
+		p.refused.add(c.Identity, now)
 		wait := time.Duration((need - a.level) / max(a.limit.Rate, 1) * float64(time.Second))
-		return Reservation{Saturated: a.saturated(), RetryAfter: a.retryAfter(wait, now), Refill: wait}, nil
+		return Reservation{
+			Saturated: a.saturated(), Repeated: repeated, RetryAfter: a.retryAfter(wait, now), Refill: reuseTime(c, wait, repeated),
+		}, nil
 	}
-	a.level -= tokens
+	p.refused.remove(c.Identity)
+	a.level -= c.Tokens
 	if u := a.vms[vm]; u != nil {
-		u.granted += tokens
+		u.granted += c.Tokens
 	}
-	return Reservation{Granted: true}, nil
+	return Reservation{Granted: true, Repeated: repeated}, nil
 }
 
 // recordRefusal adds refused tokens to the decaying average of their rate.
