--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -15,14 +15,25 @@
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
 )
 
+const (
+	// reserveProcessorShare is the part of this VM's processor that may go to calls
+	// about single requests. The rest is left for reports, plans and requests.
+	reserveProcessorShare = 0.25
+	// reserveCallCost is the processor time that one such call takes.
+	reserveCallCost = 100 * time.Microsecond
+)
+
 // Reserve takes tokens from a client account for one request of a VM. The error
 // is drtokenpool.ErrUnknownAccount if the account has no limit.
 func (c *Controller) Reserve(vm string, request *drpb.FleetReserveRequest) (*drpb.FleetReserveReply, error) {
-	r, err := c.pool.Reserve(vm, request.GetAccount(), request.GetTokens())
+	r, err := c.pool.Claim(vm, request.GetAccount(), claimOf(request))
 	if err != nil {
 		return nil, err
 	}
-	return &drpb.FleetReserveReply{Granted: r.Granted, Saturated: r.Saturated, RetryAfterMs: uint32(milliseconds(r.RetryAfter))}, nil
+	return &drpb.FleetReserveReply{
+		Granted: r.Granted, Saturated: r.Saturated, RetryAfterMs: uint32(milliseconds(r.RetryAfter)),
+		RefillUs: microseconds(r.Refill), Repeated: r.Repeated,
+	}, nil
 }
 
 // Sync records a VM's report and replies with the changes since the revision
@@ -237,6 +248,7 @@
 	}
 	vms := c.countReportingVMs(now)
 	reply.MostProcessor = c.maxProcessor()
+	reply.ReserveCalls = c.Processor * reserveProcessorShare / reserveCallCost.Seconds()
 	reply.Vms = uint32(vms)
 	reply.NextWaitMs = uint32(milliseconds(time.Duration(vms) * syncIntervalPerVM))
 }
