drtokenpool: Let refused clients come back within their objective, late ones for a tenth of the rate

Cause: all refused clients were told to stay away for up to 5 s, beyond the objective of requests that can wait, and came back to compete with new calls. Change: a claim states its objective; the Retry-After stays within it if the client can be served in time, such a repeat counts like a new call, and later ones get a tenth of the rate and what others leave.

--- a/drcontroller/claim.go
+++ b/drcontroller/claim.go
@@ -57,6 +57,7 @@
 	}
 	request := &drpb.FleetReserveRequest{
 		Account: account, Tokens: c.Tokens, Identity: c.Identity, AgeUs: microseconds(c.Age + n.distance.estimate(leader.VM)),
+		ObjectiveMs: uint32(milliseconds(c.Objective)),
 	}
 	reply := new(drpb.FleetReserveReply)
 	began := n.Clock.Now()
@@ -89,6 +90,7 @@
 func claimOf(request *drpb.FleetReserveRequest) drtokenpool.Claim {
 	return drtokenpool.Claim{
 		Tokens: request.GetTokens(), Identity: request.GetIdentity(), Age: time.Duration(request.GetAgeUs()) * time.Microsecond,
+		Objective: time.Duration(request.GetObjectiveMs()) * time.Millisecond,
 	}
 }
 
--- a/drproxy/claim.go
+++ b/drproxy/claim.go
@@ -17,5 +17,6 @@
 	request := x.identity().Request
 	return x.server.Claimer.Claim(ctx, account, drtokenpool.Claim{
 		Tokens: tokens, Identity: binary.LittleEndian.Uint64(request[:]), Age: x.server.Clock.Since(x.start),
+		Objective: x.route.Objective,
 	})
 }
--- a/drtokenpool/basis.go
+++ b/drtokenpool/basis.go
@@ -10,8 +10,7 @@
 // this request, ByRepeatedRefusal reuses its recent refusal, BySaturation refuses
 // without asking because few tokens of the account are left, ByShare uses the local bucket
 // while no controller answers, and ByFirstComers is the controller's refusal of a request
-// that it refused shortly before, because requests that come for the first time leave too
-// few tokens.
+// that it refused shortly before, because others leave too few tokens.
 const (
 	ByNoLimit         Basis = iota // no-limit
 	ByGrant                        // grant
--- a/drtokenpool/claim.go
+++ b/drtokenpool/claim.go
@@ -13,9 +13,15 @@
 	// It covers the way from most VMs to the controller, so that a request that
 	// arrived near the controller does not overtake an earlier one.
 	arrivalWindow = 10 * time.Millisecond
-	// repeatReserve is how long the tokens that a repeated request must leave
-	// would last at the account's rate.
-	repeatReserve = 100 * time.Millisecond
+	// lateReserve is how long the tokens that a late repeat must leave would last
+	// at the account's rate. lateShare is the part of the rate that late repeats get
+	// whatever others ask, so that they do not starve.
+	lateReserve = 100 * time.Millisecond
+	lateShare   = 0.1
+	// minReturnObjective is the least objective within which a refused client can
+	// come back, and returnShare the part of it after which it should.
+	minReturnObjective = time.Second
+	returnShare        = 0.6
 )
 
 // Claim asks for the tokens of one request.
@@ -25,8 +31,15 @@
 	Identity uint64
 	// Age is the time since the request arrived at its VM, 0 if unknown.
 	Age time.Duration
+	// Objective is the time after its first arrival within which the request should
+	// be answered, 0 if it has none.
+	Objective time.Duration
 }
 
+// returnsInTime reports whether a client that is refused can come back within the
+// objective.
+func (c Claim) returnsInTime() bool { return c.Objective >= minReturnObjective }
+
 // Claimer passes claims on an account to the controller. ok is false if the
 // controller cannot be reached.
 type Claimer interface {
@@ -53,22 +66,47 @@
 	return arrivalWindow - age
 }
 
+// standing is what the pool knows about a claim: whether the request was refused
+// shortly before, and whether its objective has passed meanwhile.
+type standing struct{ repeated, late bool }
+
+// standing returns that of a claim at a time. The caller holds p.mu.
+func (p *Pool) standing(c Claim, now time.Time) standing {
+	since, repeated := p.refused.since(c.Identity, now)
+	return standing{repeated: repeated, late: repeated && now.Sub(since) > c.Objective}
+}
+
 // need returns the tokens that must be left for the claim to be granted. A claim above
 // the burst is granted from a full bucket and overdraws it; otherwise it could never be
-// granted. A repeat gets what requests that come for the first time leave.
-func (a *account) need(c Claim, repeated bool) float64 {
+// granted. A late repeat beyond lateShare gets what requests in time leave.
+func (a *account) need(c Claim, s standing, now time.Time) float64 {
 	need := c.Tokens
-	if repeated {
-		need += a.limit.Rate * repeatReserve.Seconds()
+	if s.late && !a.lateTokens(c.Tokens, now) {
+		need += a.limit.Rate * lateReserve.Seconds()
 	}
 	return min(need, a.limit.Burst)
 }
 
+// lateTokens reports whether the tokens set aside for late repeats suffice.
+func (a *account) lateTokens(tokens float64, now time.Time) bool {
+	a.lateLevel = min(a.lateLevel+now.Sub(a.lateRefilledAt).Seconds()*a.limit.Rate*lateShare, a.limit.Burst*lateShare)
+	a.lateRefilledAt = now
+	return a.lateLevel >= tokens
+}
+
+// spendClaim deducts the tokens of a granted claim.
+func (a *account) spendClaim(c Claim, s standing) {
+	a.level -= c.Tokens
+	if s.late {
+		a.lateLevel = max(a.lateLevel-c.Tokens, 0)
+	}
+}
+
 // reuseTime returns how long a denial also holds for later requests of the same size,
 // given the time until the tokens are refilled. Requests whose age is known are decided
 // later than they arrive, by up to arrivalWindow.
-func reuseTime(c Claim, refill time.Duration, repeated bool) time.Duration {
-	if repeated {
+func reuseTime(c Claim, refill time.Duration, s standing) time.Duration {
+	if s.repeated {
 		return 0
 	}
 	if c.Age > 0 {
@@ -76,3 +114,14 @@
 	}
 	return max(refill, 0)
 }
+
+// returnTime returns how long the client of a refused claim should wait: the time until
+// the tokens are refilled at least, and longer in a surge, but not beyond an objective
+// within which it can be served yet.
+func (a *account) returnTime(c Claim, refill time.Duration, now time.Time) time.Duration {
+	wait := a.retryAfter(refill, now)
+	if !c.returnsInTime() {
+		return wait
+	}
+	return min(wait, max(refill, time.Duration(float64(c.Objective)*returnShare)))
+}
--- a/drtokenpool/pool.go
+++ b/drtokenpool/pool.go
@@ -106,6 +106,10 @@
 	// second, averaged over refusalWindow.
 	refusedRate float64
 	refusedAt   time.Time
+	// lateLevel is the number of tokens set aside for late repeats as of
+	// lateRefilledAt.
+	lateLevel      float64
+	lateRefilledAt time.Time
 }
 
 // vmUsage is one VM's use of an account.
@@ -174,7 +178,7 @@
 	if p.historyUnknown {
 		a.level *= unknownLevelFraction
 	}
-	a.absent.reportedAt = now
+	a.absent.reportedAt, a.lateRefilledAt = now, now
 	if level, ok := p.inherited.Levels[name]; ok {
 		a.level = min(level, l.Burst)
 		a.unreportedSpending, a.reportDeadline = p.inherited.Age.Seconds()*l.Rate, now.Add(maxSilentTime)
@@ -437,8 +441,9 @@
 }
 
 // Claim deducts tokens for one request that exceeds the VM's grant. Requests that come
-// for the first time get them in the order of the calls, and those that were refused
-// lately get what these leave. The only error is ErrUnknownAccount.
+// for the first time, or come back within their objective, get them in the order of the
+// calls. Those that come back later get lateShare of the rate, and what the others leave.
+// The only error is ErrUnknownAccount.
 func (p *Pool) Claim(vm, name string, c Claim) (Reservation, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -448,21 +453,21 @@
 	}
 	now := p.clock.Now()
 	p.refill(a)
-	repeated := p.refused.has(c.Identity, now)
-	if need := a.need(c, repeated); a.level < need {
+	standing := p.standing(c, now)
+	if need := a.need(c, standing, now); a.level < need {
 		a.recordRefusal(c.Tokens, now)
 		p.refused.add(c.Identity, now)
-		wait := time.Duration((need - a.level) / max(a.limit.Rate, 1) * float64(time.Second))
+		refill := time.Duration((need - a.level) / max(a.limit.Rate, 1) * float64(time.Second))
 		return Reservation{
-			Saturated: a.saturated(), Repeated: repeated, RetryAfter: a.retryAfter(wait, now), Refill: reuseTime(c, wait, repeated),
+			Saturated: a.saturated(), Repeated: standing.repeated, RetryAfter: a.returnTime(c, refill, now), Refill: reuseTime(c, refill, standing),
 		}, nil
 	}
 	p.refused.remove(c.Identity)
-	a.level -= c.Tokens
+	a.spendClaim(c, standing)
 	if u := a.vms[vm]; u != nil {
 		u.granted += c.Tokens
 	}
-	return Reservation{Granted: true, Repeated: repeated}, nil
+	return Reservation{Granted: true, Repeated: standing.repeated}, nil
 }
 
 // recordRefusal adds refused tokens to the decaying average of their rate.
--- a/drtokenpool/refusals.go
+++ b/drtokenpool/refusals.go
@@ -11,26 +11,27 @@
 	refusalTTL = 10 * time.Second
 )
 
-// refusal is a request that has been refused at a time.
+// refusal is a request that was refused for the first time at a time.
 type refusal struct {
 	identity uint64
 	at       time.Time
 }
 
-// refusals remembers the identities of refused requests, the newest maxRefusals at
-// most and each up to refusalTTL.
+// refusals remembers when requests were refused first, maxRefusals at most and each up to
+// refusalTTL.
 type refusals struct {
 	times map[uint64]time.Time
-	// ring holds the refusals in order once it is full, the oldest at next.
+	// ring holds the refusals, the oldest at next once it is full.
 	ring []refusal
 	next int
 }
 
 func newRefusals() *refusals { return &refusals{times: make(map[uint64]time.Time)} }
 
-// add remembers a refused request. An identity of 0 is ignored.
+// add remembers a refused request unless it is remembered already. An identity of 0 is
+// ignored.
 func (r *refusals) add(identity uint64, now time.Time) {
-	if identity == 0 {
+	if _, found := r.since(identity, now); found || identity == 0 {
 		return
 	}
 	entry := refusal{identity: identity, at: now}
@@ -44,17 +45,17 @@
 	r.times[identity] = now
 }
 
-// drop forgets a refusal unless the same request has been refused again since.
+// drop forgets a refusal unless the request has been admitted and refused again since.
 func (r *refusals) drop(old refusal) {
 	if r.times[old.identity].Equal(old.at) {
 		delete(r.times, old.identity)
 	}
 }
 
-// has reports whether the request has been refused lately.
-func (r *refusals) has(identity uint64, now time.Time) bool {
-	at, found := r.times[identity]
-	return found && now.Sub(at) < refusalTTL
+// since returns when the request was refused first, if that was lately.
+func (r *refusals) since(identity uint64, now time.Time) (at time.Time, found bool) {
+	at, found = r.times[identity]
+	return at, found && now.Sub(at) < refusalTTL
 }
 
 // remove forgets a request that has been admitted.
