drzone, drcontroller, drfleetview: Take availability zones out of service

The records are translated in platform, merged by offset in drzone, told to all VMs with the controller's replies at once, and honoured wherever a runner is chosen or about to be sent a request. Models that only such a zone holds are loaded elsewhere in the order of their demand before they are missed; load returns gradually; a service whose zones are all out refuses at once.

--- a/dradmission/wait.go
+++ b/dradmission/wait.go
@@ -28,6 +28,9 @@
 	// plainRetryAfter is the Retry-After while a plain service has no runner: about
 	// the time that a restarted runner takes to be listed again.
 	plainRetryAfter = time.Second
+	// outOfServiceRetryAfter is the Retry-After while operators keep all runners of a
+	// service out of service. When they end that is not known.
+	outOfServiceRetryAfter = 2 * time.Second
 	// minRetryAfter is the least Retry-After otherwise, so that refused clients
 	// do not retry before anything can have changed.
 	minRetryAfter = 200 * time.Millisecond
@@ -50,6 +53,9 @@
 	// PauseEnd.
 	Paused   bool
 	PauseEnd time.Time
+	// OutOfService is set if all runners of the service are in availability zones that
+	// are out of service.
+	OutOfService bool
 	// Loadable is set if the model can be loaded on other runners.
 	Loadable bool
 }
@@ -90,6 +96,9 @@
 	if !request.Now.Before(latestStart) {
 		return Decision{RetryAfter: minRetryAfter, Why: "too little time left before the timeout"}
 	}
+	if request.OutOfService {
+		return Decision{RetryAfter: outOfServiceRetryAfter, Why: "all runners are in zones out of service"}
+	}
 	if request.pauseEndsInTime(latestStart) {
 		return Decision{Wait: true, RecheckAfter: max(min(recheckInterval, request.PauseEnd.Sub(request.Now)), minRecheck)}
 	}
--- a/dradmission/wait_test.go
+++ b/dradmission/wait_test.go
@@ -72,3 +72,14 @@
 	request.Silence = 2 * time.Second
 	is.True(dradmission.Decide(request).Wait)
 }
+
+// Guards against requests that wait for nothing while operators keep all runners of their
+// service out of service.
+func TestRefusesAtOnceWhileAllZonesAreOut(t *testing.T) {
+	is := is.New(t)
+	request := waitingRequest(0, 0, false)
+	request.OutOfService = true
+	d := dradmission.Decide(request)
+	is.True(!d.Wait)
+	is.True(d.RetryAfter >= time.Second)
+}
--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -215,6 +216,8 @@
 	return drfleet.NewDeployment(drfleet.Config{Version: int64(len(b))})
 }
 
+func (lengthCodec) OutOfService(key string) (string, bool) { return strings.CutPrefix(key, "out/") }
+
 func (lengthCodec) Runner(id string, _ []byte) (*drfleet.Runner, error) {
 	return &drfleet.Runner{ID: id}, nil
 }
--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -19,6 +19,7 @@
 	"github.com/dotterelridge/dotterelridge/drscheduler"
 	"github.com/dotterelridge/dotterelridge/drtask"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
+	"github.com/dotterelridge/dotterelridge/drzone"
 )
 
 const (
@@ -94,6 +95,7 @@
 	startedAt     time.Time
 	backlogs      map[string]modelBacklog // by service, as of its last plan
 	limitsVersion int64                   // version of the deployment whose limits the pool uses, -1 for none
+	outages       drzone.Outages          // as of the last plan
 }
 
 // NewController starts a controller that reads and updates the view of its VM.
@@ -159,7 +161,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.setLimits(d) {
+	if c.setLimits(d) || c.noteOutages() {
 		c.wakeAllVMs()
 	}
 	now := c.Clock.Now()
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -308,9 +308,9 @@
 		state.Rate[model] = d.rate
 		state.Work[model] = d.utilization()
 	}
-	paused := c.runnersPausedForMost(service.Name, now)
+	paused, outages := c.runnersPausedForMost(service.Name, now), c.view.Outages()
 	for _, r := range c.view.Runners(service.Name) {
-		if !r.Draining {
+		if !r.Draining && !outages.Has(r.Zone) {
 			for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
 				state.Stored[m] = true
 			}
@@ -322,6 +322,7 @@
 		runner := drscheduler.Runner{
 			Runner: c.asPlanned(r, tracked, paused), Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
 			UsedAdapter: tracked.usedAdapter, LoadingAdapters: tracked.loadingAdapters, UnloadingAdapters: tracked.unloadingAdapters,
+			OutOfService: outages.Has(r.Zone),
 		}
 		if tracked.swap != nil {
 			runner.Busy, runner.Loading = true, tracked.swap.Load
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -43,6 +43,9 @@
 	// on this VM, and RunnerDrain the maximum time until this VM stops using a
 	// runner that leaves.
 	Propagation, RunnerDrain time.Duration
+	// ZoneDrain is the maximum time until this VM stops using an availability zone
+	// that was taken out of service, 0 for no bound.
+	ZoneDrain time.Duration
 	// RunnerHeartbeat is the interval at which runners write their entries to the
 	// store.
 	RunnerHeartbeat time.Duration
--- a/drcontroller/pause.go
+++ b/drcontroller/pause.go
@@ -74,6 +74,9 @@
 
 // asPlanned returns a runner as a plan sees it. The caller holds mu.
 func (c *Controller) asPlanned(r *drfleet.Runner, tracked *runnerState, paused pausedRunners) *drfleet.Runner {
+	if c.view.Outages().Has(r.Zone) {
+		return r.WithDraining()
+	}
 	isPaused := paused[drfleetview.IncarnationOf(r)]
 	if isPaused != tracked.paused {
 		tracked.paused = isPaused
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -123,7 +123,11 @@
 	if err != nil {
 		return err
 	}
+	r.applyOutages(records, fromNewest)
 	for _, rec := range records {
+		if _, ok := r.codec.OutOfService(rec.Key); ok {
+			continue
+		}
 		d, err := r.codec.Deployment(rec.Value)
 		if err != nil {
 			log.WithFields(log.Fields{"event": "deployment-unreadable", "offset": rec.Offset}).WithError(err).Error("")
--- a/drcontroller/reader_test.go
+++ b/drcontroller/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	return drfleet.NewDeployment(c)
 }
 
+func (textCodec) OutOfService(key string) (string, bool) { return strings.CutPrefix(key, "out/") }
+
 func (textCodec) Runner(id string, value []byte) (*drfleet.Runner, error) {
 	if string(value) == "!" {
 		panic("unexpected")
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -59,6 +59,7 @@
 		reply.LeaseOffset, reply.LeaseLeftMs = uint64(v.Offset), uint32(milliseconds(v.Left))
 	}
 	reply.Verdict = encodeVerdict(c.crashes.VerdictFor(name))
+	reply.Outages = encodeOutages(c.view.Outages())
 	c.fillReply(name, request, reply)
 	return reply
 }
@@ -181,7 +182,7 @@
 // once.
 func (c *Controller) needsReply(request *drpb.FleetSyncRequest) bool {
 	_, version, _ := c.view.DeploymentRecord()
-	if version > request.GetDeployment() || c.crashes.Revision() != request.GetVerdict() {
+	if version > request.GetDeployment() || c.crashes.Revision() != request.GetVerdict() || c.lacksOutages(request) {
 		return true
 	}
 	if c.view.Revision() == request.GetRevision() {
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -101,7 +101,7 @@
 	n.awaitController()
 	for n.ctx.Err() == nil {
 		d, age := n.View.Deployment()
-		if !n.mustReadStore(d != nil, age, n.Propagation) {
+		if !n.mustReadStore(d != nil, age, n.deploymentBound()) {
 			_ = n.Clock.Sleep(n.ctx, staleCheckInterval)
 			continue
 		}
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -151,6 +151,7 @@
 		request.Leaving = append(request.Leaving, encodeIncarnation(i))
 	}
 	request.Pauses = encodePauses(n.View.Pauses())
+	request.Outages = encodeOutages(n.View.Outages())
 	crashes := n.Crashes.TakeReport(request.GetWhole())
 	request.CrashReport, request.Verdict = encodeCrashes(crashes), n.Crashes.Revision()
 	for _, s := range n.Allowances.Spendings() {
@@ -212,6 +213,7 @@
 	if n.controller.Load() == nil {
 		n.applyTable(reply)
 		n.applyDeployment(reply)
+		n.applyOutages(reply)
 		age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 		made := sent + age(reply.GetHeldMs())
 		n.View.ConfirmDeployment(made - age(reply.GetDeploymentAgeMs()))
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -125,7 +125,7 @@
 		Log: config.Platform.Log, Codec: config.Platform.Codec, Engines: config.Platform.Engines, Peers: e.peers, Registry: e.peers,
 		Metrics: e.metrics, View: e.view, Allowances: e.allowances, Crashes: e.crashes, OrderPause: time.Duration(settings.OrderPause),
 		Processor: settings.Processor, Propagation: time.Duration(settings.Propagation), RunnerDrain: time.Duration(settings.RunnerDrain),
-		RunnerHeartbeat: time.Duration(settings.Heartbeat),
+		RunnerHeartbeat: time.Duration(settings.Heartbeat), ZoneDrain: time.Duration(settings.ZoneDrain),
 	})
 	e.allowances.SetSlack(settings.QuotaSlack)
 	e.retryBudget.Store(&settings.RetryBudget)
@@ -136,7 +136,7 @@
 		Budgets: e.budgets, Metrics: e.metrics, Dialer: dialer, MaxConnections: int(callersDescriptorShare * float64(settings.Descriptors)),
 		LargeMessages: int(largeMessagesShare * float64(settings.MemoryLimit)),
 	})
-	e.proxy.SetFreshness(time.Duration(settings.Revocation) - revocationMargin)
+	e.proxy.SetFreshness(settings.freshness())
 	e.statusServer = &fasthttp.Server{
 		Handler: e.handleStatus, ReadTimeout: statusTimeout, IdleTimeout: statusTimeout, NoDefaultServerHeader: true,
 	}
@@ -148,7 +148,7 @@
 func (e *Edge) applySettings(settings Settings) {
 	e.allowances.SetSlack(settings.QuotaSlack)
 	e.retryBudget.Store(&settings.RetryBudget)
-	e.proxy.SetFreshness(time.Duration(settings.Revocation) - revocationMargin)
+	e.proxy.SetFreshness(settings.freshness())
 	e.budgets.Set(e.vmRetryBudget(e.allowances.VMs()))
 }
 
@@ -197,6 +197,7 @@
 	e.metrics.CounterFunc(drmetric.LogLinesDropped, e.Dropped)
 	e.metrics.GaugeFunc(drmetric.DeploymentAge, func() int64 { deploymentAge, _, _ := e.view.Ages(); return int64(deploymentAge) })
 	e.metrics.GaugeFunc(drmetric.RunnersAge, func() int64 { _, runnersAge, _ := e.view.Ages(); return int64(runnersAge) })
+	e.metrics.GaugeFunc(drmetric.OutOfServiceZones, func() int64 { return int64(len(e.view.Outages().Zones())) })
 	e.metrics.GaugeFunc(drmetric.KnownRunners, func() int64 { return int64(len(e.view.Runners(""))) })
 	e.metrics.GaugeFunc(drmetric.Controlling, func() int64 {
 		if e.controllerNode.Controlling() {
@@ -217,6 +218,8 @@
 		name := service.Name
 		e.metrics.GaugeFunc(drmetric.LeavingRunners, func() int64 { return int64(e.view.LeavingCount(name)) }, name)
 		e.metrics.GaugeFunc(drmetric.PausedRunners, func() int64 { return int64(e.view.PausedCount(name)) }, name)
+		e.metrics.GaugeFunc(drmetric.OutOfServiceRunners, func() int64 { return int64(e.view.OutOfServiceCount(name)) }, name)
+		e.metrics.GaugeFunc(drmetric.OutOfServiceRunning, func() int64 { return int64(e.view.RunningOutOfService(name)) }, name)
 	}
 }
 
--- a/dredge/settings.go
+++ b/dredge/settings.go
@@ -24,6 +24,7 @@
 	Revocation   drjson.Duration `json:"revocation" doc:"Time after which a withdrawn key must not work any more. A VM that has not confirmed its configuration for a second less refuses requests with a key. At least 2s."`
 	Propagation  drjson.Duration `json:"config-propagation" doc:"Time within which a change of the configuration must be followed. A VM that has heard nothing for three quarters of it reads the store itself. At least 500ms."`
 	RunnerDrain  drjson.Duration `json:"runner-drain" doc:"Time within which the leaving of a runner must be followed; as for config-propagation. At least 500ms."`
+	ZoneDrain    drjson.Duration `json:"zone-drain" doc:"Time within which an availability zone that was taken out of service must get no more requests; 0 for no bound. As for config-propagation and, for requests with a key, as for revocation. 0 or at least 2s."`
 	Heartbeat    drjson.Duration `json:"runner-heartbeat" doc:"Interval at which runners write their entries to the store. An entry that is removed sooner than three intervals after it was written has not expired: its runner has left. At least 100ms."`
 	GracePeriod  drjson.Duration `json:"grace-period" doc:"Time between SIGTERM and the end of the process. At least 2s."`
 	RetryBudget  RetryBudget     `json:"retry-budget" doc:"Bounds on requests that are sent to a runner more than once, over all VMs."`
@@ -46,6 +47,16 @@
 	Metrics         string `json:"metrics" doc:"Listener for metrics; none if empty."`
 }
 
+// freshness returns the age of the configuration, and with it of the zones out of
+// service, above which this VM refuses requests with a key.
+func (s Settings) freshness() time.Duration {
+	bound := s.Revocation
+	if s.ZoneDrain > 0 {
+		bound = min(bound, s.ZoneDrain)
+	}
+	return time.Duration(bound) - revocationMargin
+}
+
 // RetryBudget limits the retries of one service, over all VMs together.
 type RetryBudget struct {
 	Share  float64         `json:"share" doc:"Retries per request."`
@@ -78,6 +89,7 @@
 	minPropagation = 500 * time.Millisecond // of config-propagation and runner-drain
 	minHeartbeat   = 100 * time.Millisecond
 	minGracePeriod = 2 * time.Second
+	minZoneDrain   = 2 * time.Second
 	minRetryWindow = time.Second
 )
 
@@ -142,6 +154,9 @@
 	c.checkMinimum("revocation", settings.Revocation, minRevocation)
 	c.checkMinimum("config-propagation", settings.Propagation, minPropagation)
 	c.checkMinimum("runner-drain", settings.RunnerDrain, minPropagation)
+	if settings.ZoneDrain != 0 {
+		c.checkMinimum("zone-drain", settings.ZoneDrain, minZoneDrain)
+	}
 	c.checkMinimum("runner-heartbeat", settings.Heartbeat, minHeartbeat)
 	c.checkMinimum("grace-period", settings.GracePeriod, minGracePeriod)
 	c.checkMinimum("retry-budget.window", settings.RetryBudget.Window, minRetryWindow)
--- /dev/null
+++ b/drfleetview/outage.go
@@ -0,0 +1,78 @@
+package drfleetview
+
+import (
+	"time"
+
+	"github.com/dotterelridge/dotterelridge/drzone"
+)
+
+// OfferOutages merges what has been read or received about availability zones that are
+// out of service into what this VM knows, and returns the zones that are out of service
+// now and whether that has changed. Requests that wait are woken then. ConfirmDeployment
+// confirms the zones, too: the same topic of the store holds both.
+func (v *View) OfferOutages(offered drzone.Outages) (now drzone.Outages, changed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	before := v.outages
+	v.outages = before.Merge(offered)
+	if v.outages.SameZones(before) {
+		return v.outages, false
+	}
+	uptime := v.clock.Uptime()
+	for _, e := range v.runners {
+		if before.Has(e.runner.Zone) && !v.outages.Has(e.runner.Zone) {
+			e.startReturning(uptime)
+		}
+	}
+	v.notify()
+	return v.outages, true
+}
+
+// Outages returns the availability zones that are out of service.
+func (v *View) Outages() drzone.Outages {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.outages
+}
+
+// startReturning makes the load return to the runner gradually, as after a pause.
+func (e *entry) startReturning(uptime time.Duration) {
+	if e.pauseLeft(uptime) == 0 {
+		e.pause = pause{e.runner.Started, uptime}
+	}
+}
+
+// AllOutOfService reports whether a service has runners that take requests and all of
+// them are in availability zones that are out of service.
+func (v *View) AllOutOfService(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.outages.Empty() {
+		return false
+	}
+	staying := v.listed(service, func(e *entry) bool { return !e.runner.Draining })
+	for _, e := range staying {
+		if !v.outages.Has(e.runner.Zone) {
+			return false
+		}
+	}
+	return len(staying) > 0
+}
+
+// OutOfServiceCount returns the number of listed runners of a service in availability
+// zones that are out of service.
+func (v *View) OutOfServiceCount(service string) int {
+	return v.count(service, func(e *entry) bool { return v.outages.Has(e.runner.Zone) })
+}
+
+// RunningOutOfService returns the number of requests of this VM that run on runners of a
+// service in availability zones that are out of service.
+func (v *View) RunningOutOfService(service string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	running := 0
+	for _, e := range v.listed(service, func(e *entry) bool { return v.outages.Has(e.runner.Zone) }) {
+		running += e.running
+	}
+	return running
+}
--- a/drfleetview/pause.go
+++ b/drfleetview/pause.go
@@ -74,7 +74,7 @@
 	defer v.mu.Unlock()
 	uptime := v.clock.Uptime()
 	for _, e := range v.runners {
-		if !e.serves(replica) {
+		if !v.serves(e, replica) {
 			continue
 		}
 		if l := e.pauseLeft(uptime); l > 0 && (!paused || l < left) {
@@ -84,9 +84,10 @@
 	return left, paused
 }
 
-// serves reports whether the runner is listed, stays and holds a replica.
-func (e *entry) serves(replica Replica) bool {
-	return !e.removed && !e.runner.Draining && e.runner.Service == replica.Service && e.runner.Holds(replica.Model, replica.Adapter)
+// serves reports whether the runner is listed, stays, is in an availability zone that is
+// in service and holds a replica. The caller holds mu.
+func (v *View) serves(e *entry, replica Replica) bool {
+	return !v.outages.Has(e.runner.Zone) && !e.removed && !e.runner.Draining && e.runner.Service == replica.Service && e.runner.Holds(replica.Model, replica.Adapter)
 }
 
 // PausedCount returns the number of listed runners of a service that want no requests of
@@ -104,10 +105,14 @@
 }
 
 // MayStart reports whether a request may still be sent to a runner that was chosen a
-// moment ago: that incarnation has not said meanwhile that it wants none.
+// moment ago: that incarnation has not said meanwhile that it wants none, and its
+// availability zone was not taken out of service.
 func (v *View) MayStart(runner *drfleet.Runner) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.outages.Has(runner.Zone) {
+		return false
+	}
 	e, ok := v.runners[runner.ID]
 	if !ok || e.runner.Started != runner.Started {
 		return true
@@ -119,5 +124,7 @@
 // VM.
 func (v *View) Usable(service string) int {
 	uptime := v.clock.Uptime()
-	return v.count(service, func(e *entry) bool { return !e.runner.Draining && e.pauseLeft(uptime) <= 0 })
+	return v.count(service, func(e *entry) bool {
+		return !e.runner.Draining && e.pauseLeft(uptime) <= 0 && !v.outages.Has(e.runner.Zone)
+	})
 }
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -280,7 +280,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, e := range v.runners {
-		if e.serves(replica) {
+		if v.serves(e, replica) {
 			return true
 		}
 	}
@@ -311,7 +311,7 @@
 	now, uptime := v.clock.Now(), v.clock.Uptime()
 	var cs, unreachable []drbalancer.Candidate
 	for _, e := range v.runners {
-		if !e.serves(replica) || e.pauseLeft(uptime) > 0 {
+		if !v.serves(e, replica) || e.pauseLeft(uptime) > 0 {
 			continue
 		}
 		if u := e.counters[replica]; u != nil && now.Before(u.missingUntil) {
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drzone"
 )
 
 // Replica names what a request needs from a runner: a service, and for services
@@ -35,6 +36,8 @@
 	deploymentAt, runnersAt time.Duration
 	deploymentConfirmed     bool
 	runnersConfirmed        bool
+	// outages are the availability zones that get no requests.
+	outages drzone.Outages
 	// controllerAt is the uptime at which a controller last answered, or at
 	// which this View was created.
 	controllerAt time.Duration
--- a/drmetric/name.go
+++ b/drmetric/name.go
@@ -43,6 +43,9 @@
 	KnownRunners        = "dotterelridge_known_runners"
 	LeavingRunners      = "dotterelridge_leaving_runners"
 	PausedRunners       = "dotterelridge_paused_runners"
+	OutOfServiceZones   = "dotterelridge_out_of_service_zones"
+	OutOfServiceRunners = "dotterelridge_out_of_service_runners"
+	OutOfServiceRunning = "dotterelridge_out_of_service_running_requests"
 	MalformedStatements = "dotterelridge_malformed_statements_total"
 	Controlling         = "dotterelridge_controlling"
 	TimelineOverwrites  = "dotterelridge_timeline_overwrites_total"
@@ -90,6 +93,9 @@
 	{KnownRunners, Gauge, Count, nil, "Runners in the runner table."},
 	{LeavingRunners, Gauge, Count, []string{"service"}, "Listed runners that have said in an answer to this VM that they leave."},
 	{PausedRunners, Gauge, Count, []string{"service"}, "Listed runners that want no requests of this VM for a time."},
+	{OutOfServiceZones, Gauge, Count, nil, "Availability zones that are out of service, as this VM knows."},
+	{OutOfServiceRunners, Gauge, Count, []string{"service"}, "Listed runners in zones that are out of service."},
+	{OutOfServiceRunning, Gauge, Count, []string{"service"}, "Requests of this VM that still run in zones that are out of service."},
 	{MalformedStatements, Counter, Count, nil, "Headers in which a runner speaks of itself and that have no valid value."},
 	{Controlling, Gauge, Count, nil, "1 while this VM is the controller, else 0."},
 	{TimelineOverwrites, Counter, Count, nil, "Events that left the time line because its ring was full."},
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -88,7 +88,7 @@
 	now := s.Clock.Now()
 	waiting := dradmission.WaitingRequest{
 		Now: now, Began: x.start, Objective: x.route.Objective, TimeoutAt: giveUpAt, Silence: s.View.ControllerSilence(),
-		Loadable: x.service.Engine != nil,
+		Loadable: x.service.Engine != nil, OutOfService: s.View.AllOutOfService(replica.Service),
 	}
 	waiting.Expected, waiting.Forecast = s.View.Forecast(replica)
 	var left time.Duration
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -67,6 +67,9 @@
 	// adapter.
 	Running        map[string]int
 	RunningAdapter map[AdapterKey]int
+	// OutOfService is set if the runner drains because its availability zone is out of
+	// service.
+	OutOfService bool
 	// LoadedAt is the time of the last load by model, and UsedAdapter the time
 	// of the last use by adapter.
 	LoadedAt    map[string]time.Time
@@ -109,7 +112,7 @@
 
 // Plan returns the swaps to start now, at most one for each runner. It first
 // plans loads for models that requests wait for, in descending order of value,
-// then additional replicas of busy models, and then replicas on empty runners. A
+// then for models that only runners out of service hold, then additional replicas of busy models, and then replicas on empty runners. A
 // model is loaded from the weight store, which blocks a runner for seconds, only if
 // no runner has a local copy of its weights, or into a runner that has no local
 // copies at all.
@@ -129,6 +132,9 @@
 	for _, m := range p.missingModels() {
 		p.planLoad(m, Wanted)
 	}
+	for _, m := range p.modelsToRelocate() {
+		p.planLoad(m, Relocated)
+	}
 	for _, m := range p.busyModels() {
 		p.planLoad(m, Busy)
 	}
@@ -212,8 +218,8 @@
 			best, bestCost = &swap, cost
 		}
 	}
-	if best == nil && !p.Stored[name] && reason == Wanted {
-		best = p.planStoreLoad(model)
+	if best == nil && !p.Stored[name] && reason != Busy {
+		best = p.planStoreLoad(model, reason)
 	}
 	if best != nil {
 		p.addSwap(*best)
@@ -237,7 +243,7 @@
 
 // planStoreLoad returns a swap that loads a model from the weight store, or nil
 // if the store's rate limit permits none or no runner is suitable.
-func (p *planner) planStoreLoad(model drfleet.Model) *Swap {
+func (p *planner) planStoreLoad(model drfleet.Model, reason Reason) *Swap {
 	if p.StoreLoads <= 0 {
 		return nil
 	}
@@ -248,7 +254,7 @@
 		if !p.acceptsSwap(r) {
 			continue
 		}
-		if swap, cost, ok := p.planSwap(r, model, model.FromStore, Wanted); ok && (best == nil || cost < bestCost) {
+		if swap, cost, ok := p.planSwap(r, model, model.FromStore, reason); ok && (best == nil || cost < bestCost) {
 			swap.FromStore = true
 			best, bestCost = &swap, cost
 		}
@@ -290,7 +296,7 @@
 			break
 		}
 		loss := p.evictionLoss(v)
-		if reason == Busy && loss >= p.replicaGain(model.Name) {
+		if reason == Busy && loss >= p.replicaGain(model.Name) || reason == Relocated && loss >= p.Rate[model.Name] {
 			return Swap{}, 0, false
 		}
 		swap.Unload = append(swap.Unload, v)
--- a/drscheduler/reason.go
+++ b/drscheduler/reason.go
@@ -15,4 +15,7 @@
 	// Spread means that the runner was empty, so that it relieves the model's other
 	// replicas.
 	Spread // spread
+	// Relocated means that only runners in availability zones out of service hold the
+	// model.
+	Relocated // relocated
 )
--- a/drscheduler/reason_string.go
+++ b/drscheduler/reason_string.go
@@ -11,11 +11,12 @@
 	_ = x[Wanted-0]
 	_ = x[Busy-1]
 	_ = x[Spread-2]
+	_ = x[Relocated-3]
 }
 
-const _Reason_name = "wantedbusyspread"
+const _Reason_name = "wantedbusyspreadrelocated"
 
-var _Reason_index = [...]uint8{0, 6, 10, 16}
+var _Reason_index = [...]uint8{0, 6, 10, 16, 25}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/drstore/store.go
+++ b/drstore/store.go
@@ -79,6 +79,10 @@
 type Codec interface {
 	// Deployment decodes one version of the configuration.
 	Deployment(value []byte) (*drfleet.Deployment, error)
+	// OutOfService returns the availability zone that a record of the deployments
+	// topic concerns by its key, and false if it concerns none. The zone is out of
+	// service while the record exists.
+	OutOfService(key string) (zone string, ok bool)
 	// Runner decodes the entry that the runner with this id wrote about
 	// itself.
 	Runner(id string, value []byte) (*drfleet.Runner, error)
