drfleetview: Use a zone out of service until its bound where nothing else serves

Emptied at once, a zone's models were missing until they were loaded elsewhere although its bound of some seconds had just begun. Its runners now take what no other runner can until a second before the bound, counted from the last moment at which the store confirmed that the zone was in service.

--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -105,6 +105,7 @@
 	c.Codec = guardedCodec{c.Codec}
 	n := &Node{Config: c, fullReport: true, leaderLost: make(chan struct{}, 1), leaderFound: make(chan struct{}, 1), syncWait: minSyncWait}
 	n.reader = newReader(readerConfig{log: c.Log, codec: c.Codec, view: c.View, clock: c.Clock, heartbeat: c.RunnerHeartbeat})
+	c.View.SetZoneDrain(c.ZoneDrain)
 	n.elector = drlease.New(drlease.Config{
 		Log: c.Log, Uptime: c.Clock, VM: c.VM, Address: c.Address, Incarnation: c.Incarnation, TTL: LeaseTTL,
 	})
--- a/drfleetview/outage.go
+++ b/drfleetview/outage.go
@@ -1,11 +1,26 @@
 package drfleetview
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drzone"
 )
 
+// zoneMargin is how long before its bound a zone that was taken out of service gets its
+// last requests. It covers their way to the runner from a VM that has little processor
+// time.
+const zoneMargin = time.Second
+
+// SetZoneDrain sets the time within which a zone that was taken out of service must get no
+// more requests. Until then, less zoneMargin, its runners take those for which there are
+// no others. With 0 they take none from the moment on at which this VM learns of it.
+func (v *View) SetZoneDrain(bound time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.zoneDrain = bound
+}
+
 // OfferOutages merges what has been read or received about availability zones that are
 // out of service into what this VM knows, and returns the zones that are out of service
 // now and whether that has changed. Requests that wait are woken then. ConfirmDeployment
@@ -18,6 +33,7 @@
 	if v.outages.SameZones(before) {
 		return v.outages, false
 	}
+	v.setClosing(before)
 	uptime := v.clock.Uptime()
 	for _, e := range v.runners {
 		if before.Has(e.runner.Zone) && !v.outages.Has(e.runner.Zone) {
@@ -28,6 +44,26 @@
 	return v.outages, true
 }
 
+// setClosing sets when the zones that were not out of service before get their last
+// requests. They were taken out of service after the store last confirmed what this VM
+// knew. The caller holds mu.
+func (v *View) setClosing(before drzone.Outages) {
+	maps.DeleteFunc(v.closing, func(zone string, _ time.Duration) bool { return !v.outages.Has(zone) })
+	if v.zoneDrain <= 0 || !v.deploymentConfirmed {
+		return
+	}
+	for _, zone := range v.outages.Zones() {
+		if !before.Has(zone) {
+			v.closing[zone] = v.deploymentAt + v.zoneDrain - zoneMargin
+		}
+	}
+}
+
+// closed reports whether the runners of a zone get no requests. The caller holds mu.
+func (v *View) closed(zone string) bool {
+	return v.outages.Has(zone) && v.clock.Uptime() >= v.closing[zone]
+}
+
 // Outages returns the availability zones that are out of service.
 func (v *View) Outages() drzone.Outages {
 	v.mu.Lock()
@@ -43,7 +79,7 @@
 }
 
 // AllOutOfService reports whether a service has runners that take requests and all of
-// them are in availability zones that are out of service.
+// them are in availability zones that are out of service and get no requests any more.
 func (v *View) AllOutOfService(service string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -52,7 +88,7 @@
 	}
 	staying := v.listed(service, func(e *entry) bool { return !e.runner.Draining })
 	for _, e := range staying {
-		if !v.outages.Has(e.runner.Zone) {
+		if !v.closed(e.runner.Zone) {
 			return false
 		}
 	}
--- a/drfleetview/outage_test.go
+++ b/drfleetview/outage_test.go
@@ -96,3 +96,39 @@
 	is.True(v.AllOutOfService("s"))
 	is.True(!v.AllOutOfService("other"))
 }
+
+// Guards against requests that fail or wait at once although their zone may be used for a
+// while, against using it beside others or up to the bound, and against a bound that
+// counts from when this VM learned of it instead of when it may have happened.
+func TestZoneIsUsedWhileItMayBe(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	v, runners := newZonedView(clock)
+	v.SetZoneDrain(5 * time.Second)
+	v.ConfirmDeployment(clock.Uptime())
+	clock.Suspend(2 * time.Second) // the zones may have been taken out of service since
+	v.OfferOutages(drzone.New(2, map[string]int64{"a": 0, "b": 1}))
+	replica := drfleetview.Replica{Service: "s"}
+	is.Equal(len(v.Candidates(replica)), 1)
+	v.OfferOutages(drzone.New(3, map[string]int64{"a": 0, "b": 1, "c": 2}))
+	is.Equal(len(v.Candidates(replica)), 3)
+	is.True(!v.AllOutOfService("s"))
+	clock.Suspend(1999 * time.Millisecond)
+	is.True(v.MayStart(runners[0]))
+	clock.Advance(time.Millisecond)
+	is.True(!v.MayStart(runners[0]))
+	is.Equal(len(v.Candidates(replica)), 0)
+	is.True(v.AllOutOfService("s"))
+}
+
+// Guards against a VM that has just started and uses a zone that was taken out of service
+// long before.
+func TestNewVMDoesNotUseZone(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	v, runners := newZonedView(clock)
+	v.SetZoneDrain(5 * time.Second)
+	v.OfferOutages(drzone.New(1, map[string]int64{"a": 0}))
+	v.ConfirmDeployment(clock.Uptime())
+	is.True(!v.MayStart(runners[0]))
+}
--- a/drfleetview/pause.go
+++ b/drfleetview/pause.go
@@ -84,10 +84,10 @@
 	return left, paused
 }
 
-// serves reports whether the runner is listed, stays, is in an availability zone that is
-// in service and holds a replica. The caller holds mu.
+// serves reports whether the runner is listed, stays, is in an availability zone that
+// gets requests and holds a replica. The caller holds mu.
 func (v *View) serves(e *entry, replica Replica) bool {
-	return !v.outages.Has(e.runner.Zone) && !e.removed && !e.runner.Draining && e.runner.Service == replica.Service && e.runner.Holds(replica.Model, replica.Adapter)
+	return !v.closed(e.runner.Zone) && !e.removed && !e.runner.Draining && e.runner.Service == replica.Service && e.runner.Holds(replica.Model, replica.Adapter)
 }
 
 // PausedCount returns the number of listed runners of a service that want no requests of
@@ -106,11 +106,11 @@
 
 // MayStart reports whether a request may still be sent to a runner that was chosen a
 // moment ago: that incarnation has not said meanwhile that it wants none, and its
-// availability zone was not taken out of service.
+// availability zone gets requests.
 func (v *View) MayStart(runner *drfleet.Runner) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.outages.Has(runner.Zone) {
+	if v.closed(runner.Zone) {
 		return false
 	}
 	e, ok := v.runners[runner.ID]
@@ -125,6 +125,6 @@
 func (v *View) Usable(service string) int {
 	uptime := v.clock.Uptime()
 	return v.count(service, func(e *entry) bool {
-		return !e.runner.Draining && e.pauseLeft(uptime) <= 0 && !v.outages.Has(e.runner.Zone)
+		return !e.runner.Draining && e.pauseLeft(uptime) <= 0 && !v.closed(e.runner.Zone)
 	})
 }
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -304,12 +304,13 @@
 // Candidates returns the runners that can take a request for a replica, with
 // their load and share of failures. Runners that want no requests of this VM for a
 // time are left out. So are those that were just unreachable, but for a plain service
-// they are returned if there are no others.
+// they are returned if there are no others. The runners of a zone that was just taken out
+// of service are returned if there are no others, too, until it must get none.
 func (v *View) Candidates(replica Replica) []drbalancer.Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now, uptime := v.clock.Now(), v.clock.Uptime()
-	var cs, unreachable []drbalancer.Candidate
+	var cs, closing, unreachable []drbalancer.Candidate
 	for _, e := range v.runners {
 		if !v.serves(e, replica) || e.pauseLeft(uptime) > 0 {
 			continue
@@ -322,8 +323,15 @@
 			unreachable = append(unreachable, c)
 			continue
 		}
+		if v.outages.Has(e.runner.Zone) {
+			closing = append(closing, c)
+			continue
+		}
 		cs = append(cs, c)
 	}
+	if len(cs) == 0 {
+		cs = closing
+	}
 	if len(cs) == 0 && replica.Model == "" {
 		return unreachable
 	}
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -36,8 +36,12 @@
 	deploymentAt, runnersAt time.Duration
 	deploymentConfirmed     bool
 	runnersConfirmed        bool
-	// outages are the availability zones that get no requests.
+	// outages are the availability zones that are out of service.
 	outages drzone.Outages
+	// zoneDrain is the bound that SetZoneDrain sets, and closing the uptimes from which
+	// on zones out of service get no requests at all.
+	zoneDrain time.Duration
+	closing   map[string]time.Duration
 	// controllerAt is the uptime at which a controller last answered, or at
 	// which this View was created.
 	controllerAt time.Duration
@@ -62,6 +66,7 @@
 	return &View{
 		clock: clock, controllerAt: clock.Uptime(), changed: make(chan struct{}), runners: make(map[string]*entry),
 		waitersByReplica: make(map[Replica]*waiterSet), forecasts: make(map[Replica]forecast), demandAdded: make(chan struct{}, 1),
+		closing: make(map[string]time.Duration),
 	}
 }
 
