drwarmup, drcontroller, drfleetview: Send to cold runners by permits

Nothing read how long a runner stays cold, so a hundred VMs sent to it as to a warm one. A runner of a zone that is taken back counts as cold. With warm replicas left, cold ones get nothing.

--- /dev/null
+++ b/drcontroller/cold_test.go
@@ -0,0 +1,92 @@
+package drcontroller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drwarmup"
+)
+
+// newColdFixture returns a controller whose runner r1 is cold for a while.
+func newColdFixture(t *testing.T) *controllerFixture {
+	w := newControllerFixture(t, func(c *ControllerConfig) { c.ColdBound = drwarmup.Bound{Overage: 1.5, Slack: 3} })
+	old, _ := w.view.Deployment()
+	config := old.Config
+	config.Version++
+	config.Services[0].ColdRate = 4
+	d, err := drfleet.NewDeployment(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.view.OfferDeployment(d, []byte("2"))
+	w.view.OfferRunner(&drfleet.Runner{ID: "r1", Service: "llm", Beat: 1, Cold: time.Minute,
+		Replicas: []drfleet.Replica{{Model: "a"}, {Model: "b"}}}, drfleetview.FromRunner)
+	return w
+}
+
+// syncWant sends a report of a VM with requests that wait for model a, and returns the
+// permits in the reply.
+func (w *controllerFixture) syncWant(vm string, waiting, waitMs uint32) (permits int) {
+	reply := w.controller.Sync(context.Background(), vm, 1, &drpb.FleetSyncRequest{Term: w.controller.Term, WaitMs: waitMs,
+		Wants: []*drpb.FleetWant{{Replica: &drpb.FleetReplica{Service: "llm", Model: "a"}, Waiting: waiting, ObjectiveLeftMs: 1000, DeadlineLeftMs: 9000}}})
+	for _, p := range reply.GetPermits() {
+		permits += int(p.GetPermits())
+		if p.GetLeftMs() < uint32(drwarmup.PermitTime.Milliseconds()) {
+			return -1
+		}
+	}
+	return permits
+}
+
+// Guards against a model whose only runner is cold and that nobody may use, and against
+// permits for more requests than the runner bears, over all VMs.
+func TestControllerSharesColdRunner(t *testing.T) {
+	is := is.New(t)
+	w := newColdFixture(t)
+	began := time.Now()
+	eventually(t, "the first permits are given", func() bool { return w.syncWant("vm-a", 2, 0) > 0 })
+	is.True(time.Since(began) >= drwarmup.PermitTime) // a former controller's may be used until then
+	given := 0
+	for time.Since(began) < drwarmup.PermitTime+2*time.Second {
+		given += w.syncWant("vm-b", 9, 200) // held until there is one
+	}
+	is.True(given >= 6 && given <= 12)
+}
+
+// Guards against permits of a controller that has lost its lease, beside those of its
+// successor.
+func TestNoPermitsWithoutLease(t *testing.T) {
+	is := is.New(t)
+	w := newColdFixture(t)
+	eventually(t, "permits are given", func() bool { return w.syncWant("vm-a", 1, 0) > 0 })
+	w.holdsLease.Store(false)
+	time.Sleep(time.Second)
+	is.Equal(w.syncWant("vm-a", 1, 0), 0)
+}
+
+// Guards against permits that count from when a reply arrives: it may have been under way
+// for long, and the VM may have been suspended.
+func TestPermitsCountFromTheReport(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(1)
+	defer f.close()
+	n := f.nodes["vm-0"].Node
+	r := &drfleet.Runner{ID: "r1", Service: "llm", Started: 7, Cold: time.Hour, Replicas: []drfleet.Replica{{Model: "m"}}}
+	d, err := drfleet.NewDeployment(drfleet.Config{Version: 900, Services: []drfleet.Service{{Name: "llm", ColdRate: 4}}})
+	is.NoErr(err)
+	n.View.OfferDeployment(d, nil)
+	n.View.OfferRunner(r, drfleetview.FromRunner)
+	permit := &drpb.FleetPermit{Runner: encodeIncarnation(drfleetview.IncarnationOf(r)), Permits: 1, LeftMs: 300}
+	reply := &drpb.FleetSyncReply{Permits: []*drpb.FleetPermit{permit}}
+	n.applyPermits(reply, n.Clock.Uptime()-400*time.Millisecond)
+	is.True(!n.View.MayStart(r))
+	n.applyPermits(reply, n.Clock.Uptime())
+	is.True(n.View.MayStart(r))
+	is.True(!n.View.MayStart(r))
+}
--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -19,6 +19,7 @@
 	"github.com/dotterelridge/dotterelridge/drscheduler"
 	"github.com/dotterelridge/dotterelridge/drtask"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
+	"github.com/dotterelridge/dotterelridge/drwarmup"
 	"github.com/dotterelridge/dotterelridge/drzone"
 )
 
@@ -70,6 +71,8 @@
 	// VM was the controller before another one had a short term in between. A
 	// late order of the other could otherwise cross with its own.
 	OrderPause time.Duration
+	// ColdBound says how many requests a cold runner bears.
+	ColdBound drwarmup.Bound
 }
 
 // Controller plans and executes loads and replies to the reports of the VMs
@@ -96,6 +99,7 @@
 	backlogs      map[string]modelBacklog // by service, as of its last plan
 	limitsVersion int64                   // version of the deployment whose limits the pool uses, -1 for none
 	outages       drzone.Outages          // as of the last plan
+	warmups       *drwarmup.Budget
 }
 
 // NewController starts a controller that reads and updates the view of its VM.
@@ -104,7 +108,7 @@
 	controller := &Controller{
 		ControllerConfig: c, view: v, pool: drtokenpool.NewPool(c.Clock), crashes: drcrash.NewTally(c.Clock), planRequests: make(chan struct{}, 1),
 		vms: make(map[string]*vm), running: newRunningTotals(), runnerStates: make(map[string]*runnerState), demands: make(map[string]*demand),
-		backlogs:   make(map[string]modelBacklog),
+		backlogs: make(map[string]modelBacklog), warmups: drwarmup.NewBudget(c.ColdBound, c.Clock.Uptime()),
 		storeLoads: loadRate{createdAt: c.Clock.Now()}, startedAt: c.Clock.Now(), limitsVersion: -1,
 	}
 	if c.Term > firstTerm {
--- a/drcontroller/lease_loop.go
+++ b/drcontroller/lease_loop.go
@@ -286,7 +286,7 @@
 			return ok && term == l.Term
 		},
 		Validity:   n.elector.Validity,
-		OrderPause: n.OrderPause, Inherited: l.Handover,
+		OrderPause: n.OrderPause, Inherited: l.Handover, ColdBound: n.ColdBound,
 	}, n.View)
 	n.controller.Store(c)
 	n.setLeader(l)
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -70,7 +70,7 @@
 	r := c.Runner
 	m := &drpb.FleetRunner{
 		Id: r.ID, Service: r.Service, Address: r.Address, Zone: r.Zone, Started: r.Started, Slots: uint32(r.Slots),
-		Draining: r.Draining, Orders: uint32(r.Orders), Gone: c.Gone,
+		Draining: r.Draining, Orders: uint32(r.Orders), Gone: c.Gone, ColdMs: uint32(milliseconds(c.Cold)),
 	}
 	for _, p := range r.Replicas {
 		m.Holdings = append(m.Holdings, &drpb.FleetHolding{Model: p.Model, Version: uint32(p.Version), Adapters: p.Adapters})
@@ -82,6 +82,7 @@
 	r := &drfleet.Runner{
 		ID: m.GetId(), Service: m.GetService(), Address: m.GetAddress(), Zone: m.GetZone(), Started: m.GetStarted(),
 		Slots: int(m.GetSlots()), Draining: m.GetDraining(), Orders: int(m.GetOrders()),
+		Cold: time.Duration(m.GetColdMs()) * time.Millisecond,
 	}
 	for _, h := range m.GetHoldings() {
 		r.Replicas = append(r.Replicas, drfleet.Replica{Model: h.GetModel(), Version: int(h.GetVersion()), Adapters: h.GetAdapters()})
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelridge/dotterelridge/drstore"
 	"github.com/dotterelridge/dotterelridge/drtask"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
+	"github.com/dotterelridge/dotterelridge/drwarmup"
 )
 
 // Config configures a Node.
@@ -46,6 +47,8 @@
 	// ZoneDrain is the maximum time until this VM stops using an availability zone
 	// that was taken out of service, 0 for no bound.
 	ZoneDrain time.Duration
+	// ColdBound says how many requests a cold runner bears.
+	ColdBound drwarmup.Bound
 	// RunnerHeartbeat is the interval at which runners write their entries to the
 	// store.
 	RunnerHeartbeat time.Duration
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -61,6 +61,7 @@
 	reply.Verdict = encodeVerdict(c.crashes.VerdictFor(name))
 	reply.Outages = encodeOutages(c.view.Outages())
 	c.fillReply(name, request, reply)
+	reply.Permits = c.givePermits(request, received)
 	return reply
 }
 
@@ -148,22 +149,25 @@
 	}
 	t := c.Clock.NewTimer(time.Duration(request.GetWaitMs()) * time.Millisecond)
 	defer t.Stop()
-	for {
+	for ended := false; !ended; {
 		changed := c.changeChannel()
 		if c.needsReply(request) {
 			_ = c.Clock.Sleep(ctx, replyBatchDelay)
 			return
 		}
+		recheck, stop := c.recheckPermits(request)
 		select {
 		case <-v.wakeups:
 		case <-changed:
+		case <-recheck:
 		case <-t.C():
-			return
+			ended = true
 		case <-ctx.Done():
-			return
+			ended = true
 		case <-c.ctx.Done():
-			return
+			ended = true
 		}
+		stop()
 	}
 }
 
@@ -182,7 +186,7 @@
 // once.
 func (c *Controller) needsReply(request *drpb.FleetSyncRequest) bool {
 	_, version, _ := c.view.DeploymentRecord()
-	if version > request.GetDeployment() || c.crashes.Revision() != request.GetVerdict() || c.lacksOutages(request) {
+	if version > request.GetDeployment() || c.crashes.Revision() != request.GetVerdict() || c.lacksOutages(request) || c.canGivePermits(request) {
 		return true
 	}
 	if c.view.Revision() == request.GetRevision() {
@@ -232,9 +236,11 @@
 	c.fillLoads(name, reply)
 	for _, w := range request.GetWants() {
 		p := w.GetReplica()
-		reply.Forecasts = append(reply.Forecasts, &drpb.FleetForecast{
-			Replica: p, ExpectedMs: uint32(milliseconds(c.forecastLoad(p.GetService(), p.GetModel(), now))),
-		})
+		expected, cold := c.forecastPermits(w)
+		if !cold {
+			expected = c.forecastLoad(p.GetService(), p.GetModel(), now)
+		}
+		reply.Forecasts = append(reply.Forecasts, &drpb.FleetForecast{Replica: p, ExpectedMs: uint32(milliseconds(expected))})
 	}
 	vms := c.countReportingVMs(now)
 	reply.MostProcessor = c.maxProcessor()
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -225,6 +225,7 @@
 	n.maxProcessor = reply.GetMostProcessor()
 	n.syncWait = min(max(time.Duration(reply.GetNextWaitMs())*time.Millisecond, minSyncWait), maxSyncWait)
 	n.mu.Unlock()
+	n.applyPermits(reply, sent)
 	n.View.ForgetLoads()
 	for _, l := range reply.GetLoads() {
 		n.View.SetLoad(l.GetRunner(), int(l.GetRunning()), float64(l.GetFailingPercent())/100)
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/dotterelridge/dotterelridge/drscheduler"
 	"github.com/dotterelridge/dotterelridge/drstore"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
+	"github.com/dotterelridge/dotterelridge/drwarmup"
 )
 
 const (
@@ -126,6 +127,7 @@
 		Metrics: e.metrics, View: e.view, Allowances: e.allowances, Crashes: e.crashes, OrderPause: time.Duration(settings.OrderPause),
 		Processor: settings.Processor, Propagation: time.Duration(settings.Propagation), RunnerDrain: time.Duration(settings.RunnerDrain),
 		RunnerHeartbeat: time.Duration(settings.Heartbeat), ZoneDrain: time.Duration(settings.ZoneDrain),
+		ColdBound: drwarmup.Bound{Overage: settings.ColdOverage, Slack: settings.ColdSlack},
 	})
 	e.allowances.SetSlack(settings.QuotaSlack)
 	e.retryBudget.Store(&settings.RetryBudget)
@@ -218,6 +220,7 @@
 		name := service.Name
 		e.metrics.GaugeFunc(drmetric.LeavingRunners, func() int64 { return int64(e.view.LeavingCount(name)) }, name)
 		e.metrics.GaugeFunc(drmetric.PausedRunners, func() int64 { return int64(e.view.PausedCount(name)) }, name)
+		e.metrics.GaugeFunc(drmetric.ColdRunners, func() int64 { return int64(e.view.ColdCount(name)) }, name)
 		e.metrics.GaugeFunc(drmetric.OutOfServiceRunners, func() int64 { return int64(e.view.OutOfServiceCount(name)) }, name)
 		e.metrics.GaugeFunc(drmetric.OutOfServiceRunning, func() int64 { return int64(e.view.RunningOutOfService(name)) }, name)
 	}
--- a/dredge/settings.go
+++ b/dredge/settings.go
@@ -27,6 +27,8 @@
 	ZoneDrain    drjson.Duration `json:"zone-drain" doc:"Time within which an availability zone that was taken out of service must get no more requests; 0 for no bound. As for config-propagation and, for requests with a key, as for revocation. 0 or at least 2s."`
 	Heartbeat    drjson.Duration `json:"runner-heartbeat" doc:"Interval at which runners write their entries to the store. An entry that is removed sooner than three intervals after it was written has not expired: its runner has left. At least 100ms."`
 	GracePeriod  drjson.Duration `json:"grace-period" doc:"Time between SIGTERM and the end of the process. At least 2s."`
+	ColdOverage  float64         `json:"cold-overage" doc:"Multiple of the requests per second that the configuration states for cold runners, over all VMs, within which they must stay in each second. At least 0."`
+	ColdSlack    float64         `json:"cold-slack" doc:"Requests by which that may be exceeded in one second, over all VMs. At least 0."`
 	RetryBudget  RetryBudget     `json:"retry-budget" doc:"Bounds on requests that are sent to a runner more than once, over all VMs."`
 	QuotaSlack   float64         `json:"quota-slack" doc:"Tokens by which a client account may exceed its limit, over all VMs. VMs that reach no controller use a part of it."`
 	OrderPause   drjson.Duration `json:"order-pause" doc:"Time within which two VMs must not send orders to runners in turn. A VM that becomes the controller again after another one had a short term sends none for so long."`
@@ -74,6 +76,7 @@
 		Heartbeat:   drjson.Duration(1200 * time.Millisecond),
 		GracePeriod: drjson.Duration(8 * time.Second),
 		RetryBudget: RetryBudget{Share: 0.2, Extra: 100, Window: drjson.Duration(10 * time.Second)},
+		ColdOverage: 1,
 		Processor:   1,
 		MemoryLimit: 96 << 20,
 		LogLevel:    "info",
@@ -166,6 +169,9 @@
 	if settings.QuotaSlack < 0 {
 		c.report("quota-slack", "must not be negative")
 	}
+	if settings.ColdOverage < 0 || settings.ColdSlack < 0 {
+		c.report("cold-overage", "cold-overage and cold-slack must not be negative")
+	}
 	if settings.Processor <= 0 {
 		c.report("processor-share", "must be above 0")
 	}
--- a/drfleet/runner.go
+++ b/drfleet/runner.go
@@ -1,6 +1,9 @@
 package drfleet
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Replica is a model that is loaded on a runner, with the adapters loaded for it.
 type Replica struct {
@@ -34,12 +37,25 @@
 	// the runner has accepted since Started; 0 if not known.
 	Orders   int
 	Replicas []Replica
+	// Cold is how long the runner remains cold after it wrote this description.
+	Cold time.Duration
 	// InMemory and OnDisk name models whose weights the runner has copies of in
 	// host memory and on disk, from where they load faster.
 	InMemory []string
 	OnDisk   []string
 }
 
+// WithoutCold returns a copy of the runner that does not say how long it remains cold,
+// because that holds only when it is said.
+func (r *Runner) WithoutCold() *Runner {
+	if r.Cold == 0 {
+		return r
+	}
+	warm := *r
+	warm.Cold = 0
+	return &warm
+}
+
 // Replica returns the runner's replica of a model, and false if it has none.
 func (r *Runner) Replica(model string) (Replica, bool) {
 	for _, p := range r.Replicas {
--- a/drfleet/service.go
+++ b/drfleet/service.go
@@ -7,6 +7,11 @@
 type Service struct {
 	Name   string
 	Engine *Engine // nil for a plain service
+	// ColdStart is how long a runner is cold after it has started, and ColdRate how
+	// many requests per second a cold runner bears from all VMs together, 0 for no
+	// bound.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Engine describes the model engines of a service, which are all alike.
--- a/drfleetview/outage.go
+++ b/drfleetview/outage.go
@@ -38,6 +38,7 @@
 	for _, e := range v.runners {
 		if before.Has(e.runner.Zone) && !v.outages.Has(e.runner.Zone) {
 			e.startReturning(uptime)
+			v.assumeCold(e, uptime)
 		}
 	}
 	v.notify()
--- a/drfleetview/pause.go
+++ b/drfleetview/pause.go
@@ -77,7 +77,11 @@
 		if !v.serves(e, replica) {
 			continue
 		}
-		if l := e.pauseLeft(uptime); l > 0 && (!paused || l < left) {
+		l := e.pauseLeft(uptime)
+		if replica.Model == "" {
+			l = max(l, v.coldLeft(e, uptime)) // no permits are given for plain services
+		}
+		if l > 0 && (!paused || l < left) {
 			left, paused = l, true
 		}
 	}
@@ -106,7 +110,7 @@
 
 // MayStart reports whether a request may still be sent to a runner that was chosen a
 // moment ago: that incarnation has not said meanwhile that it wants none, and its
-// availability zone gets requests.
+// availability zone gets requests. If it is cold, that uses up a permit.
 func (v *View) MayStart(runner *drfleet.Runner) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -117,7 +121,8 @@
 	if !ok || e.runner.Started != runner.Started {
 		return true
 	}
-	return !e.saysLeaving() && e.pauseLeft(v.clock.Uptime()) <= 0
+	uptime := v.clock.Uptime()
+	return !e.saysLeaving() && e.pauseLeft(uptime) <= 0 && v.takePermit(e, uptime)
 }
 
 // Usable returns the number of listed runners of a service that take requests of this
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -52,6 +52,8 @@
 	// none has.
 	leaving *Incarnation
 	pause   pause
+	// coldUntil is the uptime until which the runner is cold.
+	coldUntil time.Duration
 }
 
 // replicaCounters counts the requests of this VM for one replica on one runner.
@@ -107,6 +109,8 @@
 	} else if !e.acceptsUpdate(runner, source) {
 		return false
 	}
+	turnedCold := v.noteCold(e, runner, v.clock.Uptime())
+	runner = runner.WithoutCold()
 	if source == FromRunner {
 		e.reportedReplicas = runner.Replicas
 	}
@@ -120,7 +124,7 @@
 	}
 	e.runner = runner
 	e.replicasFromController = source == FromController || same && e.replicasFromController
-	if same && sameForCallers(old, runner) {
+	if same && !turnedCold && sameForCallers(old, runner) {
 		return false
 	}
 	e.removed = false
@@ -265,6 +269,7 @@
 type Change struct {
 	Runner *drfleet.Runner
 	Gone   bool
+	Cold   time.Duration // time left for which the runner is cold
 }
 
 // Revision returns the revision of the runner table, which grows with each
@@ -293,9 +298,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var cs []Change
+	uptime := v.clock.Uptime()
 	for _, id := range slices.Sorted(maps.Keys(v.runners)) {
 		if e := v.runners[id]; e.revision > after {
-			cs = append(cs, Change{e.runner, e.removed})
+			cs = append(cs, Change{e.runner, e.removed, max(e.coldUntil-uptime, 0)})
 		}
 	}
 	return cs, v.revision
@@ -305,14 +311,15 @@
 // their load and share of failures. Runners that want no requests of this VM for a
 // time are left out. So are those that were just unreachable, but for a plain service
 // they are returned if there are no others. The runners of a zone that was just taken out
-// of service are returned if there are no others, too, until it must get none.
+// of service are returned if there are no others, too, until it must get none, and so are
+// cold runners for which this VM has permits.
 func (v *View) Candidates(replica Replica) []drbalancer.Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now, uptime := v.clock.Now(), v.clock.Uptime()
-	var cs, closing, unreachable []drbalancer.Candidate
+	var cs, lastResort, unreachable []drbalancer.Candidate
 	for _, e := range v.runners {
-		if !v.serves(e, replica) || e.pauseLeft(uptime) > 0 {
+		if !v.serves(e, replica) || e.pauseLeft(uptime) > 0 || !v.mayWarm(e, uptime) {
 			continue
 		}
 		if u := e.counters[replica]; u != nil && now.Before(u.missingUntil) {
@@ -323,14 +330,14 @@
 			unreachable = append(unreachable, c)
 			continue
 		}
-		if v.outages.Has(e.runner.Zone) {
-			closing = append(closing, c)
+		if v.outages.Has(e.runner.Zone) || v.coldLeft(e, uptime) > 0 {
+			lastResort = append(lastResort, c)
 			continue
 		}
 		cs = append(cs, c)
 	}
 	if len(cs) == 0 {
-		cs = closing
+		cs = lastResort
 	}
 	if len(cs) == 0 && replica.Model == "" {
 		return unreachable
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drwarmup"
 	"github.com/dotterelridge/dotterelridge/drzone"
 )
 
@@ -42,6 +43,8 @@
 	// on zones out of service get no requests at all.
 	zoneDrain time.Duration
 	closing   map[string]time.Duration
+	// permits are those of this VM to send requests to cold runners.
+	permits drwarmup.Permits
 	// controllerAt is the uptime at which a controller last answered, or at
 	// which this View was created.
 	controllerAt time.Duration
--- a/drmetric/name.go
+++ b/drmetric/name.go
@@ -46,6 +46,7 @@
 	OutOfServiceZones   = "dotterelridge_out_of_service_zones"
 	OutOfServiceRunners = "dotterelridge_out_of_service_runners"
 	OutOfServiceRunning = "dotterelridge_out_of_service_running_requests"
+	ColdRunners         = "dotterelridge_cold_runners"
 	MalformedStatements = "dotterelridge_malformed_statements_total"
 	Controlling         = "dotterelridge_controlling"
 	TimelineOverwrites  = "dotterelridge_timeline_overwrites_total"
@@ -93,6 +94,7 @@
 	{KnownRunners, Gauge, Count, nil, "Runners in the runner table."},
 	{LeavingRunners, Gauge, Count, []string{"service"}, "Listed runners that have said in an answer to this VM that they leave."},
 	{PausedRunners, Gauge, Count, []string{"service"}, "Listed runners that want no requests of this VM for a time."},
+	{ColdRunners, Gauge, Count, []string{"service"}, "Listed runners that are cold and get requests with permits only."},
 	{OutOfServiceZones, Gauge, Count, nil, "Availability zones that are out of service, as this VM knows."},
 	{OutOfServiceRunners, Gauge, Count, []string{"service"}, "Listed runners in zones that are out of service."},
 	{OutOfServiceRunning, Gauge, Count, []string{"service"}, "Requests of this VM that still run in zones that are out of service."},
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -100,6 +100,8 @@
 		case errors.Is(err, errClientGone):
 			x.handleClientGone()
 			return nil
+		case errors.Is(err, errUnwanted) && x.remaining() > answerMargin:
+			continue // the runner is no candidate any more
 		case err == nil, errors.Is(err, errNotSent):
 			state.notRun++
 			if state.notRun < maxNotRun && x.remaining() > answerMargin && (err != nil || x.takeRetryFromBudget()) {
