--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelridge/dotterelridge/drstore"
 	"github.com/dotterelridge/dotterelridge/drtask"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
+	"github.com/dotterelridge/dotterelridge/drwarmup"
 )
 
 // Config configures a Node.
@@ -43,6 +44,11 @@
 	// on this VM, and RunnerDrain the maximum time until this VM stops using a
 	// runner that leaves.
 	Propagation, RunnerDrain time.Duration
+	// ZoneDrain is the maximum time until this VM stops using an availability zone
+	// that was taken out of service, 0 for no bound.
+	ZoneDrain time.Duration
+	// ColdBound says how many requests a cold runner bears.
+	ColdBound drwarmup.Bound
 	// RunnerHeartbeat is the interval at which runners write their entries to the
 	// store.
 	RunnerHeartbeat time.Duration
@@ -105,6 +111,7 @@
 	c.Codec = guardedCodec{c.Codec}
 	n := &Node{Config: c, fullReport: true, leaderLost: make(chan struct{}, 1), leaderFound: make(chan struct{}, 1), syncWait: minSyncWait}
 	n.reader = newReader(readerConfig{log: c.Log, codec: c.Codec, view: c.View, clock: c.Clock, heartbeat: c.RunnerHeartbeat})
+	c.View.SetZoneDrain(c.ZoneDrain)
 	n.elector = drlease.New(drlease.Config{
 		Log: c.Log, Uptime: c.Clock, VM: c.VM, Address: c.Address, Incarnation: c.Incarnation, TTL: LeaseTTL,
 	})
--- a/dredge/settings.go
+++ b/dredge/settings.go
@@ -24,8 +24,11 @@
 	Revocation   drjson.Duration `json:"revocation" doc:"Time after which a withdrawn key must not work any more. A VM that has not confirmed its configuration for a second less refuses requests with a key. At least 2s."`
 	Propagation  drjson.Duration `json:"config-propagation" doc:"Time within which a change of the configuration must be followed. A VM that has heard nothing for three quarters of it reads the store itself. At least 500ms."`
 	RunnerDrain  drjson.Duration `json:"runner-drain" doc:"Time within which the leaving of a runner must be followed; as for config-propagation. At least 500ms."`
+	ZoneDrain    drjson.Duration `json:"zone-drain" doc:"Time within which an availability zone that was taken out of service must get no more requests; 0 for no bound. As for config-propagation and, for requests with a key, as for revocation. 0 or at least 2s."`
 	Heartbeat    drjson.Duration `json:"runner-heartbeat" doc:"Interval at which runners write their entries to the store. An entry that is removed sooner than three intervals after it was written has not expired: its runner has left. At least 100ms."`
 	GracePeriod  drjson.Duration `json:"grace-period" doc:"Time between SIGTERM and the end of the process. At least 2s."`
+	ColdOverage  float64         `json:"cold-overage" doc:"Multiple of the requests per second that the configuration states for cold runners, over all VMs, within which they must stay in each second. At least 0."`
+	ColdSlack    float64         `json:"cold-slack" doc:"Requests by which that may be exceeded in one second, over all VMs. At least 0."`
 	RetryBudget  RetryBudget     `json:"retry-budget" doc:"Bounds on requests that are sent to a runner more than once, over all VMs."`
 	QuotaSlack   float64         `json:"quota-slack" doc:"Tokens by which a client account may exceed its limit, over all VMs. VMs that reach no controller use a part of it."`
 	OrderPause   drjson.Duration `json:"order-pause" doc:"Time within which two VMs must not send orders to runners in turn. A VM that becomes the controller again after another one had a short term sends none for so long."`
@@ -46,6 +49,16 @@
 	Metrics         string `json:"metrics" doc:"Listener for metrics; none if empty."`
 }
 
+// freshness returns the age of the configuration, and with it of the zones out of
+// service, above which this VM refuses requests with a key.
+func (s Settings) freshness() time.Duration {
+	bound := s.Revocation
+	if s.ZoneDrain > 0 {
+		bound = min(bound, s.ZoneDrain)
+	}
+	return time.Duration(bound) - revocationMargin
+}
+
 // RetryBudget limits the retries of one service, over all VMs together.
 type RetryBudget struct {
 	Share  float64         `json:"share" doc:"Retries per request."`
@@ -63,6 +76,7 @@
 		Heartbeat:   drjson.Duration(1200 * time.Millisecond),
 		GracePeriod: drjson.Duration(8 * time.Second),
 		RetryBudget: RetryBudget{Share: 0.2, Extra: 100, Window: drjson.Duration(10 * time.Second)},
+		ColdOverage: 1,
 		Processor:   1,
 		MemoryLimit: 96 << 20,
 		LogLevel:    "info",
@@ -78,6 +92,7 @@
 	minPropagation = 500 * time.Millisecond // of config-propagation and runner-drain
 	minHeartbeat   = 100 * time.Millisecond
 	minGracePeriod = 2 * time.Second
+	minZoneDrain   = 2 * time.Second
 	minRetryWindow = time.Second
 )
 
@@ -142,6 +157,9 @@
 	c.checkMinimum("revocation", settings.Revocation, minRevocation)
 	c.checkMinimum("config-propagation", settings.Propagation, minPropagation)
 	c.checkMinimum("runner-drain", settings.RunnerDrain, minPropagation)
+	if settings.ZoneDrain != 0 {
+		c.checkMinimum("zone-drain", settings.ZoneDrain, minZoneDrain)
+	}
 	c.checkMinimum("runner-heartbeat", settings.Heartbeat, minHeartbeat)
 	c.checkMinimum("grace-period", settings.GracePeriod, minGracePeriod)
 	c.checkMinimum("retry-budget.window", settings.RetryBudget.Window, minRetryWindow)
@@ -151,6 +169,9 @@
 	if settings.QuotaSlack < 0 {
 		c.report("quota-slack", "must not be negative")
 	}
+	if settings.ColdOverage < 0 || settings.ColdSlack < 0 {
+		c.report("cold-overage", "cold-overage and cold-slack must not be negative")
+	}
 	if settings.Processor <= 0 {
 		c.report("processor-share", "must be above 0")
 	}
--- a/drscheduler/reason_string.go
+++ b/drscheduler/reason_string.go
@@ -12,11 +12,12 @@
 	_ = x[Busy-1]
 	_ = x[Spread-2]
 	_ = x[Queued-3]
+	_ = x[Relocated-4]
 }
 
-const _Reason_name = "wantedbusyspreadqueued"
+const _Reason_name = "wantedbusyspreadqueuedrelocated"
 
-var _Reason_index = [...]uint8{0, 6, 10, 16, 22}
+var _Reason_index = [...]uint8{0, 6, 10, 16, 22, 31}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/drscheduler/saturated.go
+++ b/drscheduler/saturated.go
@@ -51,10 +51,10 @@
 }
 
 // mayUseStore reports whether a model may be loaded from the weight store: if
-// requests wait for it and no runner has a copy, or if its requests queue and no
+// requests wait for it, or no runner in service holds it, and none has a copy, or if its requests queue and no
 // runner could load a further replica from a copy, even once it is free.
 func (p *planner) mayUseStore(model drfleet.Model, reason Reason) bool {
-	if reason == Wanted {
+	if reason == Wanted || reason == Relocated {
 		return !p.Stored[model.Name]
 	}
 	return reason == Queued && p.isSaturated(model.Name) && p.StoreLoads > reservedForWanted && !p.hasSpareCopy(model)
