--- a/drcontroller/cold.go
+++ b/drcontroller/cold.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drwarmup"
@@ -16,7 +18,7 @@
 // count from received, the uptime at which the VM's report arrived, so that the VM, which
 // counts from when it sent the report, lets them end no later. The time is read before the
 // lease is checked: if this VM is suspended in between, the permits end with the lease.
-func (c *Controller) givePermits(request *drpb.FleetSyncRequest, received time.Duration) []*drpb.FleetPermit {
+func (c *Controller) givePermits(vm string, request *drpb.FleetSyncRequest, received time.Duration) []*drpb.FleetPermit {
 	now := c.Clock.Uptime()
 	if !c.Holds() {
 		return nil
@@ -32,6 +34,8 @@
 				continue
 			}
 			waiting -= given
+			log.WithFields(log.Fields{"event": "permits-given", "runner": cold.Runner, "started": cold.Started, "permits": given,
+				"vm": vm, "term": c.Term}).Debug("")
 			permits = append(permits, &drpb.FleetPermit{
 				Runner: encodeIncarnation(cold.Incarnation), Permits: uint32(given), LeftMs: uint32(milliseconds(now - received + drwarmup.PermitTime)),
 			})
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -209,6 +209,10 @@
 	if !r.view.OfferRunner(runner, drfleetview.FromRunner) {
 		return
 	}
+	if left := r.view.ColdLeft(rec.Key); runner.Cold > 0 && left > 0 {
+		log.WithFields(log.Fields{"event": "runner-cold", "runner": runner.ID, "service": runner.Service, "started": runner.Started,
+			"left": left, "offset": rec.Offset, "source": "store"}).Info("")
+	}
 	if !known || old.Started != runner.Started || old.Draining != runner.Draining {
 		log.WithFields(log.Fields{"event": "runner-changed", "runner": runner.ID, "service": runner.Service,
 			"started": runner.Started, "draining": runner.Draining, "beat": runner.Beat, "offset": rec.Offset,
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -61,7 +61,7 @@
 	reply.Verdict = encodeVerdict(c.crashes.VerdictFor(name))
 	reply.Outages = encodeOutages(c.view.Outages())
 	c.fillReply(name, request, reply)
-	reply.Permits = c.givePermits(request, received)
+	reply.Permits = c.givePermits(name, request, received)
 	return reply
 }
 
--- a/drfleetview/cold.go
+++ b/drfleetview/cold.go
@@ -46,6 +46,18 @@
 	return v.count(service, func(e *entry) bool { return v.coldLeft(e, uptime) > 0 })
 }
 
+// ColdLeft returns the time for which requests to a runner need permits, 0 if they need
+// none or the runner is not listed.
+func (v *View) ColdLeft(id string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e, ok := v.runners[id]
+	if !ok || e.removed {
+		return 0
+	}
+	return v.coldLeft(e, v.clock.Uptime())
+}
+
 // GivePermits adds permits to send requests to a cold runner, which end at an uptime.
 func (v *View) GivePermits(i Incarnation, permits int, end time.Duration) {
 	v.mu.Lock()
