drcontroller: Send the table in pieces and bound loads, questions and reads

Each reply also named every runner in use.

The table goes out in compressed pieces that are made once for all VMs, after a change of the controller only where digests differ. Replies name the busiest runners and those of what the VM uses, changes leave out what the VM knows, 64 runners are asked at once, and VMs take turns at the store, the longer the more they read. Earlier versions on either side get and send whole tables as before.

--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -79,6 +79,7 @@
 	pool *drtokenpool.Pool
 	// crashes counts the runners that each request has crashed.
 	crashes *drcrash.Tally
+	table   *tableSender
 	// planRequests holds a token if a plan was requested.
 	planRequests chan struct{}
 	ctx          context.Context
@@ -93,7 +94,10 @@
 	storeLoads    loadRate
 	startedAt     time.Time
 	backlogs      map[string]modelBacklog // by service, as of its last plan
-	limitsVersion int64                   // version of the deployment whose limits the pool uses, -1 for none
+	loads         loadIndex
+	questions     []question // runners to ask for their state, the most urgent first
+	asking        int        // questions that await their answers
+	limitsVersion int64      // version of the deployment whose limits the pool uses, -1 for none
 }
 
 // NewController starts a controller that reads and updates the view of its VM.
@@ -102,7 +106,7 @@
 	controller := &Controller{
 		ControllerConfig: c, view: v, pool: drtokenpool.NewPool(c.Clock), crashes: drcrash.NewTally(c.Clock), planRequests: make(chan struct{}, 1),
 		vms: make(map[string]*vm), running: newRunningTotals(), runnerStates: make(map[string]*runnerState), demands: make(map[string]*demand),
-		backlogs:   make(map[string]modelBacklog),
+		backlogs: make(map[string]modelBacklog), table: newTableSender(v),
 		storeLoads: loadRate{createdAt: c.Clock.Now()}, startedAt: c.Clock.Now(), limitsVersion: -1,
 	}
 	if c.Term > firstTerm {
@@ -223,7 +227,10 @@
 // the runners whose state is uncertain and removes VMs that have stopped
 // reporting. The caller holds mu.
 func (c *Controller) updateRunnersAndVMs(now time.Time) {
-	for _, r := range c.view.Runners("") {
+	runners := c.view.Runners("")
+	c.loads = c.makeLoadIndex(runners)
+	c.questions = c.questions[:0]
+	for _, r := range runners {
 		s := c.runnerStates[r.ID]
 		if s == nil || s.started != r.Started {
 			s = newRunnerState(r.Started)
@@ -232,11 +239,12 @@
 		if !s.needsReport && s.swap == nil && now.Sub(s.lastSwapAt) > maxEntryLag && c.view.Contradicted(r.ID) {
 			s.needsReport, s.lastSwapAt = true, now
 		}
-		if s.needsReport && !s.querying && s.swap == nil && len(s.loadingAdapters) == 0 && !now.Before(s.retryAt) && c.hasEngine(r) {
-			s.retryAt, s.querying = now.Add(reportRetryPause), true
-			c.wg.Go(func() { c.queryRunner(r, s) })
+		if s.mayAsk(now) && c.hasEngine(r) {
+			c.questions = append(c.questions, question{r, s})
 		}
 	}
+	c.orderQuestions()
+	c.askRunners()
 	for id, v := range c.vms {
 		if now.Sub(v.lastReportAt) > vmReportTimeout {
 			c.subtractUses(v)
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -47,6 +47,8 @@
 	uses            map[replicaKey]replicaUse
 	resultsByRunner map[string]resultCounters
 	runningByRunner map[string]int
+	// used holds when the VM last sent requests for a model.
+	used map[usedModel]time.Time
 	// wakeups holds a token if the VM's pending report must be checked again,
 	// for example because a model that the VM waits for was loaded.
 	wakeups chan struct{}
@@ -73,7 +75,7 @@
 func newVM(incarnation uint64) *vm {
 	return &vm{
 		incarnation: incarnation, uses: make(map[replicaKey]replicaUse), resultsByRunner: make(map[string]resultCounters),
-		runningByRunner: make(map[string]int), wakeups: make(chan struct{}, 1),
+		runningByRunner: make(map[string]int), used: make(map[usedModel]time.Time), wakeups: make(chan struct{}, 1),
 	}
 }
 
@@ -234,6 +236,9 @@
 			c.running.add(k, int(p.GetRunning())-before.running)
 			v.runningByRunner[k.runner] += int(p.GetRunning()) - before.running
 			v.uses[k] = replicaUse{int(p.GetRunning()), p.GetRequests()}
+			if r, ok := c.view.Runner(k.runner); ok && (p.GetRunning() > 0 || p.GetRequests() != before.requests) {
+				v.recordUse(usedModel{r.Service, k.model}, now)
+			}
 			if known && !first {
 				c.applyReplicaUse(s, k, p, counterIncrease(p.GetRequests(), before.requests), now)
 			}
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -66,6 +66,12 @@
 	return out
 }
 
+// withoutIdentity leaves out of an encoded runner what the VM knows.
+func withoutIdentity(m *drpb.FleetRunner) *drpb.FleetRunner {
+	m.Service, m.Address, m.Zone, m.Slots, m.Update = "", "", "", 0, true
+	return m
+}
+
 func encodeRunner(c drfleetview.Change) *drpb.FleetRunner {
 	r := c.Runner
 	m := &drpb.FleetRunner{
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -74,6 +74,9 @@
 	// the store, 0 if none has failed.
 	storeFailedAt atomic.Int64
 
+	// table is used by syncLoop only.
+	table tableReceiver
+
 	// leaderLost holds a token if this VM has just lost the controller, and
 	// leaderFound one if it has just learned of another.
 	leaderLost, leaderFound chan struct{}
@@ -81,10 +84,8 @@
 	mu          sync.Mutex
 	leader      drlease.Lease
 	lastReplyAt time.Time // when the controller last replied, zero if it has not or a call failed since
-	term        uint64    // term of the controller that the view was last updated from
-	// revision is the revision of the controller's runner table that the view
-	// was last updated to.
-	revision uint64
+	// reportedTerm is the term of the controller that last replied.
+	reportedTerm uint64
 	// fullReport is set if the controller may have missed a report, so that the
 	// next one must contain all uses instead of the changed ones.
 	fullReport bool
@@ -100,7 +101,8 @@
 // does nothing else until Start is called.
 func New(c Config) *Node {
 	c.Codec = guardedCodec{c.Codec}
-	n := &Node{Config: c, fullReport: true, leaderLost: make(chan struct{}, 1), leaderFound: make(chan struct{}, 1), syncWait: minSyncWait}
+	n := &Node{Config: c, fullReport: true, leaderLost: make(chan struct{}, 1), leaderFound: make(chan struct{}, 1), syncWait: minSyncWait,
+		table: tableReceiver{view: c.View}}
 	n.reader = newReader(readerConfig{log: c.Log, codec: c.Codec, view: c.View, clock: c.Clock, heartbeat: c.RunnerHeartbeat})
 	n.elector = drlease.New(drlease.Config{
 		Log: c.Log, Uptime: c.Clock, VM: c.VM, Address: c.Address, Incarnation: c.Incarnation, TTL: LeaseTTL,
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -26,25 +25,15 @@
 }
 
 // Sync records a VM's report and replies with the changes since the revision
-// that the VM has, or with the full runner table if that revision is of another
-// term. It waits for a change up to the time that the request allows.
+// that the VM has, or with the next piece of the runner table if that revision is of
+// another term. It waits for a change up to the time that the request allows.
 func (c *Controller) Sync(ctx context.Context, name string, incarnation uint64, request *drpb.FleetSyncRequest) *drpb.FleetSyncReply {
 	received := c.Clock.Uptime()
 	c.addCrashes(name, request.GetCrashReport())
 	c.recordLeavingOf(name, request)
 	c.awaitChange(ctx, c.applyReport(name, incarnation, request), request)
 	reply := &drpb.FleetSyncReply{Leading: c.Holds(), Term: c.Term}
-	after := request.GetRevision()
-	if request.GetTerm() != c.Term {
-		after, reply.Whole = 0, true
-	}
-	changes, revision := c.view.Changes(after)
-	reply.Revision = revision
-	for _, ch := range changes {
-		if !ch.Gone || !reply.Whole {
-			reply.Runners = append(reply.Runners, encodeRunner(ch))
-		}
-	}
+	c.fillTable(request, reply)
 	record, version, at := c.view.DeploymentRecord()
 	if version > request.GetDeployment() {
 		fillDeployment(reply, record, request.GetReadsDeflated())
@@ -142,7 +131,7 @@
 // awaitChange waits until a change concerns the VM, its time to wait is over or
 // the controller is closed.
 func (c *Controller) awaitChange(ctx context.Context, v *vm, request *drpb.FleetSyncRequest) {
-	if request.GetTerm() != c.Term || request.GetWaitMs() == 0 {
+	if request.GetWaitMs() == 0 || request.GetTerm() != c.Term && c.hasPieceFor(request) {
 		return
 	}
 	t := c.Clock.NewTimer(time.Duration(request.GetWaitMs()) * time.Millisecond)
@@ -180,6 +169,9 @@
 // needsReply reports whether the view has a change that the VM must learn at
 // once.
 func (c *Controller) needsReply(request *drpb.FleetSyncRequest) bool {
+	if request.GetTerm() != c.Term {
+		return c.hasPieceFor(request)
+	}
 	_, version, _ := c.view.DeploymentRecord()
 	if version > request.GetDeployment() || c.crashes.Revision() != request.GetVerdict() {
 		return true
@@ -228,7 +220,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
-	c.fillLoads(name, reply)
+	c.fillLoads(name, request, reply)
 	for _, w := range request.GetWants() {
 		p := w.GetReplica()
 		reply.Forecasts = append(reply.Forecasts, &drpb.FleetForecast{
@@ -276,24 +268,6 @@
 	return handover
 }
 
-// fillLoads adds to a reply the requests that other VMs run on each runner and
-// the runner's share of failures. The caller holds mu.
-func (c *Controller) fillLoads(name string, reply *drpb.FleetSyncReply) {
-	reporter := c.vms[name]
-	for _, id := range slices.Sorted(maps.Keys(c.runnerStates)) {
-		others := c.running.byRunner[id]
-		if reporter != nil {
-			others -= reporter.runningByRunner[id]
-		}
-		failing := uint32(c.runnerStates[id].recentResults.failureShare() * 100)
-		if others > 0 || failing > 0 {
-			reply.Loads = append(reply.Loads, &drpb.FleetLoad{
-				Runner: id, Running: uint32(max(others, 0)), FailingPercent: failing,
-			})
-		}
-	}
-}
-
 // modelBacklog is what forecasts of a service's loads rest on.
 type modelBacklog struct {
 	count  int             // number of models and adapters that requests wait for
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -30,8 +30,30 @@
 	// staleCheckInterval is the interval at which a VM checks whether its view
 	// is stale.
 	staleCheckInterval = 100 * time.Millisecond
+	// readTimePerEntry is the part of the store's time for reads that one VM's read
+	// of one runner's entry takes, with a margin for the controller's reads.
+	readTimePerEntry = 50 * time.Microsecond
 )
 
+// readTurn spreads the reads of VMs that begin to read the runners at the same time.
+// The zero value has no turn yet.
+type readTurn struct {
+	drawn bool
+	at    time.Duration // uptime
+}
+
+// come draws a turn unless one is drawn, and reports whether it has come. The VMs
+// together would otherwise take all of the store's time for reads and the controller
+// could not read either, which keeps them from hearing of changes at all.
+func (t *readTurn) come(now time.Duration, vms, runners int) bool {
+	if !t.drawn {
+		t.drawn, t.at = true, now+rand.N(time.Duration(vms*runners)*readTimePerEntry+1)
+	}
+	return now >= t.at
+}
+
+func (t *readTurn) reset() { t.drawn = false }
+
 // backoff computes the pauses between failed attempts to reach the store. The
 // zero value is ready for use.
 type backoff struct{ pause time.Duration }
@@ -148,10 +170,15 @@
 func (n *Node) runnersLoop() {
 	unreachable := false
 	var b backoff
+	var turn readTurn
 	n.awaitController()
 	for n.ctx.Err() == nil {
 		_, age, _ := n.View.Ages()
-		if !n.mustReadStore(n.View.RunnersKnown(), age, n.RunnerDrain) {
+		must := n.mustReadStore(n.View.RunnersKnown(), age, n.RunnerDrain)
+		if !must {
+			turn.reset()
+		}
+		if !must || n.controller.Load() == nil && !turn.come(n.Clock.Uptime(), n.Allowances.VMs(), n.View.RunnerCount()) {
 			_ = n.Clock.Sleep(n.ctx, staleCheckInterval)
 			continue
 		}
--- a/drcontroller/store_loops_test.go
+++ b/drcontroller/store_loops_test.go
@@ -37,3 +37,26 @@
 	is.Equal(missingCoreDelay(1, 0), time.Duration(0))
 	is.True(missingCoreDelay(0.272, 0) < time.Second)
 }
+
+// Guards against a fleet whose VMs all read the runners at once after they lost the
+// controller, so that the next one cannot read them, and against a small one that waits
+// for no reason.
+func TestReadTurnsSpreadWithFleet(t *testing.T) {
+	is := is.New(t)
+	longest := func(vms, runners int) time.Duration {
+		most := time.Duration(0)
+		for range 200 {
+			var turn readTurn
+			turn.come(0, vms, runners)
+			most = max(most, turn.at)
+		}
+		return most
+	}
+	is.True(longest(5, 30) < 10*time.Millisecond)
+	is.True(longest(300, 3000) > 10*time.Second)
+	var turn readTurn
+	is.True(!turn.come(0, 1e6, 1e6) || turn.at == 0)
+	is.True(turn.come(turn.at, 1e6, 1e6)) // drawn once
+	turn.reset()
+	is.True(turn.come(time.Hour, 0, 0))
+}
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -9,7 +9,6 @@
 	"github.com/apex/log"
 
 	"github.com/dotterelridge/dotterelridge/drcrash"
-	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drlease"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
@@ -31,8 +30,8 @@
 	// keep an overloaded controller from replying to any VM.
 	minSyncRetryPause = 50 * time.Millisecond
 	maxSyncRetryPause = 800 * time.Millisecond
-	// fullTableTimeout is how long a VM waits for a reply with the full runner
-	// table.
+	// fullTableTimeout is how long a VM waits for a reply with a piece of the
+	// runner table, or with all of it from a controller of an earlier version.
 	fullTableTimeout = 2500 * time.Millisecond
 	// reserveTimeout is the timeout of one call to reserve tokens.
 	reserveTimeout = 250 * time.Millisecond
@@ -86,15 +85,16 @@
 	clearSignal(n.leaderFound)
 	n.mu.Lock()
 	limit := maxSyncWait + syncReplyTimeout
-	if n.term != n.leader.Term {
+	if n.table.term != n.leader.Term {
 		limit = fullTableTimeout
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, limit)
 	defer cancel()
 	leader, request := n.leader, &drpb.FleetSyncRequest{
-		Zone: n.Zone, Term: n.term, Revision: n.revision, WaitMs: uint32(n.syncWait.Milliseconds()), Whole: n.fullReport,
+		Zone: n.Zone, WaitMs: uint32(n.syncWait.Milliseconds()), Whole: n.fullReport,
 		Processor: n.Processor, ReadsDeflated: true,
 	}
+	n.table.fillRequest(leader.Term, request)
 	n.fullReport = true // reset by applyReply if this report arrives
 	n.mu.Unlock()
 	clearSignal(n.View.DemandAdded())
@@ -127,8 +127,7 @@
 		n.forgetLeader(leader.VM)
 		return false
 	}
-	n.applyReply(reply, sent)
-	return true
+	return n.applyReply(reply, sent)
 }
 
 // clearSignal removes the token from a channel, if there is one.
@@ -197,8 +196,9 @@
 // applyReply applies the changes in a reply of the controller. The age of the
 // data counts from the time at which the report was sent plus the time that the
 // controller held it. The arrival time cannot be used, because the reply may
-// have been delayed on the way.
-func (n *Node) applyReply(reply *drpb.FleetSyncReply, sent time.Duration) {
+// have been delayed on the way. It returns false if the runners in the reply could not
+// be used.
+func (n *Node) applyReply(reply *drpb.FleetSyncReply, sent time.Duration) bool {
 	n.mu.Lock()
 	if n.lastReplyAt.IsZero() {
 		log.WithFields(log.Fields{"event": "controller-reached", "controller": n.leader.VM, "term": reply.GetTerm()}).Info("")
@@ -209,17 +209,20 @@
 		Offset: int64(reply.GetLeaseOffset()), Left: time.Duration(reply.GetLeaseLeftMs()) * time.Millisecond,
 	})
 	n.View.ConfirmController()
-	if n.controller.Load() == nil {
-		n.applyTable(reply)
+	own := n.controller.Load() != nil
+	complete, err := n.applyTable(reply, own)
+	if !own {
 		n.applyDeployment(reply)
 		age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 		made := sent + age(reply.GetHeldMs())
 		n.View.ConfirmDeployment(made - age(reply.GetDeploymentAgeMs()))
-		n.View.ConfirmRunners(made - age(reply.GetRunnersAgeMs()))
+		if complete {
+			n.View.ConfirmRunners(made - age(reply.GetRunnersAgeMs()))
+		}
 	}
 	n.mu.Lock()
-	n.fullReport = n.term != reply.GetTerm()
-	n.term, n.revision = reply.GetTerm(), reply.GetRevision()
+	n.fullReport = n.reportedTerm != reply.GetTerm()
+	n.reportedTerm = reply.GetTerm()
 	n.maxProcessor = reply.GetMostProcessor()
 	n.syncWait = min(max(time.Duration(reply.GetNextWaitMs())*time.Millisecond, minSyncWait), maxSyncWait)
 	n.mu.Unlock()
@@ -238,23 +241,17 @@
 	}
 	n.Crashes.SetVerdict(decodeVerdict(reply.GetTerm(), reply.GetVerdict()))
 	n.Allowances.RecordControllerReply(int(reply.GetVms()))
+	return err == nil
 }
 
-// applyTable applies the reply's runners to the view. If the reply contains the
-// full table, runners that are missing from it are removed.
-func (n *Node) applyTable(reply *drpb.FleetSyncReply) {
-	listed := make(map[string]bool)
-	for _, m := range reply.GetRunners() {
-		if m.GetGone() {
-			n.View.RemoveRunner(m.GetId())
-			continue
-		}
-		listed[m.GetId()] = true
-		n.View.OfferRunner(decodeRunner(m), drfleetview.FromController)
-	}
-	if reply.GetWhole() {
-		n.View.KeepRunners(listed)
+// applyTable applies the reply's runners to the view and reports whether it has the
+// whole table of the controller now.
+func (n *Node) applyTable(reply *drpb.FleetSyncReply, own bool) (complete bool, err error) {
+	complete, err = n.table.apply(reply, own)
+	if err != nil {
+		log.WithFields(log.Fields{"event": "table-unreadable", "term": reply.GetTerm(), "revision": reply.GetRevision()}).WithError(err).Warn("")
 	}
+	return complete, err
 }
 
 func (n *Node) applyDeployment(reply *drpb.FleetSyncReply) {
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -36,7 +35,13 @@
 	// runner.Replicas differ.
 	reportedReplicas []drfleet.Replica
 	revision         uint64 // of the table when the entry last changed
-	removed          bool
+	// identityRevision is the revision at which the incarnation was listed or last
+	// changed its service, address, zone or slots.
+	identityRevision uint64
+	digest           uint64 // what the entry adds to the digest of its bucket
+	// changedRevision is the revision at which the digest last changed.
+	changedRevision uint64
+	removed         bool
 
 	counters         map[Replica]*replicaCounters
 	running          int
@@ -102,8 +107,7 @@
 func (v *View) offer(runner *drfleet.Runner, source Source) bool {
 	e, ok := v.runners[runner.ID]
 	if !ok {
-		e = &entry{runner: runner, removed: true, counters: make(map[Replica]*replicaCounters)}
-		v.runners[runner.ID] = e
+		e = v.addEntry(runner)
 	} else if !e.acceptsUpdate(runner, source) {
 		return false
 	}
@@ -128,9 +132,27 @@
 		u.missingUntil = time.Time{}
 	}
 	v.bumpRevision(e)
+	if !same || !sameIdentity(old, runner) {
+		e.identityRevision = e.revision
+	}
 	return true
 }
 
+// addEntry adds an entry for a runner that is not listed yet. The caller holds mu.
+func (v *View) addEntry(runner *drfleet.Runner) *entry {
+	e := &entry{runner: runner, removed: true, counters: make(map[Replica]*replicaCounters)}
+	v.runners[runner.ID] = e
+	b := &v.buckets[BucketOf(runner.ID)]
+	b.entries = append(b.entries, e)
+	return e
+}
+
+// sameIdentity reports whether two descriptions of one incarnation agree in what
+// seldom changes.
+func sameIdentity(a, b *drfleet.Runner) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots
+}
+
 // acceptsUpdate reports whether a description is new enough to update the entry:
 // it is of a later incarnation, or of the same one and not older by the number
 // of orders (from the controller) or of the description (from the runner). While
@@ -196,6 +218,9 @@
 func (v *View) bumpRevision(e *entry) {
 	v.revision++
 	e.revision = v.revision
+	if v.updateDigest(e) {
+		v.logChange(e)
+	}
 	v.notify()
 }
 
@@ -236,6 +261,19 @@
 	return rs
 }
 
+// RunnerCount returns the number of listed runners.
+func (v *View) RunnerCount() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, e := range v.runners {
+		if !e.removed {
+			n++
+		}
+	}
+	return n
+}
+
 // listed returns the listed runners of a service that have a property, sorted by id. An
 // empty service selects those of all services. The caller holds mu.
 func (v *View) listed(service string, has func(e *entry) bool) []*entry {
@@ -260,13 +298,6 @@
 	return e.runner, true
 }
 
-// Change is a runner whose entry in the table has changed. Gone is set if the
-// runner was removed; Runner is then its last description.
-type Change struct {
-	Runner *drfleet.Runner
-	Gone   bool
-}
-
 // Revision returns the revision of the runner table, which grows with each
 // change.
 func (v *View) Revision() uint64 {
@@ -287,20 +318,6 @@
 	return false
 }
 
-// Changes returns the entries that changed after a revision, sorted by id, and
-// the current revision, to pass to the next call. Revision 0 selects all.
-func (v *View) Changes(after uint64) ([]Change, uint64) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var cs []Change
-	for _, id := range slices.Sorted(maps.Keys(v.runners)) {
-		if e := v.runners[id]; e.revision > after {
-			cs = append(cs, Change{e.runner, e.removed})
-		}
-	}
-	return cs, v.revision
-}
-
 // Candidates returns the runners that can take a request for a replica, with
 // their load and share of failures. Runners that want no requests of this VM for a
 // time are left out. So are those that were just unreachable, but for a plain service
--- a/drfleetview/use.go
+++ b/drfleetview/use.go
@@ -40,8 +40,7 @@
 	defer v.mu.Unlock()
 	e, ok := v.runners[runner.ID]
 	if !ok {
-		e = &entry{runner: runner, counters: make(map[Replica]*replicaCounters), removed: true}
-		v.runners[runner.ID] = e
+		e = v.addEntry(runner)
 	}
 	u, ok := e.counters[replica]
 	if !ok {
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -40,7 +40,9 @@
 	controllerAt time.Duration
 
 	runners          map[string]*entry
+	buckets          [Buckets]bucket
 	revision         uint64
+	changes          []loggedChange // by revision
 	waitersByReplica map[Replica]*waiterSet
 	forecasts        map[Replica]forecast
 	// demandAdded receives a value when a replica gets its first waiter.
