--- a/drfleetview/cold_test.go
+++ b/drfleetview/cold_test.go
@@ -111,3 +111,31 @@
 		is.True(v.MayStart(&drfleet.Runner{ID: "r", Service: "s", Started: 1}))
 	}
 }
+
+// Guards against a VM that is not told that a runner has turned cold, stays cold for
+// longer, or was cold when the VM came to another controller, because all else in its
+// table is as before.
+func TestTurningColdIsAChange(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	v, other := drfleetview.New(clock), drfleetview.New(clock)
+	r := drfleet.Runner{ID: "r", Service: "s", Started: 1, Replicas: []drfleet.Replica{{Model: "m"}}}
+	for _, w := range []*drfleetview.View{v, other} {
+		offerColdBound(t, w, 20)
+		w.OfferRunner(&r, drfleetview.FromRunner)
+	}
+	bucket := drfleetview.BucketOf("r")
+	is.Equal(v.Digests()[bucket], other.Digests()[bucket])
+	for beat, left := range []time.Duration{2 * time.Second, 5 * time.Second} {
+		_, revision := v.Changes(0)
+		cold := r
+		cold.Beat, cold.Cold = beat+1, left
+		v.OfferRunner(&cold, drfleetview.FromRunner)
+		changes, _ := v.Changes(revision)
+		is.Equal(len(changes), 1)
+		is.Equal(changes[0].Cold, left)
+		is.True(v.Digests()[bucket] != other.Digests()[bucket])
+	}
+	runners, _ := v.Bucket(bucket)
+	is.Equal(runners[0].Cold, 5*time.Second)
+}
