drfleet, drproxy: Keep requests in their home regions

Routes and client accounts may have home regions, and nothing read them. Each choice of a runner now leaves out those in other regions, which the setting regions tells, and a request is refused at once if its service has none in its homes.

--- a/dredge/settings.go
+++ b/dredge/settings.go
@@ -17,25 +17,26 @@
 // Settings configures one entry VM. The doc tags are the text of the reference
 // page.
 type Settings struct {
-	VM           string          `json:"vm" doc:"Unique name of this VM. Required."`
-	Zone         string          `json:"zone" doc:"Availability zone of this VM. Required."`
-	Addresses    Addresses       `json:"addresses" doc:"Addresses that this process listens on, as IP:PORT."`
-	StoreAddress string          `json:"store-address" doc:"Address of the platform's store, as IP:PORT. Required."`
-	Revocation   drjson.Duration `json:"revocation" doc:"Time after which a withdrawn key must not work any more. A VM that has not confirmed its configuration for a second less refuses requests with a key. At least 2s."`
-	Propagation  drjson.Duration `json:"config-propagation" doc:"Time within which a change of the configuration must be followed. A VM that has heard nothing for three quarters of it reads the store itself. At least 500ms."`
-	RunnerDrain  drjson.Duration `json:"runner-drain" doc:"Time within which the leaving of a runner must be followed; as for config-propagation. At least 500ms."`
-	ZoneDrain    drjson.Duration `json:"zone-drain" doc:"Time within which an availability zone that was taken out of service must get no more requests; 0 for no bound. As for config-propagation and, for requests with a key, as for revocation. 0 or at least 2s."`
-	Heartbeat    drjson.Duration `json:"runner-heartbeat" doc:"Interval at which runners write their entries to the store. An entry that is removed sooner than three intervals after it was written has not expired: its runner has left. At least 100ms."`
-	GracePeriod  drjson.Duration `json:"grace-period" doc:"Time between SIGTERM and the end of the process. At least 2s."`
-	ColdOverage  float64         `json:"cold-overage" doc:"Multiple of the requests per second that the configuration states for cold runners, over all VMs, within which they must stay in each second. At least 0."`
-	ColdSlack    float64         `json:"cold-slack" doc:"Requests by which that may be exceeded in one second, over all VMs. At least 0."`
-	RetryBudget  RetryBudget     `json:"retry-budget" doc:"Bounds on requests that are sent to a runner more than once, over all VMs."`
-	QuotaSlack   float64         `json:"quota-slack" doc:"Tokens by which a client account may exceed its limit, over all VMs. VMs that reach no controller use a part of it."`
-	OrderPause   drjson.Duration `json:"order-pause" doc:"Time within which two VMs must not send orders to runners in turn. A VM that becomes the controller again after another one had a short term sends none for so long."`
-	Processor    float64         `json:"processor-share" doc:"Part of a core that this process may use. VMs with more of it take the controller's lease first. Above 0."`
-	Descriptors  int             `json:"descriptor-limit" doc:"File descriptors that this process may open, of which callers' connections take up to 0.45; 0 for no bound on connections."`
-	MemoryLimit  drjson.Size     `json:"memory-limit" doc:"Soft limit of the process's memory; 0 for none."`
-	LogLevel     string          `json:"log-level" doc:"Lowest level of logged events: debug, info, warn or error."`
+	VM           string            `json:"vm" doc:"Unique name of this VM. Required."`
+	Zone         string            `json:"zone" doc:"Availability zone of this VM. Required."`
+	Addresses    Addresses         `json:"addresses" doc:"Addresses that this process listens on, as IP:PORT."`
+	Regions      map[string]string `json:"regions" doc:"Region of each availability zone, by zone. Requests with home regions reach no runner in a zone that is not listed."`
+	StoreAddress string            `json:"store-address" doc:"Address of the platform's store, as IP:PORT. Required."`
+	Revocation   drjson.Duration   `json:"revocation" doc:"Time after which a withdrawn key must not work any more. A VM that has not confirmed its configuration for a second less refuses requests with a key. At least 2s."`
+	Propagation  drjson.Duration   `json:"config-propagation" doc:"Time within which a change of the configuration must be followed. A VM that has heard nothing for three quarters of it reads the store itself. At least 500ms."`
+	RunnerDrain  drjson.Duration   `json:"runner-drain" doc:"Time within which the leaving of a runner must be followed; as for config-propagation. At least 500ms."`
+	ZoneDrain    drjson.Duration   `json:"zone-drain" doc:"Time within which an availability zone that was taken out of service must get no more requests; 0 for no bound. As for config-propagation and, for requests with a key, as for revocation. 0 or at least 2s."`
+	Heartbeat    drjson.Duration   `json:"runner-heartbeat" doc:"Interval at which runners write their entries to the store. An entry that is removed sooner than three intervals after it was written has not expired: its runner has left. At least 100ms."`
+	GracePeriod  drjson.Duration   `json:"grace-period" doc:"Time between SIGTERM and the end of the process. At least 2s."`
+	ColdOverage  float64           `json:"cold-overage" doc:"Multiple of the requests per second that the configuration states for cold runners, over all VMs, within which they must stay in each second. At least 0."`
+	ColdSlack    float64           `json:"cold-slack" doc:"Requests by which that may be exceeded in one second, over all VMs. At least 0."`
+	RetryBudget  RetryBudget       `json:"retry-budget" doc:"Bounds on requests that are sent to a runner more than once, over all VMs."`
+	QuotaSlack   float64           `json:"quota-slack" doc:"Tokens by which a client account may exceed its limit, over all VMs. VMs that reach no controller use a part of it."`
+	OrderPause   drjson.Duration   `json:"order-pause" doc:"Time within which two VMs must not send orders to runners in turn. A VM that becomes the controller again after another one had a short term sends none for so long."`
+	Processor    float64           `json:"processor-share" doc:"Part of a core that this process may use. VMs with more of it take the controller's lease first. Above 0."`
+	Descriptors  int               `json:"descriptor-limit" doc:"File descriptors that this process may open, of which callers' connections take up to 0.45; 0 for no bound on connections."`
+	MemoryLimit  drjson.Size       `json:"memory-limit" doc:"Soft limit of the process's memory; 0 for none."`
+	LogLevel     string            `json:"log-level" doc:"Lowest level of logged events: debug, info, warn or error."`
 }
 
 // Addresses holds the addresses of an entry VM's listeners.
--- a/drfleet/account.go
+++ b/drfleet/account.go
@@ -2,9 +2,11 @@
 
 // Account is a client account. Its rate limit applies to all VMs together.
 type Account struct {
-	Name     string
-	Keys     []string // API keys, by any of which a client proves its account
-	Priority int      // 0 is the most urgent; it outranks the route's priority
+	Name string
+	Keys []string // API keys, by any of which a client proves its account
+	// Homes are the regions in which requests may be served; all if there are none.
+	Homes    []string
+	Priority int // 0 is the most urgent; it outranks the route's priority
 	// Rate is the limit in tokens or requests per second, 0 for no limit.
 	Rate float64
 	// Burst is how many tokens or requests can be used at once after a pause.
--- a/drfleet/route.go
+++ b/drfleet/route.go
@@ -26,9 +26,11 @@
 
 // Route says how requests to a host whose path begins with a prefix are served.
 type Route struct {
-	Name    string
-	Host    string
-	Prefix  string // begins and ends with a slash
+	Name   string
+	Host   string
+	Prefix string // begins and ends with a slash
+	// Homes are the regions in which requests may be served; all if there are none.
+	Homes   []string
 	Kind    Kind
 	Targets []Target
 	// Timeout is the time from a request's arrival until it must have been
--- a/drfleetview/outage.go
+++ b/drfleetview/outage.go
@@ -113,3 +113,11 @@
 	}
 	return running
 }
+
+// AnyRunner reports whether a service has a runner that takes requests in one of the zones
+// that accept selects.
+func (v *View) AnyRunner(service string, accept func(zone string) bool) bool {
+	return v.count(service, func(e *entry) bool {
+		return !e.runner.Draining && !v.closed(e.runner.Zone) && accept(e.runner.Zone)
+	}) > 0
+}
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -48,8 +48,11 @@
 // Config holds what a Server depends on. Zone is the availability zone of this
 // VM.
 type Config struct {
-	Clock      drfleetview.Clock
-	Zone       string
+	Clock drfleetview.Clock
+	Zone  string
+	// Regions contains the region of each availability zone, by zone. Requests with
+	// homes reach no runner in another zone.
+	Regions    map[string]string
 	Wire       Wire
 	View       *drfleetview.View
 	Allowances *drtokenpool.Allowances
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -140,7 +140,7 @@
 	if !x.mayRetry(state) || !x.server.Budgets.Of(x.service.Name).Left() {
 		return false
 	}
-	c := drbalancer.Choose(x.balancerRequest(state.tried), x.server.View.Candidates(x.replica()), true)
+	c := drbalancer.Choose(x.balancerRequest(state.tried), x.candidates(), true)
 	return c != nil && c.HasFreeSlot()
 }
 
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -38,9 +38,12 @@
 	p := x.replica()
 	request := x.balancerRequest(tried)
 	changed := s.View.Changed()
-	if c := drbalancer.Choose(request, s.View.Candidates(p), true); c != nil {
+	if c := drbalancer.Choose(request, x.candidates(), true); c != nil {
 		return c, refusal{}, runnerFound
 	}
+	if homeless, ok := x.refuseWithoutHome(); !ok {
+		return nil, homeless, refused
+	}
 	giveUpAt := x.giveUpAt()
 	if x.service.Engine != nil {
 		if _, ok := x.service.Engine.Models[p.Model]; !ok {
@@ -75,7 +78,7 @@
 		}
 		t.Stop()
 		changed = s.View.Changed()
-		if c := drbalancer.Choose(request, s.View.Candidates(p), true); c != nil {
+		if c := drbalancer.Choose(request, x.candidates(), true); c != nil {
 			return c, refusal{}, runnerFound
 		}
 	}
