--- a/drcontroller/outage_test.go
+++ b/drcontroller/outage_test.go
@@ -71,11 +71,11 @@
 		defer f.close()
 		time.Sleep(3 * time.Second)
 		f.store.Put(drstore.Deployments, "out/a", []byte("{}"))
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond) // sooner than the next regular replies
 		is.Equal(f.knowing("a"), vms)
 		f.store.Put(drstore.Deployments, "out/b", []byte("{}"))
 		f.store.Put(drstore.Deployments, "out/a", nil)
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond) // sooner than the next regular replies
 		is.Equal(f.knowing("b"), vms)
 
 		f.start("late", 1)
--- a/drwarmup/random_orders_test.go
+++ b/drwarmup/random_orders_test.go
@@ -20,6 +20,9 @@
 	vms     []*vm
 	replies []reply
 	sent    []time.Duration
+	// holdUntil is until when VMs keep their permits, because their requests are on the
+	// way to the runner, so that many use them at once.
+	holdUntil time.Duration
 }
 
 // vm is one entry VM.
@@ -49,9 +52,9 @@
 // there. The VM counts the end of its permits from when it sent the report plus the time
 // for which it was held, which is before the permits were given.
 func (f *fleet) ask(v *vm) {
-	way := time.Duration(f.random.IntN(40)) * time.Millisecond
+	way := time.Duration(max(f.random.IntN(80)-40, 0)) * time.Millisecond
 	given := f.budget.Give(f.runner, f.rate, 1+f.random.IntN(12), f.now)
-	delay := time.Duration(f.random.IntN(600)) * time.Millisecond
+	delay := time.Duration(max(f.random.IntN(900)-600, 0)) * time.Millisecond
 	f.replies = append(f.replies, reply{v, given, f.now - way + drwarmup.PermitTime, f.now + delay})
 }
 
@@ -68,6 +71,10 @@
 		*v = vm{} // restarted
 	case 3:
 		f.budget = drwarmup.NewBudget(bound, f.now)
+	case 5, 6, 7:
+		if f.now >= f.holdUntil {
+			f.holdUntil = f.now + time.Duration(f.random.IntN(260))*time.Millisecond
+		}
 	case 4:
 		f.budget.Forget(f.now)
 	default:
@@ -76,6 +83,9 @@
 		}
 	}
 	f.deliver()
+	if f.now < f.holdUntil {
+		return
+	}
 	for _, v := range f.vms {
 		for f.now >= v.frozenUntil && v.permits.Take(f.runner, f.now) {
 			f.sent = append(f.sent, f.now)
@@ -112,9 +122,9 @@
 	served := 0
 	for seed := range uint64(orders) {
 		bound := drwarmup.Bound{Overage: 1 + float64(seed%3)/2, Slack: float64(seed % 7)}
-		rate := float64(1 + seed%40)
+		rate := float64(1 + seed%25)
 		f := newFleet(seed, bound, rate)
-		for range 40 {
+		for range 70 {
 			f.step(bound)
 		}
 		if most := f.busiestSecond(); float64(most) > rate*bound.Overage+bound.Slack {
