--- a/drproxy/prompt.go
+++ b/drproxy/prompt.go
@@ -56,8 +56,8 @@
 
 // candidates returns the runners that can take the request, with what they are believed
 // to hold of its prompt.
-func (x *exchange) candidates(replica drfleetview.Replica) []drbalancer.Candidate {
-	cs := x.server.View.Candidates(replica)
+func (x *exchange) candidates() []drbalancer.Candidate {
+	cs := x.candidatesAtHome()
 	if len(x.prompt.Prefixes) == 0 {
 		return cs
 	}
