drtokenpool: Set aside what VMs without a share may spend

Cause: a VM that was told no share, because the account had been idle, spends an even part of the rate when it loses the controller, and nothing was set aside for it.

--- a/drtokenpool/pool.go
+++ b/drtokenpool/pool.go
@@ -226,6 +226,10 @@
 func (p *Pool) refill(a *account) {
 	now := p.clock.Now()
 	for _, u := range a.vms {
+		if u.share == 0 {
+			a.level -= u.reserveEvenPart(a.limit.Rate/float64(len(a.vms)), now)
+			continue
+		}
 		a.level -= u.reserveWhileSilent(a.limit.Rate, max(a.level, 0), now)
 	}
 	a.absent.share = p.absentShare(a)
@@ -368,6 +372,21 @@
 	return tokens
 }
 
+// reserveEvenPart does what reserveWhileSilent does for a VM that was told no share,
+// because nothing had been spent of the account. It spends an even part of the rate, and
+// at first as much as that yields in initialBurstTime.
+func (u *vmUsage) reserveEvenPart(rate float64, now time.Time) float64 {
+	first := u.reservedUntil.Before(u.reportedAt)
+	even := vmUsage{share: 1, reportedAt: u.reportedAt, reservedUntil: u.reservedUntil}
+	tokens := even.reserveWhileSilent(rate, 0, now)
+	if first && tokens > 0 {
+		tokens += rate * initialBurstTime.Seconds()
+	}
+	u.reserved += tokens
+	u.reservedUntil = even.reservedUntil
+	return tokens
+}
+
 // settle raises the grant to cover what the VM spent beyond it and returns the
 // tokens to deduct from the account: that excess less the tokens already set
 // aside. The result is negative if too many were set aside.
