drproxy: Count how requests are charged to their accounts

Cause: operators saw refusals by reason, but not which rule decided, nor how many requests the same rule admitted.

--- a/drmetric/name.go
+++ b/drmetric/name.go
@@ -37,6 +37,7 @@
 	ProcessGoroutines   = "dotterelridge_process_goroutines"
 	RequestTime         = "dotterelridge_request_seconds"
 	UnreadTime          = "dotterelridge_unread_seconds"
+	AccountClaims       = "dotterelridge_account_claims_total"
 	LogLinesDropped     = "dotterelridge_log_lines_dropped_total"
 	DeploymentAge       = "dotterelridge_deployment_age_seconds"
 	RunnersAge          = "dotterelridge_runners_age_seconds"
@@ -84,6 +85,7 @@
 	{ProcessGoroutines, Gauge, Count, nil, "Goroutines of this process."},
 	{RequestTime, Histogram, Seconds, []string{"kind"}, "Time from a request's arrival to the end of its answer on an entry VM of edge, by the route's kind: safe, unsafe or stream."},
 	{UnreadTime, Histogram, Seconds, nil, "Time that the first data of a request lay unread on an entry VM of edge, which is long if the VM lacks processor time."},
+	{AccountClaims, Counter, Count, []string{"basis", "result"}, "Requests charged to a client account with a limit on an entry VM of edge, by the rule that decided (grant, controller, first-comers, saturated, ...) and the result: admitted or refused."},
 	{LogLinesDropped, Counter, Count, nil, "Log lines that were dropped because of the permitted rate or a slow reader."},
 	{DeploymentAge, Gauge, Seconds, nil, "Time since the store last confirmed the configuration in force."},
 	{RunnersAge, Gauge, Seconds, nil, "Time since the store last confirmed the runner table."},
--- a/drproxy/claim.go
+++ b/drproxy/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 
+	"github.com/dotterelridge/dotterelridge/drmetric"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
 )
 
@@ -20,3 +21,12 @@
 		Objective: x.route.Objective,
 	})
 }
+
+// countClaim counts how the request was charged to its account.
+func (x *exchange) countClaim(a drtokenpool.Admission) {
+	result := "refused"
+	if a.Admitted {
+		result = "admitted"
+	}
+	x.server.Metrics.Counter(drmetric.AccountClaims, a.Basis.String(), result).Inc(1)
+}
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -206,6 +206,7 @@
 	defer cancel()
 	cost := x.account.Cost(x.call)
 	a := x.server.Allowances.Admit(ctx, claimant{x}, x.account.Name, cost)
+	x.countClaim(a)
 	if a.Admitted {
 		return refusal{}, true
 	}
