drcommand, drproxy: Explain where a request would go now, and why

dotterelridge explain asks an edge VM over its status listener, with the header of a request: the candidates with probability, delay and what it consists of, the runners left out and why, or the refusal. Nothing is sent or charged.

--- a/drcommand/command.go
+++ b/drcommand/command.go
@@ -56,6 +56,7 @@
 		{"apply", "make the declared objects the configuration", runApply},
 		{"get", "print the configuration in force", runGet},
 		{"status", "print the status of an entry VM", runStatus},
+		{"explain", "ask an entry VM on the users' platform where a request would go now, and why", runExplain},
 		{"timeline", "print the events of all live entry VMs in order", runTimeline},
 		{"capacity", "measure what the roles of an entry VM cost, and write docs/capacity-serve.md", runCapacity},
 		{"key", "make a key of a client account and print its declaration", runKey},
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -256,6 +256,10 @@
 		}
 		return
 	}
+	if string(ctx.Path()) == ExplainPath {
+		e.handleExplain(ctx)
+		return
+	}
 	if string(ctx.Path()) != "/metrics" {
 		ctx.Error("not found", fasthttp.StatusNotFound)
 		return
--- /dev/null
+++ b/drfleetview/excluded.go
@@ -0,0 +1,41 @@
+package drfleetview
+
+import "time"
+
+// Excluded is a listed runner of a service that takes no request for a replica now.
+type Excluded struct {
+	Runner string
+	Zone   string
+	// Why says it in a few words.
+	Why string
+	// PauseLeft is how long the runner wants no requests of this VM, 0 if that is not
+	// the reason.
+	PauseLeft time.Duration
+}
+
+// Excluded returns the listed runners of the replica's service that hold the replica but
+// that Candidates leaves out, sorted by id.
+func (v *View) Excluded(replica Replica) []Excluded {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now, uptime := v.clock.Now(), v.clock.Uptime()
+	var list []Excluded
+	for _, e := range v.listed(replica.Service, func(e *entry) bool { return e.runner.Holds(replica.Model, replica.Adapter) }) {
+		x := Excluded{Runner: e.runner.ID, Zone: e.runner.Zone, PauseLeft: e.pauseLeft(uptime)}
+		u := e.counters[replica]
+		switch {
+		case e.runner.Draining:
+			x.Why = "drains"
+		case x.PauseLeft > 0:
+			x.Why = "asked for a pause"
+		case u != nil && now.Before(u.missingUntil):
+			x.Why = "answered that it lacks the model"
+		case now.Before(e.unreachableUntil):
+			x.Why = "took no connection"
+		default:
+			continue
+		}
+		list = append(list, x)
+	}
+	return list
+}
