--- a/drscheduler/saturated_test.go
+++ b/drscheduler/saturated_test.go
@@ -193,3 +193,15 @@
 	is.True(longest < 2500*time.Millisecond) // no rare model waits past its objective
 	t.Logf("%d replicas, longest wait %s", after, longest)
 }
+
+// A model in much use has lost all runners but one. Guards against waiting until its
+// requests queue there.
+func TestPlanPutsBusyModelOfOneRunnerFirst(t *testing.T) {
+	is := is.New(t)
+	s := newState(newEngine("hot", "rare"), []drscheduler.Backlog{newBacklog("rare")},
+		newRunner("r1", []string{"hot"}, nil), newRunner("r2", nil, []string{"hot", "rare"}))
+	s.Rate, s.Work = map[string]float64{"hot": 25}, map[string]float64{"hot": 0.5}
+	is.Equal(drscheduler.Plan(s)[0].Load, "hot")
+	s.Work["hot"] = 0.4
+	is.Equal(drscheduler.Plan(s)[0].Load, "rare")
+}
