drcontroller: Give reads of the runners time for all pages

The time grows with the known runners and with each failure, and after a slow read the history is read for longer than a second instead of all entries.

--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -23,10 +23,20 @@
 	// readTimeout is the timeout of one read of the store, in addition to the
 	// time that the read may wait at the store.
 	readTimeout = time.Second
+	// entryTimeout is added to it for each known runner when their entries are read,
+	// which is the time that one takes on a slow link.
+	entryTimeout = time.Millisecond
 	// maxHistoryAge is the age of a read position above which the newest
 	// entries of the runners are read instead of the history since then. The
-	// length of the history grows with the number of runners and with time.
+	// length of the history grows with the number of runners and with time. After
+	// a slow read the age may be historyReads times as long as it took, because a
+	// read of all entries would be slower still.
 	maxHistoryAge = time.Second
+	historyReads  = 3
+	// maxReadPatience is the longest time that is added to the timeout after failed
+	// reads of the runners. It doubles with each, because a new process does not
+	// know how many there are.
+	maxReadPatience = 4 * time.Second
 )
 
 // reader updates a view from the store. Each topic must be read by one
@@ -41,6 +51,10 @@
 	// is valid if runnersFailed is set.
 	runnersFailedAt time.Duration
 	runnersFailed   bool
+	// patience is added to the timeout of the next read of the runners.
+	patience time.Duration
+	// runnersTook is how long the last successful read of the runners took.
+	runnersTook time.Duration
 	// lapsed contains the runners whose entries may have expired during or shortly
 	// after an outage of the store, with the uptime at which they are removed.
 	lapsed map[string]time.Duration
@@ -152,16 +166,18 @@
 
 // readRunners updates the view with the runners' entries.
 func (r *reader) readRunners(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.runnersTimeout())
 	defer cancel()
 	sent := r.clock.Uptime()
 	last := r.runners
-	history := sent-last.readAt <= maxHistoryAge
+	history := sent-last.readAt <= max(maxHistoryAge, historyReads*r.runnersTook)
 	records, fromNewest, err := r.readTopic(ctx, drstore.Runners, &r.runners, history, 0)
 	if err != nil {
 		r.runnersFailedAt, r.runnersFailed = r.clock.Uptime(), true
+		r.patience = min(max(2*r.patience, readTimeout), maxReadPatience)
 		return err
 	}
+	r.runnersTook, r.patience = r.clock.Uptime()-sent, 0
 	listed := make(map[string]bool)
 	for _, rec := range records {
 		listed[rec.Key] = true
@@ -183,6 +199,12 @@
 	return nil
 }
 
+// runnersTimeout returns the timeout of one read of the runners, which may take many
+// pages.
+func (r *reader) runnersTimeout() time.Duration {
+	return readTimeout + time.Duration(r.view.RunnerCount())*entryTimeout + r.patience
+}
+
 // applyRunnerRecord applies one record of the runners' topic to the view. An
 // empty value means that the entry was removed. An unreadable entry is ignored
 // and leaves the runner as it is.
--- a/drcontroller/reader_test.go
+++ b/drcontroller/reader_test.go
@@ -214,3 +214,39 @@
 	r, _ := w.view.Runner("r")
 	is.Equal(r.Beat, 101)
 }
+
+// Guards against a large table that is never read because each read is cut off after the
+// time that a small one takes, and begun anew.
+func TestReadersPatienceGrows(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderFixture()
+	is.Equal(w.reader.runnersTimeout(), readTimeout)
+	w.store.SetFault(drstandin.ErrNoAnswer, false)
+	for range 10 {
+		is.True(w.reader.readRunners(ctx) != nil)
+	}
+	is.Equal(w.reader.runnersTimeout(), readTimeout+maxReadPatience)
+	w.store.SetFault(nil, false)
+	for i := range 3000 {
+		w.store.Put(drstore.Runners, fmt.Sprint("r", i), []byte("1 1"))
+	}
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.reader.runnersTimeout(), readTimeout+3000*entryTimeout)
+}
+
+// Guards against a reader that reads all entries each time because one read takes longer
+// than the history is trusted, which takes longer still.
+func TestSlowReaderKeepsToHistory(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderFixture()
+	w.store.Put(drstore.Runners, "r", []byte("1 1"))
+	newest := &slowLog{Log: w.store, clock: w.clock, delay: 1500 * time.Millisecond}
+	w.reader.log = newest
+	is.NoErr(w.reader.readRunners(ctx))
+	w.store.Put(drstore.Runners, "r", []byte("1 2"))
+	newest.delay = time.Hour // of a read of all entries
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.reader.runnersTook, time.Duration(0))
+	r, _ := w.view.Runner("r")
+	is.Equal(r.Beat, 2)
+}
