drcontroller: Test that tables agree after a change of the controller

Six nodes with 1,500 runners in the store have equal digests after the start and after the controller is cut off, with one runner removed and one added meanwhile.

--- a/drcontroller/table_test.go
+++ b/drcontroller/table_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -12,6 +14,7 @@
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
 // tableFixture is a controller's table of 3,000 runners and the receiver of a VM that
@@ -173,3 +176,34 @@
 	is.True(!f.step(is, false))
 	is.Equal(f.receiver.view.RunnerCount(), 3000)
 }
+
+// Guards against VMs that keep another table than the controller after a start or after
+// the loss of the controller.
+func TestTablesAgreeAfterControllerChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(6)
+		defer f.close()
+		for i := range 1500 {
+			f.store.Put(drstore.Runners, fmt.Sprint("r", i), []byte("x"))
+		}
+		time.Sleep(5 * time.Second)
+		agree := func() {
+			digests := f.controllers()[0].View.Digests()
+			for _, n := range f.nodes {
+				if !n.partitioned {
+					is.True(n.View.RunnersKnown())
+					is.True(slices.Equal(n.View.Digests(), digests))
+				}
+			}
+		}
+		agree()
+		f.controllers()[0].partition()
+		f.store.Put(drstore.Runners, "r7", nil)
+		f.store.Put(drstore.Runners, "added", []byte("x"))
+		time.Sleep(5 * time.Second)
+		is.Equal(len(f.controllers()), 1)
+		is.Equal(f.controllers()[0].View.RunnerCount(), 1500)
+		agree()
+	})
+}
