drfleetview: Explain runners in zones out of service and cold ones

Cause: joined parts; the explanation of a request left out why such runners get none. Change: two reasons more, and the choice at home regions and of kept prompts in one list of candidates.

--- a/drfleetview/excluded.go
+++ b/drfleetview/excluded.go
@@ -32,6 +32,10 @@
 			x.Why = "answered that it lacks the model"
 		case now.Before(e.unreachableUntil):
 			x.Why = "took no connection"
+		case v.closed(e.runner.Zone):
+			x.Why = "its availability zone is out of service"
+		case !v.mayWarm(e, uptime):
+			x.Why = "is cold, and this VM has no permit for it"
 		default:
 			continue
 		}
--- a/drproxy/explain.go
+++ b/drproxy/explain.go
@@ -80,7 +80,7 @@
 
 // explainRunners adds the runners to an explanation.
 func (x *exchange) explainRunners(e *Explanation) {
-	candidates := x.candidates(x.replica())
+	candidates := x.candidates()
 	request := x.balancerRequest(nil)
 	weighed := drbalancer.Weigh(request, candidates)
 	for _, w := range weighed {
--- a/drproxy/prompt_test.go
+++ b/drproxy/prompt_test.go
@@ -28,7 +28,7 @@
 	s := newTestServer()
 	engine := &drfleet.Engine{Slots: 16, PromptMemory: 100_000}
 	x := promptExchange(s, engine, true)
-	kept := func() int { return x.candidates(x.replica())[0].KeptTokens }
+	kept := func() int { return x.candidates()[0].KeptTokens }
 	r := &drfleet.Runner{ID: "r1", Service: "llm", Started: 1, Replicas: []drfleet.Replica{{Model: "m"}}}
 	s.View.OfferRunner(r, drfleetview.FromRunner)
 	is.Equal(kept(), 0)
