--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -47,17 +47,11 @@
 // could not read either, which keeps them from hearing of changes at all.
 func (t *readTurn) come(now time.Duration, vms, runners int) bool {
 	if !t.drawn {
-		t.drawn, t.at = true, now+rand.N(timeOfAllReads(vms, runners)+1)
+		t.drawn, t.at = true, now+rand.N(time.Duration(vms*runners)*readTimePerEntry+1)
 	}
 	return now >= t.at
 }
 
-// timeOfAllReads returns the part of the store's time that reads of the runners by all
-// VMs take.
-func timeOfAllReads(vms, runners int) time.Duration {
-	return time.Duration(vms*runners) * readTimePerEntry
-}
-
 func (t *readTurn) reset() { t.drawn = false }
 
 // backoff computes the pauses between failed attempts to reach the store. The
@@ -121,14 +115,6 @@
 	return !reached
 }
 
-// leavesReadsToController reports whether this VM leaves reads of the runners to the
-// controller although its copy is old: if it reaches one, which reads them all the time,
-// and the reads of all VMs would take longer than a change may.
-func (n *Node) leavesReadsToController() bool {
-	_, reached := n.Leader()
-	return reached && n.controller.Load() == nil && timeOfAllReads(n.Allowances.VMs(), n.View.RunnerCount()) > n.RunnerDrain
-}
-
 // deploymentLoop reads the configuration from the store whenever this VM must
 // do so.
 func (n *Node) deploymentLoop() {
@@ -188,7 +174,7 @@
 	n.awaitController()
 	for n.ctx.Err() == nil {
 		_, age, _ := n.View.Ages()
-		must := n.mustReadStore(n.View.RunnersKnown(), age, n.RunnerDrain) && !n.leavesReadsToController()
+		must := n.mustReadStore(n.View.RunnersKnown(), age, n.RunnerDrain)
 		if !must {
 			turn.reset()
 		}
@@ -196,7 +182,6 @@
 			_ = n.Clock.Sleep(n.ctx, staleCheckInterval)
 			continue
 		}
-		turn.reset()
 		err := n.reader.readRunners(n.ctx)
 		unreachable = n.logStoreState(unreachable, "runners", err)
 		pause := runnersPause
--- a/drcontroller/store_loops_test.go
+++ b/drcontroller/store_loops_test.go
@@ -1,16 +1,10 @@
 package drcontroller
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/dotterelridge/dotterelridge/drclock"
-	"github.com/dotterelridge/dotterelridge/drfleet"
-	"github.com/dotterelridge/dotterelridge/drfleetview"
-	"github.com/dotterelridge/dotterelridge/drtokenpool"
 )
 
 // Guards against overloading a store that is down: the pause of each VM must
@@ -66,25 +60,3 @@
 	turn.reset()
 	is.True(turn.come(time.Hour, 0, 0))
 }
-
-// Guards against VMs that fill the store's link with reads of the runners because the
-// controller of a large fleet reads them slowly, which makes it slower still; against VMs
-// that do not read them without a controller, and against small fleets that wait for one.
-func TestReadsAreLeftToControllerOfLargeFleet(t *testing.T) {
-	is := is.New(t)
-	node := func(vms, runners int, reached bool) *Node {
-		clock := drclock.System{}
-		n := &Node{Config: Config{Clock: clock, View: drfleetview.New(clock), Allowances: drtokenpool.NewAllowances(clock), RunnerDrain: 3 * time.Second}}
-		for i := range runners {
-			n.View.OfferRunner(&drfleet.Runner{ID: fmt.Sprint(i)}, drfleetview.FromRunner)
-		}
-		n.Allowances.RecordControllerReply(vms)
-		if reached {
-			n.lastReplyAt = clock.Now()
-		}
-		return n
-	}
-	is.True(node(300, 3000, true).leavesReadsToController())
-	is.True(!node(300, 3000, false).leavesReadsToController())
-	is.True(!node(30, 300, true).leavesReadsToController())
-}
