--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -19,6 +19,8 @@
 	"github.com/dotterelridge/dotterelridge/drscheduler"
 	"github.com/dotterelridge/dotterelridge/drtask"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
+	"github.com/dotterelridge/dotterelridge/drwarmup"
+	"github.com/dotterelridge/dotterelridge/drzone"
 )
 
 const (
@@ -71,6 +73,8 @@
 	// VM was the controller before another one had a short term in between. A
 	// late order of the other could otherwise cross with its own.
 	OrderPause time.Duration
+	// ColdBound says how many requests a cold runner bears.
+	ColdBound drwarmup.Bound
 }
 
 // Controller plans and executes loads and replies to the reports of the VMs
@@ -81,6 +85,7 @@
 	pool *drtokenpool.Pool
 	// crashes counts the runners that each request has crashed.
 	crashes *drcrash.Tally
+	table   *tableSender
 	// planRequests holds a token if a plan was requested.
 	planRequests chan struct{}
 	ctx          context.Context
@@ -96,7 +101,12 @@
 	storeLoads    loadRate
 	startedAt     time.Time
 	backlogs      map[string]modelBacklog // by service, as of its last plan
-	limitsVersion int64                   // version of the deployment whose limits the pool uses, -1 for none
+	loads         loadIndex
+	questions     []question     // runners to ask for their state, the most urgent first
+	asking        int            // questions that await their answers
+	limitsVersion int64          // version of the deployment whose limits the pool uses, -1 for none
+	outages       drzone.Outages // as of the last plan
+	warmups       *drwarmup.Budget
 
 	// unloadWait is the wait after an unload, and loadDelay the wait after the
 	// expected end of a load.
@@ -109,7 +119,7 @@
 	controller := &Controller{
 		ControllerConfig: c, view: v, pool: drtokenpool.NewPool(c.Clock), crashes: drcrash.NewTally(c.Clock), planRequests: make(chan struct{}, 1),
 		vms: make(map[string]*vm), running: newRunningTotals(), tokens: make(tokensByRunner), runnerStates: make(map[string]*runnerState), demands: make(map[string]*demand),
-		backlogs:   make(map[string]modelBacklog),
+		backlogs: make(map[string]modelBacklog), warmups: drwarmup.NewBudget(c.ColdBound, c.Clock.Uptime()), table: newTableSender(v),
 		storeLoads: loadRate{createdAt: c.Clock.Now()}, startedAt: c.Clock.Now(), limitsVersion: -1,
 	}
 	if c.Term > firstTerm {
@@ -166,7 +176,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.setLimits(d) {
+	if c.setLimits(d) || c.noteOutages() {
 		c.wakeAllVMs()
 	}
 	now := c.Clock.Now()
@@ -230,7 +240,10 @@
 // the runners whose state is uncertain and removes VMs that have stopped
 // reporting. The caller holds mu.
 func (c *Controller) updateRunnersAndVMs(now time.Time) {
-	for _, r := range c.view.Runners("") {
+	runners := c.view.Runners("")
+	c.loads = c.makeLoadIndex(runners)
+	c.questions = c.questions[:0]
+	for _, r := range runners {
 		s := c.runnerStates[r.ID]
 		if s == nil || s.started != r.Started {
 			s = newRunnerState(r.Started)
@@ -239,11 +252,12 @@
 		if !s.needsReport && s.swap == nil && now.Sub(s.lastSwapAt) > maxEntryLag && c.view.Contradicted(r.ID) {
 			s.needsReport, s.lastSwapAt = true, now
 		}
-		if s.needsReport && !s.querying && s.swap == nil && len(s.loadingAdapters) == 0 && !now.Before(s.retryAt) && c.hasEngine(r) {
-			s.retryAt, s.querying = now.Add(reportRetryPause), true
-			c.wg.Go(func() { c.queryRunner(r, s) })
+		if s.mayAsk(now) && c.hasEngine(r) {
+			c.questions = append(c.questions, question{r, s})
 		}
 	}
+	c.orderQuestions()
+	c.askRunners()
 	for id, v := range c.vms {
 		if now.Sub(v.lastReportAt) > vmReportTimeout {
 			c.subtractUses(v)
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -53,6 +53,8 @@
 	resultsByRunner map[string]resultCounters
 	runningByRunner map[string]int
 	tokens          tokensByRunner
+	// used holds when the VM last sent requests for a model.
+	used map[usedModel]time.Time
 	// wakeups holds a token if the VM's pending report must be checked again,
 	// for example because a model that the VM waits for was loaded.
 	wakeups chan struct{}
@@ -79,7 +81,7 @@
 func newVM(incarnation uint64) *vm {
 	return &vm{
 		incarnation: incarnation, uses: make(map[replicaKey]replicaUse), resultsByRunner: make(map[string]resultCounters),
-		runningByRunner: make(map[string]int), tokens: make(tokensByRunner), wakeups: make(chan struct{}, 1),
+		runningByRunner: make(map[string]int), tokens: make(tokensByRunner), used: make(map[usedModel]time.Time), wakeups: make(chan struct{}, 1),
 	}
 }
 
@@ -245,6 +247,9 @@
 			c.running.add(k, int(p.GetRunning())-before.running)
 			v.runningByRunner[k.runner] += int(p.GetRunning()) - before.running
 			v.uses[k] = replicaUse{int(p.GetRunning()), p.GetRequests()}
+			if r, ok := c.view.Runner(k.runner); ok && (p.GetRunning() > 0 || p.GetRequests() != before.requests) {
+				v.recordUse(usedModel{r.Service, k.model}, now)
+			}
 			if known && !first {
 				c.applyReplicaUse(s, k, p, counterIncrease(p.GetRequests(), before.requests), now)
 			}
@@ -321,9 +326,9 @@
 		state.Rate[model] = d.rate
 		state.Work[model] = d.utilization(slots) * unheard
 	}
-	paused := c.runnersPausedForMost(service.Name, now)
+	paused, outages := c.runnersPausedForMost(service.Name, now), c.view.Outages()
 	for _, r := range c.view.Runners(service.Name) {
-		if !r.Draining {
+		if !r.Draining && !outages.Has(r.Zone) {
 			for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
 				state.Stored[m] = true
 			}
@@ -335,6 +340,7 @@
 		runner := drscheduler.Runner{
 			Runner: c.asPlanned(r, tracked, paused), Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
 			UsedAdapter: tracked.usedAdapter, LoadingAdapters: tracked.loadingAdapters, UnloadingAdapters: tracked.unloadingAdapters,
+			OutOfService: outages.Has(r.Zone),
 		}
 		if tracked.swap != nil {
 			runner.Busy, runner.Loading = true, tracked.swap.Load
--- a/drcontroller/lease_loop.go
+++ b/drcontroller/lease_loop.go
@@ -200,6 +200,7 @@
 		n.Allowances.AssumeVMs(l.VMs)
 		n.mu.Lock()
 		n.maxProcessor = max(n.maxProcessor, l.MostProcessor)
+		n.recordedRunners = l.Runners
 		n.mu.Unlock()
 	}
 	switch {
@@ -286,7 +287,7 @@
 			return ok && term == l.Term
 		},
 		Validity:   n.elector.Validity,
-		OrderPause: n.OrderPause, Inherited: l.Handover,
+		OrderPause: n.OrderPause, Inherited: l.Handover, ColdBound: n.ColdBound,
 	}, n.View)
 	n.controller.Store(c)
 	n.setLeader(l)
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelridge/dotterelridge/drstore"
 	"github.com/dotterelridge/dotterelridge/drtask"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
+	"github.com/dotterelridge/dotterelridge/drwarmup"
 )
 
 // Config configures a Node.
@@ -43,6 +44,11 @@
 	// on this VM, and RunnerDrain the maximum time until this VM stops using a
 	// runner that leaves.
 	Propagation, RunnerDrain time.Duration
+	// ZoneDrain is the maximum time until this VM stops using an availability zone
+	// that was taken out of service, 0 for no bound.
+	ZoneDrain time.Duration
+	// ColdBound says how many requests a cold runner bears.
+	ColdBound drwarmup.Bound
 	// RunnerHeartbeat is the interval at which runners write their entries to the
 	// store.
 	RunnerHeartbeat time.Duration
@@ -74,6 +80,9 @@
 	// the store, 0 if none has failed.
 	storeFailedAt atomic.Int64
 
+	// table is used by syncLoop only.
+	table tableReceiver
+
 	// leaderLost holds a token if this VM has just lost the controller, and
 	// leaderFound one if it has just learned of another.
 	leaderLost, leaderFound chan struct{}
@@ -81,10 +90,8 @@
 	mu          sync.Mutex
 	leader      drlease.Lease
 	lastReplyAt time.Time // when the controller last replied, zero if it has not or a call failed since
-	term        uint64    // term of the controller that the view was last updated from
-	// revision is the revision of the controller's runner table that the view
-	// was last updated to.
-	revision uint64
+	// reportedTerm is the term of the controller that last replied.
+	reportedTerm uint64
 	// fullReport is set if the controller may have missed a report, so that the
 	// next one must contain all uses instead of the changed ones.
 	fullReport bool
@@ -94,6 +101,8 @@
 	// maxProcessor is the part of a core that the strongest VM may use, 0 until
 	// the controller or the lease has told it.
 	maxProcessor float64
+	// recordedRunners is the number of runners by the lease, 0 if it states none.
+	recordedRunners int
 
 	// distance is that to the controller, which claims on tokens measure.
 	distance distance
@@ -103,8 +112,10 @@
 // does nothing else until Start is called.
 func New(c Config) *Node {
 	c.Codec = guardedCodec{c.Codec}
-	n := &Node{Config: c, fullReport: true, leaderLost: make(chan struct{}, 1), leaderFound: make(chan struct{}, 1), syncWait: minSyncWait}
+	n := &Node{Config: c, fullReport: true, leaderLost: make(chan struct{}, 1), leaderFound: make(chan struct{}, 1), syncWait: minSyncWait,
+		table: tableReceiver{view: c.View}}
 	n.reader = newReader(readerConfig{log: c.Log, codec: c.Codec, view: c.View, clock: c.Clock, heartbeat: c.RunnerHeartbeat})
+	c.View.SetZoneDrain(c.ZoneDrain)
 	n.elector = drlease.New(drlease.Config{
 		Log: c.Log, Uptime: c.Clock, VM: c.VM, Address: c.Address, Incarnation: c.Incarnation, TTL: LeaseTTL,
 	})
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -30,8 +30,48 @@
 	// staleCheckInterval is the interval at which a VM checks whether its view
 	// is stale.
 	staleCheckInterval = 100 * time.Millisecond
+	// readTimePerEntry is the part of the store's time for reads that one VM's read
+	// of one runner's entry takes, with a margin for the controller's reads.
+	readTimePerEntry = 50 * time.Microsecond
+	// assumedRunnersPerVM stands in for the number of runners until this VM has heard
+	// of it.
+	assumedRunnersPerVM = 10
 )
 
+// readTurn spreads the reads of VMs that begin to read the runners at the same time.
+// The zero value has no turn yet.
+type readTurn struct {
+	drawn bool
+	at    time.Duration // uptime
+}
+
+// come draws a turn unless one is drawn, and reports whether it has come. The VMs
+// together would otherwise take all of the store's time for reads and the controller
+// could not read either, which keeps them from hearing of changes at all.
+func (t *readTurn) come(now time.Duration, vms, runners int) bool {
+	if !t.drawn {
+		t.drawn, t.at = true, now+rand.N(time.Duration(vms*runners)*readTimePerEntry+1)
+	}
+	return now >= t.at
+}
+
+func (t *readTurn) reset() { t.drawn = false }
+
+// expectedRunners returns how many runners a read of their entries is expected to find: a
+// new process has not read them yet.
+func (n *Node) expectedRunners() int {
+	listed := n.View.RunnerCount()
+	if n.View.RunnersKnown() {
+		return listed
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.recordedRunners > 0 {
+		return max(listed, n.recordedRunners)
+	}
+	return max(listed, n.Allowances.VMs()*assumedRunnersPerVM)
+}
+
 // backoff computes the pauses between failed attempts to reach the store. The
 // zero value is ready for use.
 type backoff struct{ pause time.Duration }
@@ -101,7 +141,7 @@
 	n.awaitController()
 	for n.ctx.Err() == nil {
 		d, age := n.View.Deployment()
-		if !n.mustReadStore(d != nil, age, n.Propagation) {
+		if !n.mustReadStore(d != nil, age, n.deploymentBound()) {
 			_ = n.Clock.Sleep(n.ctx, staleCheckInterval)
 			continue
 		}
@@ -148,10 +188,15 @@
 func (n *Node) runnersLoop() {
 	unreachable := false
 	var b backoff
+	var turn readTurn
 	n.awaitController()
 	for n.ctx.Err() == nil {
 		_, age, _ := n.View.Ages()
-		if !n.mustReadStore(n.View.RunnersKnown(), age, n.RunnerDrain) {
+		must := n.mustReadStore(n.View.RunnersKnown(), age, n.RunnerDrain)
+		if !must {
+			turn.reset()
+		}
+		if !must || n.controller.Load() == nil && !turn.come(n.Clock.Uptime(), n.Allowances.VMs(), n.expectedRunners()) {
 			_ = n.Clock.Sleep(n.ctx, staleCheckInterval)
 			continue
 		}
--- a/drcontroller/store_loops_test.go
+++ b/drcontroller/store_loops_test.go
@@ -5,6 +5,11 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drtokenpool"
 )
 
 // Guards against overloading a store that is down: the pause of each VM must
@@ -37,3 +42,41 @@
 	is.Equal(missingCoreDelay(1, 0), time.Duration(0))
 	is.True(missingCoreDelay(0.272, 0) < time.Second)
 }
+
+// Guards against a fleet whose VMs all read the runners at once after they lost the
+// controller, so that the next one cannot read them, and against a small one that waits
+// for no reason.
+func TestReadTurnsSpreadWithFleet(t *testing.T) {
+	is := is.New(t)
+	longest := func(vms, runners int) time.Duration {
+		most := time.Duration(0)
+		for range 200 {
+			var turn readTurn
+			turn.come(0, vms, runners)
+			most = max(most, turn.at)
+		}
+		return most
+	}
+	is.True(longest(5, 30) < 10*time.Millisecond)
+	is.True(longest(300, 3000) > 10*time.Second)
+	var turn readTurn
+	is.True(!turn.come(0, 1e6, 1e6) || turn.at == 0)
+	is.True(turn.come(turn.at, 1e6, 1e6)) // drawn once
+	turn.reset()
+	is.True(turn.come(time.Hour, 0, 0))
+}
+
+// Guards against new processes of a large fleet that all read the runners at once,
+// because they know none yet, and against a wait for the runners that a VM has heard of.
+func TestNewProcessExpectsRecordedRunners(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	n := &Node{Config: Config{View: drfleetview.New(clock), Allowances: drtokenpool.NewAllowances(clock)}}
+	n.Allowances.AssumeVMs(300)
+	is.Equal(n.expectedRunners(), 300*assumedRunnersPerVM)
+	n.recordedRunners = 40
+	is.Equal(n.expectedRunners(), 40)
+	n.View.OfferRunner(&drfleet.Runner{ID: "r"}, drfleetview.FromRunner)
+	n.View.ConfirmRunners(0)
+	is.Equal(n.expectedRunners(), 1)
+}
--- a/drfleetview/pause.go
+++ b/drfleetview/pause.go
@@ -74,19 +74,24 @@
 	defer v.mu.Unlock()
 	uptime := v.clock.Uptime()
 	for _, e := range v.runners {
-		if !e.serves(replica) {
+		if !v.serves(e, replica) {
 			continue
 		}
-		if l := e.pauseLeft(uptime); l > 0 && (!paused || l < left) {
+		l := e.pauseLeft(uptime)
+		if replica.Model == "" {
+			l = max(l, v.coldLeft(e, uptime)) // no permits are given for plain services
+		}
+		if l > 0 && (!paused || l < left) {
 			left, paused = l, true
 		}
 	}
 	return left, paused
 }
 
-// serves reports whether the runner is listed, stays and holds a replica.
-func (e *entry) serves(replica Replica) bool {
-	return !e.removed && !e.runner.Draining && e.runner.Service == replica.Service && e.runner.Holds(replica.Model, replica.Adapter)
+// serves reports whether the runner is listed, stays, is in an availability zone that
+// gets requests and holds a replica. The caller holds mu.
+func (v *View) serves(e *entry, replica Replica) bool {
+	return !v.closed(e.runner.Zone) && !e.removed && !e.runner.Draining && e.runner.Service == replica.Service && e.runner.Holds(replica.Model, replica.Adapter)
 }
 
 // PausedCount returns the number of listed runners of a service that want no requests of
@@ -104,20 +109,27 @@
 }
 
 // MayStart reports whether a request may still be sent to a runner that was chosen a
-// moment ago: that incarnation has not said meanwhile that it wants none.
+// moment ago: that incarnation has not said meanwhile that it wants none, and its
+// availability zone gets requests. If it is cold, that uses up a permit.
 func (v *View) MayStart(runner *drfleet.Runner) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.closed(runner.Zone) {
+		return false
+	}
 	e, ok := v.runners[runner.ID]
 	if !ok || e.runner.Started != runner.Started {
 		return true
 	}
-	return !e.saysLeaving() && e.pauseLeft(v.clock.Uptime()) <= 0
+	uptime := v.clock.Uptime()
+	return !e.saysLeaving() && e.pauseLeft(uptime) <= 0 && v.takePermit(e, uptime)
 }
 
 // Usable returns the number of listed runners of a service that take requests of this
 // VM.
 func (v *View) Usable(service string) int {
 	uptime := v.clock.Uptime()
-	return v.count(service, func(e *entry) bool { return !e.runner.Draining && e.pauseLeft(uptime) <= 0 })
+	return v.count(service, func(e *entry) bool {
+		return !e.runner.Draining && e.pauseLeft(uptime) <= 0 && !v.closed(e.runner.Zone)
+	})
 }
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -36,7 +35,13 @@
 	// runner.Replicas differ.
 	reportedReplicas []drfleet.Replica
 	revision         uint64 // of the table when the entry last changed
-	removed          bool
+	// identityRevision is the revision at which the incarnation was listed or last
+	// changed its service, address, zone or slots.
+	identityRevision uint64
+	digest           uint64 // what the entry adds to the digest of its bucket
+	// changedRevision is the revision at which the digest last changed.
+	changedRevision uint64
+	removed         bool
 
 	counters         map[Replica]*replicaCounters
 	running          int
@@ -55,6 +60,8 @@
 	// none has.
 	leaving *Incarnation
 	pause   pause
+	// coldUntil is the uptime until which the runner is cold.
+	coldUntil time.Duration
 }
 
 // replicaCounters counts the requests of this VM for one replica on one runner.
@@ -105,11 +112,12 @@
 func (v *View) offer(runner *drfleet.Runner, source Source) bool {
 	e, ok := v.runners[runner.ID]
 	if !ok {
-		e = &entry{runner: runner, removed: true, counters: make(map[Replica]*replicaCounters)}
-		v.runners[runner.ID] = e
+		e = v.addEntry(runner)
 	} else if !e.acceptsUpdate(runner, source) {
 		return false
 	}
+	turnedCold := v.noteCold(e, runner, v.clock.Uptime())
+	runner = runner.WithoutCold()
 	if source == FromRunner {
 		e.reportedReplicas = runner.Replicas
 	}
@@ -123,7 +131,7 @@
 	}
 	e.runner = runner
 	e.replicasFromController = source == FromController || same && e.replicasFromController
-	if same && sameForCallers(old, runner) {
+	if same && !turnedCold && sameForCallers(old, runner) {
 		return false
 	}
 	e.removed = false
@@ -131,9 +139,30 @@
 		u.missingUntil = time.Time{}
 	}
 	v.bumpRevision(e)
+	if turnedCold && e.changedRevision != e.revision {
+		v.logChange(e) // it stays cold for longer than other VMs know
+	}
+	if !same || !sameIdentity(old, runner) {
+		e.identityRevision = e.revision
+	}
 	return true
 }
 
+// addEntry adds an entry for a runner that is not listed yet. The caller holds mu.
+func (v *View) addEntry(runner *drfleet.Runner) *entry {
+	e := &entry{runner: runner, removed: true, counters: make(map[Replica]*replicaCounters)}
+	v.runners[runner.ID] = e
+	b := &v.buckets[BucketOf(runner.ID)]
+	b.entries = append(b.entries, e)
+	return e
+}
+
+// sameIdentity reports whether two descriptions of one incarnation agree in what
+// seldom changes.
+func sameIdentity(a, b *drfleet.Runner) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots
+}
+
 // acceptsUpdate reports whether a description is new enough to update the entry:
 // it is of a later incarnation, or of the same one and not older by the number
 // of orders (from the controller) or of the description (from the runner). While
@@ -199,6 +228,9 @@
 func (v *View) bumpRevision(e *entry) {
 	v.revision++
 	e.revision = v.revision
+	if v.updateDigest(e) {
+		v.logChange(e)
+	}
 	v.notify()
 }
 
@@ -239,6 +271,19 @@
 	return rs
 }
 
+// RunnerCount returns the number of listed runners.
+func (v *View) RunnerCount() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, e := range v.runners {
+		if !e.removed {
+			n++
+		}
+	}
+	return n
+}
+
 // listed returns the listed runners of a service that have a property, sorted by id. An
 // empty service selects those of all services. The caller holds mu.
 func (v *View) listed(service string, has func(e *entry) bool) []*entry {
@@ -263,13 +308,6 @@
 	return e.runner, true
 }
 
-// Change is a runner whose entry in the table has changed. Gone is set if the
-// runner was removed; Runner is then its last description.
-type Change struct {
-	Runner *drfleet.Runner
-	Gone   bool
-}
-
 // Revision returns the revision of the runner table, which grows with each
 // change.
 func (v *View) Revision() uint64 {
@@ -283,38 +321,26 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, e := range v.runners {
-		if e.serves(replica) {
+		if v.serves(e, replica) {
 			return true
 		}
 	}
 	return false
 }
 
-// Changes returns the entries that changed after a revision, sorted by id, and
-// the current revision, to pass to the next call. Revision 0 selects all.
-func (v *View) Changes(after uint64) ([]Change, uint64) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var cs []Change
-	for _, id := range slices.Sorted(maps.Keys(v.runners)) {
-		if e := v.runners[id]; e.revision > after {
-			cs = append(cs, Change{e.runner, e.removed})
-		}
-	}
-	return cs, v.revision
-}
-
 // Candidates returns the runners that can take a request for a replica, with
 // their load and share of failures. Runners that want no requests of this VM for a
 // time are left out. So are those that were just unreachable, but for a plain service
-// they are returned if there are no others.
+// they are returned if there are no others. The runners of a zone that was just taken out
+// of service are returned if there are no others, too, until it must get none, and so are
+// cold runners for which this VM has permits.
 func (v *View) Candidates(replica Replica) []drbalancer.Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now, uptime := v.clock.Now(), v.clock.Uptime()
-	var cs, unreachable []drbalancer.Candidate
+	var cs, lastResort, unreachable []drbalancer.Candidate
 	for _, e := range v.runners {
-		if !e.serves(replica) || e.pauseLeft(uptime) > 0 {
+		if !v.serves(e, replica) || e.pauseLeft(uptime) > 0 || !v.mayWarm(e, uptime) {
 			continue
 		}
 		if u := e.counters[replica]; u != nil && now.Before(u.missingUntil) {
@@ -327,8 +353,15 @@
 			unreachable = append(unreachable, c)
 			continue
 		}
+		if v.outages.Has(e.runner.Zone) || v.coldLeft(e, uptime) > 0 {
+			lastResort = append(lastResort, c)
+			continue
+		}
 		cs = append(cs, c)
 	}
+	if len(cs) == 0 {
+		cs = lastResort
+	}
 	if len(cs) == 0 && replica.Model == "" {
 		return unreachable
 	}
--- a/drmetric/name.go
+++ b/drmetric/name.go
@@ -38,12 +38,17 @@
 	ProcessGoroutines   = "dotterelridge_process_goroutines"
 	RequestTime         = "dotterelridge_request_seconds"
 	UnreadTime          = "dotterelridge_unread_seconds"
+	AccountClaims       = "dotterelridge_account_claims_total"
 	LogLinesDropped     = "dotterelridge_log_lines_dropped_total"
 	DeploymentAge       = "dotterelridge_deployment_age_seconds"
 	RunnersAge          = "dotterelridge_runners_age_seconds"
 	KnownRunners        = "dotterelridge_known_runners"
 	LeavingRunners      = "dotterelridge_leaving_runners"
 	PausedRunners       = "dotterelridge_paused_runners"
+	OutOfServiceZones   = "dotterelridge_out_of_service_zones"
+	OutOfServiceRunners = "dotterelridge_out_of_service_runners"
+	OutOfServiceRunning = "dotterelridge_out_of_service_running_requests"
+	ColdRunners         = "dotterelridge_cold_runners"
 	MalformedStatements = "dotterelridge_malformed_statements_total"
 	Controlling         = "dotterelridge_controlling"
 	TimelineOverwrites  = "dotterelridge_timeline_overwrites_total"
@@ -86,12 +91,17 @@
 	{ProcessGoroutines, Gauge, Count, nil, "Goroutines of this process."},
 	{RequestTime, Histogram, Seconds, []string{"kind"}, "Time from a request's arrival to the end of its answer on an entry VM of edge, by the route's kind: safe, unsafe or stream."},
 	{UnreadTime, Histogram, Seconds, nil, "Time that the first data of a request lay unread on an entry VM of edge, which is long if the VM lacks processor time."},
+	{AccountClaims, Counter, Count, []string{"basis", "result"}, "Requests charged to a client account with a limit on an entry VM of edge, by the rule that decided (grant, controller, first-comers, saturated, ...) and the result: admitted or refused."},
 	{LogLinesDropped, Counter, Count, nil, "Log lines that were dropped because of the permitted rate or a slow reader."},
 	{DeploymentAge, Gauge, Seconds, nil, "Time since the store last confirmed the configuration in force."},
 	{RunnersAge, Gauge, Seconds, nil, "Time since the store last confirmed the runner table."},
 	{KnownRunners, Gauge, Count, nil, "Runners in the runner table."},
 	{LeavingRunners, Gauge, Count, []string{"service"}, "Listed runners that have said in an answer to this VM that they leave."},
 	{PausedRunners, Gauge, Count, []string{"service"}, "Listed runners that want no requests of this VM for a time."},
+	{ColdRunners, Gauge, Count, []string{"service"}, "Listed runners that are cold and get requests with permits only."},
+	{OutOfServiceZones, Gauge, Count, nil, "Availability zones that are out of service, as this VM knows."},
+	{OutOfServiceRunners, Gauge, Count, []string{"service"}, "Listed runners in zones that are out of service."},
+	{OutOfServiceRunning, Gauge, Count, []string{"service"}, "Requests of this VM that still run in zones that are out of service."},
 	{MalformedStatements, Counter, Count, nil, "Headers in which a runner speaks of itself and that have no valid value."},
 	{Controlling, Gauge, Count, nil, "1 while this VM is the controller, else 0."},
 	{TimelineOverwrites, Counter, Count, nil, "Events that left the time line because its ring was full."},
--- a/drscheduler/patience.go
+++ b/drscheduler/patience.go
@@ -20,6 +20,8 @@
 // Requests that might miss their objective otherwise may evict any idle model.
 func (p *planner) evictionLimit(model string, expected time.Duration, reason Reason) float64 {
 	switch {
+	case reason == Relocated:
+		return p.Rate[model]
 	case reason != Wanted:
 		return p.replicaGain(model)
 	case p.canWait(model, expected+patienceMargin):
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -67,6 +67,9 @@
 	// adapter.
 	Running        map[string]int
 	RunningAdapter map[AdapterKey]int
+	// OutOfService is set if the runner drains because its availability zone is out of
+	// service.
+	OutOfService bool
 	// LoadedAt is the time of the last load by model, and UsedAdapter the time
 	// of the last use by adapter.
 	LoadedAt    map[string]time.Time
@@ -111,11 +114,12 @@
 // plans a further replica of each model whose requests queue at its runners: the
 // few runners with a copy of it would otherwise be taken by other models all the
 // time. It then plans loads for models that requests wait for, in descending order
-// of value, then additional replicas of busy models, then loads for models whose
-// requests can wait, and then replicas on empty runners. A model is loaded from the weight store, which blocks a runner for
-// seconds, only if no runner has a local copy of its weights, into a runner that has
-// no local copies at all, or if its requests queue and all runners with a copy hold
-// it.
+// of value, then for models that only runners out of service hold, then additional
+// replicas of busy models, then loads for models whose requests can wait, and then
+// replicas on empty runners. A model is loaded from the weight store, which blocks a
+// runner for seconds, only if no runner has a local copy of its weights, into a runner
+// that has no local copies at all, or if its requests queue and all runners with a copy
+// hold it.
 func Plan(s State) []Swap {
 	p := &planner{State: s, swapPlanned: make(map[string]bool), replicas: make(map[string]int)}
 	for _, r := range s.Runners {
@@ -136,6 +140,9 @@
 	for _, m := range due {
 		p.planLoad(m, Wanted)
 	}
+	for _, m := range p.modelsToRelocate() {
+		p.planLoad(m, Relocated)
+	}
 	for _, m := range p.busyModels() {
 		p.planLoad(m, Busy)
 	}
--- a/drscheduler/reason.go
+++ b/drscheduler/reason.go
@@ -18,4 +18,7 @@
 	// Queued means that requests queue at the model's replicas, or soon will at the
 	// only one.
 	Queued // queued
+	// Relocated means that only runners in availability zones out of service hold the
+	// model.
+	Relocated // relocated
 )
