--- a/drbalancer/places.go
+++ b/drbalancer/places.go
@@ -11,6 +11,10 @@
 	"github.com/dotterelridge/dotterelridge/drprompt"
 )
 
+// minLongShare is the share of long prompts in the tokens that engines read from which on
+// they are kept apart.
+const minLongShare = 0.05
+
 // places are the engines that all VMs agree on for a kind of prompt, without messages.
 type places struct {
 	// preferred is the runner ID of the engine for prompts with the request's anchor,
@@ -48,7 +52,7 @@
 // longPlaces returns how many of the candidates read the long prompts, 0 if all do: as
 // many as read their share of the tokens.
 func longPlaces(share float64, candidates int) int {
-	if share <= 0 || candidates < 2 {
+	if share < minLongShare || candidates < 2 {
 		return 0
 	}
 	n := max(int(math.Round(share*float64(candidates))), 1)
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -69,7 +69,10 @@
 	if n.recordedRunners > 0 {
 		return max(listed, n.recordedRunners)
 	}
-	return max(listed, n.Allowances.VMs()*assumedRunnersPerVM)
+	// Such a VM waits for what it must follow within RunnerDrain no longer than that.
+	vms := max(n.Allowances.VMs(), 1)
+	most := int(n.RunnerDrain / (readTimePerEntry * time.Duration(vms)))
+	return max(listed, min(vms*assumedRunnersPerVM, most))
 }
 
 // backoff computes the pauses between failed attempts to reach the store. The
--- a/drcontroller/table_reply.go
+++ b/drcontroller/table_reply.go
@@ -16,7 +16,7 @@
 // revision, or if that is of another term the next piece. VMs of an earlier version of
 // the program get the whole table then.
 func (c *Controller) fillTable(request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
-	if request.GetTerm() != c.Term && request.GetTablePosition() != nil {
+	if request.GetTerm() != c.Term && request.GetReadsUpdates() {
 		c.fillPiece(request, reply)
 		return
 	}
@@ -63,5 +63,5 @@
 // hasPieceFor reports whether the table can be sent to a VM that has that of another
 // term. A VM that reads pieces waits until the controller has read it once.
 func (c *Controller) hasPieceFor(request *drpb.FleetSyncRequest) bool {
-	return request.GetTablePosition() == nil || c.view.RunnersKnown()
+	return !request.GetReadsUpdates() || c.view.RunnersKnown()
 }
--- a/drcontroller/table_sender.go
+++ b/drcontroller/table_sender.go
@@ -26,9 +26,9 @@
 	blocks [drfleetview.Buckets]tableBlock
 }
 
-// tableBlock is a compressed bucket of the table, as of its digest.
+// tableBlock is a compressed bucket of the table, as of its version.
 type tableBlock struct {
-	digest   uint32
+	version  uint64
 	deflated []byte // nil until some VM has needed it
 }
 
@@ -73,10 +73,11 @@
 	current := t.view.Digests()
 	skipped := drfleetview.Buckets - len(theirs)
 	for size := 0; next < drfleetview.Buckets && size < maxPieceBytes; next++ {
-		if i := next - skipped; i >= 0 && i < len(theirs) && theirs[i] == current[next] {
-			continue
+		version, cold := t.view.BucketVersion(next)
+		if i := next - skipped; !cold && i >= 0 && i < len(theirs) && theirs[i] == current[next] {
+			continue // digests don't say for how long runners are cold
 		}
-		block, err := t.block(next, current[next])
+		block, err := t.block(next, version)
 		if err != nil {
 			return 0, err
 		}
@@ -86,15 +87,15 @@
 	return next, nil
 }
 
-// block returns a compressed bucket that has the digest or is newer.
-func (t *tableSender) block(i int, digest uint32) ([]byte, error) {
+// block returns a compressed bucket of the version or a newer one.
+func (t *tableSender) block(i int, version uint64) ([]byte, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := &t.blocks[i]
-	if b.deflated != nil && b.digest == digest {
+	if b.deflated != nil && b.version == version {
 		return b.deflated, nil
 	}
-	runners, digest := t.view.Bucket(i)
+	runners, _ := t.view.Bucket(i)
 	content := new(drpb.FleetTableRunners)
 	lasting := true
 	for _, r := range runners {
@@ -110,7 +111,7 @@
 		return nil, err
 	}
 	if lasting {
-		b.digest, b.deflated = digest, deflated
+		b.version, b.deflated = version, deflated
 	}
 	return deflated, nil
 }
--- a/drfleetview/bucket.go
+++ b/drfleetview/bucket.go
@@ -16,10 +16,11 @@
 const Buckets = 128
 
 // bucket is one part of the table. digest combines those of its listed entries in any
-// order.
+// order, and version grows with each change of one, also those that the digest leaves out.
 type bucket struct {
 	entries []*entry
 	digest  uint64
+	version uint64
 }
 
 // BucketOf returns the bucket of a runner, less than Buckets.
@@ -37,6 +38,16 @@
 	return digests
 }
 
+// BucketVersion returns the version of a bucket, and whether some of its runners are cold.
+func (v *View) BucketVersion(i int) (version uint64, cold bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	uptime := v.clock.Uptime()
+	return v.buckets[i].version, slices.ContainsFunc(v.buckets[i].entries, func(e *entry) bool {
+		return !e.removed && v.coldLeft(e, uptime) > 0
+	})
+}
+
 // Bucket returns the listed runners of a bucket as changes, sorted by id, and its digest.
 func (v *View) Bucket(i int) (runners []Change, digest uint32) {
 	v.mu.Lock()
--- a/drfleetview/cold.go
+++ b/drfleetview/cold.go
@@ -111,6 +111,7 @@
 		return false
 	}
 	e.coldUntil = until
+	v.buckets[BucketOf(described.ID)].version++
 	return v.coldService(described.Service).ColdRate > 0
 }
 
@@ -118,4 +119,5 @@
 // holds mu.
 func (v *View) assumeCold(e *entry, uptime time.Duration) {
 	e.coldUntil = max(e.coldUntil, uptime+v.coldService(e.runner.Service).ColdStart)
+	v.buckets[BucketOf(e.runner.ID)].version++
 }
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -139,8 +139,8 @@
 		u.missingUntil = time.Time{}
 	}
 	v.bumpRevision(e)
-	if turnedCold && e.changedRevision != e.revision {
-		v.logChange(e) // it stays cold for longer than other VMs know
+	if (turnedCold || runner.Orders > old.Orders) && e.changedRevision != e.revision {
+		v.logChange(e) // cold for longer, or VMs that know later orders refused the entry
 	}
 	if !same || !sameIdentity(old, runner) {
 		e.identityRevision = e.revision
@@ -228,6 +228,7 @@
 func (v *View) bumpRevision(e *entry) {
 	v.revision++
 	e.revision = v.revision
+	v.buckets[BucketOf(e.runner.ID)].version++
 	if v.updateDigest(e) {
 		v.logChange(e)
 	}
--- a/drfleetview/use.go
+++ b/drfleetview/use.go
@@ -63,6 +63,7 @@
 	now := v.clock.Now()
 	e.running--
 	e.tokens = e.tokens.Minus(u.tokens)
+	u.tokens = Tokens{}
 	counters := e.counters[u.replica]
 	counters.running--
 	switch result {
--- a/drprompt/index.go
+++ b/drprompt/index.go
@@ -34,6 +34,7 @@
 
 // engine is what an Index knows of one incarnation of a runner.
 type engine struct {
+	runner  string
 	started int64
 	// read is the number of prompt tokens that it has read for this VM.
 	read int
@@ -69,7 +70,7 @@
 		ok = false
 	}
 	if !ok {
-		e = &engine{started: runner.Started, held: make(map[uint64]*list.Element)}
+		e = &engine{runner: runner.ID, started: runner.Started, held: make(map[uint64]*list.Element)}
 		x.engines[runner.ID] = e
 	}
 	now := x.clock.Now()
@@ -80,7 +81,18 @@
 		e.held[p.Key] = x.recent.PushFront(&held{e, prompt.Model, prompt.Adapter, p.Key, now, e.read})
 	}
 	for x.recent.Len() > maxPrefixes {
-		x.remove(x.recent.Back())
+		x.evictOldest()
+	}
+}
+
+// evictOldest forgets the prefix that was used least recently, and its engine if it was
+// the last one: the runner may have gone. The caller holds mu.
+func (x *Index) evictOldest() {
+	oldest := x.recent.Back()
+	e := oldest.Value.(*held).engine
+	x.remove(oldest)
+	if len(e.held) == 0 && x.engines[e.runner] == e {
+		delete(x.engines, e.runner)
 	}
 }
 
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -15,6 +15,9 @@
 	// maxNotRun is how many attempts of one request may end without the runner
 	// having run it, because it took no connection or rejected the request.
 	maxNotRun = 4
+	// maxUnwanted is how often a request may come to a runner that has just become
+	// unwanted, or for which another request has used up the permit.
+	maxUnwanted = 16
 	// attemptShare is the part of the remaining time that one attempt at an
 	// idempotent request may take to the first byte of its answer, and then to
 	// the last byte. Then it is given up, so that another runner can still
@@ -31,6 +34,8 @@
 	// possibleRuns counts the attempts whose runner may have run the request,
 	// notRun those whose runner certainly has not.
 	possibleRuns, notRun int
+	// unwanted counts the runners that were connected to and then not wanted.
+	unwanted int
 	// lastErr is why the last attempt that may have run gave no complete answer.
 	lastErr error
 	// fallback is the last complete answer that reports a failure, nil if there is
@@ -89,7 +94,8 @@
 			onRefusal(late)
 			return nil
 		}
-		options := attemptOptions{lastEvent: lastEvent, firstByteTimeout: firstByteTimeout, repeated: state.tried[c.Runner.ID]}
+		tried := state.tried[c.Runner.ID]
+		options := attemptOptions{lastEvent: lastEvent, firstByteTimeout: firstByteTimeout, repeated: tried}
 		state.tried[c.Runner.ID] = true
 		x.estimate = c.Estimate
 		a, err := x.startAttempt(c.Runner, options)
@@ -101,8 +107,9 @@
 		case errors.Is(err, errClientGone):
 			x.handleClientGone()
 			return nil
-		case errors.Is(err, errUnwanted) && x.remaining() > answerMargin:
-			continue // the runner is no candidate any more
+		case errors.Is(err, errUnwanted) && state.unwanted < maxUnwanted && x.remaining() > answerMargin:
+			state.unwanted++
+			state.tried[c.Runner.ID] = tried
 		case err == nil, errors.Is(err, errNotSent):
 			state.notRun++
 			if state.notRun < maxNotRun && x.remaining() > answerMargin && (err != nil || x.takeRetryFromBudget()) {
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -382,6 +382,9 @@
 	if replicas <= 1 {
 		return p.Rate[model]
 	}
+	if p.Work[model] > saturatedLoad*float64(replicas-1) {
+		return p.Rate[model] / float64(replicas-1) // requests would queue at the others
+	}
 	if p.Work[model] > addReplicaLoad*float64(replicas-1) || replicas == 2 && p.Work[model] > secondReplicaLoad {
 		return p.Rate[model] / float64(replicas)
 	}
--- a/drtokenpool/claim.go
+++ b/drtokenpool/claim.go
@@ -60,7 +60,7 @@
 		return 0
 	}
 	p.refill(a)
-	if a.level >= a.limit.Rate*contendedDuration.Seconds() {
+	if a.level >= min(a.limit.Rate*contendedDuration.Seconds(), a.limit.Burst) {
 		return 0
 	}
 	return arrivalWindow - age
@@ -73,7 +73,7 @@
 // standing returns that of a claim at a time. The caller holds p.mu.
 func (p *Pool) standing(c Claim, now time.Time) standing {
 	since, repeated := p.refused.since(c.Identity, now)
-	return standing{repeated: repeated, late: repeated && now.Sub(since) > c.Objective}
+	return standing{repeated: repeated, late: repeated && c.Objective > 0 && now.Sub(since) > c.Objective}
 }
 
 // need returns the tokens that must be left for the claim to be granted. A claim above
@@ -87,18 +87,19 @@
 	return min(need, a.limit.Burst)
 }
 
-// lateTokens reports whether the tokens set aside for late repeats suffice.
+// lateTokens reports whether the tokens set aside for late repeats suffice. For a large
+// request that is all that can be set aside; it leaves a debt.
 func (a *account) lateTokens(tokens float64, now time.Time) bool {
 	a.lateLevel = min(a.lateLevel+now.Sub(a.lateRefilledAt).Seconds()*a.limit.Rate*lateShare, a.limit.Burst*lateShare)
 	a.lateRefilledAt = now
-	return a.lateLevel >= tokens
+	return a.lateLevel >= min(tokens, a.limit.Burst*lateShare)
 }
 
 // spendClaim deducts the tokens of a granted claim.
 func (a *account) spendClaim(c Claim, s standing) {
 	a.level -= c.Tokens
-	if s.late {
-		a.lateLevel = max(a.lateLevel-c.Tokens, 0)
+	if s.late && a.lateLevel >= min(c.Tokens, a.limit.Burst*lateShare) {
+		a.lateLevel -= c.Tokens
 	}
 }
 
