--- a/drcontroller/lease_loop.go
+++ b/drcontroller/lease_loop.go
@@ -200,7 +200,6 @@
 		n.Allowances.AssumeVMs(l.VMs)
 		n.mu.Lock()
 		n.maxProcessor = max(n.maxProcessor, l.MostProcessor)
-		n.recordedRunners = l.Runners
 		n.mu.Unlock()
 	}
 	switch {
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -278,7 +278,7 @@
 func (c *Controller) Handover() drlease.Handover {
 	c.mu.Lock()
 	now := c.Clock.Now()
-	handover := drlease.Handover{VMs: c.countReportingVMs(now), Runners: c.view.RunnerCount(), MostProcessor: c.maxProcessor(), Counted: now}
+	handover := drlease.Handover{VMs: c.countReportingVMs(now), MostProcessor: c.maxProcessor(), Counted: now}
 	c.mu.Unlock()
 	handover.Levels = c.pool.Levels()
 	if now.Sub(c.startedAt) < c.OrderPause {
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -33,9 +33,6 @@
 	// readTimePerEntry is the part of the store's time for reads that one VM's read
 	// of one runner's entry takes, with a margin for the controller's reads.
 	readTimePerEntry = 50 * time.Microsecond
-	// assumedRunnersPerVM stands in for the number of runners until this VM has heard
-	// of it.
-	assumedRunnersPerVM = 10
 )
 
 // readTurn spreads the reads of VMs that begin to read the runners at the same time.
@@ -57,24 +54,6 @@
 
 func (t *readTurn) reset() { t.drawn = false }
 
-// expectedRunners returns how many runners a read of their entries is expected to find: a
-// new process has not read them yet.
-func (n *Node) expectedRunners() int {
-	listed := n.View.RunnerCount()
-	if n.View.RunnersKnown() {
-		return listed
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.recordedRunners > 0 {
-		return max(listed, n.recordedRunners)
-	}
-	// Such a VM waits for what it must follow within RunnerDrain no longer than that.
-	vms := max(n.Allowances.VMs(), 1)
-	most := int(n.RunnerDrain / (readTimePerEntry * time.Duration(vms)))
-	return max(listed, min(vms*assumedRunnersPerVM, most))
-}
-
 // backoff computes the pauses between failed attempts to reach the store. The
 // zero value is ready for use.
 type backoff struct{ pause time.Duration }
@@ -199,7 +178,7 @@
 		if !must {
 			turn.reset()
 		}
-		if !must || n.controller.Load() == nil && !turn.come(n.Clock.Uptime(), n.Allowances.VMs(), n.expectedRunners()) {
+		if !must || n.controller.Load() == nil && !turn.come(n.Clock.Uptime(), n.Allowances.VMs(), n.View.RunnerCount()) {
 			_ = n.Clock.Sleep(n.ctx, staleCheckInterval)
 			continue
 		}
