drcontroller: Wait in a test for the controller's first plan

Cause: TestTokensOfOtherVMsAreReported failed in 3 of 4 runs of the package: a reply names loads only of runners that a plan has seen, and the test sometimes reported before the first plan. Change: the test waits for the plan; its assertions are as before.

--- a/drcontroller/tokens_test.go
+++ b/drcontroller/tokens_test.go
@@ -29,6 +29,11 @@
 func TestTokensOfOtherVMsAreReported(t *testing.T) {
 	is := is.New(t)
 	w := newControllerFixture(t)
+	eventually(t, "the controller has planned and knows the runner", func() bool {
+		w.controller.mu.Lock()
+		defer w.controller.mu.Unlock()
+		return w.controller.runnerStates["r1"] != nil
+	})
 	is.Equal(w.reportTokens("vm1", true, 9000, 8000), [2]uint32{})
 	is.Equal(w.reportTokens("vm2", true, 700, 600), [2]uint32{9000, 8000})
 	is.Equal(w.reportTokens("vm1", true, 9000, 0), [2]uint32{700, 600})
