--- a/drfleetview/bucket.go
+++ b/drfleetview/bucket.go
@@ -91,8 +91,9 @@
 }
 
 // digestOf returns a digest of what matters to requests on other VMs, never 0. Copies on
-// disk and in memory and the number of orders are left out: only the controller uses
-// them, and it asks each runner before its first order.
+// disk and in memory are left out, because only the controller uses them, and so is the
+// number of orders: a new controller counts them only once it has asked the runner, which
+// is logged as a change of its own.
 func digestOf(r *drfleet.Runner, cold bool) uint64 {
 	var b []byte
 	text := func(s string) {
--- a/drfleetview/change.go
+++ b/drfleetview/change.go
@@ -14,9 +14,9 @@
 const minLoggedChanges = 64
 
 // Change is a runner whose entry in the table has changed. Gone is set if the
-// runner was removed; Runner is then its last description. Update is set if who
-// knew the table at the revision that was asked for knows the runner's service,
-// address, zone and slots.
+// runner was removed; Runner is then its last description. Update is set if a VM with the
+// table of the requested revision already has the runner's service, address, zone and
+// slots.
 type Change struct {
 	Runner       *drfleet.Runner
 	Gone, Update bool
--- a/drfleetview/cold.go
+++ b/drfleetview/cold.go
@@ -87,9 +87,9 @@
 	return e.coldUntil - uptime
 }
 
-// mayWarm reports whether a runner is warm or this VM has a permit for it. The caller
+// warmOrPermitted reports whether a runner is warm or this VM has a permit for it. The caller
 // holds mu.
-func (v *View) mayWarm(e *entry, uptime time.Duration) bool {
+func (v *View) warmOrPermitted(e *entry, uptime time.Duration) bool {
 	return v.coldLeft(e, uptime) == 0 || v.permits.Left(IncarnationOf(e.runner).Warming(), uptime) > 0
 }
 
--- a/drfleetview/excluded.go
+++ b/drfleetview/excluded.go
@@ -34,7 +34,7 @@
 			x.Why = "took no connection"
 		case v.closed(e.runner.Zone):
 			x.Why = "its availability zone is out of service"
-		case !v.mayWarm(e, uptime):
+		case !v.warmOrPermitted(e, uptime):
 			x.Why = "is cold, and this VM has no permit for it"
 		default:
 			continue
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -341,7 +341,7 @@
 	now, uptime := v.clock.Now(), v.clock.Uptime()
 	var cs, lastResort, unreachable []drbalancer.Candidate
 	for _, e := range v.runners {
-		if !v.serves(e, replica) || e.pauseLeft(uptime) > 0 || !v.mayWarm(e, uptime) {
+		if !v.serves(e, replica) || e.pauseLeft(uptime) > 0 || !v.warmOrPermitted(e, uptime) {
 			continue
 		}
 		if u := e.counters[replica]; u != nil && now.Before(u.missingUntil) {
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -74,10 +74,12 @@
 	// knownIdentity is what identity has returned, zero before.
 	knownIdentity drcrash.Identity
 
-	// attempts, runner (the last one tried), estimate (what its choice weighed) and
-	// waited (the time spent waiting for a model) appear only in the log.
-	attempts int
+	// estimate is what the last choice of a runner weighed.
 	estimate drbalancer.Estimate
+
+	// attempts, runner (the last one tried) and waited (the time spent waiting
+	// for a model) appear only in the log.
+	attempts int
 	runner   string
 	waited   time.Duration
 }
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -110,16 +110,20 @@
 	Why       Reason
 }
 
-// Plan returns the swaps to start now, at most one for each runner. It first
-// plans a further replica of each model whose requests queue at its runners: the
-// few runners with a copy of it would otherwise be taken by other models all the
-// time. It then plans loads for models that requests wait for, in descending order
-// of value, then for models that only runners out of service hold, then additional
-// replicas of busy models, then loads for models whose requests can wait, and then
-// replicas on empty runners. A model is loaded from the weight store, which blocks a
-// runner for seconds, only if no runner has a local copy of its weights, into a runner
-// that has no local copies at all, or if its requests queue and all runners with a copy
-// hold it.
+// Plan returns the swaps to start now, at most one for each runner. It plans, in this
+// order:
+//
+//   - a further replica of each model whose requests queue at its runners: the few
+//     runners with a copy of it would otherwise be taken by other models all the time;
+//   - loads of models that requests wait for, in descending order of value;
+//   - loads of models that only runners out of service hold;
+//   - additional replicas of busy models;
+//   - loads of models whose requests can all wait;
+//   - replicas on empty runners.
+//
+// A load from the weight store blocks a runner for seconds. It is planned only if no
+// runner has a local copy of the weights, into a runner without any local copies, or if
+// requests queue and all runners with a copy hold the model.
 func Plan(s State) []Swap {
 	p := &planner{State: s, swapPlanned: make(map[string]bool), replicas: make(map[string]int)}
 	for _, r := range s.Runners {
--- a/drscheduler/saturated.go
+++ b/drscheduler/saturated.go
@@ -50,8 +50,8 @@
 	return slices.ContainsFunc(p.Runners, func(r Runner) bool { return r.Loading == model })
 }
 
-// mayUseStore reports whether a model may be loaded from the weight store: if
-// requests wait for it, or no runner in service holds it, and none has a copy, or if its requests queue and no
+// mayUseStore reports whether a model may be loaded from the weight store. A model that
+// no runner in service holds may if none has a copy. One whose requests queue may if no
 // runner could load a further replica from a copy, even once it is free.
 func (p *planner) mayUseStore(model drfleet.Model, reason Reason) bool {
 	if reason == Wanted || reason == Relocated {
