--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -110,6 +110,7 @@
 		case errors.Is(err, errUnwanted) && state.unwanted < maxUnwanted && x.remaining() > answerMargin:
 			state.unwanted++
 			state.tried[c.Runner.ID] = tried
+			continue
 		case err == nil, errors.Is(err, errNotSent):
 			state.notRun++
 			if state.notRun < maxNotRun && x.remaining() > answerMargin && (err != nil || x.takeRetryFromBudget()) {
