drcontroller: Count reporting VMs and compress in one place each

The factor for VMs that stopped reporting counted them as countReportingVMs does, and the table's sender repeated the steps of deflate. Change: both call the one piece; deflateWith takes a writer that is used again. Behaviour is as before.

--- a/drcontroller/deflate.go
+++ b/drcontroller/deflate.go
@@ -16,11 +16,17 @@
 // less than a tenth; a fleet would otherwise load the controller's link for
 // seconds when one changes.
 func deflate(record []byte) ([]byte, error) {
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
 	if err != nil {
 		return nil, err
 	}
+	return deflateWith(w, record)
+}
+
+// deflateWith is deflate with a writer that is used again.
+func deflateWith(w *flate.Writer, record []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w.Reset(&out)
 	if _, err := w.Write(record); err != nil {
 		return nil, err
 	}
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -370,12 +370,7 @@
 // to those that have only just stopped reporting. They may be cut off from the
 // controller alone, and go on sending requests.
 func (c *Controller) unheardFactor(now time.Time) float64 {
-	heard := 0
-	for _, v := range c.vms {
-		if now.Sub(v.lastReportAt) <= vmReportTimeout {
-			heard++
-		}
-	}
+	heard := c.countReportingVMs(now)
 	if heard == 0 {
 		return 1
 	}
--- a/drcontroller/table_sender.go
+++ b/drcontroller/table_sender.go
@@ -1,7 +1,6 @@
 package drcontroller
 
 import (
-	"bytes"
 	"compress/flate"
 	"sync"
 
@@ -125,13 +124,5 @@
 		}
 		t.writer = w
 	}
-	var out bytes.Buffer
-	t.writer.Reset(&out)
-	if _, err := t.writer.Write(record); err != nil {
-		return nil, err
-	}
-	if err := t.writer.Close(); err != nil {
-		return nil, err
-	}
-	return out.Bytes(), nil
+	return deflateWith(t.writer, record)
 }
