drproxy: Give the answer after a stray one its own deadline

An answer that comes after a stray one, which bears another request's id, was awaited for 50 ms only. Change: each header has its own deadline.

--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -197,8 +197,8 @@
 			limit = t
 		}
 	}
-	_ = a.upstream.SetReadDeadline(limit)
 	for range maxMismatchedAnswers + 1 {
+		_ = a.upstream.SetReadDeadline(limit)
 		a.header = fasthttp.ResponseHeader{}
 		a.header.SetNoDefaultContentType(true)
 		if err := a.header.Read(a.upstream.reader); err != nil {
