drproxy: Look for a further runner for begun streams in a drain

A begun stream whose runner had broken off was refused as one that may outlast the VM, or as one whose client would no longer wait for the beginning of an answer. Change: checkDrain and giveUpAt leave begun streams, and requests that may have run, alone.

--- a/drproxy/drain_test.go
+++ b/drproxy/drain_test.go
@@ -72,3 +72,53 @@
 		})
 	}
 }
+
+// newMovedModelWorld returns a world whose only runner with the model breaks its streams off
+// after a pause and loses the model, which another runner holds 100 ms later.
+func newMovedModelWorld(pause time.Duration) *orderWorld {
+	const loadTime = 100 * time.Millisecond
+	var w *orderWorld
+	w = newScriptedWorld(func(conn *memoryConn, id string) {
+		parts := answerParts(id, "/stream/on/"+id, 0, answersWhole)
+		writeAll(conn, parts[0]+parts[1])
+		time.Sleep(pause)
+		w.describe(w.runners["3"], 2)
+		time.AfterFunc(loadTime, func() { w.describe(w.runners["4"], 3, "m") })
+		_ = conn.Close()
+	})
+	w.describe(w.runners["4"], 2)
+	w.view.SetForecast(drfleetview.Replica{Service: "llm", Model: "m"}, loadTime)
+	return w
+}
+
+// Guards against a stream that a VM in its drain ends although a further runner could soon
+// go on with it: its first runner broke off after the VM had begun to refuse what may
+// outlast it.
+func TestBegunStreamLooksForRunnerInDrain(t *testing.T) {
+	prepareBubble()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const late = 50 * time.Millisecond
+		w := newMovedModelWorld(late)
+		defer w.close(t)
+		w.server.StartDrain()
+		w.server.EndBy(time.Now().Add(late), time.Now().Add(500*time.Millisecond))
+		o, _ := w.ask("/stream/on/x", "x")
+		is.True(o.complete)
+		is.Equal(o.body, wholeBody("x", o.path))
+	})
+}
+
+// Guards against a stream that ends although a further runner could soon go on with it,
+// because its client would no longer wait for the beginning of an answer.
+func TestBegunStreamOutlastsPatience(t *testing.T) {
+	prepareBubble()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newMovedModelWorld(orderPatience)
+		defer w.close(t)
+		o, _ := w.ask("/stream/on/x", "x")
+		is.True(o.complete)
+		is.Equal(o.body, wholeBody("x", o.path))
+	})
+}
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -77,7 +77,7 @@
 // and no retry is allowed.
 func (x *exchange) nextAttempt(state *retryState, lastEvent int, firstByteTimeout time.Duration, onRefusal func(refusal)) *attempt {
 	for {
-		c, ref, result := x.pickRunner(state.tried)
+		c, ref, result := x.pickRunner(state)
 		switch result {
 		case clientGone:
 			x.handleClientGone()
@@ -90,7 +90,7 @@
 			onRefusal(blocked)
 			return nil
 		}
-		if late, ok := x.checkDrain(); !ok && state.possibleRuns == 0 {
+		if late, ok := x.checkDrain(state); !ok {
 			onRefusal(late)
 			return nil
 		}
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -30,13 +30,13 @@
 )
 
 // pickRunner returns a runner for the next attempt. If none holds the model, the
-// request waits for one until dradmission refuses it, it may outlast the draining
-// server, the server stops waiting or the client leaves. The refusal is set only
-// with the result refused.
-func (x *exchange) pickRunner(tried map[string]bool) (*drbalancer.Candidate, refusal, waitResult) {
+// request waits for one until dradmission refuses it, the server stops waiting or the
+// client leaves, and if no runner has run it yet, until it may outlast the draining
+// server. The refusal is set only with the result refused.
+func (x *exchange) pickRunner(state *retryState) (*drbalancer.Candidate, refusal, waitResult) {
 	s := x.server
 	p := x.replica()
-	request := x.balancerRequest(tried)
+	request := x.balancerRequest(state.tried)
 	changed := s.View.Changed()
 	if c := drbalancer.Choose(request, x.candidates(), true); c != nil {
 		return c, refusal{}, runnerFound
@@ -58,7 +58,7 @@
 	defer func() { x.waited += s.Clock.Since(began) }()
 	afterPause := rand.N(pauseSpread)
 	for {
-		if late, ok := x.checkDrain(); !ok {
+		if late, ok := x.checkDrain(state); !ok {
 			return nil, late, refused
 		}
 		decision := dradmission.Decide(x.waitingRequest(p, giveUpAt, afterPause))
@@ -100,9 +100,10 @@
 	return waiting
 }
 
-// giveUpAt returns when the client stops waiting for the beginning of its answer.
+// giveUpAt returns when the client stops waiting for the beginning of its answer, and the
+// timeout of the request once a stream has begun.
 func (x *exchange) giveUpAt() time.Time {
-	if x.route.Patience <= 0 {
+	if x.route.Patience <= 0 || x.answering.Load() {
 		return x.timeoutAt
 	}
 	return earlier(x.timeoutAt, x.start.Add(x.route.Patience))
