drproxy: End a silent run only once another one has begun

A VM that had heard nothing of a stream's runner for a second looked whether the retry budget had a retry and a runner a free slot, took neither, closed the connection to the silent runner and only then looked for another run. That one could be refused, fail, or find the budget empty. Class: something is given up before its replacement is there.

A begun stream that meets full runners is sent again until its timeout, as the budget allows; a runner that took over and is late is given up only with a retry in hand (later_try.go). Budget.Left has no caller any more.

--- a/drbalancer/budget.go
+++ b/drbalancer/budget.go
@@ -49,14 +49,6 @@
 	b.available = min(b.available+b.config.Share, b.config.Burst)
 }
 
-// Left reports whether the budget has a retry left, without taking it.
-func (b *Budget) Left() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.refill()
-	return b.available >= 1
-}
-
 // refill adds the retries that Floor grants for the time since the last call.
 // The caller holds mu.
 func (b *Budget) refill() {
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -53,7 +53,10 @@
 	closedHere atomic.Bool
 	// begun is set once the runner has sent an event with an id.
 	begun bool
-	ended bool
+	// withoutProgress is the number of bytes of comments and repeated events that the
+	// runner has sent since its last new event.
+	withoutProgress int
+	ended           bool
 	attemptOptions
 }
 
@@ -64,10 +67,16 @@
 	// firstByteTimeout bounds the wait for the header of the answer, counted
 	// from sentAt. With 0 only the request's timeout bounds it.
 	firstByteTimeout time.Duration
+	// mayGiveUp reports whether the attempt may end when firstByteTimeout has passed. It
+	// always may if this is nil.
+	mayGiveUp func() bool
 	// repeated is set if the runner has had this request before. A second copy
 	// of its first answer bears the same request ID, so it must not be able to
 	// arrive on the connection of this attempt.
 	repeated bool
+	// replaces is the attempt of a silent runner that this one is to replace, nil if
+	// there is none. It ends once this one has begun.
+	replaces *attempt
 }
 
 // startAttempt sends the request to a runner and reads the header of its
@@ -94,10 +103,9 @@
 	if err := a.send(); err != nil {
 		return a, err
 	}
-	if err := a.readHeader(); err != nil {
-		return a, err
-	}
-	return a, nil
+	err := a.readHeader()
+	a.upstream.extendDeadline = nil
+	return a, err
 }
 
 // connect takes a connection to the runner from the pool or opens one.
@@ -108,7 +116,8 @@
 	// Requests that must not be repeated get a new connection: the runner may
 	// close an idle one while the request is being sent, and then it is not known
 	// whether the request has run.
-	forceNew := a.repeated || !a.exchange.route.Idempotent()
+	// The connection of a run that is to replace a silent one must not be silent itself.
+	forceNew := a.repeated || a.replaces != nil || !a.exchange.route.Idempotent()
 	a.upstream, err = a.exchange.server.pool.get(ctx, a.runner.Address, forceNew)
 	return err
 }
@@ -198,7 +207,7 @@
 		}
 	}
 	for range maxMismatchedAnswers + 1 {
-		_ = a.upstream.SetReadDeadline(limit)
+		a.setHeaderDeadline(limit)
 		a.header = fasthttp.ResponseHeader{}
 		a.header.SetNoDefaultContentType(true)
 		if err := a.header.Read(a.upstream.reader); err != nil {
@@ -214,6 +223,7 @@
 		}
 		log.WithFields(log.Fields{"event": "stray-answer", "request-id": a.exchange.call.ID, "of": a.answer.RequestID,
 			"runner": a.runner.ID}).Warn("")
+		a.upstream.extendDeadline = nil
 		if err := a.skipBody(); err != nil {
 			return a.fail(err)
 		}
--- /dev/null
+++ b/drproxy/later_try.go
@@ -0,0 +1,64 @@
+package drproxy
+
+import "time"
+
+// This file holds the later tries of a stream that the client has begun to get, when no
+// earlier run of it goes on: a runner whose answer is late is kept until another one can
+// follow, and after a refusal the stream is sent again until its time passes.
+
+const (
+	// giveUpRecheck is how long a runner whose answer has not begun in time is left at work
+	// until the next check whether another one can take over.
+	giveUpRecheck = 200 * time.Millisecond
+	// laterTryPause is the pause before a begun stream is sent to a runner again after one
+	// has refused it.
+	laterTryPause = 150 * time.Millisecond
+)
+
+// setGiveUpDeadline makes reads of the header fail at limit, or later if the attempt may not
+// be given up then.
+func (a *attempt) setGiveUpDeadline(limit time.Time) {
+	a.upstream.extendDeadline = func() bool {
+		if a.mayGiveUp == nil || a.exchange.remaining() <= 0 || a.mayGiveUp() {
+			return false
+		}
+		_ = a.upstream.SetReadDeadline(earlier(a.exchange.timeoutAt, time.Now().Add(giveUpRecheck)))
+		return true
+	}
+	_ = a.upstream.SetReadDeadline(limit)
+}
+
+// mayGiveUp reports whether an attempt whose answer has not begun in time may end. If the
+// client has the header of the stream, nothing but a further attempt can follow, so mayGiveUp
+// takes the retry for that one first.
+func (st *stream) mayGiveUp(state *retryState) bool {
+	x := st.exchange
+	if st.first == nil || state.retryTaken {
+		return true
+	}
+	if state.possibleRuns+1 >= x.route.Attempts || st.successor(state) == nil {
+		return false
+	}
+	state.retryTaken = x.takeRetryFromBudget()
+	return state.retryTaken
+}
+
+// awaitLaterTry waits until a stream that the client has begun to get may be sent to a runner
+// again, after one has not run it: after laterTryPause, and once the retry budget has a
+// retry, unless the request was not sent at all. It returns false if the client leaves, or
+// the time of the stream passes.
+func (x *exchange) awaitLaterTry(notSent bool) bool {
+	for x.remaining() > laterTryPause+answerMargin {
+		t := x.server.Clock.NewTimer(laterTryPause)
+		select {
+		case <-t.C():
+		case <-x.conn.Done():
+			t.Stop()
+			return false
+		}
+		if notSent || x.takeRetryFromBudget() {
+			return true
+		}
+	}
+	return false
+}
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -38,6 +38,10 @@
 	unwanted int
 	// lastErr is why the last attempt that may have run gave no complete answer.
 	lastErr error
+	// mayGiveUp is the option of that name of all attempts.
+	mayGiveUp func() bool
+	// retryTaken is set if the next retry has been taken from the budget already.
+	retryTaken bool
 	// fallback is the last complete answer that reports a failure, nil if there is
 	// none. The client gets it unless a further attempt succeeds.
 	fallback *plainAnswer
@@ -54,7 +58,9 @@
 // tryRetry reports whether a failed request may be sent once more, and if so
 // takes a retry from the budget of its service.
 func (x *exchange) tryRetry(state *retryState) bool {
-	return x.mayRetry(state) && x.takeRetryFromBudget()
+	allowed := x.mayRetry(state) && (state.retryTaken || x.takeRetryFromBudget())
+	state.retryTaken = false
+	return allowed
 }
 
 // takeRetryFromBudget takes a retry from the service's budget and reports
@@ -95,7 +101,7 @@
 			return nil
 		}
 		tried := state.tried[c.Runner.ID]
-		options := attemptOptions{lastEvent: lastEvent, firstByteTimeout: firstByteTimeout, repeated: tried}
+		options := attemptOptions{lastEvent: lastEvent, firstByteTimeout: firstByteTimeout, mayGiveUp: state.mayGiveUp, repeated: tried}
 		state.tried[c.Runner.ID] = true
 		x.estimate = c.Estimate
 		a, err := x.startAttempt(c.Runner, options)
@@ -113,6 +119,9 @@
 			continue
 		case err == nil, errors.Is(err, errNotSent):
 			state.notRun++
+			if x.answering.Load() && x.awaitLaterTry(err != nil) {
+				continue
+			}
 			if state.notRun < maxNotRun && x.remaining() > answerMargin && (err != nil || x.takeRetryFromBudget()) {
 				continue
 			}
@@ -204,13 +213,17 @@
 }
 
 // readPlain reads the rest of the answer and ends the attempt. Answers with
-// status 5xx count as failures of the runner.
+// status 5xx count as failures of the runner. While the attempt that this one is to replace
+// goes on, the answer is a failure that must not keep that one's events waiting.
 func (a *attempt) readPlain() (*plainAnswer, error) {
 	x := a.exchange
 	limit := x.timeoutAt
 	if a.firstByteTimeout > 0 {
 		limit = earlier(limit, time.Now().Add(time.Duration(float64(x.remaining())*attemptShare)))
 	}
+	if a.replaces != nil && !a.replaces.ended {
+		limit = earlier(limit, time.Now().Add(skipTimeout))
+	}
 	_ = a.upstream.SetReadDeadline(limit)
 	b, err := a.readBody()
 	if err != nil {
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -14,7 +14,6 @@
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
-	"github.com/dotterelridge/dotterelridge/drbalancer"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drmetric"
 )
@@ -47,6 +46,7 @@
 	lastEvent        int
 	events           int      // number sent to the client by this VM
 	first            *attempt // whose header has been sent to the client, nil before
+	next             *attempt // that has taken over from the present one, nil if none has
 	chunks           io.WriteCloser
 	timeToFirstEvent time.Duration // from the request's arrival
 }
@@ -57,6 +57,7 @@
 func (x *exchange) serveStream() {
 	state := newRetryState()
 	st := &stream{exchange: x, lastEvent: x.call.LastEvent}
+	state.mayGiveUp = func() bool { return st.mayGiveUp(state) }
 	for {
 		a := x.nextStream(state, st)
 		if a == nil {
@@ -79,23 +80,23 @@
 		}
 		state.lastErr = err
 		log.WithFields(log.Fields{"event": "stream-broken", "request-id": x.call.ID, "runner": a.runner.ID,
-			"last-event": st.lastEvent, "events": st.events}).WithError(err).Warn("")
-		if !x.tryRetry(state) {
+			"last-event": st.lastEvent, "events": st.events, "draining": x.server.draining.Load()}).WithError(err).Warn("")
+		if st.next == nil && !x.tryRetry(state) {
 			st.abort(state)
 			return
 		}
 	}
 }
 
-// nextStream sends the request to the next runner and returns nil once the
-// exchange is over. A failure is answered by a refusal, or by closing the
+// nextStream returns the attempt that has taken over, or sends the request to the
+// next runner. It returns nil once the exchange is over. A failure is answered by a refusal, or by closing the
 // connection if the client already has the header.
 func (x *exchange) nextStream(state *retryState, st *stream) *attempt {
-	firstEventTimeout := time.Duration(0)
-	if x.firstByteTimeout(state) > 0 {
-		firstEventTimeout = firstEventFactor * x.route.Objective
+	if a := st.next; a != nil {
+		st.next = nil
+		return a
 	}
-	return x.nextAttempt(state, st.lastEvent, firstEventTimeout, func(response refusal) {
+	return x.nextAttempt(state, st.lastEvent, x.firstEventTimeout(state), func(response refusal) {
 		if st.first != nil {
 			state.lastErr = errors.Join(state.lastErr, errors.New(cmp.Or(response.reason, "no further attempt is allowed")))
 			st.abort(state)
@@ -105,6 +106,15 @@
 	})
 }
 
+// firstEventTimeout returns how long a further attempt at a stream may take to the
+// header of its answer, 0 for no bound if no attempt could follow it.
+func (x *exchange) firstEventTimeout(state *retryState) time.Duration {
+	if x.firstByteTimeout(state) == 0 {
+		return 0
+	}
+	return firstEventFactor * x.route.Objective
+}
+
 // continuedBy reports whether the answer to an attempt may go on with what the client
 // has of the stream. A text about an error may come with status 200.
 func (st *stream) continuedBy(a *attempt) bool {
@@ -131,22 +141,9 @@
 	return true
 }
 
-// canFailOver reports whether the stream may continue on a new attempt: the
-// route, the remaining time and the retry budget allow it, and a runner can start
-// it at once. That may be the same runner, if only the connection to it is silent.
-// It takes nothing from the budget.
-func (st *stream) canFailOver(state *retryState) bool {
-	x := st.exchange
-	if !x.mayRetry(state) || !x.server.Budgets.Of(x.service.Name).Left() {
-		return false
-	}
-	c := drbalancer.Choose(x.balancerRequest(state.tried), x.candidates(), true)
-	return c != nil && c.HasFreeSlot()
-}
-
 // relay passes the events of one attempt on to the client until the stream ends
-// or breaks off. A silent runner may be merely slow, so it is given up only if
-// the stream can continue on another attempt.
+// or breaks off. A silent runner may be merely slow, so it is given up only when
+// another run has taken over.
 func (st *stream) relay(state *retryState, a *attempt) error {
 	x := st.exchange
 	r := &eventReader{exchange: x, reader: bufio.NewReaderSize(a.body(), readBuffer)}
@@ -158,20 +155,19 @@
 		_ = a.upstream.SetReadDeadline(limit)
 	}
 	a.upstream.extendDeadline = func() bool {
-		if x.remaining() <= 0 || st.canFailOver(state) {
+		if x.remaining() <= 0 || st.tryTakeOver(state, a) {
 			return false
 		}
 		setDeadline()
 		return true
 	}
 	setDeadline()
-	withoutProgress := 0
 	for {
 		event, err := r.next()
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			return st.complete(a)
 		}
-		if withoutProgress += len(event); err == nil && withoutProgress > maxBytesWithoutProgress {
+		if a.withoutProgress += len(event); err == nil && a.withoutProgress > maxBytesWithoutProgress {
 			err = errNoProgress
 		}
 		if err != nil {
@@ -197,7 +193,7 @@
 			// Only a new event is progress: a stalled runner may go on sending
 			// comments or events that the client has already.
 			st.lastEvent = id
-			withoutProgress = 0
+			a.withoutProgress = 0
 			setDeadline()
 		}
 	}
