drproxy: Log why a begun stream got no further run, and what a stop cut

Change: stream-aborted has `denied` and `draining`; requests whose connection this VM closed at its end are logged as request-cut instead of client-gone.

--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -36,8 +36,10 @@
 	possibleRuns, notRun int
 	// unwanted counts the runners that were connected to and then not wanted.
 	unwanted int
-	// lastErr is why the last attempt that may have run gave no complete answer.
+	// lastErr is why the last attempt that may have run gave no complete answer, and
+	// denied why no further attempt followed it.
 	lastErr error
+	denied  denial
 	// mayGiveUp is the option of that name of all attempts.
 	mayGiveUp func() bool
 	// retryTaken is set if the next retry has been taken from the budget already.
@@ -51,16 +53,17 @@
 
 // mayRetry reports whether the route and the remaining time allow that one more
 // runner runs the request. It does not look at the retry budget.
-func (x *exchange) mayRetry(state *retryState) bool {
-	return x.route.Idempotent() && state.possibleRuns < x.route.Attempts && x.remaining() >= answerMargin && !x.mustGiveUp()
-}
+func (x *exchange) mayRetry(state *retryState) bool { return x.retryDenial(state) == notDenied }
 
 // tryRetry reports whether a failed request may be sent once more, and if so
 // takes a retry from the budget of its service.
 func (x *exchange) tryRetry(state *retryState) bool {
-	allowed := x.mayRetry(state) && (state.retryTaken || x.takeRetryFromBudget())
+	state.denied = x.retryDenial(state)
+	if state.denied == notDenied && !state.retryTaken && !x.takeRetryFromBudget() {
+		state.denied = overRetryBudget
+	}
 	state.retryTaken = false
-	return allowed
+	return state.denied == notDenied
 }
 
 // takeRetryFromBudget takes a retry from the service's budget and reports
@@ -162,7 +165,17 @@
 // closed its connection.
 func (x *exchange) handleClientGone() {
 	x.keepAlive = false
-	x.logEnd("client-gone", 0, nil)
+	x.logGone(0, "")
+}
+
+// logGone logs a request whose client's connection ended before its answer did. status is
+// that of the answer, 0 if none has begun.
+func (x *exchange) logGone(status int, detail string) {
+	event := "client-gone"
+	if x.server.closed.Load() {
+		event = "request-cut"
+	}
+	x.logEnd(event, status, log.Fields{"detail": detail})
 }
 
 // firstByteTimeout returns how long an attempt may take to the first byte of
@@ -265,7 +278,7 @@
 	x.runner = answer.runner
 	if err != nil {
 		x.keepAlive = false
-		x.logEnd("client-gone", h.StatusCode(), log.Fields{"detail": err.Error()})
+		x.logGone(h.StatusCode(), err.Error())
 		return
 	}
 	x.recordServed(h.StatusCode(), log.Fields{"bytes": len(answer.body)})
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -80,6 +80,7 @@
 	prompts  *keptPrompts
 	memory   memoryBudget
 	draining atomic.Bool
+	closed   atomic.Bool
 	// drainEnd is nil until EndBy has been called.
 	drainEnd atomic.Pointer[drainTimes]
 	// freshness is the maximum age of the configuration at which requests with
@@ -157,6 +158,7 @@
 // Close closes all connections, those of clients and the pooled ones to
 // runners. Requests in progress fail.
 func (s *Server) Close() {
+	s.closed.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -373,5 +373,6 @@
 	if state.lastErr != nil {
 		detail = state.lastErr.Error()
 	}
-	x.logEnd("stream-aborted", fasthttp.StatusOK, log.Fields{"detail": detail, "events": st.events, "last-event": st.lastEvent})
+	x.logEnd("stream-aborted", fasthttp.StatusOK, log.Fields{"detail": detail, "events": st.events, "last-event": st.lastEvent,
+		"denied": state.denied.String(), "draining": x.server.draining.Load()})
 }
