dredge: Count connections without a handler in a drain

Change: Drain asks the listener, too; `stopped` has `connections` and `accepted`. TestDrainCountsConnectionWithoutHandler.

--- a/dredge/drain.go
+++ b/dredge/drain.go
@@ -55,13 +55,14 @@
 			e.proxy.EndWaiting()
 		}
 		e.proxy.CloseIdle()
-		if e.proxy.Connections() == 0 {
+		if e.openConnections() == 0 {
 			break
 		}
 		_ = e.Clock.Sleep(e.ctx, drainPollInterval)
 	}
 	e.answerRest(deadline)
-	log.WithFields(log.Fields{"event": "stopped", "vm": e.Settings.VM, "cut": e.proxy.Busy(), "took": e.Clock.Since(start)}).Info("")
+	log.WithFields(log.Fields{"event": "stopped", "vm": e.Settings.VM, "cut": e.proxy.Busy(), "connections": e.proxy.Connections(),
+		"accepted": e.callerListener.Connections(), "took": e.Clock.Since(start)}).Info("")
 	return e.Close()
 }
 
@@ -69,16 +70,23 @@
 // begun, so that they learn more than the end of their connection tells. Answers that
 // have begun go on until the deadline.
 func (e *Edge) answerRest(deadline time.Time) {
-	if e.proxy.Connections() == 0 {
+	if e.openConnections() == 0 {
 		return
 	}
 	e.proxy.EndUnanswered()
-	for e.proxy.Connections() > 0 && e.Clock.Now().Before(deadline) {
+	for e.openConnections() > 0 && e.Clock.Now().Before(deadline) {
 		e.proxy.CloseIdle()
 		_ = e.Clock.Sleep(e.ctx, lastAnswerPoll)
 	}
 }
 
+// openConnections returns the number of connections of callers. It includes those that
+// were accepted and have no handler yet, and those whose caller has left while a request
+// of it still runs.
+func (e *Edge) openConnections() int {
+	return max(e.callerListener.Connections(), e.proxy.Connections())
+}
+
 // closeTimeout is how long Close waits for the controller node and for each
 // listener. All waits together must fit into exitMargin.
 const closeTimeout = 100 * time.Millisecond
