drgateway: Refuse requests on open connections once drained

Cause: docs/incidents/silent-runners-in-drain.md: `serve` took requests on kept connections after its drain had found none. Change: once Drain has returned without an error, such requests are refused as not run.

--- a/drgateway/server.go
+++ b/drgateway/server.go
@@ -28,6 +28,8 @@
 
 	mu     sync.Mutex
 	closed bool
+	// drained is set once Drain has found no request running. Further ones are refused.
+	drained bool
 	// conns holds the open connections. The value is true while a request is
 	// read, served or answered on the connection; busyConns counts those.
 	conns           map[net.Conn]bool
@@ -114,11 +116,11 @@
 }
 
 // startRequest counts a request as running. It returns false, without counting,
-// after Close.
+// after a successful Drain and after Close.
 func (s *Server) startRequest() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.closed || s.drained {
 		return false
 	}
 	s.runningRequests++
@@ -138,7 +140,8 @@
 
 // Drain calls StartDrain and waits until no request is running and no response is
 // being written. It returns an error if ctx ends first. Requests that arrive on open
-// connections are still served, unless their timeout passes after the deadline of ctx.
+// connections are still served, unless their timeout passes after the deadline of ctx;
+// those that arrive after Drain has returned without an error are refused.
 func (s *Server) Drain(ctx context.Context) error {
 	s.StartDrain()
 	if deadline, ok := ctx.Deadline(); ok {
@@ -148,6 +151,7 @@
 	for {
 		s.mu.Lock()
 		idle, done := s.idle, s.busyConns == 0 && s.runningRequests == 0
+		s.drained = s.drained || done
 		s.mu.Unlock()
 		if done {
 			return nil
