drnet: Take no unread input for a timeout when the event loop is starved

Change: AwaitData looks into the socket when its deadline has passed, and waits for the event loop if there is something to take.

--- a/drnet/conn.go
+++ b/drnet/conn.go
@@ -261,13 +261,33 @@
 		if err != nil || !arrivedAt.IsZero() {
 			return arrivedAt, err
 		}
-		if expired {
+		switch {
+		case !expired:
+			c.awaitChange()
+		case c.hasUnreadInput():
+			c.awaitEventLoop()
+		default:
 			return time.Time{}, c.opError("read", os.ErrDeadlineExceeded)
 		}
-		c.awaitChange()
 	}
 }
 
+// awaitEventLoop waits, whatever the read deadline, until the event loop has taken data from
+// the socket or closed it.
+func (c *conn) awaitEventLoop() {
+	select {
+	case <-c.readable:
+	case <-c.localClosed:
+	}
+}
+
+// hasUnreadInput reports whether the event loop has something to take from the socket.
+func (c *conn) hasUnreadInput() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && !c.gnetClosed && !c.readPaused && hasInput(c.fd)
+}
+
 // oldestData returns when the oldest unread data was received, the zero time if
 // there is none yet, or the error of a read.
 func (c *conn) oldestData() (time.Time, error) {
--- a/drnet/epoll.go
+++ b/drnet/epoll.go
@@ -45,3 +45,11 @@
 	n, err := unix.Poll(fds, 0)
 	return err == nil && n > 0
 }
+
+// hasInput reports whether data or the end of the connection can be read from the socket fd.
+// It does not block.
+func hasInput(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0
+}
