drproxy: Keep half of a runner's connections free of idle ones

Change: all VMs together keep at most half of a runner's `connection_limit`, which the service in the configuration states, idle.

--- a/drfleet/service.go
+++ b/drfleet/service.go
@@ -12,6 +12,9 @@
 	// bound.
 	ColdStart time.Duration
 	ColdRate  float64
+	// ConnectionLimit is how many connections a runner accepts from all VMs together, 0
+	// if that is not known. It resets those beyond.
+	ConnectionLimit int
 }
 
 // Engine describes the model engines of a service, which are all alike.
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -304,7 +304,7 @@
 	a.ended = true
 	a.activeRequest.End(result)
 	a.stopWatching()
-	a.exchange.server.pool.put(a.upstream, a.answer, &a.header)
+	a.exchange.server.pool.put(a.upstream, a.answer, &a.header, a.exchange.maxIdle())
 }
 
 // handleNotExecuted reports whether the answer says that the runner has not run
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -244,6 +244,14 @@
 	return p
 }
 
+// maxIdle returns how many idle connections this VM may keep to a runner of the service.
+func (x *exchange) maxIdle() int {
+	if x.service.ConnectionLimit <= 0 {
+		return maxIdlePerRunner
+	}
+	return maxIdle(x.service.ConnectionLimit, x.server.Allowances.VMs())
+}
+
 // remaining returns the time until the request's timeout; it is negative after
 // the timeout.
 func (x *exchange) remaining() time.Duration { return x.timeoutAt.Sub(x.server.Clock.Now()) }
--- a/drproxy/server_test.go
+++ b/drproxy/server_test.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drmetric"
+	"github.com/dotterelridge/dotterelridge/drtokenpool"
 )
 
 // stubWire is a Wire that reads and adds no headers.
@@ -34,7 +35,7 @@
 func newTestServer() *Server {
 	log.SetHandler(discard.Default)
 	clock := drclock.System{}
-	return New(Config{Clock: clock, Wire: stubWire{}, View: drfleetview.New(clock), Metrics: drmetric.New()})
+	return New(Config{Clock: clock, Wire: stubWire{}, View: drfleetview.New(clock), Allowances: drtokenpool.NewAllowances(clock), Metrics: drmetric.New()})
 }
 
 // Guards against a draining VM that closes an idle connection on which a request
--- a/drproxy/upstream.go
+++ b/drproxy/upstream.go
@@ -28,6 +28,9 @@
 	// maxIdlePerRunner is how many idle connections are kept per runner address;
 	// the least recently used is closed first.
 	maxIdlePerRunner = 8
+	// idleShare is the part of the connections that a runner accepts which all VMs
+	// together may leave idle.
+	idleShare = 0.5
 )
 
 // upstream is a connection to a runner. It carries one request at a time, and
@@ -150,10 +153,17 @@
 	}
 }
 
-// put returns a connection to the pool after a complete answer. It closes the
-// connection instead if the answer, its idle timeout or the state of the
-// connection does not permit reuse. The caller must not use conn afterwards.
-func (p *pool) put(conn *upstream, answer Answer, header *fasthttp.ResponseHeader) {
+// maxIdle returns how many idle connections one of the VMs may keep to a runner that accepts
+// connectionLimit connections from all of them.
+func maxIdle(connectionLimit, vms int) int {
+	return min(int(idleShare*float64(connectionLimit))/max(vms, 1), maxIdlePerRunner)
+}
+
+// put returns a connection to the pool after a complete answer, which then keeps at most
+// limit connections to the runner. It closes the connection instead if the answer, its idle
+// timeout or the state of the connection does not permit reuse. The caller must not use conn
+// afterwards.
+func (p *pool) put(conn *upstream, answer Answer, header *fasthttp.ResponseHeader, limit int) {
 	idle := defaultIdleReuse
 	if answer.Idle > 0 {
 		idle = answer.Idle - idleMargin
@@ -170,7 +180,7 @@
 		return
 	}
 	us := append(p.idle[conn.address], conn)
-	if len(us) > maxIdlePerRunner {
+	for len(us) > limit {
 		_ = us[0].Close()
 		us = us[1:]
 	}
--- a/drproxy/upstream_test.go
+++ b/drproxy/upstream_test.go
@@ -29,7 +29,7 @@
 	u.acquireReader()
 	runner := &drfleet.Runner{ID: "r", Address: "r"}
 	a := &attempt{
-		exchange:      &exchange{server: s, conn: &clientConn{Conn: &hangingUpConn{done: done}}, route: &drfleet.Route{Kind: drfleet.Safe}},
+		exchange:      &exchange{server: s, conn: &clientConn{Conn: &hangingUpConn{done: done}}, route: &drfleet.Route{Kind: drfleet.Safe}, service: &drfleet.Service{}},
 		runner:        runner,
 		activeRequest: s.View.Begin(runner, drfleetview.Replica{}),
 		upstream:      u,
@@ -86,7 +86,32 @@
 		conn, runner := newMemoryPipe()
 		u.Conn = conn
 		writeAll(runner, "HTTP/1.1 200 a second copy")
-		s.pool.put(u, Answer{}, &a.header)
+		s.pool.put(u, Answer{}, &a.header, maxIdlePerRunner)
 		is.True(s.pool.takeIdle("r") == nil)
 	})
 }
+
+// Guards against idle connections of a large fleet that take all that a runner accepts, so
+// that it resets the connections of requests that may run only once.
+func TestIdleConnectionsLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	for _, vms := range []int{0, 1, 16, 100, 300, 410, 1000} {
+		for _, limit := range []int{1, 100, 712, 100_000} {
+			idle := maxIdle(limit, vms)
+			is.True(idle <= maxIdlePerRunner)
+			is.True(2*vms*idle <= limit) // half of them remain for requests
+		}
+	}
+	is.Equal(maxIdle(712, 16), maxIdlePerRunner)
+
+	s := newTestServer()
+	s.Allowances.AssumeVMs(100)
+	for range 3 {
+		a := finishedAttempt(s, make(chan struct{}))
+		a.exchange.service = &drfleet.Service{ConnectionLimit: 400}
+		a.finish(drfleetview.Succeeded)
+	}
+	is.True(s.pool.takeIdle("r") != nil)
+	is.True(s.pool.takeIdle("r") != nil)
+	is.True(s.pool.takeIdle("r") == nil)
+}
