drcontroller: Read the runner table from the store page by page

Cause: docs/design/fleet-size.md. Without a controller 300 VMs read 3,000 entries each. A read whose time is over before it is complete and that begins anew after each failure never ends: all of them together keep the store busy for good, and no controller can read.

--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -153,11 +153,11 @@
 	return n.fleet.clock.Sleep(ctx, max(left, 0))
 }
 
-func (n *testNode) Newest(ctx context.Context, t drstore.Topic) (drstore.Page, error) {
+func (n *testNode) Newest(ctx context.Context, t drstore.Topic, after string) (drstore.Page, error) {
 	if err := n.countStoreCall(t); err != nil {
 		return drstore.Page{}, err
 	}
-	return n.fleet.store.Newest(ctx, t)
+	return n.fleet.store.Newest(ctx, t, after)
 }
 
 func (n *testNode) Read(ctx context.Context, t drstore.Topic, from int64, wait time.Duration) (drstore.Page, error) {
--- a/drcontroller/lease_loop.go
+++ b/drcontroller/lease_loop.go
@@ -199,7 +199,7 @@
 	if known {
 		n.Allowances.AssumeVMs(l.VMs)
 		n.mu.Lock()
-		n.maxProcessor = max(n.maxProcessor, l.MostProcessor)
+		n.maxProcessor, n.recordedRunners = max(n.maxProcessor, l.MostProcessor), l.Runners
 		n.mu.Unlock()
 	}
 	switch {
--- /dev/null
+++ b/drcontroller/newest_read.go
@@ -0,0 +1,112 @@
+package drcontroller
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drstore"
+)
+
+// maxReadPause is how long after its last page a read of the newest records may go on. It is
+// above two turns in a fleet of 1,000 VMs and the timeout between them, because a read that
+// begins anew each time would never end.
+const maxReadPause = time.Minute
+
+// newestRead is a read of the newest entries of the runners, page by page. What it has read
+// stays read if a page fails, so that it ends however slow the store is.
+type newestRead struct {
+	// next is the offset from which the history goes on, and sentAt the uptime at which the
+	// first page was asked for.
+	next   int64
+	sentAt time.Duration
+	// after is the key after which the next page begins, and pageAt the uptime at which the
+	// last one arrived. entries counts its records, and took sums the time of all pages.
+	after   string
+	pageAt  time.Duration
+	entries int
+	took    time.Duration
+	// listed is the set of runners on the pages so far, and known that of the runners that
+	// were known before the first one.
+	listed, known map[string]bool
+}
+
+// reading reports whether a read of the newest entries has begun and not ended.
+func (r *reader) reading() bool { return r.newest != nil }
+
+// readNewestRunners reads the next page of the newest entries of the runners and applies it.
+// With the last page the view is complete as of the first one.
+func (r *reader) readNewestRunners(ctx context.Context) error {
+	now := r.clock.Uptime()
+	if r.newest == nil || now-r.newest.pageAt > maxReadPause || r.confirmedSince(r.newest.sentAt) {
+		r.newest = r.beginNewestRead(now)
+	}
+	read := r.newest
+	ctx, cancel := context.WithTimeout(ctx, r.runnersTimeout())
+	defer cancel()
+	page, err := r.log.Newest(ctx, drstore.Runners, read.after)
+	if err != nil {
+		return err
+	}
+	if read.after == "" {
+		read.next = page.Next
+	}
+	read.pageAt = r.clock.Uptime()
+	read.took += read.pageAt - now
+	read.after, read.entries = page.After, len(page.Records)
+	for _, rec := range page.Records {
+		read.listed[rec.Key] = true
+		r.noteWritten(rec, r.runners)
+		r.applyRunnerRecord(rec)
+	}
+	if page.After == "" {
+		r.endNewestRead(read)
+	}
+	return nil
+}
+
+// confirmedSince reports whether a controller's table is newer than an uptime. Pages from
+// then say nothing about the runners that it lists.
+func (r *reader) confirmedSince(sentAt time.Duration) bool {
+	_, age, _ := r.view.Ages()
+	return r.view.RunnersKnown() && r.clock.Uptime()-age > sentAt
+}
+
+// beginNewestRead returns a read that has read nothing.
+func (r *reader) beginNewestRead(now time.Duration) *newestRead {
+	read := &newestRead{sentAt: now, pageAt: now, listed: make(map[string]bool), known: make(map[string]bool)}
+	for _, known := range r.view.Runners("") {
+		read.known[known.ID] = true
+	}
+	return read
+}
+
+// endNewestRead removes the runners that were known before the read and have no entry.
+// Others may have come meanwhile.
+func (r *reader) endNewestRead(read *newestRead) {
+	for id := range read.known {
+		if !read.listed[id] {
+			r.dropRunner(id, read.sentAt)
+		}
+	}
+	r.removeLapsedRunners(read.sentAt)
+	r.strangers = slices.ContainsFunc(r.view.Runners(""), func(known *drfleet.Runner) bool {
+		return !read.listed[known.ID] && !read.known[known.ID]
+	})
+	maps.DeleteFunc(r.writtenSince, func(id string, _ time.Duration) bool { return !read.listed[id] })
+	log.WithFields(log.Fields{"event": "runners-read", "entries": len(read.listed), "took": read.took, "began-ago": read.pageAt - read.sentAt}).Info("")
+	r.runners = position{next: read.next, started: true, readAt: read.sentAt}
+	r.runnersTook, r.newest = read.took, nil
+	r.view.ConfirmRunners(read.sentAt)
+}
+
+// noteWritten records that a runner has written its entry since the last complete read.
+func (r *reader) noteWritten(rec drstore.Record, last position) {
+	if last.started && rec.Offset >= last.next && len(rec.Value) > 0 {
+		r.writtenSince[rec.Key] = last.readAt
+	}
+}
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -101,6 +101,8 @@
 	// maxProcessor is the part of a core that the strongest VM may use, 0 until
 	// the controller or the lease has told it.
 	maxProcessor float64
+	// recordedRunners is the number of runners by the lease, 0 if it states none.
+	recordedRunners int
 
 	// distance is that to the controller, which claims on tokens measure.
 	distance distance
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -55,6 +54,11 @@
 	patience time.Duration
 	// runnersTook is how long the last successful read of the runners took.
 	runnersTook time.Duration
+	// newest is the read of the runners' newest entries that has begun, or nil.
+	newest *newestRead
+	// strangers is set if a controller has named runners during the last read of the newest
+	// entries that were not on its pages. They may have left before it.
+	strangers bool
 	// lapsed contains the runners whose entries may have expired during or shortly
 	// after an outage of the store, with the uptime at which they are removed.
 	lapsed map[string]time.Duration
@@ -90,36 +94,56 @@
 	}
 }
 
-// readTopic reads a topic from the position to its end, or only its newest
-// records if history is not wanted, it has not been read yet or the records at
-// the position have expired. fromNewest is set in the latter cases.
-func (r *reader) readTopic(ctx context.Context, topic drstore.Topic, pos *position, history bool, wait time.Duration) (records []drstore.Record, fromNewest bool, err error) {
-	for history && pos.started {
+// readHistory reads a topic from the position to its end. kept is false if the records at
+// the position have expired. The position moves only with a complete read, because the
+// records of the pages before a failed one are not applied.
+func (r *reader) readHistory(ctx context.Context, topic drstore.Topic, pos *position, wait time.Duration) (records []drstore.Record, kept bool, err error) {
+	for next := pos.next; ; {
 		sent := r.clock.Uptime()
-		page, err := r.log.Read(ctx, topic, pos.next, wait)
+		page, err := r.log.Read(ctx, topic, next, wait)
 		if _, expired := errors.AsType[*drstore.ExpiredError](err); expired {
-			log.WithFields(log.Fields{"event": "store-records-expired", "topic": topic, "offset": pos.next}).Info("")
-			break
+			log.WithFields(log.Fields{"event": "store-records-expired", "topic": topic, "offset": next}).Info("")
+			return nil, false, nil
 		}
 		if err != nil {
 			return nil, false, err
 		}
-		pos.next, pos.readAt = page.Next, sent
+		next = page.Next
 		records = append(records, page.Records...)
 		// Pages are limited in size, so this one may not contain the newest
 		// records.
 		if page.Next >= page.End {
-			return records, false, nil
+			pos.next, pos.readAt = next, sent
+			return records, true, nil
 		}
 		wait = 0
 	}
+}
+
+// readDeploymentRecords reads the deployments topic from the position to its end, or only
+// its newest records if it has not been read yet or the records at the position have
+// expired. fromNewest is set in the latter cases.
+func (r *reader) readDeploymentRecords(ctx context.Context, wait time.Duration) (records []drstore.Record, fromNewest bool, err error) {
+	pos := &r.deployments
+	if pos.started {
+		records, kept, err := r.readHistory(ctx, drstore.Deployments, pos, wait)
+		if kept || err != nil {
+			return records, false, err
+		}
+	}
 	sent := r.clock.Uptime()
-	page, err := r.log.Newest(ctx, topic)
-	if err != nil {
-		return nil, false, err
+	var page drstore.Page
+	for first := true; first || page.After != ""; first = false {
+		if page, err = r.log.Newest(ctx, drstore.Deployments, page.After); err != nil {
+			return nil, false, err
+		}
+		if first {
+			*pos = position{next: page.Next, readAt: sent}
+		}
+		records = append(records, page.Records...)
 	}
-	pos.next, pos.started, pos.readAt = page.Next, true, sent
-	return page.Records, true, nil
+	pos.started = true
+	return records, true, nil
 }
 
 // readDeployment reads the configuration and waits up to wait for a newer one.
@@ -133,7 +157,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	sent := r.clock.Uptime()
-	records, fromNewest, err := r.readTopic(ctx, drstore.Deployments, &r.deployments, true, wait)
+	records, fromNewest, err := r.readDeploymentRecords(ctx, wait)
 	if err != nil {
 		return err
 	}
@@ -168,43 +192,52 @@
 	return nil
 }
 
-// readRunners updates the view with the runners' entries.
+// readRunners updates the view with the runners' entries: with the history since the last
+// read, or with the next page of the newest entries.
 func (r *reader) readRunners(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, r.runnersTimeout())
-	defer cancel()
-	sent := r.clock.Uptime()
-	last := r.runners
-	history := sent-last.readAt <= max(maxHistoryAge, historyReads*r.runnersTook)
-	records, fromNewest, err := r.readTopic(ctx, drstore.Runners, &r.runners, history, 0)
+	err := r.readRunnersHistory(ctx)
+	if errors.Is(err, errNoHistory) {
+		err = r.readNewestRunners(ctx)
+	}
 	if err != nil {
 		r.runnersFailedAt, r.runnersFailed = r.clock.Uptime(), true
 		r.patience = min(max(2*r.patience, readTimeout), maxReadPatience)
 		return err
 	}
-	r.runnersTook, r.patience = r.clock.Uptime()-sent, 0
-	listed := make(map[string]bool)
+	r.patience = 0
+	return nil
+}
+
+// errNoHistory means that the newest entries must be read instead of the history.
+var errNoHistory = errors.New("the history since the last read is too long or has expired")
+
+// readRunnersHistory updates the view with the entries since the last read.
+func (r *reader) readRunnersHistory(ctx context.Context) error {
+	sent, last := r.clock.Uptime(), r.runners
+	if r.reading() || r.strangers || !last.started || sent-last.readAt > max(maxHistoryAge, historyReads*r.runnersTook) {
+		return errNoHistory
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.runnersTimeout())
+	defer cancel()
+	records, kept, err := r.readHistory(ctx, drstore.Runners, &r.runners, 0)
+	if err == nil && !kept {
+		return errNoHistory
+	}
+	if err != nil {
+		return err
+	}
+	r.runnersTook = r.clock.Uptime() - sent
 	for _, rec := range records {
-		listed[rec.Key] = true
-		if last.started && rec.Offset >= last.next && len(rec.Value) > 0 {
-			r.writtenSince[rec.Key] = last.readAt
-		}
+		r.noteWritten(rec, last)
 		r.applyRunnerRecord(rec)
 	}
-	if fromNewest {
-		for _, known := range r.view.Runners("") {
-			if !listed[known.ID] {
-				r.dropRunner(known.ID)
-			}
-		}
-		maps.DeleteFunc(r.writtenSince, func(id string, _ time.Duration) bool { return !listed[id] })
-	}
-	r.removeLapsedRunners()
+	r.removeLapsedRunners(r.clock.Uptime())
 	r.view.ConfirmRunners(sent)
 	return nil
 }
 
-// runnersTimeout returns the timeout of one read of the runners, which may take many
-// pages.
+// runnersTimeout returns the timeout of one read of the runners: of the history, which may
+// take many pages, or of one page of the newest entries.
 func (r *reader) runnersTimeout() time.Duration {
 	return readTimeout + time.Duration(r.view.RunnerCount())*entryTimeout + r.patience
 }
@@ -214,7 +247,7 @@
 // and leaves the runner as it is.
 func (r *reader) applyRunnerRecord(rec drstore.Record) {
 	if len(rec.Value) == 0 {
-		r.dropRunner(rec.Key)
+		r.dropRunner(rec.Key, r.clock.Uptime())
 		return
 	}
 	runner, err := r.codec.Runner(rec.Key, rec.Value)
@@ -244,12 +277,12 @@
 
 // dropRunner removes a runner whose entry is gone from the view. It does so only
 // after lapsedEntryGrace if the entry may have expired during an outage of the
-// store.
-func (r *reader) dropRunner(id string) {
+// store. readAt is the uptime from which on the store was asked for the entry.
+func (r *reader) dropRunner(id string, readAt time.Duration) {
 	if _, known := r.view.Runner(id); !known {
 		return
 	}
-	if r.mayHaveLapsed(id) {
+	if r.mayHaveLapsed(id, readAt) {
 		r.keepLapsed(id)
 		return
 	}
@@ -259,10 +292,11 @@
 // mayHaveLapsed reports whether a runner's entry may have expired because the runner
 // could not write it: a read of the store has failed recently, too, and the runner has
 // been silent for long enough. A failed read alone is no sign of it, as the connection of
-// this VM may have broken while the store served the runners.
-func (r *reader) mayHaveLapsed(id string) bool {
+// this VM may have broken while the store served the runners. The failure may also have
+// come after readAt, between two pages.
+func (r *reader) mayHaveLapsed(id string, readAt time.Duration) bool {
 	now := r.clock.Uptime()
-	if !r.runnersFailed || now-r.runnersFailedAt >= lapsedEntryGrace {
+	if !r.runnersFailed || readAt-r.runnersFailedAt >= lapsedEntryGrace {
 		return false
 	}
 	since, known := r.writtenSince[id]
@@ -283,11 +317,11 @@
 	log.WithFields(fields).Info("")
 }
 
-// removeLapsedRunners removes the runners that have not written their entry
-// again within lapsedEntryGrace.
-func (r *reader) removeLapsedRunners() {
+// removeLapsedRunners removes the runners that have not written their entry again within
+// lapsedEntryGrace, by a complete read of the store as of an uptime.
+func (r *reader) removeLapsedRunners(asOf time.Duration) {
 	for id, at := range r.lapsed {
-		if r.clock.Uptime() >= at {
+		if asOf >= at {
 			delete(r.lapsed, id)
 			r.removeRunner(id, "entry not written again after the store recovered")
 		}
--- a/drcontroller/reader_test.go
+++ b/drcontroller/reader_test.go
@@ -162,8 +162,8 @@
 	delay time.Duration
 }
 
-func (s *slowLog) Newest(ctx context.Context, t drstore.Topic) (drstore.Page, error) {
-	page, err := s.Log.Newest(ctx, t)
+func (s *slowLog) Newest(ctx context.Context, t drstore.Topic, after string) (drstore.Page, error) {
+	page, err := s.Log.Newest(ctx, t, after)
 	s.clock.Suspend(s.delay)
 	return page, err
 }
@@ -234,6 +234,9 @@
 		w.store.Put(drstore.Runners, fmt.Sprint("r", i), []byte("1 1"))
 	}
 	is.NoErr(w.reader.readRunners(ctx))
+	for w.reader.reading() {
+		is.NoErr(w.reader.readRunners(ctx))
+	}
 	is.Equal(w.reader.runnersTimeout(), readTimeout+3000*entryTimeout)
 }
 
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -274,11 +274,20 @@
 	return maximum
 }
 
+// countRunners returns the number of known runners, or that of the former controller until
+// the table has been read: VMs that start meanwhile take their turns at the store by it.
+func (c *Controller) countRunners() int {
+	if n := c.view.RunnerCount(); c.view.RunnersKnown() {
+		return n
+	}
+	return c.Inherited.Runners
+}
+
 // Handover returns the state to store in the lease for the next controller.
 func (c *Controller) Handover() drlease.Handover {
 	c.mu.Lock()
 	now := c.Clock.Now()
-	handover := drlease.Handover{VMs: c.countReportingVMs(now), MostProcessor: c.maxProcessor(), Counted: now}
+	handover := drlease.Handover{VMs: c.countReportingVMs(now), Runners: c.countRunners(), MostProcessor: c.maxProcessor(), Counted: now}
 	c.mu.Unlock()
 	handover.Levels = c.pool.Levels()
 	if now.Sub(c.startedAt) < c.OrderPause {
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
 const (
@@ -33,6 +35,9 @@
 	// readTimePerEntry is the part of the store's time for reads that one VM's read
 	// of one runner's entry takes, with a margin for the controller's reads.
 	readTimePerEntry = 50 * time.Microsecond
+	// maxRush is how much of the store's time new processes may take at once. Below it
+	// they don't take turns for their first read, because their clients wait for it.
+	maxRush = time.Second
 )
 
 // readTurn spreads the reads of VMs that begin to read the runners at the same time.
@@ -166,7 +171,8 @@
 	return false
 }
 
-// runnersLoop reads the runners from the store whenever this VM must do so.
+// runnersLoop reads the runners from the store whenever this VM must do so. A VM that is not
+// the controller takes a turn for each page of the newest entries.
 func (n *Node) runnersLoop() {
 	unreachable := false
 	var b backoff
@@ -178,18 +184,48 @@
 		if !must {
 			turn.reset()
 		}
-		if !must || n.controller.Load() == nil && !turn.come(n.Clock.Uptime(), n.Allowances.VMs(), n.View.RunnerCount()) {
+		if !must || n.controller.Load() == nil && !turn.come(n.Clock.Uptime(), n.Allowances.VMs(), n.nextReadSize()) {
 			_ = n.Clock.Sleep(n.ctx, staleCheckInterval)
 			continue
 		}
 		err := n.reader.readRunners(n.ctx)
 		unreachable = n.logStoreState(unreachable, "runners", err)
-		pause := runnersPause
-		if err != nil {
-			pause = n.storeRetryPause(&b)
-		} else {
-			b.reset()
+		if n.reader.reading() {
+			turn.reset()
 		}
-		_ = n.Clock.Sleep(n.ctx, pause)
+		switch {
+		case err != nil:
+			_ = n.Clock.Sleep(n.ctx, n.storeRetryPause(&b))
+			continue
+		case !n.reader.reading():
+			_ = n.Clock.Sleep(n.ctx, runnersPause)
+		}
+		b.reset()
+	}
+}
+
+// nextReadSize returns how many entries of runners the next read of the store is expected
+// to bring. A process that knows no runner goes by the lease, also after its first page
+// has failed.
+func (n *Node) nextReadSize() int {
+	if n.reader.reading() && n.reader.newest.entries > 0 {
+		return n.reader.newest.entries
+	}
+	size := n.View.RunnerCount()
+	if size == 0 {
+		size = n.firstReadSize()
+	}
+	return min(size, drstore.NewestPageRecords)
+}
+
+// firstReadSize returns how many entries the first read of a process is expected to bring,
+// 0 if all VMs together may read them at once.
+func (n *Node) firstReadSize() int {
+	n.mu.Lock()
+	recorded := n.recordedRunners
+	n.mu.Unlock()
+	if rush := time.Duration(n.Allowances.VMs()*recorded) * readTimePerEntry; rush <= maxRush {
+		return 0
 	}
+	return recorded
 }
--- a/drlease/elector.go
+++ b/drlease/elector.go
@@ -39,6 +39,8 @@
 type Handover struct {
 	// VMs is the number of VMs that report to the holder, 0 if unknown.
 	VMs int
+	// Runners is the number of runners that the holder knows, 0 if unknown.
+	Runners int
 	// MostProcessor is the part of a core that the strongest of these VMs may
 	// use, 0 if unknown.
 	MostProcessor float64
@@ -59,7 +61,7 @@
 }
 
 func decodeHandover(message *drpb.FleetLease) Handover {
-	handover := Handover{VMs: int(message.GetVms()), MostProcessor: message.GetMostProcessor(), Counted: time.UnixMilli(message.GetCountedMs()),
+	handover := Handover{VMs: int(message.GetVms()), Runners: int(message.GetRunners()), MostProcessor: message.GetMostProcessor(), Counted: time.UnixMilli(message.GetCountedMs()),
 		RecentHolders: message.GetRecentHolders()}
 	if len(message.GetLevels()) > 0 {
 		handover.Levels = make(map[string]float64, len(message.GetLevels()))
@@ -265,7 +267,7 @@
 	l.VM, l.Address, l.Incarnation = e.config.VM, e.config.Address, e.config.Incarnation
 	message := &drpb.FleetLease{
 		Vm: l.VM, Address: l.Address, Incarnation: l.Incarnation, Term: l.Term, Released: l.Released, Yielded: l.Yielded, Vms: uint32(l.VMs),
-		CountedMs: l.Counted.UnixMilli(), MostProcessor: l.MostProcessor, RecentHolders: l.RecentHolders,
+		CountedMs: l.Counted.UnixMilli(), MostProcessor: l.MostProcessor, RecentHolders: l.RecentHolders, Runners: uint32(l.Runners),
 	}
 	for account, level := range l.Levels {
 		message.Levels = append(message.Levels, &drpb.FleetLevel{Account: account, Level: level})
--- a/drstandin/memory_store.go
+++ b/drstandin/memory_store.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,7 +92,7 @@
 }
 
 // Newest implements drstore.Log.
-func (m *MemoryStore) Newest(_ context.Context, t drstore.Topic) (drstore.Page, error) {
+func (m *MemoryStore) Newest(_ context.Context, t drstore.Topic, after string) (drstore.Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
@@ -103,10 +105,16 @@
 		newest[r.Key] = r
 	}
 	page := drstore.Page{Next: int64(len(topic.records)), End: int64(len(topic.records))}
-	for _, r := range newest {
-		if len(r.Value) > 0 {
-			page.Records = append(page.Records, r)
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		r := newest[key]
+		if key <= after && after != "" || len(r.Value) == 0 {
+			continue
 		}
+		if len(page.Records) == drstore.NewestPageRecords {
+			page.After = page.Records[drstore.NewestPageRecords-1].Key
+			break
+		}
+		page.Records = append(page.Records, r)
 	}
 	return page, nil
 }
--- a/drstore/store.go
+++ b/drstore/store.go
@@ -53,20 +53,26 @@
 	Value  []byte // empty in keyed topics if the key was deleted
 }
 
+// NewestPageRecords is how many records one page of Log.Newest has at most.
+const NewestPageRecords = 500
+
 // Page is the result of one read.
 type Page struct {
 	Records []Record
 	Next    int64 // offset to read from next
 	End     int64 // end of the topic
+	// After is the key after which a read of the newest records goes on, "" if it is
+	// complete.
+	After string
 }
 
 // Log reads and appends records. The offsets of a topic start at 0 and have no
 // gaps.
 type Log interface {
-	// Newest returns the newest record of each key. Page.Next is the offset
-	// from which to continue with Read; some of the returned records may be
-	// newer.
-	Newest(ctx context.Context, topic Topic) (Page, error)
+	// Newest returns the newest records of the first keys after one, in the order of the
+	// keys. The pages are no snapshot: Page.Next of the first one is the offset from which
+	// to continue with Read, and records of all pages may be newer.
+	Newest(ctx context.Context, topic Topic, after string) (Page, error)
 	// Read returns the records from an offset on. If there are none yet, it
 	// waits up to the given time for the first one.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Page, error)
