drcontroller: Log 100 changed runners of one read at most

Cause: a VM that starts in a large fleet learns of thousands of runners in one read; their lines would use up the rate of the log, so that those about the lease and the controller would be dropped. Change: a read of the store logs 100 lines `runner-changed` at most, then one `runners-changed` with the number of the others.

--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -68,6 +68,8 @@
 	// unreadable is the set of runners whose entries were logged as unreadable,
 	// so that each is logged only once.
 	unreadable map[string]bool
+	// changes logs what the read in progress has changed.
+	changes changeLog
 }
 
 // readerConfig configures a reader. Heartbeat is the interval at which runners
@@ -195,6 +197,7 @@
 // readRunners updates the view with the runners' entries: with the history since the last
 // read, or with the next page of the newest entries.
 func (r *reader) readRunners(ctx context.Context) error {
+	defer r.changes.end()
 	err := r.readRunnersHistory(ctx)
 	if errors.Is(err, errNoHistory) {
 		err = r.readNewestRunners(ctx)
@@ -269,9 +272,9 @@
 			"left": left, "offset": rec.Offset, "source": "store"}).Info("")
 	}
 	if !known || old.Started != runner.Started || old.Draining != runner.Draining {
-		log.WithFields(log.Fields{"event": "runner-changed", "runner": runner.ID, "service": runner.Service,
+		r.changes.add(log.Fields{"event": "runner-changed", "runner": runner.ID, "service": runner.Service,
 			"started": runner.Started, "draining": runner.Draining, "beat": runner.Beat, "offset": rec.Offset,
-			"source": "store"}).Info("")
+			"source": "store"})
 	}
 }
 
