drfleetview: Apply a changed zone-drain without a restart

Cause: a reload of the settings did not pass `zone-drain` on: the view and the reads of the store kept the former bound. Change: a reload applies it whole. A shorter one applies to zones that are out already, too, a longer one only to those that are taken out later (docs/design/places.md).

--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -44,9 +44,6 @@
 	// on this VM, and RunnerDrain the maximum time until this VM stops using a
 	// runner that leaves.
 	Propagation, RunnerDrain time.Duration
-	// ZoneDrain is the maximum time until this VM stops using an availability zone
-	// that was taken out of service, 0 for no bound.
-	ZoneDrain time.Duration
 	// ColdBound says how many requests a cold runner bears.
 	ColdBound drwarmup.Bound
 	// RunnerHeartbeat is the interval at which runners write their entries to the
@@ -115,7 +112,6 @@
 	n := &Node{Config: c, fullReport: true, leaderLost: make(chan struct{}, 1), leaderFound: make(chan struct{}, 1), syncWait: minSyncWait,
 		table: tableReceiver{view: c.View}}
 	n.reader = newReader(readerConfig{log: c.Log, codec: c.Codec, view: c.View, clock: c.Clock, heartbeat: c.RunnerHeartbeat})
-	c.View.SetZoneDrain(c.ZoneDrain)
 	n.elector = drlease.New(drlease.Config{
 		Log: c.Log, Uptime: c.Clock, VM: c.VM, Address: c.Address, Incarnation: c.Incarnation, TTL: LeaseTTL,
 	})
--- a/drcontroller/outage.go
+++ b/drcontroller/outage.go
@@ -89,8 +89,9 @@
 // deploymentBound is the time within which this VM must apply a change of the
 // deployments topic.
 func (n *Node) deploymentBound() time.Duration {
-	if n.ZoneDrain <= 0 {
+	zoneDrain := n.View.ZoneDrain()
+	if zoneDrain <= 0 {
 		return n.Propagation
 	}
-	return min(n.Propagation, n.ZoneDrain)
+	return min(n.Propagation, zoneDrain)
 }
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -126,10 +126,10 @@
 		Log: config.Platform.Log, Codec: config.Platform.Codec, Engines: config.Platform.Engines, Peers: e.peers, Registry: e.peers,
 		Metrics: e.metrics, View: e.view, Allowances: e.allowances, Crashes: e.crashes, OrderPause: time.Duration(settings.OrderPause),
 		Processor: settings.Processor, Propagation: time.Duration(settings.Propagation), RunnerDrain: time.Duration(settings.RunnerDrain),
-		RunnerHeartbeat: time.Duration(settings.Heartbeat), ZoneDrain: time.Duration(settings.ZoneDrain),
-		ColdBound: drwarmup.Bound{Overage: settings.ColdOverage, Slack: settings.ColdSlack},
+		RunnerHeartbeat: time.Duration(settings.Heartbeat), ColdBound: drwarmup.Bound{Overage: settings.ColdOverage, Slack: settings.ColdSlack},
 	})
 	e.allowances.SetSlack(settings.QuotaSlack)
+	e.view.SetZoneDrain(time.Duration(settings.ZoneDrain))
 	e.retryBudget.Store(&settings.RetryBudget)
 	e.budgets = drproxy.NewBudgets(e.vmRetryBudget(initialVMCount))
 	e.proxy = drproxy.New(drproxy.Config{
@@ -150,6 +150,7 @@
 func (e *Edge) applySettings(settings Settings) {
 	e.allowances.SetSlack(settings.QuotaSlack)
 	e.retryBudget.Store(&settings.RetryBudget)
+	e.view.SetZoneDrain(time.Duration(settings.ZoneDrain))
 	e.proxy.SetFreshness(settings.freshness())
 	e.budgets.Set(e.vmRetryBudget(e.allowances.VMs()))
 }
--- a/dredge/reload.go
+++ b/dredge/reload.go
@@ -15,7 +15,7 @@
 
 // WatchSettings applies changes of the settings file until ctx ends: at once when
 // hangUps receives a SIGHUP, otherwise within reloadInterval. Retry budget, quota slack,
-// revocation and log level take effect at once; other settings need a restart.
+// revocation, zone-drain and log level take effect at once; other settings need a restart.
 // A file with problems is logged and changes nothing.
 func (e *Edge) WatchSettings(ctx context.Context, path string, hangUps <-chan os.Signal) {
 	lastContent, err := os.ReadFile(path)
--- a/drfleetview/outage.go
+++ b/drfleetview/outage.go
@@ -14,11 +14,24 @@
 
 // SetZoneDrain sets the time within which a zone that was taken out of service must get no
 // more requests. Until then, less zoneMargin, its runners take those for which there are
-// no others. With 0 they take none from the moment on at which this VM learns of it.
+// no others. With 0 they take none from the moment on at which this VM learns of it. A
+// shorter time than before applies to the zones that are out of service already, too, a
+// longer one only to those that are taken out later.
 func (v *View) SetZoneDrain(bound time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	for zone := range v.closing {
+		v.closing[zone] -= max(v.zoneDrain-bound, 0)
+	}
 	v.zoneDrain = bound
+	v.notify()
+}
+
+// ZoneDrain returns the time that SetZoneDrain has set.
+func (v *View) ZoneDrain() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.zoneDrain
 }
 
 // OfferOutages merges what has been read or received about availability zones that are
--- a/drfleetview/outage_test.go
+++ b/drfleetview/outage_test.go
@@ -132,3 +132,29 @@
 	v.ConfirmDeployment(clock.Uptime())
 	is.True(!v.MayStart(runners[0]))
 }
+
+// Guards against a bound that is shortened while a zone is out of service, and a zone that
+// is used until the former one; and against a longer one that opens a zone again.
+func TestChangedBoundAppliesToZonesThatAreOut(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	v, runners := newZonedView(clock)
+	v.SetZoneDrain(8 * time.Second)
+	v.ConfirmDeployment(clock.Uptime())
+	v.OfferOutages(drzone.New(1, map[string]int64{"a": 0}))
+	changed := v.Changed()
+	v.SetZoneDrain(5 * time.Second)
+	select {
+	case <-changed: // requests that wait look again
+	default:
+		t.Error("requests that wait were not woken")
+	}
+	clock.Suspend(3999 * time.Millisecond)
+	is.True(v.MayStart(runners[0]))
+	clock.Suspend(time.Millisecond)
+	is.True(!v.MayStart(runners[0]))
+	v.SetZoneDrain(time.Minute)
+	is.True(!v.MayStart(runners[0]))
+	v.SetZoneDrain(0)
+	is.True(!v.MayStart(runners[0]))
+}
--- a/drmatrix/mutation.go
+++ b/drmatrix/mutation.go
@@ -47,6 +47,8 @@
 	{"zone", "the bound counts from the last confirmation", "drfleetview/outage.go", "`drfleetview.TestZoneIsUsedWhileItMayBe`"},
 	{"zone", "requests are refused while all zones are out", "dradmission/wait.go", "`dradmission.TestRefusesAtOnceWhileAllZonesAreOut`"},
 	{"zone", "load returns gradually", "drfleetview/outage.go", "`drfleetview.TestLoadReturnsGraduallyToZone`"},
+	{"zone", "a reload passes the bound on", "dredge/edge.go", "`dredge.TestReloadAppliesZoneDrainWhole`"},
+	{"zone", "a shorter bound applies to zones that are out", "drfleetview/outage.go", "`drfleetview.TestChangedBoundAppliesToZonesThatAreOut`"},
 	{"cold", "a request to a cold runner uses up a permit", "drfleetview/pause.go", "`drfleetview.TestColdRunnerNeedsPermits`"},
 	{"cold", "without a permit it is no candidate", "drfleetview/runner.go", "`drfleetview.TestColdRunnerNeedsPermits`"},
 	{"cold", "a zone that was taken back counts as cold", "drfleetview/outage.go", "`drfleetview.TestZoneTakenBackCountsAsCold`"},
