drscheduler: Load models in the homes of their requests

Cause: docs/design/places.md: plans did not know homes. A model that was held only outside the homes of the requests that wait for it counted as loaded, and they waited until they were refused; a cold runner at home, or one whose zone is about to close, was not offered while others were warm elsewhere. Change: the VM turns the homes of a request into zones, which are part of what it needs from a runner and travel in reports; plans count a model by the zones in which its requests may be served, and load it there.

--- a/drcontroller/cold_test.go
+++ b/drcontroller/cold_test.go
@@ -30,11 +30,19 @@
 	return w
 }
 
+// wantOfModelA returns a report with requests that wait for model a.
+func wantOfModelA(waiting, waitMs uint32) *drpb.FleetSyncRequest {
+	return &drpb.FleetSyncRequest{WaitMs: waitMs, Wants: []*drpb.FleetWant{
+		{Replica: &drpb.FleetReplica{Service: "llm", Model: "a"}, Waiting: waiting, ObjectiveLeftMs: 1000, DeadlineLeftMs: 9000},
+	}}
+}
+
 // syncWant sends a report of a VM with requests that wait for model a, and returns the
 // permits in the reply.
 func (w *controllerFixture) syncWant(vm string, waiting, waitMs uint32) (permits int) {
-	reply := w.controller.Sync(context.Background(), vm, 1, &drpb.FleetSyncRequest{Term: w.controller.Term, WaitMs: waitMs,
-		Wants: []*drpb.FleetWant{{Replica: &drpb.FleetReplica{Service: "llm", Model: "a"}, Waiting: waiting, ObjectiveLeftMs: 1000, DeadlineLeftMs: 9000}}})
+	request := wantOfModelA(waiting, waitMs)
+	request.Term = w.controller.Term
+	reply := w.controller.Sync(context.Background(), vm, 1, request)
 	for _, p := range reply.GetPermits() {
 		permits += int(p.GetPermits())
 		if p.GetLeftMs() < uint32(drwarmup.PermitTime.Milliseconds()) {
--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -97,7 +97,7 @@
 	running       runningTotals
 	tokens        tokensByRunner
 	runnerStates  map[string]*runnerState
-	demands       map[string]*demand
+	demands       map[drscheduler.Demand]*demand
 	storeLoads    loadRate
 	startedAt     time.Time
 	backlogs      map[string]modelBacklog // by service, as of its last plan
@@ -118,7 +118,7 @@
 func NewController(c ControllerConfig, v *drfleetview.View) *Controller {
 	controller := &Controller{
 		ControllerConfig: c, view: v, pool: drtokenpool.NewPool(c.Clock), crashes: drcrash.NewTally(c.Clock), planRequests: make(chan struct{}, 1),
-		vms: make(map[string]*vm), running: newRunningTotals(), tokens: make(tokensByRunner), runnerStates: make(map[string]*runnerState), demands: make(map[string]*demand),
+		vms: make(map[string]*vm), running: newRunningTotals(), tokens: make(tokensByRunner), runnerStates: make(map[string]*runnerState), demands: make(map[drscheduler.Demand]*demand),
 		backlogs: make(map[string]modelBacklog), warmups: drwarmup.NewBudget(c.ColdBound, c.Clock.Uptime()), table: newTableSender(v),
 		storeLoads: loadRate{createdAt: c.Clock.Now()}, startedAt: c.Clock.Now(), limitsVersion: -1,
 	}
--- a/drcontroller/controller_test.go
+++ b/drcontroller/controller_test.go
@@ -363,7 +363,7 @@
 	forecast := func(model string) time.Duration {
 		w.controller.mu.Lock()
 		defer w.controller.mu.Unlock()
-		return w.controller.forecastLoad("llm", model, w.controller.Clock.Now())
+		return w.controller.forecastLoad(drfleetview.Replica{Service: "llm", Model: model}, w.controller.Clock.Now())
 	}
 	eventually(t, "a model without a copy is expected from the store", func() bool { return forecast("d") >= time.Second })
 	is.True(forecast("c") < time.Second)
--- a/drcontroller/demand_test.go
+++ b/drcontroller/demand_test.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drmetric"
+	"github.com/dotterelridge/dotterelridge/drscheduler"
 )
 
 // Demand moves to a model within a second. Guards against a utilization that shows
@@ -49,7 +50,7 @@
 		state := func() float64 {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.demandOf("m").averageRunning, c.demandOf("m").averagedAt = 12, clock.Now()
+			c.demandOf(drscheduler.Demand{Model: "m"}).averageRunning, c.demandOf(drscheduler.Demand{Model: "m"}).averagedAt = 12, clock.Now()
 			return c.schedulerState(&drfleet.Service{Name: "llm", Engine: &drfleet.Engine{}}, clock.Now()).Work["m"]
 		}
 		is.Equal(state(), 0.5) // no VM at all
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -66,6 +66,12 @@
 	runner         string
 	started        int64
 	model, adapter string
+	zones          drfleet.Zones
+}
+
+// demand returns the demand that requests for the replica belong to.
+func (k replicaKey) demand() drscheduler.Demand {
+	return drscheduler.Demand{Model: k.model, Zones: k.zones}
 }
 
 // replicaUse is a VM's last reported use of a replica: the running requests and
@@ -90,12 +96,13 @@
 	byRunner  map[string]int
 	byModel   map[string]map[string]int                 // by runner ID and model
 	byAdapter map[string]map[drscheduler.AdapterKey]int // by runner ID and adapter
+	byDemand  map[drscheduler.Demand]int
 }
 
 func newRunningTotals() runningTotals {
 	return runningTotals{
 		byRunner: make(map[string]int), byModel: make(map[string]map[string]int),
-		byAdapter: make(map[string]map[drscheduler.AdapterKey]int),
+		byAdapter: make(map[string]map[drscheduler.AdapterKey]int), byDemand: make(map[drscheduler.Demand]int),
 	}
 }
 
@@ -113,6 +120,7 @@
 		t.byModel[key.runner], t.byAdapter[key.runner] = make(map[string]int), make(map[drscheduler.AdapterKey]int)
 	}
 	t.byModel[key.runner][key.model] += n
+	t.byDemand[key.demand()] += n
 	if key.adapter != "" {
 		t.byAdapter[key.runner][drscheduler.AdapterKey{Model: key.model, Adapter: key.adapter}] += n
 	}
@@ -242,7 +250,7 @@
 		v.resultsByRunner[u.GetRunner()] = resultCounters{u.GetSucceeded(), u.GetFailed()}
 		c.applyTokens(v, u)
 		for _, p := range u.GetReplicas() {
-			k := replicaKey{u.GetRunner(), u.GetStarted(), p.GetModel(), p.GetAdapter()}
+			k := replicaKey{u.GetRunner(), u.GetStarted(), p.GetModel(), p.GetAdapter(), decodeZones(p.GetZones())}
 			before := v.uses[k]
 			c.running.add(k, int(p.GetRunning())-before.running)
 			v.runningByRunner[k.runner] += int(p.GetRunning()) - before.running
@@ -274,7 +282,7 @@
 		return
 	}
 	if requests > 0 {
-		c.demandOf(key.model).add(requests, now)
+		c.demandOf(key.demand()).add(requests, now)
 	}
 	if key.adapter != "" && (requests > 0 || use.GetRunning() > 0) {
 		s.usedAdapter[drscheduler.AdapterKey{Model: key.model, Adapter: key.adapter}] = now
@@ -295,11 +303,11 @@
 	return float64(now - before)
 }
 
-func (c *Controller) demandOf(model string) *demand {
-	d, ok := c.demands[model]
+func (c *Controller) demandOf(key drscheduler.Demand) *demand {
+	d, ok := c.demands[key]
 	if !ok {
 		d = &demand{decayedAt: c.Clock.Now()}
-		c.demands[model] = d
+		c.demands[key] = d
 	}
 	return d
 }
@@ -310,27 +318,25 @@
 func (c *Controller) schedulerState(service *drfleet.Service, now time.Time) drscheduler.State {
 	state := drscheduler.State{
 		Now: now, Engine: service.Engine, Work: make(map[string]float64), Rate: make(map[string]float64),
-		Stored:     make(map[string]bool),
+		AtHome: make(map[drscheduler.Demand]drscheduler.Use), Stored: make(drscheduler.Copies),
 		StoreLoads: c.storeLoads.available(now),
 	}
-	byModel := make(map[string]int)
-	for _, models := range c.running.byModel {
-		for m, n := range models {
-			byModel[m] += n
-		}
-	}
 	slots, unheard := c.slotsOf(service.Name), c.unheardFactor(now)
-	for model, d := range c.demands {
+	for key, d := range c.demands {
 		d.decay(now)
-		d.averageIn(byModel[model], now)
-		state.Rate[model] = d.rate
-		state.Work[model] = d.utilization(slots) * unheard
+		d.averageIn(c.running.byDemand[key], now)
+		use := drscheduler.Use{Work: d.utilization(slots) * unheard, Rate: d.rate}
+		if key.Zones.Bind() {
+			state.AtHome[key] = use
+			continue
+		}
+		state.Rate[key.Model], state.Work[key.Model] = use.Rate, use.Work
 	}
 	paused, outages := c.runnersPausedForMost(service.Name, now), c.view.Outages()
 	for _, r := range c.view.Runners(service.Name) {
 		if !r.Draining && !outages.Has(r.Zone) {
 			for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
-				state.Stored[m] = true
+				state.Stored.Add(m, r.Zone)
 			}
 		}
 		tracked := c.runnerStates[r.ID]
@@ -400,11 +406,15 @@
 	}
 }
 
-// sumBacklogs sums the waiting requests of all VMs by model and adapter. The times
+// sumBacklogs sums the waiting requests of all VMs by model, adapter and zones. The times
 // left are reduced by the age of the reports.
 func (c *Controller) sumBacklogs(service string, now time.Time) []drscheduler.Backlog {
-	byAdapter := make(map[drscheduler.AdapterKey]*drscheduler.Backlog)
-	var order []drscheduler.AdapterKey
+	type waitingKey struct {
+		drscheduler.Demand
+		adapter string
+	}
+	byKey := make(map[waitingKey]*drscheduler.Backlog)
+	var order []waitingKey
 	for _, v := range c.vms {
 		if now.Sub(v.lastReportAt) > vmReportTimeout {
 			continue
@@ -417,8 +427,8 @@
 			age := now.Sub(v.wantsReceivedAt)
 			w.ObjectiveLeft -= age
 			w.DeadlineLeft -= age
-			key := drscheduler.AdapterKey{Model: w.Model, Adapter: w.Adapter}
-			if old := byAdapter[key]; old != nil {
+			key := waitingKey{drscheduler.Demand{Model: w.Model, Zones: w.Zones}, w.Adapter}
+			if old := byKey[key]; old != nil {
 				old.Waiting += w.Waiting
 				if w.ObjectiveLeft > 0 && (old.ObjectiveLeft <= 0 || w.ObjectiveLeft < old.ObjectiveLeft) {
 					old.ObjectiveLeft = w.ObjectiveLeft
@@ -427,13 +437,13 @@
 				old.Urgency = min(old.Urgency, w.Urgency)
 				continue
 			}
-			byAdapter[key] = &w
+			byKey[key] = &w
 			order = append(order, key)
 		}
 	}
 	var backlogs []drscheduler.Backlog
 	for _, k := range order {
-		backlogs = append(backlogs, *byAdapter[k])
+		backlogs = append(backlogs, *byKey[k])
 	}
 	return backlogs
 }
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -25,11 +25,20 @@
 }
 
 func encodeReplica(p drfleetview.Replica) *drpb.FleetReplica {
-	return &drpb.FleetReplica{Service: p.Service, Model: p.Model, Adapter: p.Adapter}
+	return &drpb.FleetReplica{Service: p.Service, Model: p.Model, Adapter: p.Adapter, Zones: p.Zones.Names()}
 }
 
 func decodeReplica(m *drpb.FleetReplica) drfleetview.Replica {
-	return drfleetview.Replica{Service: m.GetService(), Model: m.GetModel(), Adapter: m.GetAdapter()}
+	return drfleetview.Replica{Service: m.GetService(), Model: m.GetModel(), Adapter: m.GetAdapter(), Zones: decodeZones(m.GetZones())}
+}
+
+// decodeZones returns the zones in which requests may be served. None mean all: requests
+// that may be served nowhere are refused where they arrive.
+func decodeZones(names []string) drfleet.Zones {
+	if len(names) == 0 {
+		return drfleet.Zones{}
+	}
+	return drfleet.ZonesOf(names...)
 }
 
 func encodeWants(ws []drfleetview.DemandSummary) []*drpb.FleetWant {
@@ -45,7 +54,7 @@
 
 func decodeWant(m *drpb.FleetWant) (service string, backlog drscheduler.Backlog) {
 	return m.GetReplica().GetService(), drscheduler.Backlog{
-		Model: m.GetReplica().GetModel(), Adapter: m.GetReplica().GetAdapter(), Waiting: int(m.GetWaiting()),
+		Model: m.GetReplica().GetModel(), Adapter: m.GetReplica().GetAdapter(), Zones: decodeZones(m.GetReplica().GetZones()), Waiting: int(m.GetWaiting()),
 		ObjectiveLeft: time.Duration(m.GetObjectiveLeftMs()) * time.Millisecond,
 		DeadlineLeft:  time.Duration(m.GetDeadlineLeftMs()) * time.Millisecond, Urgency: int(m.GetUrgency()),
 	}
@@ -59,7 +68,7 @@
 		for _, p := range u.Replicas {
 			m.Replicas = append(m.Replicas, &drpb.FleetReplicaUse{
 				Model: p.Replica.Model, Adapter: p.Replica.Adapter, Running: uint32(p.Running), Requests: p.Requests,
-				Missing: p.Missing,
+				Missing: p.Missing, Zones: p.Replica.Zones.Names(),
 			})
 		}
 		out = append(out, m)
--- a/drcontroller/outage_test.go
+++ b/drcontroller/outage_test.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drscheduler"
 	"github.com/dotterelridge/dotterelridge/drstandin"
 	"github.com/dotterelridge/dotterelridge/drstore"
 	"github.com/dotterelridge/dotterelridge/drzone"
@@ -149,7 +150,7 @@
 		return s != nil && s.reported
 	})
 	w.controller.mu.Lock()
-	w.controller.demandOf("a").add(10, w.controller.Clock.Now())
+	w.controller.demandOf(drscheduler.Demand{Model: "a"}).add(10, w.controller.Clock.Now())
 	w.controller.mu.Unlock()
 	w.view.OfferOutages(drzone.New(1, map[string]int64{"": 0})) // that of r1
 	eventually(t, "a is loaded elsewhere", func() bool { return slices.Contains(w.engines.loadedModels("r2"), "a") })
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drlease"
 	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drscheduler"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
 )
 
@@ -238,12 +239,7 @@
 	now := c.Clock.Now()
 	c.fillLoads(name, request, reply)
 	for _, w := range request.GetWants() {
-		p := w.GetReplica()
-		expected, cold := c.forecastPermits(w)
-		if !cold {
-			expected = c.forecastLoad(p.GetService(), p.GetModel(), now)
-		}
-		reply.Forecasts = append(reply.Forecasts, &drpb.FleetForecast{Replica: p, ExpectedMs: uint32(milliseconds(expected))})
+		reply.Forecasts = append(reply.Forecasts, &drpb.FleetForecast{Replica: w.GetReplica(), ExpectedMs: uint32(milliseconds(c.forecast(w, now)))})
 	}
 	vms := c.countReportingVMs(now)
 	reply.MostProcessor = c.maxProcessor()
@@ -298,27 +294,59 @@
 
 // modelBacklog is what forecasts of a service's loads rest on.
 type modelBacklog struct {
-	count  int             // number of models and adapters that requests wait for
-	stored map[string]bool // models of which a runner has a local copy
+	count  int                // number of models and adapters that requests wait for
+	stored drscheduler.Copies // models of which a runner has a local copy
 	// copiesKnown is set if stored is complete.
 	copiesKnown bool
 	engine      *drfleet.Engine
 }
 
-// forecastLoad estimates the time until a model is loaded. Without a swap in
+// forecast estimates the time until the requests that wait for a replica can be served. The
+// caller holds mu.
+func (c *Controller) forecast(want *drpb.FleetWant, now time.Time) time.Duration {
+	replica := decodeReplica(want.GetReplica())
+	permitted, bounded := c.forecastPermits(want)
+	if !bounded {
+		return c.forecastLoad(replica, now)
+	}
+	if left, loading := c.loadLeft(replica, now); loading {
+		return min(permitted, left)
+	}
+	return permitted
+}
+
+// loadLeft returns the estimated time until a model is loaded where requests for a replica
+// may be served, and false if no load of it is in progress there. The caller holds mu.
+func (c *Controller) loadLeft(replica drfleetview.Replica, now time.Time) (left time.Duration, loading bool) {
+	for id, s := range c.runnerStates {
+		if replica.Model != "" && s.swap != nil && s.swap.Load == replica.Model && c.isIn(replica.Zones, id) {
+			return max(s.expectedDoneAt.Sub(now), 0), true
+		}
+	}
+	return 0, false
+}
+
+// isIn reports whether a runner is in one of the zones.
+func (c *Controller) isIn(zones drfleet.Zones, runner string) bool {
+	if !zones.Bind() {
+		return true
+	}
+	r, ok := c.view.Runner(runner)
+	return ok && zones.Allow(r.Zone)
+}
+
+// forecastLoad estimates the time until a replica's model is loaded. Without a swap in
 // progress it assumes that the current backlogs are spread evenly over the
 // runners, and that a model without a local copy comes from the weight store. The
 // caller holds mu.
-func (c *Controller) forecastLoad(service, model string, now time.Time) time.Duration {
-	for _, s := range c.runnerStates {
-		if s.swap != nil && s.swap.Load == model {
-			return max(s.expectedDoneAt.Sub(now), 0)
-		}
+func (c *Controller) forecastLoad(replica drfleetview.Replica, now time.Time) time.Duration {
+	if left, loading := c.loadLeft(replica, now); loading {
+		return left
 	}
-	b, engines := c.backlogs[service], max(len(c.runnerStates), 1)
+	b, engines := c.backlogs[replica.Service], max(len(c.runnerStates), 1)
 	expected := time.Duration(b.count+engines) * swapTime / time.Duration(engines)
-	if b.copiesKnown && !b.stored[model] {
-		expected = max(expected, b.engine.Models[model].FromStore+swapOverhead)
+	if b.copiesKnown && !b.stored.In(replica.Model, replica.Zones) {
+		expected = max(expected, b.engine.Models[replica.Model].FromStore+swapOverhead)
 	}
 	return expected
 }
--- a/drfleetview/excluded.go
+++ b/drfleetview/excluded.go
@@ -24,6 +24,8 @@
 		x := Excluded{Runner: e.runner.ID, Zone: e.runner.Zone, PauseLeft: e.pauseLeft(uptime)}
 		u := e.counters[replica]
 		switch {
+		case !replica.Zones.Allow(e.runner.Zone):
+			x.Why = "is outside the request's homes"
 		case e.runner.Draining:
 			x.Why = "drains"
 		case x.PauseLeft > 0:
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -14,9 +14,10 @@
 )
 
 // Replica names what a request needs from a runner: a service, and for services
-// with engines a model and optionally an adapter of it ("" for none).
+// with engines a model and optionally an adapter of it ("" for none), in one of the zones.
 type Replica struct {
 	Service, Model, Adapter string
+	Zones                   drfleet.Zones
 }
 
 // View is one VM's view of the fleet. It is safe for concurrent use.
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -234,10 +234,10 @@
 	return u
 }
 
-// replica returns what the request needs from a runner. For plain services only
-// the service is set.
+// replica returns what the request needs from a runner. For plain services no model is
+// set.
 func (x *exchange) replica() drfleetview.Replica {
-	p := drfleetview.Replica{Service: x.service.Name}
+	p := drfleetview.Replica{Service: x.service.Name, Zones: x.homes().Zones(x.server.Regions)}
 	if x.service.Engine != nil {
 		p.Model, p.Adapter = x.call.Model, x.call.Adapter
 	}
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -41,7 +41,7 @@
 	if c := drbalancer.Choose(request, x.candidates(), true); c != nil {
 		return c, refusal{}, runnerFound
 	}
-	if homeless, ok := x.refuseWithoutHome(); !ok {
+	if homeless, ok := x.refuseWithoutHome(p.Zones); !ok {
 		return nil, homeless, refused
 	}
 	giveUpAt := x.giveUpAt()
--- a/drscheduler/adapter.go
+++ b/drscheduler/adapter.go
@@ -27,8 +27,8 @@
 }
 
 // PlanAdapters returns the adapter loads to start now. It plans one load for
-// each adapter that requests wait for, unless a runner already holds or loads
-// the adapter or no runner holds its model.
+// each adapter that requests wait for, unless a runner that can serve them already holds
+// or loads the adapter or none holds its model.
 func PlanAdapters(s State) []AdapterSwap {
 	var swaps []AdapterSwap
 	added := make(map[string]int)
@@ -37,10 +37,12 @@
 			continue
 		}
 		key := AdapterKey{w.Model, w.Adapter}
-		if slices.ContainsFunc(s.Runners, func(r Runner) bool { return r.hasOrLoadsAdapter(key) }) {
+		served := func(r Runner) bool { return w.Zones.Allow(r.Zone) && r.hasOrLoadsAdapter(key) }
+		planned := func(a AdapterSwap) bool { return a.Load == key && w.Zones.Allow(a.Runner.Zone) }
+		if slices.ContainsFunc(s.Runners, served) || slices.ContainsFunc(swaps, planned) {
 			continue
 		}
-		if swap, ok := s.chooseAdapterSwap(key, added); ok {
+		if swap, ok := s.chooseAdapterSwap(key, w.Zones, added); ok {
 			added[swap.Runner.ID]++
 			swaps = append(swaps, swap)
 		}
@@ -59,16 +61,16 @@
 }
 
 // chooseAdapterSwap returns the adapter swap of the lowest cost over all
-// runners that hold the model: as a rule into a runner with a free slot, or else
+// runners in the zones that hold the model: as a rule into a runner with a free slot, or else
 // in place of the adapter that has been idle longest. added counts the adapter
 // loads that this plan has already assigned, by runner.
-func (s State) chooseAdapterSwap(key AdapterKey, added map[string]int) (AdapterSwap, bool) {
+func (s State) chooseAdapterSwap(key AdapterKey, zones drfleet.Zones, added map[string]int) (AdapterSwap, bool) {
 	var best AdapterSwap
 	var bestCost time.Duration
 	found := false
 	for i := range s.Runners {
 		r := &s.Runners[i]
-		if _, ok := r.Replica(key.Model); !ok || r.Draining || r.Busy {
+		if _, ok := r.Replica(key.Model); !ok || r.Draining || r.Busy || !zones.Allow(r.Zone) {
 			continue
 		}
 		if len(r.LoadingAdapters)+added[r.ID] >= maxAdapterLoads {
--- a/drscheduler/patience.go
+++ b/drscheduler/patience.go
@@ -16,38 +16,39 @@
 	patienceMargin = 750 * time.Millisecond
 )
 
-// evictionLimit returns the eviction loss that the load of a model may not reach.
-// Requests that might miss their objective otherwise may evict any idle model.
-func (p *planner) evictionLimit(model string, expected time.Duration, reason Reason) float64 {
+// evictionLimit returns the eviction loss that the load of a model for a demand may not
+// reach. Requests that might miss their objective otherwise may evict any idle model.
+func (p *planner) evictionLimit(d Demand, expected time.Duration, reason Reason) float64 {
 	switch {
 	case reason == Relocated:
-		return p.Rate[model]
+		return p.use(d).Rate
 	case reason != Wanted:
-		return p.replicaGain(model)
-	case p.canWait(model, expected+patienceMargin):
+		return p.replicaGain(d)
+	case p.canWait(d, expected+patienceMargin):
 		return patientEvictionLoss
 	}
 	return math.Inf(1)
 }
 
-// canWait reports whether all requests that wait for a model have more than a time
-// left until they miss their objective.
-func (p *planner) canWait(model string, left time.Duration) bool {
+// canWait reports whether all requests that wait for a load for a demand have more than a
+// time left until they miss their objective. Those that may be served in further zones
+// wait for it, too.
+func (p *planner) canWait(d Demand, left time.Duration) bool {
 	for _, w := range p.Backlogs {
-		if w.Model == model && w.ObjectiveLeft <= left {
+		if w.Model == d.Model && d.Zones.Within(w.Zones) && w.ObjectiveLeft <= left {
 			return false
 		}
 	}
 	return true
 }
 
-// canWaitForLoad reports whether all requests that wait for a model can wait longer
-// than its load takes.
-func (p *planner) canWaitForLoad(name string) bool {
-	model := p.Engine.Models[name]
+// canWaitForLoad reports whether all requests that wait for a load for a demand can wait
+// longer than it takes.
+func (p *planner) canWaitForLoad(d Demand) bool {
+	model := p.Engine.Models[d.Model]
 	duration := model.FromDisk
-	if !p.Stored[name] {
+	if !p.Stored.In(d.Model, d.Zones) {
 		duration = model.FromStore
 	}
-	return p.canWait(name, duration+orderOverhead+patienceMargin)
+	return p.canWait(d, duration+orderOverhead+patienceMargin)
 }
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,6 +41,8 @@
 // it, that is not loaded. Adapter is empty if they wait for the model itself.
 type Backlog struct {
 	Model, Adapter string
+	// Zones are those in which the requests may be served.
+	Zones drfleet.Zones
 	// Waiting is the number of waiting requests.
 	Waiting int
 	// ObjectiveLeft is the time until the next request misses its latency
@@ -52,6 +55,9 @@
 	Urgency int
 }
 
+// demand returns the demand that the requests belong to.
+func (b Backlog) demand() Demand { return Demand{b.Model, b.Zones} }
+
 // Runner is the snapshot of a runner that a plan is computed from.
 type Runner struct {
 	*drfleet.Runner
@@ -83,14 +89,17 @@
 	Engine   *drfleet.Engine
 	Runners  []Runner // only those that accept orders now
 	Backlogs []Backlog
-	// Stored is the set of models whose weights at least one runner has a local
+	// Stored names the models whose weights at least one runner has a local
 	// copy of. Runners that cannot accept orders now count too, unless they
 	// drain.
-	Stored map[string]bool
-	// Work is each model's utilization, as a share of one runner's time.
+	Stored Copies
+	// Work is each model's utilization, as a share of one runner's time, by requests
+	// that may be served in any availability zone.
 	Work map[string]float64
-	// Rate is the number of requests per second, by model.
+	// Rate is the number of such requests per second, by model.
 	Rate map[string]float64
+	// AtHome holds the same of the requests that must stay in some zones.
+	AtHome map[Demand]Use
 	// StoreLoads is the number of loads from the weight store that may start
 	// now.
 	StoreLoads int
@@ -124,68 +133,90 @@
 // A load from the weight store blocks a runner for seconds. It is planned only if no
 // runner has a local copy of the weights, into a runner without any local copies, or if
 // requests queue and all runners with a copy hold the model.
+//
+// Requests that must stay in some availability zones count only with the replicas there,
+// and what is loaded for them is loaded there.
 func Plan(s State) []Swap {
-	p := &planner{State: s, swapPlanned: make(map[string]bool), replicas: make(map[string]int)}
+	p := newPlanner(s)
+	p.planEach(p.saturated(), Queued, p.needsRelief)
+	due, patient := p.missing()
+	p.planEach(due, Wanted, always)
+	p.planEach(p.toRelocate(), Relocated, always)
+	p.planEach(p.busy(), Busy, p.isBusy)
+	p.planEach(patient, Wanted, always)
+	p.spread()
+	return p.swaps
+}
+
+type planner struct {
+	State
+	swapPlanned map[string]bool // by ID of the runners that already have a swap in this plan
+	// replicas is by model and availability zone, including replicas that are being
+	// loaded.
+	replicas map[string]map[string]int
+	total    map[string]int // of all zones
+	// bound holds the demands that must stay in some zones, by model.
+	bound map[string][]Demand
+	swaps []Swap
+}
+
+func newPlanner(s State) *planner {
+	p := &planner{State: s, swapPlanned: make(map[string]bool), replicas: make(map[string]map[string]int), total: make(map[string]int), bound: make(map[string][]Demand)}
 	for _, r := range s.Runners {
 		if r.Draining {
 			continue
 		}
 		for _, m := range r.Replicas {
-			p.replicas[m.Model]++
+			p.addReplica(m.Model, r.Zone)
 		}
 		if r.Loading != "" {
-			p.replicas[r.Loading]++
+			p.addReplica(r.Loading, r.Zone)
 		}
 	}
-	for _, m := range p.saturatedModels() {
-		p.planLoad(m, Queued)
-	}
-	due, patient := p.missingModels()
-	for _, m := range due {
-		p.planLoad(m, Wanted)
-	}
-	for _, m := range p.modelsToRelocate() {
-		p.planLoad(m, Relocated)
-	}
-	for _, m := range p.busyModels() {
-		p.planLoad(m, Busy)
+	demands := slices.Collect(maps.Keys(s.AtHome))
+	for _, w := range s.Backlogs {
+		if d := w.demand(); d.Zones.Bind() && !slices.Contains(demands, d) {
+			demands = append(demands, d)
+		}
 	}
-	for _, m := range patient {
-		p.planLoad(m, Wanted)
+	slices.SortFunc(demands, compareDemands)
+	for _, d := range demands {
+		p.bound[d.Model] = append(p.bound[d.Model], d)
 	}
-	p.spread()
-	return p.swaps
+	return p
 }
 
-type planner struct {
-	State
-	swapPlanned map[string]bool // by ID of the runners that already have a swap in this plan
-	replicas    map[string]int  // by model, including replicas that are being loaded
-	swaps       []Swap
-}
+// isMissing reports whether no runner that could serve a demand holds or loads the model.
+func (p *planner) isMissing(d Demand) bool { return p.count(d) == 0 }
 
-// missingModels returns the models that requests wait for and that no runner
-// holds or loads, in descending order of the value of loading them now. Those whose
-// requests all can wait are apart.
-func (p *planner) missingModels() (due, patient []string) {
-	value := make(map[string]float64)
+// missing returns the demands with requests that wait and with models that no runner
+// holds or loads for them, in descending order of the value of loading the models now.
+// Those whose requests all can wait are apart.
+func (p *planner) missing() (due, patient []Demand) {
+	own, value := make(map[Demand]float64), make(map[Demand]float64)
 	for _, w := range p.Backlogs {
-		if p.replicas[w.Model] == 0 {
-			value[w.Model] += backlogValue(w)
+		if p.isMissing(w.demand()) {
+			own[w.demand()] += backlogValue(w)
 		}
 	}
-	for m := range value {
-		if p.canWaitForLoad(m) {
-			patient = append(patient, m)
-		} else {
-			due = append(due, m)
+	for d := range own {
+		value[d] = own[d]
+		for _, other := range p.others(d) {
+			if d.Zones.Within(other.Zones) {
+				value[d] += own[other] // the load serves it, too
+			}
 		}
 	}
-	byValue := func(a, b string) int {
-		return cmp.Or(cmp.Compare(value[b], value[a]), cmp.Compare(a, b))
+	all := slices.SortedFunc(maps.Keys(value), func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(value[b], value[a]), compareDemands(a, b))
+	})
+	for _, d := range all {
+		if p.canWaitForLoad(d) {
+			patient = append(patient, d)
+		} else {
+			due = append(due, d)
+		}
 	}
-	slices.SortFunc(due, byValue)
-	slices.SortFunc(patient, byValue)
 	return due, patient
 }
 
@@ -200,27 +231,38 @@
 	return value * (1 + 1/(1+backlog.ObjectiveLeft.Seconds()))
 }
 
-// busyModels returns the models whose utilization calls for another replica, in
+// isBusy reports whether the utilization by a demand calls for another replica.
+func (p *planner) isBusy(d Demand) bool {
+	n := p.count(d)
+	return n > 0 && n < maxReplicas && (p.work(d) > addReplicaLoad*float64(n) || n == 1 && p.ownWork(d) > secondReplicaLoad)
+}
+
+// busy returns the demands whose utilization calls for another replica, in
 // descending order of utilization.
-func (p *planner) busyModels() []string {
-	var models []string
-	for m, work := range p.Work {
-		if n := p.replicas[m]; n > 0 && n < maxReplicas && (work > addReplicaLoad*float64(n) || n == 1 && work > secondReplicaLoad) {
-			models = append(models, m)
+func (p *planner) busy() []Demand { return p.byWork(p.isBusy) }
+
+// byWork returns the selected demands in descending order of utilization.
+func (p *planner) byWork(selects func(Demand) bool) []Demand {
+	var demands []Demand
+	work := make(map[Demand]float64)
+	for _, d := range p.used() {
+		if selects(d) {
+			demands = append(demands, d)
+			work[d] = p.work(d)
 		}
 	}
-	slices.SortFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.Work[b], p.Work[a]), cmp.Compare(a, b))
+	slices.SortFunc(demands, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(work[b], work[a]), compareDemands(a, b))
 	})
-	return models
+	return demands
 }
 
-// planLoad adds a swap that loads a model into the runner with the lowest cost
-// among those that have a local copy of its weights and no swap in this plan, or
-// else from the weight store if mayUseStore permits that. planLoad adds nothing if
-// no runner is suitable.
-func (p *planner) planLoad(name string, reason Reason) {
-	model, ok := p.Engine.Models[name]
+// planLoad adds a swap that loads a model for a demand into the runner with the lowest
+// cost among those in its zones that have a local copy of the weights and no swap in this
+// plan, or else from the weight store if mayUseStore permits that. planLoad adds nothing
+// if no runner is suitable.
+func (p *planner) planLoad(d Demand, reason Reason) {
+	model, ok := p.Engine.Models[d.Model]
 	if !ok {
 		return
 	}
@@ -228,19 +270,19 @@
 	var bestCost time.Duration
 	for i := range p.Runners {
 		r := &p.Runners[i]
-		if _, holds := r.Replica(name); holds || !p.acceptsSwap(r) {
+		if _, holds := r.Replica(d.Model); holds || !p.acceptsLoad(r, d) {
 			continue
 		}
 		loadDuration, source := loadTime(r.Runner, model)
 		if source == fromStore {
 			continue
 		}
-		if swap, cost, ok := p.planSwap(r, model, loadDuration, reason); ok && (best == nil || cost < bestCost) {
+		if swap, cost, ok := p.planSwap(r, d, loadDuration, reason); ok && (best == nil || cost < bestCost) {
 			best, bestCost = &swap, cost
 		}
 	}
-	if best == nil && p.mayUseStore(model, reason) {
-		best = p.planStoreLoad(model, reason)
+	if best == nil && p.mayUseStore(d, reason) {
+		best = p.planStoreLoad(d, model.FromStore, reason)
 	}
 	if best != nil {
 		p.addSwap(*best)
@@ -252,19 +294,24 @@
 	return !r.Draining && !r.Busy && len(r.LoadingAdapters) == 0 && !p.swapPlanned[r.ID]
 }
 
+// acceptsLoad reports whether a load for a demand can start on a runner now and serves it.
+func (p *planner) acceptsLoad(r *Runner, d Demand) bool {
+	return d.Zones.Allow(r.Zone) && p.acceptsSwap(r)
+}
+
 // addSwap adds a swap to the plan.
 func (p *planner) addSwap(swap Swap) {
 	p.swapPlanned[swap.Runner.ID] = true
-	p.replicas[swap.Load]++
+	p.addReplica(swap.Load, swap.Runner.Zone)
 	if swap.FromStore {
 		p.StoreLoads--
 	}
 	p.swaps = append(p.swaps, swap)
 }
 
-// planStoreLoad returns a swap that loads a model from the weight store, or nil
-// if the store's rate limit permits none or no runner is suitable.
-func (p *planner) planStoreLoad(model drfleet.Model, reason Reason) *Swap {
+// planStoreLoad returns a swap that loads a model for a demand from the weight store, or
+// nil if the store's rate limit permits none or no runner is suitable.
+func (p *planner) planStoreLoad(d Demand, loadDuration time.Duration, reason Reason) *Swap {
 	if p.StoreLoads <= 0 {
 		return nil
 	}
@@ -272,10 +319,10 @@
 	var bestCost time.Duration
 	for i := range p.Runners {
 		r := &p.Runners[i]
-		if _, holds := r.Replica(model.Name); holds || !p.acceptsSwap(r) {
+		if _, holds := r.Replica(d.Model); holds || !p.acceptsLoad(r, d) {
 			continue
 		}
-		if swap, cost, ok := p.planSwap(r, model, model.FromStore, reason); ok && (best == nil || cost < bestCost) {
+		if swap, cost, ok := p.planSwap(r, d, loadDuration, reason); ok && (best == nil || cost < bestCost) {
 			swap.FromStore = true
 			best, bestCost = &swap, cost
 		}
@@ -304,20 +351,21 @@
 	return model.FromStore, fromStore
 }
 
-// planSwap plans the load of a model into one runner and the evictions that it
+// planSwap plans the load of a model for a demand into one runner and the evictions that it
 // needs. The cost is the load time plus the eviction losses, as seconds. It
 // returns false if the runner cannot free enough memory, or if an eviction would
 // lose at least evictionLimit.
-func (p *planner) planSwap(r *Runner, model drfleet.Model, loadDuration time.Duration, reason Reason) (Swap, time.Duration, bool) {
+func (p *planner) planSwap(r *Runner, d Demand, loadDuration time.Duration, reason Reason) (Swap, time.Duration, bool) {
+	model := p.Engine.Models[d.Model]
 	missingMemory := model.Size - (p.Engine.WeightMemory - p.usedMemory(r))
 	swap := Swap{Runner: r.Runner, Load: model.Name, Expected: loadDuration + orderOverhead, Why: reason}
 	cost := swap.Expected
-	limit := p.evictionLimit(model.Name, swap.Expected, reason)
+	limit := p.evictionLimit(d, swap.Expected, reason)
 	for _, v := range p.evictableModels(r) {
 		if missingMemory <= 0 {
 			break
 		}
-		loss := p.evictionLoss(v)
+		loss := p.evictionLoss(v, r.Zone)
 		if loss >= limit {
 			return Swap{}, 0, false
 		}
@@ -361,45 +409,73 @@
 func (p *planner) evictableModels(r *Runner) []string {
 	var models []string
 	for _, m := range r.Replicas {
-		if r.Running[m.Model] > 0 || p.Now.Sub(r.LoadedAt[m.Model]) < modelGracePeriod || p.isLastReplicaAwaited(m.Model) {
+		if r.Running[m.Model] > 0 || p.Now.Sub(r.LoadedAt[m.Model]) < modelGracePeriod || p.isLastReplicaAwaited(m.Model, r.Zone) {
 			continue
 		}
 		models = append(models, m.Model)
 	}
 	slices.SortFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.evictionLoss(a), p.evictionLoss(b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(p.evictionLoss(a, r.Zone), p.evictionLoss(b, r.Zone)), cmp.Compare(a, b))
 	})
 	return models
 }
 
-// isLastReplicaAwaited reports whether requests wait for a model that has at
-// most one replica.
-func (p *planner) isLastReplicaAwaited(model string) bool {
-	return p.replicas[model] <= 1 && slices.ContainsFunc(p.Backlogs, func(w Backlog) bool { return w.Model == model })
+// isLastReplicaAwaited reports whether requests that a runner in a zone could serve wait
+// for a model that has at most one replica for them.
+func (p *planner) isLastReplicaAwaited(model, zone string) bool {
+	return slices.ContainsFunc(p.Backlogs, func(w Backlog) bool {
+		return w.Model == model && w.Zones.Allow(zone) && p.count(w.demand()) <= 1
+	})
 }
 
-// evictionLoss estimates the cost of unloading one replica of a model, in
+// evictionLoss estimates the cost of unloading a replica of a model in a zone, in
 // requests per second that would have to wait or would overload the remaining
 // replicas.
-func (p *planner) evictionLoss(model string) float64 {
-	replicas := p.replicas[model]
-	if replicas <= 1 {
-		return p.Rate[model]
+func (p *planner) evictionLoss(model, zone string) float64 {
+	if len(p.bound[model]) == 0 {
+		return p.lossOf(Demand{Model: model})
+	}
+	loss := 0.0
+	for _, d := range p.demandsAt(model, zone) {
+		loss += p.lossOf(d)
+	}
+	return loss
+}
+
+// lossOf is evictionLoss for one demand.
+func (p *planner) lossOf(d Demand) float64 {
+	replicas, rate := p.count(d), p.use(d).Rate
+	if replicas <= 1 || rate == 0 {
+		return rate
+	}
+	work := p.work(d)
+	if work > saturatedLoad*float64(replicas-1) {
+		return rate / float64(replicas-1) // requests would queue at the others
 	}
-	if p.Work[model] > saturatedLoad*float64(replicas-1) {
-		return p.Rate[model] / float64(replicas-1) // requests would queue at the others
+	if work > addReplicaLoad*float64(replicas-1) || replicas == 2 && p.ownWork(d) > secondReplicaLoad {
+		return rate / float64(replicas)
 	}
-	if p.Work[model] > addReplicaLoad*float64(replicas-1) || replicas == 2 && p.Work[model] > secondReplicaLoad {
-		return p.Rate[model] / float64(replicas)
+	return rate / float64(replicas) * redundantReplicaWeight
+}
+
+// replicaGain estimates the benefit of another replica for a busy demand, in the
+// unit of evictionLoss. It relieves all requests of a runner at which they queue, and all
+// that may be served wherever those of the demand may.
+func (p *planner) replicaGain(d Demand) float64 {
+	gain := p.gainOf(d)
+	for _, other := range p.others(d) {
+		if d.Zones.Within(other.Zones) {
+			gain += p.gainOf(other)
+		}
 	}
-	return p.Rate[model] / float64(replicas) * redundantReplicaWeight
+	return gain
 }
 
-// replicaGain estimates the benefit of another replica of a busy model, in the
-// unit of evictionLoss. It relieves all requests of a runner at which they queue.
-func (p *planner) replicaGain(model string) float64 {
-	if p.isSaturated(model) {
-		return p.Rate[model] / float64(p.replicas[model])
+// gainOf is replicaGain for one demand alone.
+func (p *planner) gainOf(d Demand) float64 {
+	replicas, rate := p.count(d), p.use(d).Rate
+	if replicas > 0 && p.isSaturated(d) {
+		return rate / float64(replicas)
 	}
-	return p.Rate[model] / float64(p.replicas[model]+1) / 2
+	return rate / float64(replicas+1) / 2
 }
--- a/drscheduler/plan_test.go
+++ b/drscheduler/plan_test.go
@@ -41,12 +41,12 @@
 // stored.
 func newState(engine *drfleet.Engine, backlogs []drscheduler.Backlog, runners ...drscheduler.Runner) drscheduler.State {
 	s := drscheduler.State{
-		Now: start, Engine: engine, Runners: runners, Backlogs: backlogs, Stored: make(map[string]bool),
+		Now: start, Engine: engine, Runners: runners, Backlogs: backlogs, Stored: make(drscheduler.Copies),
 		Work: make(map[string]float64), Rate: make(map[string]float64), StoreLoads: 4,
 	}
 	for _, r := range runners {
 		for _, m := range r.OnDisk {
-			s.Stored[m] = true
+			s.Stored.Add(m, r.Zone)
 		}
 	}
 	return s
@@ -87,7 +87,7 @@
 	is := is.New(t)
 	s := newState(newEngine("a"), []drscheduler.Backlog{newBacklog("a")}, newRunner("r1", nil, nil))
 	is.Equal(len(drscheduler.Plan(s)), 1)
-	s.Stored["a"] = true
+	s.Stored.Add("a", "")
 	is.Equal(len(drscheduler.Plan(s)), 0)
 }
 
--- a/drscheduler/relocate.go
+++ b/drscheduler/relocate.go
@@ -5,23 +5,25 @@
 	"slices"
 )
 
-// modelsToRelocate returns the models with requests that only runners out of service hold,
-// in descending order of their requests.
-func (p *planner) modelsToRelocate() []string {
-	var models []string
+// toRelocate returns the demands with requests whose models only runners out of service
+// hold for them, in descending order of the requests.
+func (p *planner) toRelocate() []Demand {
+	var demands []Demand
 	for i := range p.Runners {
 		r := &p.Runners[i]
 		if !r.OutOfService {
 			continue
 		}
 		for _, m := range r.Replicas {
-			if p.replicas[m.Model] == 0 && p.Rate[m.Model] > 0 && !slices.Contains(models, m.Model) {
-				models = append(models, m.Model)
+			for _, d := range p.demandsAt(m.Model, r.Zone) {
+				if p.isMissing(d) && p.use(d).Rate > 0 && !slices.Contains(demands, d) {
+					demands = append(demands, d)
+				}
 			}
 		}
 	}
-	slices.SortFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.Rate[b], p.Rate[a]), cmp.Compare(a, b))
+	slices.SortFunc(demands, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(p.use(b).Rate, p.use(a).Rate), compareDemands(a, b))
 	})
-	return models
+	return demands
 }
--- a/drscheduler/relocate_test.go
+++ b/drscheduler/relocate_test.go
@@ -21,7 +21,7 @@
 	s := newState(e, nil, out, newRunner("free", nil, nil), newRunner("full", []string{"kept"}, []string{"kept"}))
 	s.Rate = map[string]float64{"rare": 1, "often": 5, "kept": 9}
 	s.StoreLoads = 5
-	s.Stored = map[string]bool{"kept": true}
+	s.Stored = drscheduler.Copies{"kept": {""}}
 	swaps := drscheduler.Plan(s)
 	is.Equal(len(swaps), 1)
 	is.Equal(swaps[0].Load, "often")
--- a/drscheduler/saturated.go
+++ b/drscheduler/saturated.go
@@ -1,11 +1,6 @@
 package drscheduler
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/dotterelridge/dotterelridge/drfleet"
-)
+import "slices"
 
 const (
 	// saturatedLoad is the utilization per replica above which a model's requests
@@ -16,65 +11,59 @@
 	reservedForWanted = 1
 )
 
-// isSaturated reports whether the requests for a model queue at its runners.
-func (p *planner) isSaturated(model string) bool {
-	return p.Work[model] > saturatedLoad*float64(p.replicas[model])
+// isSaturated reports whether the requests of a demand queue at its runners.
+func (p *planner) isSaturated(d Demand) bool {
+	return p.work(d) > saturatedLoad*float64(p.count(d))
+}
+
+// isBusyAlone reports whether a model that is in much use has one replica for a demand, on
+// which a few slow requests make the others queue.
+func (p *planner) isBusyAlone(d Demand) bool {
+	return p.count(d) == 1 && p.work(d) > addReplicaLoad
 }
 
-// isBusyAlone reports whether a model that is in much use has one replica, on which
-// a few slow requests make the others queue.
-func (p *planner) isBusyAlone(model string) bool {
-	return p.replicas[model] == 1 && p.Work[model] > addReplicaLoad
+// needsRelief reports whether the requests of a demand queue at its runners, or soon will
+// at the only one, and no runner loads a further replica for it yet.
+func (p *planner) needsRelief(d Demand) bool {
+	n := p.count(d)
+	return n > 0 && n < maxReplicas && (p.isSaturated(d) || p.isBusyAlone(d)) && !p.isLoading(d)
 }
 
-// saturatedModels returns the models whose requests queue at their runners, or soon
-// will at the only one, and of which no runner loads a further replica yet, in
-// descending order of utilization.
+// saturated returns the demands that need relief, in descending order of utilization.
 // Each load shows its effect before the next one, because a queue counts as
 // utilization.
-func (p *planner) saturatedModels() []string {
-	var models []string
-	for m := range p.Work {
-		if n := p.replicas[m]; n > 0 && n < maxReplicas && (p.isSaturated(m) || p.isBusyAlone(m)) && !p.isLoading(m) {
-			models = append(models, m)
-		}
-	}
-	slices.SortFunc(models, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.Work[b], p.Work[a]), cmp.Compare(a, b))
-	})
-	return models
-}
+func (p *planner) saturated() []Demand { return p.byWork(p.needsRelief) }
 
-// isLoading reports whether a runner loads a model.
-func (p *planner) isLoading(model string) bool {
-	return slices.ContainsFunc(p.Runners, func(r Runner) bool { return r.Loading == model })
+// isLoading reports whether a runner loads a model for a demand.
+func (p *planner) isLoading(d Demand) bool {
+	return slices.ContainsFunc(p.Runners, func(r Runner) bool { return r.Loading == d.Model && d.Zones.Allow(r.Zone) })
 }
 
-// mayUseStore reports whether a model may be loaded from the weight store. A model that
-// no runner in service holds may if none has a copy. One whose requests queue may if no
-// runner could load a further replica from a copy, even once it is free.
-func (p *planner) mayUseStore(model drfleet.Model, reason Reason) bool {
+// mayUseStore reports whether a model may be loaded for a demand from the weight store. A
+// model that no runner in service holds may if none has a copy. One whose requests queue
+// may if no runner could load a further replica from a copy, even once it is free.
+func (p *planner) mayUseStore(d Demand, reason Reason) bool {
 	if reason == Wanted || reason == Relocated {
-		return !p.Stored[model.Name]
+		return !p.Stored.In(d.Model, d.Zones)
 	}
-	return reason == Queued && p.isSaturated(model.Name) && p.StoreLoads > reservedForWanted && !p.hasSpareCopy(model)
+	return reason == Queued && p.isSaturated(d) && p.StoreLoads > reservedForWanted && !p.hasSpareCopy(d)
 }
 
-// hasSpareCopy reports whether a runner that does not hold a model has a copy of its
-// weights, and room or models that are worth less than a further replica.
-func (p *planner) hasSpareCopy(model drfleet.Model) bool {
-	limit := p.replicaGain(model.Name)
+// hasSpareCopy reports whether a runner that can serve a demand and does not hold the model
+// has a copy of its weights, and room or models that are worth less than a further replica.
+func (p *planner) hasSpareCopy(d Demand) bool {
+	limit := p.replicaGain(d)
 	return slices.ContainsFunc(p.Runners, func(r Runner) bool {
-		_, holds := r.Replica(model.Name)
-		if r.Draining || holds || !slices.Contains(r.InMemory, model.Name) && !slices.Contains(r.OnDisk, model.Name) {
+		_, holds := r.Replica(d.Model)
+		if r.Draining || holds || !d.Zones.Allow(r.Zone) || !slices.Contains(r.InMemory, d.Model) && !slices.Contains(r.OnDisk, d.Model) {
 			return false
 		}
 		room := p.Engine.WeightMemory - p.usedMemory(&r)
 		for _, m := range r.Replicas {
-			if p.evictionLoss(m.Model) < limit {
+			if p.evictionLoss(m.Model, r.Zone) < limit {
 				room += p.modelMemory(&r, m.Model)
 			}
 		}
-		return room >= model.Size
+		return room >= p.Engine.Models[d.Model].Size
 	})
 }
--- a/drscheduler/spread.go
+++ b/drscheduler/spread.go
@@ -31,17 +31,17 @@
 	var best Swap
 	bestWork := spreadLoad
 	mayUseStore := p.StoreLoads > reservedStoreLoads && len(r.InMemory)+len(r.OnDisk) == 0
-	for name, work := range p.Work {
-		n := p.replicas[name]
+	for _, d := range p.used() {
+		n, name := p.count(d), d.Model
 		model, ok := p.Engine.Models[name]
-		if !ok || n == 0 || n >= maxReplicas || model.Size > p.Engine.WeightMemory {
+		if !ok || !d.Zones.Allow(r.Zone) || n == 0 || n >= maxReplicas || model.Size > p.Engine.WeightMemory {
 			continue
 		}
 		duration, source := loadTime(r.Runner, model)
 		if source == fromStore && !mayUseStore {
 			continue
 		}
-		work /= float64(n)
+		work := p.work(d) / float64(n)
 		if work < bestWork || work == bestWork && best.Load != "" && name > best.Load {
 			continue
 		}
