drcontroller: Give runners that name a limit what they take

The header was read nowhere, and no VM alone can keep a bound on the sum over all. Class: a bound on all VMs together without one place that counts.

Change: a limit is one more reason for which a request needs a permit of the controller, beside a cold start; drwarmup decides both, and drwarmup.Bound has a window. What runners say travels with reports and replies, the newest statement counts. Plain services get permits, too, with cold runners as well. Plans load busy models on runners without a limit (docs/design/runner-limits.md).

--- a/dradmission/wait.go
+++ b/dradmission/wait.go
@@ -56,7 +56,8 @@
 	// OutOfService is set if all runners of the service are in availability zones that
 	// are out of service.
 	OutOfService bool
-	// Loadable is set if the model can be loaded on other runners.
+	// Loadable is set if the model can be loaded on other runners, or this VM may get
+	// permits for a runner that bears few requests.
 	Loadable bool
 }
 
--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -119,7 +119,7 @@
 	controller := &Controller{
 		ControllerConfig: c, view: v, pool: drtokenpool.NewPool(c.Clock), crashes: drcrash.NewTally(c.Clock), planRequests: make(chan struct{}, 1),
 		vms: make(map[string]*vm), running: newRunningTotals(), tokens: make(tokensByRunner), runnerStates: make(map[string]*runnerState), demands: make(map[drscheduler.Demand]*demand),
-		backlogs: make(map[string]modelBacklog), warmups: drwarmup.NewBudget(c.ColdBound, c.Clock.Uptime()), table: newTableSender(v),
+		backlogs: make(map[string]modelBacklog), warmups: drwarmup.NewBudget(c.Clock.Uptime()), table: newTableSender(v),
 		storeLoads: loadRate{createdAt: c.Clock.Now()}, startedAt: c.Clock.Now(), limitsVersion: -1,
 	}
 	if c.Term > firstTerm {
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -346,7 +346,7 @@
 		runner := drscheduler.Runner{
 			Runner: c.asPlanned(r, tracked, paused), Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
 			UsedAdapter: tracked.usedAdapter, LoadingAdapters: tracked.loadingAdapters, UnloadingAdapters: tracked.unloadingAdapters,
-			OutOfService: outages.Has(r.Zone),
+			OutOfService: outages.Has(r.Zone), Limit: c.limitOf(r),
 		}
 		if tracked.swap != nil {
 			runner.Busy, runner.Loading = true, tracked.swap.Load
--- a/drcontroller/cold_test.go
+++ b/drcontroller/permits_test.go
@@ -15,7 +15,7 @@
 
 // newColdFixture returns a controller whose runner r1 is cold for a while.
 func newColdFixture(t *testing.T) *controllerFixture {
-	w := newControllerFixture(t, func(c *ControllerConfig) { c.ColdBound = drwarmup.Bound{Overage: 1.5, Slack: 3} })
+	w := newControllerFixture(t, func(c *ControllerConfig) { c.ColdBound = drwarmup.Bound{Window: time.Second, Overage: 1.5, Slack: 3} })
 	old, _ := w.view.Deployment()
 	config := old.Config
 	config.Version++
@@ -98,3 +98,28 @@
 	is.True(n.View.MayStart(r))
 	is.True(!n.View.MayStart(r))
 }
+
+// Guards against permits that are lost because they go to a report whose sender has
+// cancelled it: a VM does that whenever a request begins to wait for something else.
+func TestNoPermitsForCancelledReports(t *testing.T) {
+	is := is.New(t)
+	w := newColdFixture(t)
+	eventually(t, "permits can be given", func() bool { return w.controller.canGivePermits(wantOfModelA(2, 0)) })
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.Equal(len(w.controller.Sync(cancelled, "vm-a", 1, wantOfModelA(9, 0)).GetPermits()), 0)
+	is.True(w.syncWant("vm-b", 1, 0) > 0)
+}
+
+// Guards against permits for a VM that cannot use them, because the runner wants nothing of
+// it for a time, while the requests of other VMs wait.
+func TestNoPermitsForPausedRunners(t *testing.T) {
+	is := is.New(t)
+	w := newColdFixture(t)
+	request := wantOfModelA(9, 0)
+	request.Pauses = []*drpb.FleetPause{{Runner: &drpb.FleetIncarnation{Runner: "r1"}, LeftMs: 5000}}
+	eventually(t, "permits can be given", func() bool { return w.controller.canGivePermits(wantOfModelA(2, 0)) })
+	is.True(!w.controller.canGivePermits(request))
+	is.Equal(len(w.controller.Sync(context.Background(), "vm-a", 1, request).GetPermits()), 0)
+	is.True(w.syncWant("vm-b", 1, 0) > 0)
+}
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -43,6 +43,7 @@
 	received := c.Clock.Uptime()
 	c.addCrashes(name, request.GetCrashReport())
 	c.recordLeavingOf(name, request)
+	offerLimits(c.view, request.GetLimits(), received, log.Fields{"source": "vm", "reported-by": name, "term": c.Term})
 	c.awaitChange(ctx, c.applyReport(name, incarnation, request), request)
 	reply := &drpb.FleetSyncReply{Leading: c.Holds(), Term: c.Term}
 	c.fillTable(request, reply)
@@ -62,7 +63,8 @@
 	reply.Verdict = encodeVerdict(c.crashes.VerdictFor(name))
 	reply.Outages = encodeOutages(c.view.Outages())
 	c.fillReply(name, request, reply)
-	reply.Permits = c.givePermits(name, request, received)
+	c.fillLimits(name, request, reply)
+	reply.Permits = c.givePermits(ctx, name, request, received)
 	return reply
 }
 
@@ -305,7 +307,7 @@
 // caller holds mu.
 func (c *Controller) forecast(want *drpb.FleetWant, now time.Time) time.Duration {
 	replica := decodeReplica(want.GetReplica())
-	permitted, bounded := c.forecastPermits(want)
+	permitted, bounded := c.forecastPermits(want, now)
 	if !bounded {
 		return c.forecastLoad(replica, now)
 	}
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -150,6 +150,7 @@
 		request.Leaving = append(request.Leaving, encodeIncarnation(i))
 	}
 	request.Pauses = encodePauses(n.View.Pauses())
+	request.Limits = encodeLimits(n.View.Limits())
 	request.Outages = encodeOutages(n.View.Outages())
 	crashes := n.Crashes.TakeReport(request.GetWhole())
 	request.CrashReport, request.Verdict = encodeCrashes(crashes), n.Crashes.Revision()
@@ -212,11 +213,12 @@
 	n.View.ConfirmController()
 	own := n.controller.Load() != nil
 	complete, err := n.applyTable(reply, own)
+	age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+	made := sent + age(reply.GetHeldMs())
 	if !own {
 		n.applyDeployment(reply)
 		n.applyOutages(reply)
-		age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
-		made := sent + age(reply.GetHeldMs())
+		offerLimits(n.View, reply.GetLimits(), made, log.Fields{"source": "controller", "term": reply.GetTerm()})
 		n.View.ConfirmDeployment(made - age(reply.GetDeploymentAgeMs()))
 		if complete {
 			n.View.ConfirmRunners(made - age(reply.GetRunnersAgeMs()))
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -52,6 +52,8 @@
 	// largeMessagesShare is the part of the memory limit that large bodies and
 	// events may take.
 	largeMessagesShare = 0.25
+	// coldWindow is the time over which the requests of cold runners are bounded.
+	coldWindow = time.Second
 	// gcPercent is the garbage collector's target percentage. A value below
 	// Go's default of 100 saves memory and costs processor time.
 	gcPercent = 50
@@ -126,7 +128,7 @@
 		Log: config.Platform.Log, Codec: config.Platform.Codec, Engines: config.Platform.Engines, Peers: e.peers, Registry: e.peers,
 		Metrics: e.metrics, View: e.view, Allowances: e.allowances, Crashes: e.crashes, OrderPause: time.Duration(settings.OrderPause),
 		Processor: settings.Processor, Propagation: time.Duration(settings.Propagation), RunnerDrain: time.Duration(settings.RunnerDrain),
-		RunnerHeartbeat: time.Duration(settings.Heartbeat), ColdBound: drwarmup.Bound{Overage: settings.ColdOverage, Slack: settings.ColdSlack},
+		RunnerHeartbeat: time.Duration(settings.Heartbeat), ColdBound: drwarmup.Bound{Window: coldWindow, Overage: settings.ColdOverage, Slack: settings.ColdSlack},
 	})
 	e.allowances.SetSlack(settings.QuotaSlack)
 	e.view.SetZoneDrain(time.Duration(settings.ZoneDrain))
@@ -222,6 +224,7 @@
 		e.metrics.GaugeFunc(drmetric.LeavingRunners, func() int64 { return int64(e.view.LeavingCount(name)) }, name)
 		e.metrics.GaugeFunc(drmetric.PausedRunners, func() int64 { return int64(e.view.PausedCount(name)) }, name)
 		e.metrics.GaugeFunc(drmetric.ColdRunners, func() int64 { return int64(e.view.ColdCount(name)) }, name)
+		e.metrics.GaugeFunc(drmetric.LimitedRunners, func() int64 { return int64(e.view.LimitedCount(name)) }, name)
 		e.metrics.GaugeFunc(drmetric.OutOfServiceRunners, func() int64 { return int64(e.view.OutOfServiceCount(name)) }, name)
 		e.metrics.GaugeFunc(drmetric.OutOfServiceRunning, func() int64 { return int64(e.view.RunningOutOfService(name)) }, name)
 	}
--- a/drfleetview/cold.go
+++ b/drfleetview/cold.go
@@ -11,34 +11,11 @@
 // told. Runners state the time left in each of their entries, which are read with a delay.
 const minColdExtension = 500 * time.Millisecond
 
-// ColdRunner is a runner that is cold and bears few requests a second.
-type ColdRunner struct {
-	Incarnation
-	Rate float64       // requests a second, over all VMs
-	Left time.Duration // until it is warm
-}
-
 // Warming returns the key of an incarnation's permits.
 func (i Incarnation) Warming() drwarmup.Incarnation {
 	return drwarmup.Incarnation{Runner: i.Runner, Started: i.Started}
 }
 
-// ColdRunners returns the cold runners that could take requests for a replica, sorted by
-// id. It is empty if the configuration doesn't bound the requests of cold runners.
-func (v *View) ColdRunners(replica Replica) []ColdRunner {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	uptime, rate := v.clock.Uptime(), v.coldService(replica.Service).ColdRate
-	if rate <= 0 {
-		return nil
-	}
-	var cold []ColdRunner
-	for _, e := range v.listed(replica.Service, func(e *entry) bool { return e.coldUntil > uptime && v.serves(e, replica) }) {
-		cold = append(cold, ColdRunner{IncarnationOf(e.runner), rate, e.coldUntil - uptime})
-	}
-	return cold
-}
-
 // ColdCount returns the number of listed runners of a service that are cold, 0 if the
 // configuration doesn't bound their requests.
 func (v *View) ColdCount(service string) int {
@@ -58,7 +35,7 @@
 	return v.coldLeft(e, v.clock.Uptime())
 }
 
-// GivePermits adds permits to send requests to a cold runner, which end at an uptime.
+// GivePermits adds permits to send requests to a bounded runner, which end at an uptime.
 func (v *View) GivePermits(i Incarnation, permits int, end time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -87,18 +64,6 @@
 	return e.coldUntil - uptime
 }
 
-// warmOrPermitted reports whether a runner is warm or this VM has a permit for it. The caller
-// holds mu.
-func (v *View) warmOrPermitted(e *entry, uptime time.Duration) bool {
-	return v.coldLeft(e, uptime) == 0 || v.permits.Left(IncarnationOf(e.runner).Warming(), uptime) > 0
-}
-
-// takePermit uses up a permit if the runner is cold, and returns false if there is none.
-// The caller holds mu.
-func (v *View) takePermit(e *entry, uptime time.Duration) bool {
-	return v.coldLeft(e, uptime) == 0 || v.permits.Take(IncarnationOf(e.runner).Warming(), uptime)
-}
-
 // noteCold records that the described incarnation of a runner is cold for the stated time
 // from now, and reports whether that is news for other VMs. A description that says less
 // than an earlier one shortens nothing, because it may be older. The caller holds mu.
@@ -111,6 +76,7 @@
 		return false
 	}
 	e.coldUntil = until
+	v.bounded.note(e, uptime)
 	v.buckets[BucketOf(described.ID)].version++
 	return v.coldService(described.Service).ColdRate > 0
 }
@@ -119,5 +85,6 @@
 // holds mu.
 func (v *View) assumeCold(e *entry, uptime time.Duration) {
 	e.coldUntil = max(e.coldUntil, uptime+v.coldService(e.runner.Service).ColdStart)
+	v.bounded.note(e, uptime)
 	v.buckets[BucketOf(e.runner.ID)].version++
 }
--- a/drfleetview/cold_test.go
+++ b/drfleetview/cold_test.go
@@ -38,8 +38,8 @@
 	is.Equal(len(v.Candidates(replica)), 0)
 	is.True(!v.MayStart(r))
 	is.Equal(v.ColdCount("s"), 1)
-	cold := v.ColdRunners(replica)
-	is.Equal(cold, []drfleetview.ColdRunner{{Incarnation: drfleetview.Incarnation{Runner: "r", Started: 1}, Rate: 20, Left: 3 * time.Second}})
+	cold := v.BoundedRunners(replica)
+	is.Equal(cold, []drfleetview.BoundedRunner{{Incarnation: drfleetview.Incarnation{Runner: "r", Started: 1}, Rate: 20, Cold: true, ColdLeft: 3 * time.Second}})
 
 	changed := v.Changed()
 	v.GivePermits(cold[0].Incarnation, 1, clock.Uptime()+time.Second)
--- a/drfleetview/excluded.go
+++ b/drfleetview/excluded.go
@@ -36,7 +36,9 @@
 			x.Why = "took no connection"
 		case v.closed(e.runner.Zone):
 			x.Why = "its availability zone is out of service"
-		case !v.warmOrPermitted(e, uptime):
+		case !v.freeOrPermitted(e, uptime) && e.limitRate() > 0:
+			x.Why = "has named a limit, and this VM has no permit for it"
+		case !v.freeOrPermitted(e, uptime):
 			x.Why = "is cold, and this VM has no permit for it"
 		default:
 			continue
--- a/drfleetview/pause.go
+++ b/drfleetview/pause.go
@@ -77,11 +77,7 @@
 		if !v.serves(e, replica) {
 			continue
 		}
-		l := e.pauseLeft(uptime)
-		if replica.Model == "" {
-			l = max(l, v.coldLeft(e, uptime)) // no permits are given for plain services
-		}
-		if l > 0 && (!paused || l < left) {
+		if l := e.pauseLeft(uptime); l > 0 && (!paused || l < left) {
 			left, paused = l, true
 		}
 	}
@@ -111,7 +107,7 @@
 
 // MayStart reports whether a request may still be sent to a runner that was chosen a
 // moment ago: that incarnation has not said meanwhile that it wants none, and its
-// availability zone gets requests. If it is cold, that uses up a permit.
+// availability zone gets requests. If it is bounded, that uses up a permit.
 func (v *View) MayStart(runner *drfleet.Runner) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -60,6 +60,7 @@
 	// none has.
 	leaving *Incarnation
 	pause   pause
+	limit   limit
 	// coldUntil is the uptime until which the runner is cold.
 	coldUntil time.Duration
 }
@@ -135,6 +136,7 @@
 		return false
 	}
 	e.removed = false
+	v.bounded.note(e, v.clock.Uptime())
 	for _, u := range e.counters {
 		u.missingUntil = time.Time{}
 	}
@@ -334,14 +336,14 @@
 // time are left out. So are those that were just unreachable, but for a plain service
 // they are returned if there are no others. The runners of a zone that was just taken out
 // of service are returned if there are no others, too, until it must get none, and so are
-// cold runners for which this VM has permits.
+// bounded runners for which this VM has permits.
 func (v *View) Candidates(replica Replica) []drbalancer.Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now, uptime := v.clock.Now(), v.clock.Uptime()
 	var cs, lastResort, unreachable []drbalancer.Candidate
 	for _, e := range v.runners {
-		if !v.serves(e, replica) || e.pauseLeft(uptime) > 0 || !v.warmOrPermitted(e, uptime) {
+		if !v.serves(e, replica) || e.pauseLeft(uptime) > 0 || !v.freeOrPermitted(e, uptime) {
 			continue
 		}
 		if u := e.counters[replica]; u != nil && now.Before(u.missingUntil) {
@@ -354,7 +356,7 @@
 			unreachable = append(unreachable, c)
 			continue
 		}
-		if v.outages.Has(e.runner.Zone) || v.coldLeft(e, uptime) > 0 {
+		if v.outages.Has(e.runner.Zone) || v.needsPermit(e, uptime) {
 			lastResort = append(lastResort, c)
 			continue
 		}
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -44,13 +44,15 @@
 	// on zones out of service get no requests at all.
 	zoneDrain time.Duration
 	closing   map[string]time.Duration
-	// permits are those of this VM to send requests to cold runners.
+	// permits are those of this VM to send requests to bounded runners.
 	permits drwarmup.Permits
 	// controllerAt is the uptime at which a controller last answered, or at
 	// which this View was created.
 	controllerAt time.Duration
 
-	runners          map[string]*entry
+	runners map[string]*entry
+	// bounded finds the runners that need permits.
+	bounded          boundIndex
 	buckets          [Buckets]bucket
 	revision         uint64
 	changes          []loggedChange // by revision
@@ -70,7 +72,7 @@
 // New returns a View without a deployment and runners.
 func New(clock Clock) *View {
 	return &View{
-		clock: clock, controllerAt: clock.Uptime(), changed: make(chan struct{}), runners: make(map[string]*entry),
+		clock: clock, controllerAt: clock.Uptime(), changed: make(chan struct{}), runners: make(map[string]*entry), bounded: make(boundIndex),
 		waitersByReplica: make(map[Replica]*waiterSet), forecasts: make(map[Replica]forecast), demandAdded: make(chan struct{}, 1),
 		closing: make(map[string]time.Duration),
 	}
--- a/drmetric/name.go
+++ b/drmetric/name.go
@@ -49,6 +49,7 @@
 	OutOfServiceRunners = "dotterelridge_out_of_service_runners"
 	OutOfServiceRunning = "dotterelridge_out_of_service_running_requests"
 	ColdRunners         = "dotterelridge_cold_runners"
+	LimitedRunners      = "dotterelridge_limited_runners"
 	MalformedStatements = "dotterelridge_malformed_statements_total"
 	Controlling         = "dotterelridge_controlling"
 	TimelineOverwrites  = "dotterelridge_timeline_overwrites_total"
@@ -99,6 +100,7 @@
 	{LeavingRunners, Gauge, Count, []string{"service"}, "Listed runners that have said in an answer to this VM that they leave."},
 	{PausedRunners, Gauge, Count, []string{"service"}, "Listed runners that want no requests of this VM for a time."},
 	{ColdRunners, Gauge, Count, []string{"service"}, "Listed runners that are cold and get requests with permits only."},
+	{LimitedRunners, Gauge, Count, []string{"service"}, "Listed runners that have named how many requests they take, and get requests with permits only."},
 	{OutOfServiceZones, Gauge, Count, nil, "Availability zones that are out of service, as this VM knows."},
 	{OutOfServiceRunners, Gauge, Count, []string{"service"}, "Listed runners in zones that are out of service."},
 	{OutOfServiceRunning, Gauge, Count, []string{"service"}, "Requests of this VM that still run in zones that are out of service."},
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -48,6 +48,7 @@
 	header        fasthttp.ResponseHeader
 	answer        Answer
 	sentAt        time.Time
+	sentUptime    time.Duration
 	stopWatching  func()
 	// closedHere is set before watch closes the connection to the runner.
 	closedHere atomic.Bool
@@ -182,7 +183,7 @@
 		h.SetContentLength(len(x.body))
 	}
 	_ = a.upstream.SetWriteDeadline(x.timeoutAt)
-	a.sentAt = x.server.Clock.Now()
+	a.sentAt, a.sentUptime = x.server.Clock.Now(), x.server.Clock.Uptime()
 	w := bufio.NewWriterSize(a.upstream, writeBuffer)
 	if _, err := h.WriteTo(w); err != nil {
 		return a.fail(err)
--- a/drproxy/statement.go
+++ b/drproxy/statement.go
@@ -27,6 +27,7 @@
 		return
 	}
 	speaker := drfleetview.IncarnationOf(a.runner)
+	a.recordLimit(speaker)
 	if a.answer.Leaving && a.exchange.server.View.MarkLeaving(speaker) {
 		a.logStatement("runner-leaving", nil)
 		a.warnIfNoneLeft()
@@ -37,6 +38,23 @@
 	}
 }
 
+// recordLimit records how many requests the runner says that it takes. An answer that
+// names no limit speaks for the time at which its request was sent: the runner may have
+// named one in the meantime. It must name the request, as those of runners do, because
+// bytes that are no answer name no limit either.
+func (a *attempt) recordLimit(speaker drfleetview.Incarnation) {
+	view, limit, now := a.exchange.server.View, a.answer.Limit, a.exchange.server.Clock.Uptime()
+	switch {
+	case limit.Unclear:
+	case limit.Named:
+		if view.OfferLimit(speaker, max(limit.Rate, drfleetview.MinLimitRate), now) {
+			a.logStatement("runner-limited", log.Fields{"rate": limit.Rate})
+		}
+	case a.answer.RequestID == a.exchange.call.ID && view.OfferLimit(speaker, 0, a.sentUptime):
+		a.logStatement("runner-unlimited", nil)
+	}
+}
+
 // logStatement logs what a runner has said of itself in the answer to a request.
 func (a *attempt) logStatement(event string, extra log.Fields) {
 	f := log.Fields{"event": event, "runner": a.runner.ID, "started": a.runner.Started, "service": a.runner.Service,
--- a/drproxy/statement_test.go
+++ b/drproxy/statement_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dotterelridge/dotterelridge/drclock"
+	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 )
 
@@ -46,3 +48,29 @@
 		})
 	}
 }
+
+// Guards against a limit that is ended by an answer that says nothing of it: the request
+// was sent before the limit was named, or the answer may be that of another request.
+func TestOnlyOwnLaterAnswersEndLimits(t *testing.T) {
+	is := is.New(t)
+	prepareBubble()
+	clock := drclock.NewFake(time.Unix(0, 0))
+	view := drfleetview.New(clock)
+	r := &drfleet.Runner{ID: "r"}
+	view.OfferRunner(r, drfleetview.FromRunner)
+	x := &exchange{server: &Server{Config: Config{View: view, Clock: clock}}, call: &drfleet.Call{ID: "1"}}
+	answers := func(sent time.Duration, answer Answer) (limited bool) {
+		a := &attempt{exchange: x, runner: r, sentUptime: sent, answer: answer}
+		a.recordStatements()
+		l, _ := view.LimitOf(drfleetview.IncarnationOf(r))
+		return l.Rate > 0
+	}
+	clock.Advance(time.Minute)
+	is.True(answers(time.Second, Answer{RequestID: "1", Limit: RateLimit{Named: true, Rate: 0}}))
+	clock.Advance(time.Minute)
+	is.True(answers(59*time.Second, Answer{RequestID: "1"}))
+	is.True(answers(clock.Uptime(), Answer{RequestID: "1", Limit: RateLimit{Unclear: true}}))
+	is.True(answers(clock.Uptime(), Answer{}))
+	is.True(answers(clock.Uptime(), Answer{RequestID: "1", Instance: "other"}))
+	is.True(!answers(clock.Uptime(), Answer{RequestID: "1"}))
+}
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -49,8 +49,10 @@
 		if _, ok := x.service.Engine.Models[p.Model]; !ok {
 			return nil, refusal{status: fasthttp.StatusNotFound, reason: "unknown-model"}, refused
 		}
-		// The controller starts no runners of plain services, so it hears only of
-		// requests that wait for a model.
+	}
+	// The controller starts no runners of plain services, but gives permits for those
+	// that are bounded.
+	if x.service.Engine != nil || s.View.HasBoundedRunner(p) {
 		waiter := s.View.AddWaiter(p, x.start.Add(x.route.Objective), giveUpAt, x.urgency())
 		defer waiter.Close()
 	}
@@ -91,7 +93,7 @@
 	now := s.Clock.Now()
 	waiting := dradmission.WaitingRequest{
 		Now: now, Began: x.start, Objective: x.route.Objective, TimeoutAt: giveUpAt, Silence: s.View.ControllerSilence(),
-		Loadable: x.service.Engine != nil, OutOfService: s.View.AllOutOfService(replica.Service),
+		Loadable: x.service.Engine != nil || s.View.HasBoundedRunner(replica), OutOfService: s.View.AllOutOfService(replica.Service),
 	}
 	waiting.Expected, waiting.Forecast = s.View.Forecast(replica)
 	var left time.Duration
--- a/drproxy/wire.go
+++ b/drproxy/wire.go
@@ -57,6 +57,8 @@
 	// Pause is how long the runner wants no further requests of this VM, 0 if it
 	// has not said so.
 	Pause time.Duration
+	// Limit is what the runner says of the requests that it takes.
+	Limit RateLimit
 	// Instance is the ID of the runner that answered, "" if it is not stated.
 	Instance string
 	// Malformed lists the headers whose value is none, as "name: value".
@@ -64,3 +66,13 @@
 	// Idle is the runner's idle timeout for this connection, 0 if not stated.
 	Idle time.Duration
 }
+
+// RateLimit is what an answer says of how many requests its runner takes.
+type RateLimit struct {
+	// Rate is the number of requests a second that the runner takes of all VMs
+	// together. It is meaningful only if Named is set.
+	Rate float64
+	// Named is set if the runner takes a limited number, and Unclear if that cannot be
+	// told from the answer. With neither, the runner takes any number.
+	Named, Unclear bool
+}
--- a/drscheduler/homes_test.go
+++ b/drscheduler/homes_test.go
@@ -151,6 +151,9 @@
 		if r.OutOfService {
 			r.Runner = r.WithDraining()
 		}
+		if source.IntN(6) == 0 {
+			r.Limit = 1 + source.Float64()
+		}
 		runners = append(runners, r)
 	}
 	var backlogs []drscheduler.Backlog
@@ -183,7 +186,7 @@
 	waits := slices.ContainsFunc(s.Backlogs, func(b drscheduler.Backlog) bool {
 		return b.Model == swap.Load && b.Zones.Allow(swap.Runner.Zone)
 	})
-	if swap.Why == drscheduler.Wanted {
+	if swap.Why == drscheduler.Wanted || swap.Why == drscheduler.Limited {
 		return waits
 	}
 	for d := range s.AtHome {
@@ -208,7 +211,7 @@
 			}
 		}
 	}
-	for _, why := range []drscheduler.Reason{drscheduler.Wanted, drscheduler.Queued, drscheduler.Busy, drscheduler.Spread, drscheduler.Relocated} {
+	for _, why := range []drscheduler.Reason{drscheduler.Wanted, drscheduler.Queued, drscheduler.Busy, drscheduler.Spread, drscheduler.Relocated, drscheduler.Limited} {
 		is.True(loads[why] > 0) // the fleets have shown all kinds
 	}
 }
--- a/drscheduler/patience.go
+++ b/drscheduler/patience.go
@@ -22,6 +22,8 @@
 	switch {
 	case reason == Relocated:
 		return p.use(d).Rate
+	case reason == Limited:
+		return p.requests(d)
 	case reason != Wanted:
 		return p.replicaGain(d)
 	case p.canWait(d, expected+patienceMargin):
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -73,6 +73,8 @@
 	// adapter.
 	Running        map[string]int
 	RunningAdapter map[AdapterKey]int
+	// Limit is how many requests a second the runner takes, 0 for any number.
+	Limit float64
 	// OutOfService is set if the runner drains because its availability zone is out of
 	// service.
 	OutOfService bool
@@ -124,6 +126,7 @@
 //
 //   - a further replica of each model whose requests queue at its runners: the few
 //     runners with a copy of it would otherwise be taken by other models all the time;
+//   - loads of models whose requests wait because only runners that take few hold them;
 //   - loads of models that requests wait for, in descending order of value;
 //   - loads of models that only runners out of service hold;
 //   - additional replicas of busy models;
@@ -139,6 +142,7 @@
 func Plan(s State) []Swap {
 	p := newPlanner(s)
 	p.planEach(p.saturated(), Queued, p.needsRelief)
+	p.planEach(p.limited(), Limited, always)
 	due, patient := p.missing()
 	p.planEach(due, Wanted, always)
 	p.planEach(p.toRelocate(), Relocated, always)
@@ -270,7 +274,7 @@
 	var bestCost time.Duration
 	for i := range p.Runners {
 		r := &p.Runners[i]
-		if _, holds := r.Replica(d.Model); holds || !p.acceptsLoad(r, d) {
+		if _, holds := r.Replica(d.Model); holds || !p.acceptsLoad(r, d, reason) {
 			continue
 		}
 		loadDuration, source := loadTime(r.Runner, model)
@@ -289,14 +293,18 @@
 	}
 }
 
-// acceptsSwap reports whether a swap can start on a runner now.
-func (p *planner) acceptsSwap(r *Runner) bool {
+// acceptsSwap reports whether a swap can start on a runner now. A runner that takes few
+// requests relieves no others.
+func (p *planner) acceptsSwap(r *Runner, reason Reason) bool {
+	if r.Limit > 0 && reason != Wanted && reason != Relocated {
+		return false
+	}
 	return !r.Draining && !r.Busy && len(r.LoadingAdapters) == 0 && !p.swapPlanned[r.ID]
 }
 
 // acceptsLoad reports whether a load for a demand can start on a runner now and serves it.
-func (p *planner) acceptsLoad(r *Runner, d Demand) bool {
-	return d.Zones.Allow(r.Zone) && p.acceptsSwap(r)
+func (p *planner) acceptsLoad(r *Runner, d Demand, reason Reason) bool {
+	return d.Zones.Allow(r.Zone) && p.acceptsSwap(r, reason)
 }
 
 // addSwap adds a swap to the plan.
@@ -319,7 +327,7 @@
 	var bestCost time.Duration
 	for i := range p.Runners {
 		r := &p.Runners[i]
-		if _, holds := r.Replica(d.Model); holds || !p.acceptsLoad(r, d) {
+		if _, holds := r.Replica(d.Model); holds || !p.acceptsLoad(r, d, reason) {
 			continue
 		}
 		if swap, cost, ok := p.planSwap(r, d, loadDuration, reason); ok && (best == nil || cost < bestCost) {
--- a/drscheduler/reason.go
+++ b/drscheduler/reason.go
@@ -21,4 +21,7 @@
 	// Relocated means that only runners in availability zones out of service hold the
 	// model.
 	Relocated // relocated
+	// Limited means that requests wait for the model although runners hold it, because
+	// these take few requests.
+	Limited // limited
 )
--- a/drscheduler/reason_string.go
+++ b/drscheduler/reason_string.go
@@ -13,11 +13,12 @@
 	_ = x[Spread-2]
 	_ = x[Queued-3]
 	_ = x[Relocated-4]
+	_ = x[Limited-5]
 }
 
-const _Reason_name = "wantedbusyspreadqueuedrelocated"
+const _Reason_name = "wantedbusyspreadqueuedrelocatedlimited"
 
-var _Reason_index = [...]uint8{0, 6, 10, 16, 22, 31}
+var _Reason_index = [...]uint8{0, 6, 10, 16, 22, 31, 38}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/drscheduler/saturated.go
+++ b/drscheduler/saturated.go
@@ -41,10 +41,14 @@
 
 // mayUseStore reports whether a model may be loaded for a demand from the weight store. A
 // model that no runner in service holds may if none has a copy. One whose requests queue
-// may if no runner could load a further replica from a copy, even once it is free.
+// may if no runner could load a further replica from a copy, even once it is free, and one
+// whose runners take too few if the others have no copy.
 func (p *planner) mayUseStore(d Demand, reason Reason) bool {
-	if reason == Wanted || reason == Relocated {
+	switch reason {
+	case Wanted, Relocated:
 		return !p.Stored.In(d.Model, d.Zones)
+	case Limited:
+		return p.exceedsLimits(d) && p.StoreLoads > reservedForWanted && !p.hasUnlimitedCopy(d)
 	}
 	return reason == Queued && p.isSaturated(d) && p.StoreLoads > reservedForWanted && !p.hasSpareCopy(d)
 }
--- a/drscheduler/spread.go
+++ b/drscheduler/spread.go
@@ -14,7 +14,7 @@
 func (p *planner) spread() {
 	for i := range p.Runners {
 		r := &p.Runners[i]
-		if len(r.Replicas) > 0 || !p.acceptsSwap(r) {
+		if len(r.Replicas) > 0 || !p.acceptsSwap(r, Spread) {
 			continue
 		}
 		if swap, ok := p.planSpread(r); ok {
--- a/drwarmup/budget.go
+++ b/drwarmup/budget.go
@@ -1,8 +1,8 @@
-// Package drwarmup decides which VMs may send requests to runners that are cold. Such a
-// runner bears few requests a second from all VMs together. The controller gives permits
-// for single requests to the VMs whose requests wait for what the runner holds; they end
-// by themselves, so that a VM that is cut off or suspended has none. drwarmup does no
-// input or output.
+// Package drwarmup decides which VMs may send requests to runners that bear few requests a
+// second from all VMs together: those that are cold, and those that have named a limit. The
+// controller gives permits for single requests to the VMs whose requests wait for what the
+// runner holds; they end by themselves, so that a VM that is cut off or suspended has none.
+// drwarmup does no input or output.
 package drwarmup
 
 import (
@@ -17,20 +17,32 @@
 // refillTime is a time in which the level of each runner rises to its limit.
 const refillTime = time.Minute
 
-// Bound says how many requests a cold runner bears in one second:
-// rate x Overage + Slack, if rate is the requests per second that it states.
+// Bound says how many requests a runner bears in any span of the length Window:
+// rate x Window x Overage + Slack, if rate is the requests per second that it states.
 type Bound struct {
+	Window         time.Duration
 	Overage, Slack float64
 }
 
-// requests returns how many requests a runner bears in one second.
-func (b Bound) requests(rate float64) float64 { return rate*b.Overage + b.Slack }
+// LimitBound is the bound of runners that have named a limit.
+var LimitBound = Bound{Window: 4 * time.Second, Overage: 1.25, Slack: 2}
 
-// usable returns the permits per second and the permits at once that keep a bound. The
-// requests of one second use permits that were given in that second or PermitTime before.
-func (b Bound) usable(rate float64) (perSecond, atOnce float64) {
-	atOnce = max(b.Slack, 1)
-	perSecond = min(rate, (b.requests(rate)-atOnce)/(1+PermitTime.Seconds()))
+// Rate is how many requests a runner bears.
+type Rate struct {
+	PerSecond float64
+	Bound     Bound
+}
+
+// requests returns how many requests a runner bears in a window.
+func (r Rate) requests() float64 {
+	return r.PerSecond*r.Bound.Window.Seconds()*r.Bound.Overage + r.Bound.Slack
+}
+
+// usable returns the permits per second and the permits at once that keep the bound. The
+// requests of a window use permits that were given in it or PermitTime before.
+func (r Rate) usable() (perSecond, atOnce float64) {
+	atOnce = max(r.Bound.Slack, 1)
+	perSecond = min(r.PerSecond, (r.requests()-atOnce)/(r.Bound.Window+PermitTime).Seconds())
 	return perSecond, atOnce
 }
 
@@ -43,7 +55,6 @@
 // Budget gives the permits of one controller for all runners. All times are uptimes, which
 // also pass while the VM is suspended. Not safe for concurrent use.
 type Budget struct {
-	bound Bound
 	// opensAt is when the permits of former controllers have ended.
 	opensAt time.Duration
 	levels  map[Incarnation]level
@@ -57,19 +68,18 @@
 
 // NewBudget returns the budget of a controller that begins now. The controllers before it
 // give no more permits.
-func NewBudget(bound Bound, now time.Duration) *Budget {
-	return &Budget{bound: bound, opensAt: now + PermitTime, levels: make(map[Incarnation]level)}
+func NewBudget(now time.Duration) *Budget {
+	return &Budget{opensAt: now + PermitTime, levels: make(map[Incarnation]level)}
 }
 
-// Available returns how many permits for a runner that bears a rate of requests per second
-// could be given now.
-func (b *Budget) Available(runner Incarnation, rate float64, now time.Duration) int {
+// Available returns how many permits for a runner could be given now.
+func (b *Budget) Available(runner Incarnation, rate Rate, now time.Duration) int {
 	return int(b.current(runner, rate, now).permits)
 }
 
 // Give gives up to a number of permits for a runner, and returns how many. They end
 // PermitTime from now.
-func (b *Budget) Give(runner Incarnation, rate float64, wanted int, now time.Duration) int {
+func (b *Budget) Give(runner Incarnation, rate Rate, wanted int, now time.Duration) int {
 	l := b.current(runner, rate, now)
 	given := max(min(wanted, int(l.permits)), 0)
 	l.permits -= float64(given)
@@ -79,7 +89,7 @@
 
 // current returns the level of a runner, which rises from nothing once former permits
 // have ended.
-func (b *Budget) current(runner Incarnation, rate float64, now time.Duration) level {
+func (b *Budget) current(runner Incarnation, rate Rate, now time.Duration) level {
 	l, known := b.levels[runner]
 	if !known {
 		l.at = b.opensAt
@@ -87,7 +97,7 @@
 	if now <= l.at {
 		return l
 	}
-	perSecond, atOnce := b.bound.usable(rate)
+	perSecond, atOnce := rate.usable()
 	if perSecond <= 0 {
 		return level{at: now}
 	}
--- a/drwarmup/random_orders_test.go
+++ b/drwarmup/random_orders_test.go
@@ -14,7 +14,7 @@
 type fleet struct {
 	random  *rand.Rand
 	now     time.Duration
-	rate    float64
+	rate    drwarmup.Rate
 	runner  drwarmup.Incarnation
 	budget  *drwarmup.Budget // of the present controller
 	vms     []*vm
@@ -39,9 +39,9 @@
 	end, due time.Duration
 }
 
-func newFleet(seed uint64, bound drwarmup.Bound, rate float64) *fleet {
+func newFleet(seed uint64, rate drwarmup.Rate) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 36)), rate: rate, runner: drwarmup.Incarnation{Runner: "r", Started: 1}}
-	f.budget = drwarmup.NewBudget(bound, f.now)
+	f.budget = drwarmup.NewBudget(f.now)
 	for range 1 + f.random.IntN(8) {
 		f.vms = append(f.vms, &vm{})
 	}
@@ -59,7 +59,7 @@
 }
 
 // step makes one random event happen.
-func (f *fleet) step(bound drwarmup.Bound) {
+func (f *fleet) step() {
 	f.now += time.Duration(f.random.IntN(60)) * time.Millisecond
 	v := f.vms[f.random.IntN(len(f.vms))]
 	switch f.random.IntN(40) {
@@ -70,7 +70,7 @@
 	case 2:
 		*v = vm{} // restarted
 	case 3:
-		f.budget = drwarmup.NewBudget(bound, f.now)
+		f.budget = drwarmup.NewBudget(f.now)
 	case 5, 6, 7:
 		if f.now >= f.holdUntil {
 			f.holdUntil = f.now + time.Duration(f.random.IntN(260))*time.Millisecond
@@ -102,11 +102,11 @@
 	})
 }
 
-// busiestSecond returns the largest number of requests that were sent in one second.
-func (f *fleet) busiestSecond() int {
+// busiestWindow returns the largest number of requests that were sent in one window.
+func (f *fleet) busiestWindow(window time.Duration) int {
 	busiest, first := 0, 0
 	for i, at := range f.sent {
-		for f.sent[first] <= at-time.Second {
+		for f.sent[first] <= at-window {
 			first++
 		}
 		busiest = max(busiest, i-first+1)
@@ -121,14 +121,18 @@
 	const orders = 100_000
 	served := 0
 	for seed := range uint64(orders) {
-		bound := drwarmup.Bound{Overage: 1 + float64(seed%3)/2, Slack: float64(seed % 7)}
-		rate := float64(1 + seed%25)
-		f := newFleet(seed, bound, rate)
+		bound := drwarmup.Bound{Window: time.Second, Overage: 1 + float64(seed%3)/2, Slack: float64(seed % 7)}
+		if seed%2 == 1 {
+			bound = drwarmup.LimitBound
+		}
+		rate := drwarmup.Rate{PerSecond: float64(1 + seed%25), Bound: bound}
+		f := newFleet(seed, rate)
 		for range 70 {
-			f.step(bound)
+			f.step()
 		}
-		if most := f.busiestSecond(); float64(most) > rate*bound.Overage+bound.Slack {
-			t.Fatalf("seed %d: %d requests in one second, %v + %v borne", seed, most, rate*bound.Overage, bound.Slack)
+		borne := rate.PerSecond*bound.Window.Seconds()*bound.Overage + bound.Slack
+		if most := f.busiestWindow(bound.Window); float64(most) > borne {
+			t.Fatalf("seed %d: %d requests in %s, %v borne", seed, most, bound.Window, borne)
 		}
 		served += len(f.sent)
 	}
