drcontroller: Send few pieces of the runner table at once

Change: the bytes of pieces that no VM has answered yet are bounded by a window that follows the link; the others wait for their turn, keep what they have, and hear at once of configurations, zones out of service and blocked requests. Requests that begin to wait cancel a report that is to bring a piece only after 0.4 s: they may come faster than pieces.

--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drmetric"
+	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drpeer"
 	"github.com/dotterelridge/dotterelridge/drstandin"
 	"github.com/dotterelridge/dotterelridge/drstore"
@@ -56,9 +57,13 @@
 	// outageUntil is when the store serves again. Until then it refuses calls, and
 	// reads that wait get no answer.
 	outageUntil time.Time
+	// pieceDelay is how long a reply with a piece of the table is on its way.
+	pieceDelay time.Duration
 	// calls is the number of calls to the store since the last takeCalls, by
 	// topic.
 	calls map[drstore.Topic]int
+	// linkRate is how many bytes of replies a node sends in a second, 0 for no limit.
+	linkRate float64
 }
 
 // testNode is one VM of a testFleet. It serves its Node as the store, the peer
@@ -69,6 +74,7 @@
 	name        string
 	partitioned bool // no call to or from the store and the peers succeeds
 	handlers    map[string]drpeer.Handler
+	linkFreeAt  time.Time // when all replies so far have left
 }
 
 var errPartitioned = errors.New("cut off")
@@ -197,6 +203,10 @@
 	if err != nil {
 		return err
 	}
+	n.fleet.delayPiece(ctx, m)
+	if err := to.awaitLink(ctx, proto.Size(m)); err != nil {
+		return err
+	}
 	n.fleet.mu.Lock()
 	lost = n.partitioned || to.partitioned
 	n.fleet.mu.Unlock()
@@ -208,6 +218,43 @@
 	return ctx.Err()
 }
 
+// withoutLoops ends the loops of a node and returns it, for a test that makes its reports.
+func (n *testNode) withoutLoops() *Node {
+	n.cancel()
+	n.wg.Wait()
+	n.ctx = context.Background()
+	return n.Node
+}
+
+// delayPiece waits while a reply that has a piece of the table is on its way, at most until
+// ctx ends.
+func (f *testFleet) delayPiece(ctx context.Context, reply proto.Message) {
+	f.mu.Lock()
+	delay := f.pieceDelay
+	f.mu.Unlock()
+	if m, ok := reply.(*drpb.FleetSyncReply); ok && delay > 0 && m.GetTablePosition().GetNextBucket() > 0 {
+		_ = f.clock.Sleep(ctx, delay)
+	}
+}
+
+// awaitLink waits until a reply of a size has left the node, behind all replies before it. It
+// leaves also if ctx ends.
+func (n *testNode) awaitLink(ctx context.Context, size int) error {
+	n.fleet.mu.Lock()
+	if n.fleet.linkRate <= 0 {
+		n.fleet.mu.Unlock()
+		return nil
+	}
+	now := time.Now()
+	if n.linkFreeAt.Before(now) {
+		n.linkFreeAt = now
+	}
+	n.linkFreeAt = n.linkFreeAt.Add(time.Duration(float64(size) / n.fleet.linkRate * float64(time.Second)))
+	left := n.linkFreeAt.Sub(now)
+	n.fleet.mu.Unlock()
+	return n.fleet.clock.Sleep(ctx, left)
+}
+
 // lengthCodec decodes a configuration whose version is the record's length, and
 // a runner that has only an ID.
 type lengthCodec struct{}
--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -86,6 +86,7 @@
 	// crashes counts the runners that each request has crashed.
 	crashes *drcrash.Tally
 	table   *tableSender
+	pieces  *pieceQueue
 	// planRequests holds a token if a plan was requested.
 	planRequests chan struct{}
 	ctx          context.Context
@@ -119,7 +120,7 @@
 	controller := &Controller{
 		ControllerConfig: c, view: v, pool: drtokenpool.NewPool(c.Clock), crashes: drcrash.NewTally(c.Clock), planRequests: make(chan struct{}, 1),
 		vms: make(map[string]*vm), running: newRunningTotals(), tokens: make(tokensByRunner), runnerStates: make(map[string]*runnerState), demands: make(map[drscheduler.Demand]*demand),
-		backlogs: make(map[string]modelBacklog), warmups: drwarmup.NewBudget(c.Clock.Uptime()), table: newTableSender(v),
+		backlogs: make(map[string]modelBacklog), warmups: drwarmup.NewBudget(c.Clock.Uptime()), table: newTableSender(v), pieces: newPieceQueue(c.Clock),
 		storeLoads: loadRate{createdAt: c.Clock.Now()}, startedAt: c.Clock.Now(), limitsVersion: -1,
 	}
 	if c.Term > firstTerm {
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -42,9 +42,11 @@
 
 // vm is the controller's record of one entry VM, from the VM's reports.
 type vm struct {
-	incarnation     uint64
-	processor       float64
-	lastReportAt    time.Time
+	incarnation  uint64
+	processor    float64
+	lastReportAt time.Time
+	// newest is its last report, which may be held.
+	newest          *drpb.FleetSyncRequest
 	wants           []*drpb.FleetWant
 	wantsReceivedAt time.Time
 	// pausedUntil is when the runners that want no requests of the VM take them again.
--- /dev/null
+++ b/drcontroller/piece_wait_test.go
@@ -0,0 +1,114 @@
+package drcontroller
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drcrash"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drrequest"
+)
+
+// pieceWaitFixture is a controller whose window is full of pieces for other VMs.
+type pieceWaitFixture struct{ *controllerFixture }
+
+func newPieceWaitFixture(t *testing.T) pieceWaitFixture {
+	f := pieceWaitFixture{newControllerFixture(t, func(c *ControllerConfig) { c.Clock = bubbleClock{start: time.Now()} })}
+	f.view.ConfirmRunners(0)
+	f.fillWindow()
+	return f
+}
+
+func (f pieceWaitFixture) fillWindow() {
+	for i := range firstWindow / maxPieceBytes {
+		vm := fmt.Sprint("other-", i)
+		f.controller.pieces.admit(vm, tablePosition{})
+		f.controller.pieces.sending(vm, tablePosition{}, maxPieceBytes)
+	}
+}
+
+// sync sends a report of the VM "waits", which has no table yet. The reply follows.
+func (f pieceWaitFixture) sync(ctx context.Context, change func(*drpb.FleetSyncRequest)) <-chan *drpb.FleetSyncReply {
+	request := &drpb.FleetSyncRequest{
+		WaitMs: 600, ReadsUpdates: true, ReadsDeflated: true, Deployment: 1, TablePosition: &drpb.FleetTablePosition{Term: f.controller.Term},
+	}
+	change(request)
+	replies := make(chan *drpb.FleetSyncReply, 1)
+	go func() { replies <- f.controller.Sync(ctx, "waits", 1, request) }()
+	synctest.Wait()
+	return replies
+}
+
+// atOnce returns a reply if there is one within 50 ms, nil otherwise.
+func atOnce(replies <-chan *drpb.FleetSyncReply) *drpb.FleetSyncReply {
+	select {
+	case r := <-replies:
+		return r
+	case <-time.After(50 * time.Millisecond):
+		return nil
+	}
+}
+
+// Guards against a VM of an earlier version of the program that gets the table, all of it
+// in one reply anyway, only after it has waited for a turn.
+func TestEarlierVersionWaitsForNoTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newPieceWaitFixture(t)
+		reply := atOnce(f.sync(t.Context(), func(r *drpb.FleetSyncRequest) { r.ReadsUpdates, r.TablePosition = false, nil }))
+		is.True(reply.GetWhole())
+	})
+}
+
+// Guards against a VM that hears of a block only when its time to wait for a piece is over.
+func TestVMThatWaitsForPieceHearsOfBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newPieceWaitFixture(t)
+		replies := f.sync(t.Context(), func(*drpb.FleetSyncRequest) {})
+		is.Equal(atOnce(replies), nil)
+		var report drcrash.Report
+		for i := range drcrash.MaxCrashes {
+			request := drrequest.NewFingerprint("account", "POST /", []byte("poison"))
+			report.Crashes = append(report.Crashes, drcrash.Crash{Identity: drcrash.Identity{Request: request}, Runner: fmt.Sprint("r", i)})
+		}
+		f.controller.addCrashes("other", encodeCrashes(report))
+		reply := atOnce(replies)
+		is.Equal(len(reply.GetVerdict().GetBlocks()), 1)
+		is.Equal(len(reply.GetTableBlocks()), 0)
+		is.Equal(reply.GetTablePosition().GetNextBucket(), uint32(0)) // it still has nothing of the table
+	})
+}
+
+// Guards against a VM that never reaches a new controller, because that holds its first
+// report until there is room for a piece, and requests that wait have it sent anew sooner.
+func TestFirstReportOfWaitingVMIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newPieceWaitFixture(t)
+		reply := atOnce(f.sync(t.Context(), func(r *drpb.FleetSyncRequest) { r.Whole = true }))
+		is.True(reply.GetLeading())
+		is.Equal(len(reply.GetTableBlocks()), 0)
+	})
+}
+
+// Guards against a piece for a report that the VM has given up, while its next report waits.
+func TestGivenUpReportTakesNoPiece(t *testing.T) {
+	for range 20 { // the wake-up may be seen before the end of the report, or after it
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newPieceWaitFixture(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			f.sync(ctx, func(*drpb.FleetSyncRequest) {})
+			replies := f.sync(t.Context(), func(*drpb.FleetSyncRequest) {})
+			f.controller.wakeVMs(f.controller.pieces.complete("other-0"))
+			cancel()
+			is.True(len(atOnce(replies).GetTableBlocks()) > 0)
+		})
+	}
+}
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
@@ -44,9 +45,12 @@
 	c.addCrashes(name, request.GetCrashReport())
 	c.recordLeavingOf(name, request)
 	offerLimits(c.view, request.GetLimits(), received, log.Fields{"source": "vm", "reported-by": name, "term": c.Term})
-	c.awaitChange(ctx, c.applyReport(name, incarnation, request), request)
+	if request.GetTerm() == c.Term {
+		c.wakeVMs(c.pieces.complete(name))
+	}
+	getsPiece := c.awaitChange(ctx, name, c.applyReport(name, incarnation, request), request)
 	reply := &drpb.FleetSyncReply{Leading: c.Holds(), Term: c.Term}
-	c.fillTable(request, reply)
+	c.fillTable(request, reply, getsPiece)
 	record, version, at := c.view.DeploymentRecord()
 	if version > request.GetDeployment() {
 		fillDeployment(reply, record, request.GetReadsDeflated())
@@ -65,6 +69,9 @@
 	c.fillReply(name, request, reply)
 	c.fillLimits(name, request, reply)
 	reply.Permits = c.givePermits(ctx, name, request, received)
+	if getsPiece && name != c.Holder {
+		c.wakeVMs(c.pieces.sending(name, positionOf(c.Term, request), proto.Size(reply)))
+	}
 	return reply
 }
 
@@ -135,6 +142,7 @@
 	}
 	first := v.lastReportAt.IsZero()
 	v.processor = request.GetProcessor()
+	v.newest = request
 	v.lastReportAt, v.wants, v.wantsReceivedAt = now, request.GetWants(), now
 	v.pausedUntil = decodePauses(request.GetPauses(), now)
 	c.applyUses(v, request, first, now)
@@ -145,18 +153,28 @@
 }
 
 // awaitChange waits until a change concerns the VM, its time to wait is over or
-// the controller is closed.
-func (c *Controller) awaitChange(ctx context.Context, v *vm, request *drpb.FleetSyncRequest) {
-	if request.GetWaitMs() == 0 || request.GetTerm() != c.Term && c.hasPieceFor(request) {
-		return
+// the controller is closed. It reports whether the VM gets a piece of the table.
+func (c *Controller) awaitChange(ctx context.Context, name string, v *vm, request *drpb.FleetSyncRequest) (getsPiece bool) {
+	if c.admitsPiece(name, request) {
+		return true
+	}
+	if request.GetWaitMs() == 0 || c.mustBeReached(request) {
+		return false
 	}
 	t := c.Clock.NewTimer(time.Duration(request.GetWaitMs()) * time.Millisecond)
 	defer t.Stop()
 	for ended := false; !ended; {
 		changed := c.changeChannel()
+		if ctx.Err() != nil || c.hasFollower(name, v, request) {
+			signal(v.wakeups) // the token was for the report that follows
+			return false
+		}
+		if c.admitsPiece(name, request) {
+			return true
+		}
 		if c.needsReply(request) {
 			_ = c.Clock.Sleep(ctx, replyBatchDelay)
-			return
+			return false
 		}
 		recheck, stop := c.recheckPermits(request)
 		select {
@@ -172,6 +190,31 @@
 		}
 		stop()
 	}
+	return false
+}
+
+// admitsPiece reports whether a VM gets a piece of the table now. The VM of the controller,
+// and those of an earlier version of the program, don't wait for their turn.
+func (c *Controller) admitsPiece(name string, request *drpb.FleetSyncRequest) bool {
+	if request.GetTerm() == c.Term || !c.hasPieceFor(request) {
+		return false
+	}
+	return name == c.Holder || !request.GetReadsUpdates() || c.pieces.admit(name, positionOf(c.Term, request))
+}
+
+// hasFollower reports whether a VM has sent a newer report than one that is held, which it
+// has given up then, or has restarted.
+func (c *Controller) hasFollower(name string, v *vm, request *drpb.FleetSyncRequest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms[name] != v || v.newest != request
+}
+
+// mustBeReached reports whether a VM whose piece of the table must wait is to be answered
+// without one, because it may never have had a reply of this controller. Requests that begin
+// to wait have its report sent anew until it has one, so one that is held may be in vain.
+func (c *Controller) mustBeReached(request *drpb.FleetSyncRequest) bool {
+	return request.GetTerm() != c.Term && request.GetWhole() && c.hasPieceFor(request)
 }
 
 // changeChannel returns a channel that is closed with the next change of the
@@ -188,11 +231,14 @@
 // needsReply reports whether the view has a change that the VM must learn at
 // once.
 func (c *Controller) needsReply(request *drpb.FleetSyncRequest) bool {
+	_, version, _ := c.view.DeploymentRecord()
+	if version > request.GetDeployment() || c.lacksVerdict(request) || c.lacksOutages(request) {
+		return true
+	}
 	if request.GetTerm() != c.Term {
-		return c.hasPieceFor(request)
+		return false // it may not know the runners that permits are for
 	}
-	_, version, _ := c.view.DeploymentRecord()
-	if version > request.GetDeployment() || c.crashes.Revision() != request.GetVerdict() || c.lacksOutages(request) || c.canGivePermits(request) {
+	if c.canGivePermits(request) {
 		return true
 	}
 	if c.view.Revision() == request.GetRevision() {
@@ -206,6 +252,22 @@
 	})
 }
 
+// lacksVerdict reports whether a VM has not been told of a change of what is to be refused. A
+// VM may wait for the table for long, and goes on sending requests meanwhile. One of an
+// earlier version of the program does not say of which term its verdict is; once it has one,
+// that is this controller's only if its table is.
+func (c *Controller) lacksVerdict(request *drpb.FleetSyncRequest) bool {
+	revision := c.crashes.Revision()
+	switch term := request.GetVerdictTerm(); {
+	case term == c.Term, term == 0 && request.GetTerm() == c.Term:
+		return revision != request.GetVerdict()
+	case term == 0:
+		return revision > 0 && request.GetVerdict() == 0
+	default:
+		return revision > 0 && term < c.Term
+	}
+}
+
 // wakeAllVMs makes the pending reports of all VMs check again whether they need
 // a reply. The caller holds mu.
 func (c *Controller) wakeAllVMs() {
@@ -214,6 +276,20 @@
 	}
 }
 
+// wakeVMs makes the pending reports of some VMs check again whether they need a reply.
+func (c *Controller) wakeVMs(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range names {
+		if v := c.vms[name]; v != nil {
+			signal(v.wakeups)
+		}
+	}
+}
+
 // wakeVMsWaitingFor makes the pending reports of the VMs whose requests wait
 // for a model check again whether they need a reply. The caller holds mu.
 func (c *Controller) wakeVMsWaitingFor(model string) {
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -33,6 +33,9 @@
 	// fullTableTimeout is how long a VM waits for a reply with a piece of the
 	// runner table, or with all of it from a controller of an earlier version.
 	fullTableTimeout = 2500 * time.Millisecond
+	// pieceTime is how long requests don't cancel a report that is to bring a piece of
+	// the runner table.
+	pieceTime = 400 * time.Millisecond
 	// reserveTimeout is the timeout of one call to reserve tokens.
 	reserveTimeout = 250 * time.Millisecond
 )
@@ -80,7 +83,9 @@
 // report sends one report and applies the reply. It returns false if it failed.
 // If requests of this VM begin to wait for a model meanwhile, or another VM
 // becomes the controller, it cancels the call, so that the next report carries
-// them at once or goes there.
+// them at once or goes there. A call to a controller that replies and is to bring a
+// piece of its table has pieceTime before requests cancel it: they may come faster
+// than the pieces, and this VM would never get any.
 func (n *Node) report() bool {
 	clearSignal(n.leaderFound)
 	n.mu.Lock()
@@ -91,11 +96,15 @@
 	ctx, cancel := context.WithTimeout(n.ctx, limit)
 	defer cancel()
 	leader, request := n.leader, &drpb.FleetSyncRequest{
-		Zone: n.Zone, WaitMs: uint32(n.syncWait.Milliseconds()), Whole: n.fullReport,
+		Zone: n.Zone, WaitMs: uint32(n.syncWait.Milliseconds()), Whole: n.fullReport || n.reportedTerm != n.leader.Term,
 		Processor: n.Processor, ReadsDeflated: true,
 	}
 	n.table.fillRequest(leader.Term, request)
 	n.fullReport = true // reset by applyReply if this report arrives
+	uninterrupted := time.Duration(0)
+	if !n.lastReplyAt.IsZero() && n.table.term != leader.Term {
+		uninterrupted = pieceTime
+	}
 	n.mu.Unlock()
 	clearSignal(n.View.DemandAdded())
 	crashes := n.fillRequest(request)
@@ -103,14 +112,10 @@
 	defer close(done)
 	var superseded atomic.Bool
 	go func() {
-		select {
-		case <-n.View.DemandAdded():
-		case <-n.leaderFound:
-		case <-done:
-			return
+		if n.awaitSupersession(done, uninterrupted) {
+			superseded.Store(true)
+			cancel()
 		}
-		superseded.Store(true)
-		cancel()
 	}()
 	sent := n.Clock.Uptime()
 	reply := new(drpb.FleetSyncReply)
@@ -130,6 +135,29 @@
 	return n.applyReply(reply, sent)
 }
 
+// awaitSupersession waits until a report must be sent anew, which it reports, or is done.
+// Requests that begin to wait for a model count only after a time.
+func (n *Node) awaitSupersession(done <-chan struct{}, uninterrupted time.Duration) bool {
+	if uninterrupted > 0 {
+		t := n.Clock.NewTimer(uninterrupted)
+		defer t.Stop()
+		select {
+		case <-t.C():
+		case <-n.leaderFound:
+			return true
+		case <-done:
+			return false
+		}
+	}
+	select {
+	case <-n.View.DemandAdded():
+	case <-n.leaderFound:
+	case <-done:
+		return false
+	}
+	return true
+}
+
 // clearSignal removes the token from a channel, if there is one.
 func clearSignal(c <-chan struct{}) {
 	select {
--- a/drcontroller/table_entry_test.go
+++ b/drcontroller/table_entry_test.go
@@ -39,7 +39,7 @@
 	for range 10 {
 		request, reply := new(drpb.FleetSyncRequest), &drpb.FleetSyncReply{Leading: true, Term: c.Term}
 		r.fillRequest(c.Term, request)
-		c.fillTable(request, reply)
+		c.fillTable(request, reply, true)
 		complete, err := r.apply(reply, false)
 		if err != nil {
 			t.Fatal(err)
@@ -102,7 +102,7 @@
 	request, reply := new(drpb.FleetSyncRequest), &drpb.FleetSyncReply{Leading: true, Term: 6}
 	vm.fillRequest(5, request)
 	is.True(!restarted.hasPieceFor(request))
-	restarted.fillTable(request, reply)
+	restarted.fillTable(request, reply, true)
 	_, err := vm.apply(reply, false)
 	is.NoErr(err)
 	_, known := vm.view.Runner("r")
--- a/drcontroller/table_reply.go
+++ b/drcontroller/table_reply.go
@@ -13,11 +13,11 @@
 const maxChanges = 256
 
 // fillTable adds to a reply what the VM lacks of the runner table: the changes since its
-// revision, or if that is of another term the next piece. VMs of an earlier version of
-// the program get the whole table then.
-func (c *Controller) fillTable(request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
+// revision, or if that is of another term the next piece, unless the VM must wait for it.
+// VMs of an earlier version of the program get the whole table then.
+func (c *Controller) fillTable(request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply, getsPiece bool) {
 	if request.GetTerm() != c.Term && request.GetReadsUpdates() {
-		c.fillPiece(request, reply)
+		c.fillPiece(request, reply, getsPiece)
 		return
 	}
 	after, limit := request.GetRevision(), maxChanges
@@ -46,9 +46,9 @@
 }
 
 // fillPiece adds the next piece of the table to a reply, or the position without any
-// progress if the controller does not know the table.
-func (c *Controller) fillPiece(request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
-	if c.hasPieceFor(request) {
+// progress if the VM gets none.
+func (c *Controller) fillPiece(request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply, getsPiece bool) {
+	if getsPiece && c.hasPieceFor(request) {
 		err := c.table.fill(c.Term, request.GetTablePosition(), reply)
 		if err == nil {
 			reply.Revision = reply.GetTablePosition().GetRevision()
@@ -57,7 +57,17 @@
 		log.WithFields(log.Fields{"event": "table-piece-failed", "bucket": request.GetTablePosition().GetNextBucket()}).WithError(err).Error("")
 		reply.Runners, reply.TableBlocks = nil, nil
 	}
-	reply.TablePosition = &drpb.FleetTablePosition{Term: c.Term}
+	p := positionOf(c.Term, request)
+	reply.TablePosition = &drpb.FleetTablePosition{Term: p.term, Revision: p.revision, NextBucket: p.nextBucket}
+}
+
+// positionOf returns how far a VM has the table of the controller of a term.
+func positionOf(term uint64, request *drpb.FleetSyncRequest) tablePosition {
+	p := request.GetTablePosition()
+	if p.GetTerm() != term {
+		return tablePosition{term: term}
+	}
+	return tablePosition{term: term, revision: p.GetRevision(), nextBucket: p.GetNextBucket()}
 }
 
 // hasPieceFor reports whether the table can be sent to a VM that has that of another
--- a/drcontroller/table_test.go
+++ b/drcontroller/table_test.go
@@ -49,7 +49,7 @@
 func (f *tableFixture) step(is *is.I, lost bool) (complete bool) {
 	request, reply := new(drpb.FleetSyncRequest), &drpb.FleetSyncReply{Leading: true, Term: f.controller.Term}
 	f.receiver.fillRequest(f.controller.Term, request)
-	f.controller.fillTable(request, reply)
+	f.controller.fillTable(request, reply, true)
 	size := proto.Size(reply)
 	is.True(size < 3*maxPieceBytes) // a reply whose size does not grow with the fleet
 	f.bytes += size
@@ -142,7 +142,7 @@
 	f.controller.view.OfferRunner(tableRunner(7, "m2"), drfleetview.FromController)
 	request, reply := new(drpb.FleetSyncRequest), &drpb.FleetSyncReply{Leading: true, Term: 1}
 	f.receiver.fillRequest(1, request)
-	f.controller.fillTable(request, reply)
+	f.controller.fillTable(request, reply, true)
 	is.Equal(len(reply.GetRunners()), 1)
 	is.Equal(reply.GetRunners()[0].GetAddress(), "") // the VM had it
 	_, err := f.receiver.apply(reply, false)
@@ -156,7 +156,7 @@
 	is := is.New(t)
 	f := newTableFixture(2)
 	reply := &drpb.FleetSyncReply{Leading: true, Term: 2}
-	f.controller.fillTable(&drpb.FleetSyncRequest{Term: 1, Revision: 9}, reply)
+	f.controller.fillTable(&drpb.FleetSyncRequest{Term: 1, Revision: 9}, reply, true)
 	is.True(reply.GetWhole())
 	is.Equal(len(reply.GetRunners()), 3000)
 	complete, err := f.receiver.apply(reply, false)
