drcontroller: Tell all VMs at once that a runner drains

Cause: VMs of a large fleet learned of a drain with the next regular reply, up to 0.6 s after the controller, and those that wait for their turn to get the table went on using a former one. Measured: TestAllVMsLearnOfDrainAtOnce, TestVMThatWaitsForTableHearsOfDrains.

--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -107,6 +107,7 @@
 	asking        int            // questions that await their answers
 	limitsVersion int64          // version of the deployment whose limits the pool uses, -1 for none
 	outages       drzone.Outages // as of the last plan
+	drainRevision uint64         // the same
 	warmups       *drwarmup.Budget
 
 	// unloadWait is the wait after an unload, and loadDelay the wait after the
@@ -177,7 +178,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.setLimits(d) || c.noteOutages() {
+	limits, outages, drains := c.setLimits(d), c.noteOutages(), c.noteDrains()
+	if limits || outages || drains {
 		c.wakeAllVMs()
 	}
 	now := c.Clock.Now()
@@ -214,6 +216,13 @@
 	return takesTurns && now.Sub(c.startedAt) < c.OrderPause
 }
 
+// noteDrains reports whether a runner has begun to drain since the last plan.
+func (c *Controller) noteDrains() (changed bool) {
+	before := c.drainRevision
+	c.drainRevision = c.view.DrainRevision()
+	return c.drainRevision != before
+}
+
 // setLimits passes the rate limits of a deployment to the pool unless the pool
 // already has the limits of this version.
 func (c *Controller) setLimits(d *drfleet.Deployment) (changed bool) {
--- a/drcontroller/outage_test.go
+++ b/drcontroller/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -158,3 +159,35 @@
 	eventually(t, "c is loaded elsewhere, too", func() bool { return slices.Contains(w.engines.loadedModels("r2"), "c") })
 	is.Equal(w.engines.loadedModels("r1"), []string{"a", "b"})
 }
+
+// draining counts the VMs that know that a runner drains.
+func (f *testFleet) draining(id string) (n int) {
+	for _, v := range f.nodes {
+		if r, ok := v.View.Runner(id); ok && r.Draining {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against VMs of a large fleet that send requests to a runner for up to 0.6 s after
+// the controller has heard that it leaves, beside the time that it took to hear.
+func TestAllVMsLearnOfDrainAtOnce(t *testing.T) {
+	const vms = 40 // above maxBroadcastVMs
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(vms)
+		defer f.close()
+		for i := range 5 {
+			f.store.Put(drstore.Runners, fmt.Sprint("r", i), []byte("x"))
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 5 {
+			id := fmt.Sprint("r", i)
+			is.True(f.controllers()[0].View.MarkLeaving(drfleetview.Incarnation{Runner: id}))
+			time.Sleep(50 * time.Millisecond) // sooner than the next regular replies to all
+			is.Equal(f.draining(id), vms)
+			time.Sleep(time.Duration(i+1) * 137 * time.Millisecond)
+		}
+	})
+}
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -244,6 +244,9 @@
 	if c.view.Revision() == request.GetRevision() {
 		return false
 	}
+	if c.view.DrainRevision() > request.GetRevision() {
+		return true
+	}
 	c.mu.Lock()
 	few := len(c.vms) <= maxBroadcastVMs
 	c.mu.Unlock()
--- a/drcontroller/table_entry_test.go
+++ b/drcontroller/table_entry_test.go
@@ -108,3 +108,33 @@
 	_, known := vm.view.Runner("r")
 	is.True(known)
 }
+
+// Guards against a VM that waits for its turn to get the table, and goes on using a runner
+// that began to drain seconds ago.
+func TestVMThatWaitsForTableHearsOfDrains(t *testing.T) {
+	is := is.New(t)
+	clock := drclock.NewFake(time.Unix(0, 0))
+	c := tableController(clock, 2, runnerWithOrders("m1", 0, 0))
+	vm := &tableReceiver{view: drfleetview.New(clock)}
+	exchangeTable(t, tableController(clock, 1, runnerWithOrders("m1", 0, 0)), vm)
+	drains := func() bool {
+		request, reply := new(drpb.FleetSyncRequest), &drpb.FleetSyncReply{Leading: true, Term: c.Term}
+		vm.fillRequest(c.Term, request)
+		c.fillTable(request, reply, false) // it must wait
+		complete, err := vm.apply(reply, false)
+		is.NoErr(err)
+		is.True(!complete)
+		r, known := vm.view.Runner("r")
+		is.True(known)
+		return r.Draining
+	}
+	is.True(!drains())
+	c.view.OfferRunner(runnerWithOrders("m1", 0, 0).WithDraining(), drfleetview.FromRunner)
+	is.True(drains())
+	restarted := runnerWithOrders("m1", 0, 0)
+	restarted.Started = 2
+	vm.view.OfferRunner(restarted, drfleetview.FromRunner)
+	is.True(!drains()) // another incarnation
+	clock.Advance(time.Minute)
+	is.Equal(len(c.view.DrainingNews()), 0)
+}
--- a/drcontroller/table_receiver.go
+++ b/drcontroller/table_receiver.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
 )
@@ -57,6 +58,7 @@
 			t.term, t.position = 0, tablePosition{}
 			return false, err
 		}
+		t.applyDraining(reply)
 	}
 	p := reply.GetTablePosition()
 	if p != nil && p.GetNextBucket() < drfleetview.Buckets {
@@ -70,6 +72,14 @@
 	return true, nil
 }
 
+// applyDraining marks the runners that have begun to drain, as a VM must know them before it
+// has the table.
+func (t *tableReceiver) applyDraining(reply *drpb.FleetSyncReply) {
+	for _, m := range reply.GetDraining() {
+		t.view.UpdateRunner(m.GetRunner(), m.GetStarted(), func(r drfleet.Runner) drfleet.Runner { return *r.WithDraining() })
+	}
+}
+
 // applyRunners applies the reply's changes and blocks to the view. If the reply has the
 // whole table, runners that are missing from it are removed.
 func (t *tableReceiver) applyRunners(reply *drpb.FleetSyncReply) error {
--- a/drcontroller/table_reply.go
+++ b/drcontroller/table_reply.go
@@ -46,8 +46,12 @@
 }
 
 // fillPiece adds the next piece of the table to a reply, or the position without any
-// progress if the VM gets none.
+// progress if the VM gets none. Until it has the table, it hears at least of the runners
+// that have begun to drain.
 func (c *Controller) fillPiece(request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply, getsPiece bool) {
+	for _, i := range c.view.DrainingNews() {
+		reply.Draining = append(reply.Draining, encodeIncarnation(i))
+	}
 	if getsPiece && c.hasPieceFor(request) {
 		err := c.table.fill(c.Term, request.GetTablePosition(), reply)
 		if err == nil {
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -59,8 +59,10 @@
 	// leaving is the incarnation that has said in an answer that it leaves, nil if
 	// none has.
 	leaving *Incarnation
-	pause   pause
-	limit   limit
+	// drains is the last incarnation that has begun to drain, nil if none has.
+	drains *Incarnation
+	pause  pause
+	limit  limit
 	// coldUntil is the uptime until which the runner is cold.
 	coldUntil time.Duration
 }
@@ -234,6 +236,7 @@
 	if v.updateDigest(e) {
 		v.logChange(e)
 	}
+	v.noteDraining(e)
 	v.notify()
 }
 
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -56,6 +56,8 @@
 	buckets          [Buckets]bucket
 	revision         uint64
 	changes          []loggedChange // by revision
+	drainBegins      []drainBegin   // the latest last
+	drainRevision    uint64         // of the latest
 	waitersByReplica map[Replica]*waiterSet
 	forecasts        map[Replica]forecast
 	// demandAdded receives a value when a replica gets its first waiter.
