drcontroller: Report crashes to a new controller at once

Found by reading and by random orders of crashes, controller changes, starts and slow pieces of the table: an adopted block was no news; VMs without the table were not told of blocks, and reported no crashes at once to a new controller; the first report to one could lack the blocks. Change: VMs report what they know of crashes to a new controller at once and repeat a report that fails; verdicts name their term; an adopted block raises the revision; the first verdict of a term replaces the former blocks only after a report with all that the VM knows.

--- a/drcontroller/crash_loop_test.go
+++ b/drcontroller/crash_loop_test.go
@@ -26,17 +26,14 @@
 	is := is.New(t)
 	f := newTestFleet(1)
 	defer f.close()
-	n := f.nodes["vm-0"].Node
-	n.cancel() // the loops report no more
-	n.wg.Wait()
+	n := f.nodes["vm-0"].withoutLoops()
 	n.Peers = failingPeers{}
-	n.ctx = context.Background()
 	n.leader = drlease.Lease{VM: "other"}
 	crashed, served := drcrash.Identity{Request: drrequest.Fingerprint{1}}, drcrash.Identity{Request: drrequest.Fingerprint{2}}
 	n.Crashes.RecordCrash(drcrash.Crash{Identity: crashed, Runner: "r1"})
 	n.Crashes.RecordCrash(drcrash.Crash{Identity: served, Runner: "r1"})
 	n.Crashes.RecordServed(served)
-	for _, report := range []func(){func() { n.report() }, n.reportCrashes} {
+	for _, report := range []func() bool{n.report, n.reportCrashes} {
 		n.lastReplyAt = f.clock.Now()
 		report()
 		left := n.Crashes.TakeReport(false)
--- a/drcontroller/lease_loop.go
+++ b/drcontroller/lease_loop.go
@@ -303,6 +303,7 @@
 		n.lastReplyAt = time.Time{}
 		if l.VM != "" {
 			signal(n.leaderFound)
+			signal(n.controllerNamed)
 		}
 	}
 	n.leader = l
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -83,12 +83,17 @@
 	// leaderLost holds a token if this VM has just lost the controller, and
 	// leaderFound one if it has just learned of another.
 	leaderLost, leaderFound chan struct{}
+	// controllerNamed holds a token if this VM has just learned of another controller,
+	// for crashLoop.
+	controllerNamed chan struct{}
 
 	mu          sync.Mutex
 	leader      drlease.Lease
 	lastReplyAt time.Time // when the controller last replied, zero if it has not or a call failed since
 	// reportedTerm is the term of the controller that last replied.
 	reportedTerm uint64
+	// completeTerm is that of the last reply after which this VM had the whole table.
+	completeTerm uint64
 	// fullReport is set if the controller may have missed a report, so that the
 	// next one must contain all uses instead of the changed ones.
 	fullReport bool
@@ -110,7 +115,8 @@
 func New(c Config) *Node {
 	c.Codec = guardedCodec{c.Codec}
 	n := &Node{Config: c, fullReport: true, leaderLost: make(chan struct{}, 1), leaderFound: make(chan struct{}, 1), syncWait: minSyncWait,
-		table: tableReceiver{view: c.View}}
+		controllerNamed: make(chan struct{}, 1),
+		table:           tableReceiver{view: c.View}}
 	n.reader = newReader(readerConfig{log: c.Log, codec: c.Codec, view: c.View, clock: c.Clock, heartbeat: c.RunnerHeartbeat})
 	n.elector = drlease.New(drlease.Config{
 		Log: c.Log, Uptime: c.Clock, VM: c.VM, Address: c.Address, Incarnation: c.Incarnation, TTL: LeaseTTL,
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -132,6 +132,7 @@
 		n.forgetLeader(leader.VM)
 		return false
 	}
+	n.applyVerdict(request.GetWhole(), reply.GetTerm(), reply.GetVerdict())
 	return n.applyReply(reply, sent)
 }
 
@@ -181,7 +182,8 @@
 	request.Limits = encodeLimits(n.View.Limits())
 	request.Outages = encodeOutages(n.View.Outages())
 	crashes := n.Crashes.TakeReport(request.GetWhole())
-	request.CrashReport, request.Verdict = encodeCrashes(crashes), n.Crashes.Revision()
+	request.CrashReport = encodeCrashes(crashes)
+	request.VerdictTerm, request.Verdict = n.Crashes.Position()
 	for _, s := range n.Allowances.Spendings() {
 		request.Spendings = append(request.Spendings, &drpb.FleetSpending{
 			Account: s.Account, Spent: s.Spent, Granted: s.Granted, Requested: s.Requested, Unasked: s.Unasked,
@@ -255,6 +257,9 @@
 	n.mu.Lock()
 	n.fullReport = n.reportedTerm != reply.GetTerm()
 	n.reportedTerm = reply.GetTerm()
+	if complete {
+		n.completeTerm = reply.GetTerm()
+	}
 	n.maxProcessor = reply.GetMostProcessor()
 	n.syncWait = min(max(time.Duration(reply.GetNextWaitMs())*time.Millisecond, minSyncWait), maxSyncWait)
 	n.mu.Unlock()
@@ -273,7 +278,6 @@
 			RetryAfter: time.Duration(g.GetRetryAfterMs()) * time.Millisecond,
 		})
 	}
-	n.Crashes.SetVerdict(decodeVerdict(reply.GetTerm(), reply.GetVerdict()))
 	n.Allowances.SetCallRate(reply.GetReserveCalls())
 	n.Allowances.RecordControllerReply(int(reply.GetVms()))
 	return err == nil
--- a/drcrash/block.go
+++ b/drcrash/block.go
@@ -76,13 +76,16 @@
 	return -1
 }
 
-// adopt adds the blocks that a VM has been told by a former controller.
-func (b blocks) adopt(known []Block, now time.Time) {
+// adopt adds the blocks that a VM has been told by a former controller, and reports whether
+// any of them is new.
+func (b blocks) adopt(known []Block, now time.Time) (added bool) {
 	for _, k := range known {
 		if _, ok := b[k.Cause]; !ok && len(b) < maxRecords {
 			b[k.Cause] = &block{retryAt: now.Add(k.Left - k.Span), span: k.Span, adopted: true}
+			added = true
 		}
 	}
+	return added
 }
 
 // recordCrash extends a block after a further crash. If that ended a try, the time
--- a/drcrash/ledger.go
+++ b/drcrash/ledger.go
@@ -206,9 +206,15 @@
 
 // Revision returns the revision of the last verdict.
 func (l *Ledger) Revision() uint64 {
+	_, revision := l.Position()
+	return revision
+}
+
+// Position returns the term and the revision of the last verdict, 0 if there was none.
+func (l *Ledger) Position() (term, revision uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.revision
+	return l.term, l.revision
 }
 
 // dropExpired forgets crashes of recordTTL ago and old successes. The caller holds mu.
--- a/drcrash/tally.go
+++ b/drcrash/tally.go
@@ -43,7 +43,9 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.dropExpired(now)
-	t.blocks.adopt(report.Blocks, now)
+	if t.blocks.adopt(report.Blocks, now) {
+		t.revision++
+	}
 	for _, c := range report.Crashes {
 		t.addCrash(c, now)
 	}
