drcrash: Count no crash again that was reported before a success

Cause: what many clients send alike was refused for a minute although it had succeeded: VMs that find out later that a runner has ended report the same crashes once more, after the success has cleared them. Change: the runners whose crashes were reported before a success with the cause count no more.

--- a/drcrash/ledger_test.go
+++ b/drcrash/ledger_test.go
@@ -191,6 +191,95 @@
 	is.True(!l.Refuses(poison))
 }
 
+// Guards against refusing, for a minute, what many clients send alike because it ran on
+// the runners that another request has crashed: it gets a try soon, or is not blocked.
+func TestRequestBesideCauseIsNotBlocked(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for i := range drcrash.MaxCrashes {
+		f.crash(0, fmt.Sprint("r", i), poison, innocent)
+	}
+	f.sync(false)
+	is.True(f.ledgers[1].Refuses(poison))
+	f.crash(1, "s", poison)
+	f.sync(false)
+	is.True(f.ledgers[2].Refuses(poison))
+	is.True(!f.ledgers[2].Refuses(innocent))
+}
+
+// Guards against refusing a request that ran beside one that is blocked, on exactly the
+// same runners, because another VM reported its crashes later.
+func TestLaterReportOfSameRunnersBlocksNothing(t *testing.T) {
+	is := is.New(t)
+	for range 20 { // the order of the records is random
+		f := newFleet(4)
+		for i := range drcrash.MaxCrashes {
+			f.crash(0, fmt.Sprint("r", i), poison)
+		}
+		f.sync(false)
+		is.True(f.refuses(poison))
+		for i := range drcrash.MaxCrashes {
+			f.crash(1, fmt.Sprint("r", i), innocent)
+		}
+		f.sync(false)
+		is.True(!f.refuses(innocent))
+		is.True(f.refuses(poison))
+	}
+}
+
+// Guards against refusing, for a minute, what many clients send alike because its crashes
+// were reported before those of the request that caused them: it has just succeeded at
+// another VM.
+func TestServedRequestIsNotBlockedForLong(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	for i := range drcrash.MaxCrashes {
+		f.ledgers[3].RecordServed(innocent)
+		f.crash(0, fmt.Sprint("r", i), innocent)
+		f.report(0, false)
+		f.clock.Advance(100 * time.Millisecond)
+	}
+	f.syncFor(300 * time.Millisecond)
+	is.True(!f.refuses(innocent))
+}
+
+// Guards against a request that goes on crashing runners because it succeeded before.
+func TestFormerSuccessSpeaksForShortTime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	f.ledgers[3].RecordServed(poison)
+	runs := 0
+	for range 20 {
+		if !f.ledgers[1].Refuses(poison) {
+			f.crash(1, fmt.Sprint("r", runs), poison)
+			runs++
+		}
+		f.syncFor(time.Second)
+	}
+	is.True(runs <= 2*drcrash.MaxCrashes)
+}
+
+// Guards against refusing, for a minute, what many clients send alike because its crashes
+// are reported once more after a success has cleared it: VMs that do not know yet that the
+// runners have ended send it there. Seed 802005 of TestSoak refused all streams so.
+func TestReportsAfterSuccessCountNoRunnerTwice(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4)
+	f.ledgers[3].RecordServed(innocent)
+	for late := range 3 {
+		for i := range drcrash.MaxCrashes {
+			f.crash(late, fmt.Sprint("r", i), innocent)
+		}
+		f.syncFor(time.Second)
+		is.True(!f.refuses(innocent))
+	}
+	for i := range drcrash.MaxCrashes { // without a success they count
+		f.crash(0, fmt.Sprint("s", i), innocent)
+	}
+	f.syncFor(time.Second)
+	is.True(f.refuses(innocent))
+}
+
 // Guards against VMs that are not told of a block that a new controller has heard of: they
 // are told when the revision grows.
 func TestAdoptedBlockIsNews(t *testing.T) {
--- a/drcrash/record.go
+++ b/drcrash/record.go
@@ -11,7 +11,10 @@
 
 // record holds the crashes with one possible cause, a request or a part of prompts.
 type record struct {
-	runners map[string]struct{}
+	runners set
+	// excused are the runners whose crashes were reported before a success with the
+	// cause. They count no more.
+	excused set
 	// requests are the different requests that ran on them.
 	requests map[drrequest.Fingerprint]struct{}
 	// depth is the greatest position of a part in its prompts.
@@ -31,9 +34,12 @@
 	x, ok := r[cause]
 	if !ok {
 		r.makeRoom()
-		x = &record{runners: make(map[string]struct{}), requests: make(map[drrequest.Fingerprint]struct{})}
+		x = &record{runners: make(set), excused: make(set), requests: make(map[drrequest.Fingerprint]struct{})}
 		r[cause] = x
 	}
+	if _, excused := x.excused[crash.Runner]; excused {
+		return
+	}
 	x.depth = max(x.depth, depth)
 	if len(x.requests) < maxRecords {
 		x.requests[crash.Request] = struct{}{}
@@ -47,6 +53,22 @@
 	}
 }
 
+// excuse drops the crashes of a cause that has succeeded. The same ones may be reported
+// once more, by VMs that find out later that a runner has ended.
+func (r records) excuse(cause drrequest.Fingerprint) {
+	x, ok := r[cause]
+	if !ok {
+		return
+	}
+	if len(x.excused) >= maxRecords {
+		clear(x.excused)
+	}
+	maps.Copy(x.excused, x.runners)
+	clear(x.runners)
+	clear(x.requests)
+	x.suspectSince = time.Time{}
+}
+
 // makeRoom drops the older half of the records if there are too many.
 func (r records) makeRoom() {
 	if len(r) < maxRecords {
--- a/drcrash/tally.go
+++ b/drcrash/tally.go
@@ -55,8 +55,8 @@
 		}
 	}
 	for _, cause := range report.Cleared {
-		delete(t.requests, cause)
-		delete(t.parts, cause)
+		t.requests.excuse(cause)
+		t.parts.excuse(cause)
 		t.unblock(cause)
 	}
 	return t.decide(now)
