--- a/drnet/accept_test.go
+++ b/drnet/accept_test.go
@@ -41,6 +41,13 @@
 		_, err := c.Read(make([]byte, 1))
 		is.NoErr(err) // reset, or not served
 	}
-	is.Equal(len(served), clients)
+	for range clients {
+		select {
+		case <-served: // the client may read the answer before its handler goes on
+		case <-time.After(testTimeout):
+			t.Fatal("a connection was not served")
+		}
+	}
+	is.Equal(len(served), 0) // none twice
 	is.NoErr(s.Close(context.Background()))
 }
--- a/drpeer/node_test.go
+++ b/drpeer/node_test.go
@@ -149,6 +149,25 @@
 	is.Equal(len(got), len(big)+2)
 }
 
+// lateContext is a context whose deadline passes when passed is closed, so that a busy
+// machine cannot delay a call beyond it.
+type lateContext struct {
+	context.Context
+	passed chan struct{}
+}
+
+func (c lateContext) Deadline() (time.Time, bool) { return time.Now().Add(time.Minute), true }
+func (c lateContext) Done() <-chan struct{}       { return c.passed }
+
+func (c lateContext) Err() error {
+	select {
+	case <-c.passed:
+		return context.DeadlineExceeded
+	default:
+		return nil
+	}
+}
+
 // Guards against errors with a wrong verdict: NotRun for a call that may have
 // run makes its caller repeat it, and MayHaveRun for one that has not run keeps
 // its caller from a safe retry.
@@ -161,8 +180,9 @@
 	})
 	b.Handle("Fail", func(context.Context, Sender, []byte) (proto.Message, error) { return nil, errors.New("broken") })
 	b.Handle("Panic", func(context.Context, Sender, []byte) (proto.Message, error) { panic("fault") })
-	ended := make(chan struct{}, 2)
+	begun, ended := make(chan struct{}, 2), make(chan struct{}, 2)
 	b.Handle("Hang", func(ctx context.Context, _ Sender, _ []byte) (proto.Message, error) {
+		begun <- struct{}{}
 		<-ctx.Done()
 		ended <- struct{}{}
 		return nil, ctx.Err()
@@ -192,9 +212,17 @@
 	_, err = echo(ctx, a, "b", string(make([]byte, maxMessageBytes)))
 	requireError(t, err, drerror.NotRun, drerror.TooLarge)
 
-	requireError(t, call(contextWithin(t, 50*time.Millisecond), "b", "Hang"), drerror.MayHaveRun, drerror.Deadline)
+	late := lateContext{Context: t.Context(), passed: make(chan struct{})}
+	go func() {
+		<-begun
+		close(late.passed)
+	}()
+	requireError(t, call(late, "b", "Hang"), drerror.MayHaveRun, drerror.Deadline)
 	cancelled, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(50*time.Millisecond, cancel)
+	go func() {
+		<-begun
+		cancel()
+	}()
 	requireError(t, call(cancelled, "b", "Hang"), drerror.MayHaveRun, drerror.CallerGone)
 	for range 2 {
 		select {
