drcontroller: Report to the own controller again after its lease had lapsed

Callers: a VM whose controller renewed its lease just after that had lapsed reported to no controller any more for as long as it held the lease. Its requests had no permits, grants of tokens, loads and forecasts, and its limits of runners were no longer corrected.

Cause: the VM's own report, answered while the lease had lapsed, says that this VM does not lead, so syncLoop forgets the controller and waits until leaseLoop names one. leaseLoop only renews while the VM runs the controller, and named none. Class: what one loop forgets, another one must restore in each of its states.

Change: a renewal that holds names the controller again.

Measured: TestControllerReportsToItselfAfterLapse fails before and passes after.

--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -423,3 +423,24 @@
 		}
 	})
 }
+
+// Guards against a VM that takes no more part in its fleet, because its own report came
+// while the lease of its controller had lapsed, before that was renewed after all.
+func TestControllerReportsToItselfAfterLapse(t *testing.T) {
+	for late := time.Duration(0); late < LeaseTTL; late += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(1)
+			defer f.close()
+			time.Sleep(time.Second + late)
+			n := f.nodes["vm-0"]
+			f.mu.Lock()
+			f.outageUntil = time.Now().Add(n.elector.Validity().Left)
+			f.mu.Unlock()
+			time.Sleep(LeaseTTL + 2*time.Second)
+			_, reached := n.Leader()
+			is.True(n.Controlling())
+			is.True(reached)
+		})
+	}
+}
--- a/drcontroller/lease_loop.go
+++ b/drcontroller/lease_loop.go
@@ -167,7 +167,8 @@
 	if errors.Is(err, drstore.ErrConflict) {
 		_, err = n.elector.Read(ctx, 0)
 	}
-	if newest, _ := n.elector.Newest(); newest.Term != c.Term || !c.Holds() {
+	newest, _ := n.elector.Newest()
+	if newest.Term != c.Term || !c.Holds() {
 		n.controller.Store(nil)
 		c.Close()
 		log.WithFields(log.Fields{"event": "lease-lost", "term": c.Term, "newest-term": newest.Term,
@@ -175,6 +176,7 @@
 		n.setLeader(drlease.Lease{})
 		return
 	}
+	n.setLeader(newest) // this VM forgets it if it reports while the lease has lapsed
 	if err != nil {
 		log.WithFields(log.Fields{"event": "lease-renewal-failed", "term": c.Term}).WithError(err).Warn("")
 	}
