drcontroller: Count limits in a report from when it was made

Cause: the controller dated what a VM reports of limits by the report's arrival. A report that was long on its way, or whose VM was suspended between making and sending it, made an old "no limit" or a former, higher limit the newest statement, and all VMs were told so. Replies had been dated by when their report was sent from the start.

Change: each reply tells the controller's uptime. A VM keeps the reply that tells it most exactly and states in its reports when they were made on that clock, or somewhat earlier. A report that cannot state it yet counts only for lower limits than known. Class of fault: an age that is counted from the receiver's clock at arrival.

Measured: TestLateReportDoesNotRaiseLimit fails with the arrival as before and passes now.

--- a/drcontroller/limits.go
+++ b/drcontroller/limits.go
@@ -29,6 +29,31 @@
 	return encoded
 }
 
+// offerReportedLimits records what a VM reports of limits. A report may be long on its way,
+// and what it says must not count as later than what other VMs have heard meanwhile. If
+// it does not say when it was made, only lower limits count.
+func (c *Controller) offerReportedLimits(name string, request *drpb.FleetSyncRequest, received time.Duration) {
+	limits, made := request.GetLimits(), received
+	if m := request.GetMade(); m != nil && m.GetTerm() == c.Term {
+		made = min(made, time.Duration(m.GetUptimeMs())*time.Millisecond)
+	} else {
+		limits = c.lowerLimits(limits)
+	}
+	offerLimits(c.view, limits, made, log.Fields{"source": "vm", "reported-by": name, "term": c.Term})
+}
+
+// lowerLimits returns those of the limits that let runners get less than is known.
+func (c *Controller) lowerLimits(limits []*drpb.FleetLimit) []*drpb.FleetLimit {
+	var lower []*drpb.FleetLimit
+	for _, l := range limits {
+		known, _ := c.view.LimitOf(decodeIncarnation(l.GetRunner()))
+		if l.GetRate() > 0 && (known.Rate == 0 || l.GetRate() < known.Rate) {
+			lower = append(lower, l)
+		}
+	}
+	return lower
+}
+
 // offerLimits records what another VM knows of the limits of runners. made is the uptime
 // at which it said so, and source says where that was heard, for the log.
 func offerLimits(view *drfleetview.View, limits []*drpb.FleetLimit, made time.Duration, source log.Fields) {
--- a/drcontroller/limits_test.go
+++ b/drcontroller/limits_test.go
@@ -19,7 +19,13 @@
 // syncLimits sends a report of a VM that has used some runners, and returns the limits in
 // the reply.
 func (w *controllerFixture) syncLimits(vm string, used []drfleetview.Incarnation, limits ...*drpb.FleetLimit) []*drpb.FleetLimit {
-	request := &drpb.FleetSyncRequest{Term: w.controller.Term, Limits: limits}
+	return w.syncLimitsLate(vm, 0, used, limits...)
+}
+
+// syncLimitsLate is syncLimits with a report that has been on its way for a time.
+func (w *controllerFixture) syncLimitsLate(vm string, late time.Duration, used []drfleetview.Incarnation, limits ...*drpb.FleetLimit) []*drpb.FleetLimit {
+	made := &drpb.FleetMoment{Term: w.controller.Term, UptimeMs: uint64((w.controller.Clock.Uptime() - late).Milliseconds())}
+	request := &drpb.FleetSyncRequest{Term: w.controller.Term, Limits: limits, Made: made}
 	for _, i := range used {
 		request.Uses = append(request.Uses, &drpb.FleetUse{Runner: i.Runner, Started: i.Started, Succeeded: 1})
 	}
@@ -55,6 +61,25 @@
 	is.Equal(len(w.syncLimits("vm-a", all)), 0)
 }
 
+// Guards against all VMs together sending a runner more than its limit, because the report
+// of a VM that says nothing of it, or names a former, higher limit, was long on its way.
+func TestLateReportDoesNotRaiseLimit(t *testing.T) {
+	for _, former := range []float64{0, 8} {
+		is := is.New(t)
+		w := newControllerFixture(t)
+		all := w.offerRunners(1)
+		r := encodeIncarnation(all[0])
+		is.Equal(len(w.syncLimits("vm-a", all, &drpb.FleetLimit{Runner: r, Rate: 3, AgeMs: 1000})), 0)
+		is.Equal(w.syncLimitsLate("vm-b", 2*time.Second, all, &drpb.FleetLimit{Runner: r, Rate: former})[0].GetRate(), 3.0)
+
+		request := &drpb.FleetSyncRequest{Term: w.controller.Term, Limits: []*drpb.FleetLimit{{Runner: r, Rate: former}}}
+		for _, made := range []*drpb.FleetMoment{nil, {Term: w.controller.Term + 1, UptimeMs: math.MaxUint32}} {
+			request.Made = made
+			is.Equal(w.controller.Sync(context.Background(), "vm-b", 1, request).GetLimits()[0].GetRate(), 3.0) // made at an unknown time
+		}
+	}
+}
+
 // Guards against malformed limits of another VM, and against reports and replies that grow
 // with the number of limited runners.
 func TestLimitsAreBounded(t *testing.T) {
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -92,6 +92,8 @@
 	lastReplyAt time.Time // when the controller last replied, zero if it has not or a call failed since
 	// reportedTerm is the term of the controller that last replied.
 	reportedTerm uint64
+	// controllerClock is what this VM knows of the clock of the controller.
+	controllerClock controllerClock
 	// completeTerm is that of the last reply after which this VM had the whole table.
 	completeTerm uint64
 	// fullReport is set if the controller may have missed a report, so that the
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -44,7 +44,7 @@
 	received := c.Clock.Uptime()
 	c.addCrashes(name, request.GetCrashReport())
 	c.recordLeavingOf(name, request)
-	offerLimits(c.view, request.GetLimits(), received, log.Fields{"source": "vm", "reported-by": name, "term": c.Term})
+	c.offerReportedLimits(name, request, received)
 	if request.GetTerm() == c.Term {
 		c.wakeVMs(c.pieces.complete(name))
 	}
@@ -57,7 +57,7 @@
 	}
 	_, runnersAge, _ := c.view.Ages()
 	now := c.Clock.Uptime()
-	reply.HeldMs = uint32(milliseconds(now - received))
+	reply.HeldMs, reply.UptimeMs = uint32(milliseconds(now-received)), uint64(now.Milliseconds())
 	reply.DeploymentAgeMs = uint32(milliseconds(now - at))
 	reply.RunnersAgeMs = uint32(milliseconds(runnersAge))
 	if c.Validity != nil {
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -171,6 +171,9 @@
 // has, its waiting requests, its use of runners, the tokens that it has spent and
 // what it has not reported about crashes, which it returns.
 func (n *Node) fillRequest(request *drpb.FleetSyncRequest) drcrash.Report {
+	n.mu.Lock()
+	request.Made = n.controllerClock.moment(n.Clock.Uptime()) // before the ages are taken, which may take long
+	n.mu.Unlock()
 	_, version, _ := n.View.DeploymentRecord()
 	request.Deployment = version
 	request.Wants = encodeWants(n.View.DemandSummaries())
@@ -236,6 +239,9 @@
 		log.WithFields(log.Fields{"event": "controller-reached", "controller": n.leader.VM, "term": reply.GetTerm()}).Info("")
 	}
 	n.lastReplyAt = n.Clock.Now()
+	age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+	made := sent + age(reply.GetHeldMs())
+	n.controllerClock = n.controllerClock.withReply(reply, made, n.Clock.Uptime())
 	n.mu.Unlock()
 	n.elector.RecordValidity(drlease.Validity{
 		Offset: int64(reply.GetLeaseOffset()), Left: time.Duration(reply.GetLeaseLeftMs()) * time.Millisecond,
@@ -243,8 +249,6 @@
 	n.View.ConfirmController()
 	own := n.controller.Load() != nil
 	complete, err := n.applyTable(reply, own)
-	age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
-	made := sent + age(reply.GetHeldMs())
 	if !own {
 		n.applyDeployment(reply)
 		n.applyOutages(reply)
