drfleetview: Let an answer raise a limit only as of when its request was sent

Runners: after a runner had lowered its limit, all VMs could go back to the former, higher one, because a VM that had been suspended meanwhile read an older answer.

Cause: an answer that names a limit counted as said when it was read. It may have been said at any time since its request was sent. For a lower limit the reading is the safe end of that time, for a higher one it is not.

Change: View.OfferAnswer knows both ends. The first or a lower limit counts from the arrival, a higher one and none from when the request was sent.

--- a/drcontroller/limit_orders_test.go
+++ b/drcontroller/limit_orders_test.go
@@ -240,11 +240,11 @@
 			v.heardSpell, v.heardAt = n.spell, w.clock.Uptime()
 		}
 	})
-	if n.rate > 0 {
-		v.View.OfferLimit(drfleetview.IncarnationOf(limitRunner), max(n.rate, drfleetview.MinLimitRate), w.clock.Uptime())
-		return
+	rate := n.rate
+	if rate > 0 {
+		rate = max(rate, drfleetview.MinLimitRate)
 	}
-	v.View.OfferLimit(drfleetview.IncarnationOf(limitRunner), 0, sent)
+	v.View.OfferAnswer(drfleetview.IncarnationOf(limitRunner), rate, sent)
 }
 
 // nameLimit makes the runner name another limit, or none. The caller holds mu.
--- a/drfleetview/limit.go
+++ b/drfleetview/limit.go
@@ -38,6 +38,21 @@
 	newsAt time.Duration
 }
 
+// OfferAnswer records what an incarnation of a runner has said in an answer that has just
+// arrived, to a request that was sent at an uptime: that it takes a number of requests a
+// second over all VMs, or with 0 any number. It may have said so at any time since then. A
+// limit that is lower than what is known counts as said now, all else as said when the
+// request was sent, because the runner may have lowered its limit in the meantime. The
+// result is that of OfferLimit.
+func (v *View) OfferAnswer(i Incarnation, rate float64, sent time.Duration) (changed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e, ok := v.runners[i.Runner]; ok && rate > 0 && (e.limitRate() == 0 || rate <= e.limitRate()) {
+		return v.offerLimit(i, rate, v.clock.Uptime())
+	}
+	return v.offerLimit(i, rate, sent)
+}
+
 // OfferLimit records that an incarnation of a runner has said, at an uptime, that it takes
 // a number of requests a second over all VMs, or with 0 any number. It returns false if
 // that changes nothing: the runner is not listed or of another incarnation, or what is
@@ -45,6 +60,11 @@
 func (v *View) OfferLimit(i Incarnation, rate float64, at time.Duration) (changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.offerLimit(i, rate, at)
+}
+
+// offerLimit is OfferLimit. The caller holds mu.
+func (v *View) offerLimit(i Incarnation, rate float64, at time.Duration) (changed bool) {
 	e, ok := v.runners[i.Runner]
 	if !ok || e.runner.Started != i.Started {
 		return false
--- a/drfleetview/limit_test.go
+++ b/drfleetview/limit_test.go
@@ -47,6 +47,23 @@
 	is.True(known && l.Rate == 0)
 }
 
+// Guards against a former, higher limit that replaces a lower one for all VMs, because the
+// VM that got the answer was suspended before it read it.
+func TestLateAnswerDoesNotRaiseLimit(t *testing.T) {
+	is := is.New(t)
+	v, clock, r := newLimitView()
+	sent := clock.Uptime()
+	clock.Advance(time.Second)
+	is.True(v.OfferLimit(r, 3, clock.Uptime())) // told by the controller
+	clock.Advance(time.Second)
+	is.True(!v.OfferAnswer(r, 8, sent))
+	is.True(v.OfferAnswer(r, 2, sent))
+	is.True(!v.OfferAnswer(r, 3, clock.Uptime()-1))
+	is.True(v.OfferAnswer(r, 3, clock.Uptime()))
+	is.True(!v.OfferAnswer(r, 0, clock.Uptime()-1))
+	is.True(v.OfferAnswer(r, 0, clock.Uptime()))
+}
+
 // Guards against a limit of one incarnation of a runner that binds another, and against
 // one that is forgotten while the runner's entry is missing.
 func TestLimitIsOfOneIncarnation(t *testing.T) {
--- a/drproxy/statement.go
+++ b/drproxy/statement.go
@@ -39,18 +39,17 @@
 }
 
 // recordLimit records how many requests the runner says that it takes. An answer that
-// names no limit speaks for the time at which its request was sent: the runner may have
-// named one in the meantime. It must name the request, as those of runners do, because
-// bytes that are no answer name no limit either.
+// names no limit must name the request, as those of runners do, because bytes that are no
+// answer name no limit either.
 func (a *attempt) recordLimit(speaker drfleetview.Incarnation) {
-	view, limit, now := a.exchange.server.View, a.answer.Limit, a.exchange.server.Clock.Uptime()
+	view, limit := a.exchange.server.View, a.answer.Limit
 	switch {
 	case limit.Unclear:
 	case limit.Named:
-		if view.OfferLimit(speaker, max(limit.Rate, drfleetview.MinLimitRate), now) {
+		if view.OfferAnswer(speaker, max(limit.Rate, drfleetview.MinLimitRate), a.sentUptime) {
 			a.logStatement("runner-limited", log.Fields{"rate": limit.Rate})
 		}
-	case a.answer.RequestID == a.exchange.call.ID && view.OfferLimit(speaker, 0, a.sentUptime):
+	case a.answer.RequestID == a.exchange.call.ID && view.OfferAnswer(speaker, 0, a.sentUptime):
 		a.logStatement("runner-unlimited", nil)
 	}
 }
