drcontroller: Read the history of the runners from the controller's position

Cause: a VM had a position in the history only after a read of its own, and one older than 1 s was not used, as if each beat were a record. The store keeps a record only of what changes.

Change: replies state the offset up to which the controller's table goes. A VM goes on from there, whatever its age, if one page reaches the end; turns for such a page are 16 entries long. A longer or expired history begins a read of the newest entries, with its turns, where it was read at once before: the tests that counted on that read twice now or make the history longer, with the same checks after it.

--- a/drcontroller/newest_read.go
+++ b/drcontroller/newest_read.go
@@ -48,6 +48,7 @@
 	read := r.newest
 	ctx, cancel := context.WithTimeout(ctx, r.runnersTimeout())
 	defer cancel()
+	last := r.runnersPosition()
 	page, err := r.log.Newest(ctx, drstore.Runners, read.after)
 	if err != nil {
 		return err
@@ -60,7 +61,7 @@
 	read.after, read.entries = page.After, len(page.Records)
 	for _, rec := range page.Records {
 		read.listed[rec.Key] = true
-		r.noteWritten(rec, r.runners)
+		r.noteWritten(rec, last)
 		r.applyRunnerRecord(rec)
 	}
 	if page.After == "" {
@@ -72,8 +73,8 @@
 // confirmedSince reports whether a controller's table is newer than an uptime. Pages from
 // then say nothing about the runners that it lists.
 func (r *reader) confirmedSince(sentAt time.Duration) bool {
-	_, age, _ := r.view.Ages()
-	return r.view.RunnersKnown() && r.clock.Uptime()-age > sentAt
+	at, _ := r.view.RunnersConfirmed()
+	return r.view.RunnersKnown() && at > sentAt
 }
 
 // beginNewestRead returns a read that has read nothing.
@@ -99,9 +100,8 @@
 	})
 	maps.DeleteFunc(r.writtenSince, func(id string, _ time.Duration) bool { return !read.listed[id] })
 	log.WithFields(log.Fields{"event": "runners-read", "entries": len(read.listed), "took": read.took, "began-ago": read.pageAt - read.sentAt}).Info("")
-	r.runners = position{next: read.next, started: true, readAt: read.sentAt}
 	r.runnersTook, r.newest = read.took, nil
-	r.view.ConfirmRunners(read.sentAt)
+	r.view.ConfirmRunners(read.sentAt, read.next)
 }
 
 // noteWritten records that a runner has written its entry since the last complete read.
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -25,11 +26,10 @@
 	// entryTimeout is added to it for each known runner when their entries are read,
 	// which is the time that one takes on a slow link.
 	entryTimeout = time.Millisecond
-	// maxHistoryAge is the age of a read position above which the newest
-	// entries of the runners are read instead of the history since then. The
-	// length of the history grows with the number of runners and with time. After
-	// a slow read the age may be historyReads times as long as it took, because a
-	// read of all entries would be slower still.
+	// maxHistoryAge is the age of a read position above which only one page of the
+	// runners' history is read. If it does not reach the end, the newest entries are read
+	// instead. After a slow read the age may be historyReads times as long as it took,
+	// because a read of all entries would be slower still.
 	maxHistoryAge = time.Second
 	historyReads  = 3
 	// maxReadPatience is the longest time that is added to the timeout after failed
@@ -43,7 +43,7 @@
 type reader struct {
 	readerConfig
 
-	deployments, runners position
+	deployments position
 	// deploymentChanged is set if the last read returned a new configuration.
 	deploymentChanged bool
 	// runnersFailedAt is the uptime of the last failed read of the runners. It
@@ -97,10 +97,10 @@
 }
 
 // readHistory reads a topic from the position to its end. kept is false if the records at
-// the position have expired. The position moves only with a complete read, because the
+// the position have expired, or if there are more pages. The position moves only with a complete read, because the
 // records of the pages before a failed one are not applied.
-func (r *reader) readHistory(ctx context.Context, topic drstore.Topic, pos *position, wait time.Duration) (records []drstore.Record, kept bool, err error) {
-	for next := pos.next; ; {
+func (r *reader) readHistory(ctx context.Context, topic drstore.Topic, pos *position, pages int, wait time.Duration) (records []drstore.Record, kept bool, err error) {
+	for next := pos.next; pages > 0; pages-- {
 		sent := r.clock.Uptime()
 		page, err := r.log.Read(ctx, topic, next, wait)
 		if _, expired := errors.AsType[*drstore.ExpiredError](err); expired {
@@ -120,6 +120,7 @@
 		}
 		wait = 0
 	}
+	return nil, false, nil
 }
 
 // readDeploymentRecords reads the deployments topic from the position to its end, or only
@@ -128,7 +129,7 @@
 func (r *reader) readDeploymentRecords(ctx context.Context, wait time.Duration) (records []drstore.Record, fromNewest bool, err error) {
 	pos := &r.deployments
 	if pos.started {
-		records, kept, err := r.readHistory(ctx, drstore.Deployments, pos, wait)
+		records, kept, err := r.readHistory(ctx, drstore.Deployments, pos, math.MaxInt, wait)
 		if kept || err != nil {
 			return records, false, err
 		}
@@ -194,13 +195,14 @@
 	return nil
 }
 
-// readRunners updates the view with the runners' entries: with the history since the last
-// read, or with the next page of the newest entries.
+// readRunners updates the view with the runners' entries: with the history since they were
+// confirmed, or with the next page of the newest entries. If there is no such history, it
+// only begins a read of the newest entries.
 func (r *reader) readRunners(ctx context.Context) error {
 	defer r.changes.end()
-	err := r.readRunnersHistory(ctx)
+	err := r.readNextRunners(ctx)
 	if errors.Is(err, errNoHistory) {
-		err = r.readNewestRunners(ctx)
+		r.newest, err = r.beginNewestRead(r.clock.Uptime()), nil
 	}
 	if err != nil {
 		r.runnersFailedAt, r.runnersFailed = r.clock.Uptime(), true
@@ -211,31 +213,57 @@
 	return nil
 }
 
+// readNextRunners makes the next read of the runners' entries.
+func (r *reader) readNextRunners(ctx context.Context) error {
+	if r.hasHistory() {
+		return r.readRunnersHistory(ctx)
+	}
+	return r.readNewestRunners(ctx)
+}
+
 // errNoHistory means that the newest entries must be read instead of the history.
 var errNoHistory = errors.New("the history since the last read is too long or has expired")
 
-// readRunnersHistory updates the view with the entries since the last read.
+// runnersPosition returns the position in the runners' topic up to which the view has all
+// entries, from this reader or from a controller.
+func (r *reader) runnersPosition() position {
+	at, next := r.view.RunnersConfirmed()
+	return position{next: next, started: next > 0, readAt: at}
+}
+
+// hasHistory reports whether the next read may be one of the history. A read of the newest
+// entries that has begun goes on, unless a controller has confirmed newer ones meanwhile.
+func (r *reader) hasHistory() bool {
+	if r.strangers || !r.runnersPosition().started {
+		return false
+	}
+	return !r.reading() || r.confirmedSince(r.newest.sentAt)
+}
+
+// readRunnersHistory updates the view with the entries since the runners were confirmed.
 func (r *reader) readRunnersHistory(ctx context.Context) error {
-	sent, last := r.clock.Uptime(), r.runners
-	if r.reading() || r.strangers || !last.started || sent-last.readAt > max(maxHistoryAge, historyReads*r.runnersTook) {
-		return errNoHistory
+	sent, last := r.clock.Uptime(), r.runnersPosition()
+	pages := math.MaxInt
+	if sent-last.readAt > max(maxHistoryAge, historyReads*r.runnersTook) {
+		pages = 1
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.runnersTimeout())
 	defer cancel()
-	records, kept, err := r.readHistory(ctx, drstore.Runners, &r.runners, 0)
+	pos := last
+	records, kept, err := r.readHistory(ctx, drstore.Runners, &pos, pages, 0)
 	if err == nil && !kept {
 		return errNoHistory
 	}
 	if err != nil {
 		return err
 	}
-	r.runnersTook = r.clock.Uptime() - sent
+	r.runnersTook, r.newest = r.clock.Uptime()-sent, nil
 	for _, rec := range records {
 		r.noteWritten(rec, last)
 		r.applyRunnerRecord(rec)
 	}
 	r.removeLapsedRunners(r.clock.Uptime())
-	r.view.ConfirmRunners(sent)
+	r.view.ConfirmRunners(pos.readAt, pos.next)
 	return nil
 }
 
--- a/drcontroller/reader_test.go
+++ b/drcontroller/reader_test.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drstandin"
 	"github.com/dotterelridge/dotterelridge/drstore"
+	"github.com/dotterelridge/dotterelridge/drtokenpool"
 )
 
 // textCodec decodes a configuration from "VERSION" and a runner from "STARTED
@@ -78,6 +79,8 @@
 	w.store.Expire(drstore.Runners)
 	is.NoErr(w.reader.readDeployment(ctx, 0))
 	is.NoErr(w.reader.readRunners(ctx))
+	is.True(w.reader.reading()) // of the newest entries, in its turn
+	is.NoErr(w.reader.readRunners(ctx))
 	d, _ := w.view.Deployment()
 	is.Equal(d.Version, int64(8))
 	is.Equal(w.runners(), 1)
@@ -213,11 +216,52 @@
 	w.clock.Advance(maxHistoryAge + time.Millisecond)
 	before := w.store.Calls()
 	is.NoErr(w.reader.readRunners(ctx))
-	is.Equal(w.store.Calls()-before, 1)
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.store.Calls()-before, 2) // one page of the history, and the newest entry
 	r, _ := w.view.Runner("r")
 	is.Equal(r.Beat, 101)
 }
 
+// Guards against VMs that lose the controller and all read the newest entries of all runners,
+// each page in its turn, so that they hear of a runner that leaves only after seconds. The
+// history since the controller's table is a page at most times.
+func TestReaderGoesOnFromControllersTable(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderFixture()
+	putRunners(w.store, 3)
+	page, err := w.store.Newest(ctx, drstore.Runners, "")
+	is.NoErr(err)
+	for i := range 3 {
+		w.view.OfferRunner(&drfleet.Runner{ID: fmt.Sprintf("r%04d", i), Started: 1, Beat: 1}, drfleetview.FromController)
+	}
+	w.view.ConfirmRunners(w.clock.Uptime(), page.Next)
+	n := &Node{Config: Config{View: w.view, Allowances: drtokenpool.NewAllowances(w.clock)}, reader: w.reader, recordedRunners: 3000}
+	n.Allowances.AssumeVMs(300)
+	is.Equal(n.nextReadSize(), historyReadSize)
+	w.clock.Advance(time.Minute)
+	w.store.Put(drstore.Runners, "r0001", nil)
+	w.store.SetFault(drstandin.ErrNoAnswer, false)
+	is.True(w.reader.readRunners(ctx) != nil)
+	w.store.SetFault(nil, false)
+	before := w.store.Calls()
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.store.Calls()-before, 1)
+	w.clock.Advance(lapsedEntryGrace)
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 2)
+
+	w.store.Expire(drstore.Runners)
+	is.NoErr(w.reader.readRunners(ctx)) // nothing follows
+	is.True(!w.reader.reading())
+	w.store.Put(drstore.Runners, "r0003", []byte("1 1"))
+	w.store.Expire(drstore.Runners)
+	is.NoErr(w.reader.readRunners(ctx))
+	is.True(w.reader.reading())
+	is.Equal(n.nextReadSize(), 2) // the known runners
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 3)
+}
+
 // Guards against a large table that is never read because each read is cut off after the
 // time that a small one takes, and begun anew.
 func TestReadersPatienceGrows(t *testing.T) {
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -50,16 +50,16 @@
 	}
 	getsPiece := c.awaitChange(ctx, name, c.applyReport(name, incarnation, request), request)
 	reply := &drpb.FleetSyncReply{Leading: c.Holds(), Term: c.Term}
+	runnersAt, runnersNext := c.view.RunnersConfirmed() // of the table, or somewhat older
 	c.fillTable(request, reply, getsPiece)
 	record, version, at := c.view.DeploymentRecord()
 	if version > request.GetDeployment() {
 		fillDeployment(reply, record, request.GetReadsDeflated())
 	}
-	_, runnersAge, _ := c.view.Ages()
 	now := c.Clock.Uptime()
 	reply.HeldMs, reply.UptimeMs = uint32(milliseconds(now-received)), uint64(now.Milliseconds())
 	reply.DeploymentAgeMs = uint32(milliseconds(now - at))
-	reply.RunnersAgeMs = uint32(milliseconds(runnersAge))
+	reply.RunnersAgeMs, reply.RunnersNext = uint32(milliseconds(now-runnersAt)), runnersNext
 	if c.Validity != nil {
 		v := c.Validity()
 		reply.LeaseOffset, reply.LeaseLeftMs = uint64(v.Offset), uint32(milliseconds(v.Left))
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -35,6 +35,9 @@
 	// readTimePerEntry is the part of the store's time for reads that one VM's read
 	// of one runner's entry takes, with a margin for the controller's reads.
 	readTimePerEntry = 50 * time.Microsecond
+	// historyReadSize is the number of entries whose reading takes the store as long as that
+	// of a page of the history, of which most are nearly empty.
+	historyReadSize = 16
 	// maxRush is how much of the store's time new processes may take at once. Below it
 	// they don't take turns for their first read, because their clients wait for it.
 	maxRush = time.Second
@@ -172,7 +175,7 @@
 }
 
 // runnersLoop reads the runners from the store whenever this VM must do so. A VM that is not
-// the controller takes a turn for each page of the newest entries.
+// the controller takes a turn for each page.
 func (n *Node) runnersLoop() {
 	unreachable := false
 	var b backoff
@@ -208,6 +211,9 @@
 // to bring. A process that knows no runner goes by the lease, also after its first page
 // has failed.
 func (n *Node) nextReadSize() int {
+	if n.reader.hasHistory() {
+		return historyReadSize
+	}
 	if n.reader.reading() && n.reader.newest.entries > 0 {
 		return n.reader.newest.entries
 	}
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -255,7 +255,7 @@
 		offerLimits(n.View, reply.GetLimits(), made, log.Fields{"source": "controller", "term": reply.GetTerm()})
 		n.View.ConfirmDeployment(made - age(reply.GetDeploymentAgeMs()))
 		if complete {
-			n.View.ConfirmRunners(made - age(reply.GetRunnersAgeMs()))
+			n.View.ConfirmRunners(made-age(reply.GetRunnersAgeMs()), reply.GetRunnersNext())
 		}
 	}
 	n.mu.Lock()
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -36,8 +36,11 @@
 	// deploymentAt and runnersAt are the uptimes at which the store last
 	// confirmed that nothing newer existed.
 	deploymentAt, runnersAt time.Duration
-	deploymentConfirmed     bool
-	runnersConfirmed        bool
+	// runnersNext is the store's offset from which on newer descriptions of runners than
+	// those as of runnersAt follow, 0 if it is unknown.
+	runnersNext         int64
+	deploymentConfirmed bool
+	runnersConfirmed    bool
 	// outages are the availability zones that are out of service.
 	outages drzone.Outages
 	// zoneDrain is the bound that SetZoneDrain sets, and closing the uptimes from which
@@ -138,15 +141,26 @@
 	return v.record, v.deployment.Version, v.deploymentAt
 }
 
-// ConfirmRunners records that, at the given uptime, the store had no newer
-// descriptions of runners. Earlier uptimes than known are ignored.
-func (v *View) ConfirmRunners(at time.Duration) {
+// ConfirmRunners records that, at an uptime, the store had no newer descriptions of runners.
+// next is the store's offset at which newer ones follow, 0 if it is unknown. Earlier
+// uptimes than known are ignored.
+func (v *View) ConfirmRunners(at time.Duration, next int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.runnersAt = max(v.runnersAt, at)
+	if at >= v.runnersAt || !v.runnersConfirmed {
+		v.runnersAt, v.runnersNext = at, next
+	}
 	v.runnersConfirmed = true
 }
 
+// RunnersConfirmed returns the newest uptime and offset of ConfirmRunners. The offset is 0
+// if it is unknown.
+func (v *View) RunnersConfirmed() (at time.Duration, next int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.runnersAt, v.runnersNext
+}
+
 // RunnersKnown reports whether ConfirmRunners has been called, that is whether
 // the runner table has been read completely at least once.
 func (v *View) RunnersKnown() bool {
