drcontroller: Follow a new lease at once after its holder has denied that it leads

Cause: such a VM followed the old lease, was told that its holder does not lead, slept to the end of a pause of 0.25 s, and followed the same record again, with that pause.

Change: the loss of the controller ends the pause, and a record whose holder has denied that it leads is not followed: the next read waits at the store until the lease changes or lapses. A renewal is another record, so that a holder that could not renew in time is followed again.

--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -444,3 +444,29 @@
 		})
 	}
 }
+
+// Guards against VMs that are late to have a controller after all were killed: they read the
+// lease before its holder's new process acquires it, are told that this does not lead, and
+// read it again only after a pause.
+func TestNewLeaseIsFollowedAtOnce(t *testing.T) {
+	const vms, bound = 60, 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(0)
+		defer f.close()
+		lease, err := proto.Marshal(&drpb.FleetLease{Vm: "vm-7", Address: "vm-7", Term: 1, MostProcessor: 1, Vms: vms})
+		is.NoErr(err)
+		is.NoErr(f.store.Append(context.Background(), drstore.Leases, lease, 0))
+		for i := range vms {
+			f.start(fmt.Sprintf("vm-%d", i), 1)
+		}
+		for !f.nodes["vm-7"].Controlling() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(bound)
+		for _, n := range f.nodes {
+			_, reached := n.Leader()
+			is.True(reached)
+		}
+	})
+}
--- a/drcontroller/lease_loop.go
+++ b/drcontroller/lease_loop.go
@@ -76,11 +76,12 @@
 			var err error
 			pause, err = n.followOrAcquireLease()
 			n.recordStoreResult(err)
-			if err != nil {
-				pause = n.leaseRetryPause(&b) // the store loops log that the store is unreachable
-			} else {
+			if err == nil {
 				b.reset()
+				n.awaitSignal(n.leaderLost, pause)
+				continue
 			}
+			pause = n.leaseRetryPause(&b) // the store loops log that the store is unreachable
 		}
 		_ = n.Clock.Sleep(n.ctx, pause)
 	}
@@ -205,6 +206,8 @@
 		n.mu.Unlock()
 	}
 	switch {
+	case !n.elector.Vacant() && n.elector.Denied():
+		return 0, nil // the next read waits at the store until the lease has lapsed or changed
 	case !n.elector.Vacant():
 		return n.followLeaseHolder(l, renewed), nil
 	case changed:
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -222,6 +222,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.leader.VM == vm {
+		n.elector.Deny(n.leader.Term)
 		n.leader.VM = ""
 		n.lastReplyAt = time.Time{}
 		signal(n.leaderLost)
--- a/drlease/elector.go
+++ b/drlease/elector.go
@@ -110,6 +110,10 @@
 	told       bool
 	toldOffset int64
 	toldLapse  time.Duration
+	// deniedOffset is the offset of the record whose holder has said that it does not lead.
+	// It is valid if denied is set.
+	denied       bool
+	deniedOffset int64
 	// validUntil is the uptime at which this process's own lease lapses.
 	validUntil time.Duration
 }
@@ -170,6 +174,24 @@
 	e.told, e.toldOffset, e.toldLapse = true, v.Offset, lapse
 }
 
+// Deny records that the holder of the newest lease, of a term, has said that it does not
+// lead. It may be a later process than the one that acquired the lease.
+func (e *Elector) Deny(term uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.known && e.newest.Term == term {
+		e.denied, e.deniedOffset = true, e.newestOffset
+	}
+}
+
+// Denied reports whether the holder of the lease has said, since its newest record was
+// read, that it does not lead.
+func (e *Elector) Denied() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.denied && e.deniedOffset == e.newestOffset
+}
+
 func (e *Elector) isOwn(l Lease) bool {
 	return l.VM == e.config.VM && l.Incarnation == e.config.Incarnation
 }
--- a/drlease/elector_test.go
+++ b/drlease/elector_test.go
@@ -134,6 +134,27 @@
 	is.NoErr(restarted.Acquire(ctx))
 }
 
+// Guards against a holder that is not followed although it leads: what an earlier process of
+// its VM, or one that could not renew in time, has said counts only until its next record.
+func TestDenialEndsWithNextRecord(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	store, clock := drstandin.NewMemoryStore(), drclock.NewFake(time.Unix(100, 0))
+	a, b := newElector(store, clock, "a"), newElector(store, clock, "b")
+	b.Deny(0)
+	is.True(!b.Denied()) // it knows no lease
+	mustRead(t, a)
+	is.NoErr(a.Acquire(ctx))
+	mustRead(t, b)
+	l, _ := b.Newest()
+	b.Deny(l.Term + 1)
+	is.True(!b.Denied())
+	b.Deny(l.Term)
+	is.True(b.Denied())
+	is.NoErr(a.Renew(ctx, drlease.Handover{}))
+	mustRead(t, b)
+	is.True(!b.Denied())
+}
+
 // Guards against a new controller that grants tokens which were already spent
 // under the previous controller.
 func TestHandoverReachesNextHolder(t *testing.T) {
