drcontroller: Trust a later table of the controller after a read with strangers

Callers: a VM that had read all entries while a controller named further runners would read them all again, page by page in turns, once it lost the controller later, and went on using runners that had left meanwhile. One page of the history had the time of a read of all entries besides, 4 s with 3,000 runners, so that one lost answer had the same end.

Cause: the doubt about such runners ended only with another whole read. A table that a controller has confirmed since says which runners there are.

Change: it ends the doubt; one page of the history has readTimeout.

Measured: TestLaterTableEndsDoubtAboutRunners fails before and passes after; TestReadsFollowStoreInAnyOrder (3,000 random orders) passes.

--- a/drcontroller/newest_read.go
+++ b/drcontroller/newest_read.go
@@ -95,7 +95,7 @@
 		}
 	}
 	r.removeLapsedRunners(read.sentAt)
-	r.strangers = slices.ContainsFunc(r.view.Runners(""), func(known *drfleet.Runner) bool {
+	r.strangersAt, r.strangers = read.sentAt, slices.ContainsFunc(r.view.Runners(""), func(known *drfleet.Runner) bool {
 		return !read.listed[known.ID] && !read.known[known.ID]
 	})
 	maps.DeleteFunc(r.writtenSince, func(id string, _ time.Duration) bool { return !read.listed[id] })
--- a/drcontroller/newest_read_orders_test.go
+++ b/drcontroller/newest_read_orders_test.go
@@ -191,6 +191,25 @@
 	is.Equal(w.runners(), 4)
 }
 
+// Guards against VMs that lose the controller and read all entries again, because it had named
+// runners during their first read. Its table since then says which runners there are.
+func TestLaterTableEndsDoubtAboutRunners(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderFixture()
+	w.withPages(2)
+	putRunners(w.store, 3)
+	is.NoErr(w.reader.readRunners(ctx))
+	w.view.OfferRunner(&drfleet.Runner{ID: "came", Started: 1}, drfleetview.FromController)
+	is.NoErr(w.reader.readRunners(ctx))
+	is.True(!w.reader.hasHistory())
+	w.clock.Advance(time.Second)
+	w.view.ConfirmRunners(w.clock.Uptime(), 3)
+	is.True(w.reader.hasHistory())
+	is.NoErr(w.reader.readRunners(ctx))
+	is.True(w.reader.hasHistory())
+	is.Equal(w.runners(), 4)
+}
+
 // Guards against a fleet that reads all at once after its first pages failed together: the
 // next page takes a turn, too.
 func TestFailedFirstPageTakesATurn(t *testing.T) {
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -57,8 +57,10 @@
 	// newest is the read of the runners' newest entries that has begun, or nil.
 	newest *newestRead
 	// strangers is set if a controller has named runners during the last read of the newest
-	// entries that were not on its pages. They may have left before it.
-	strangers bool
+	// entries, which began at strangersAt, that were not on its pages. They may have left
+	// before it.
+	strangers   bool
+	strangersAt time.Duration
 	// lapsed contains the runners whose entries may have expired during or shortly
 	// after an outage of the store, with the uptime at which they are removed.
 	lapsed map[string]time.Duration
@@ -232,22 +234,27 @@
 }
 
 // hasHistory reports whether the next read may be one of the history. A read of the newest
-// entries that has begun goes on, unless a controller has confirmed newer ones meanwhile.
+// entries that has begun goes on, and one that has found strangers is made again, unless a
+// controller has confirmed newer entries since.
 func (r *reader) hasHistory() bool {
-	if r.strangers || !r.runnersPosition().started {
+	switch {
+	case !r.runnersPosition().started:
 		return false
+	case r.reading():
+		return r.confirmedSince(r.newest.sentAt)
+	default:
+		return !r.strangers || r.confirmedSince(r.strangersAt)
 	}
-	return !r.reading() || r.confirmedSince(r.newest.sentAt)
 }
 
 // readRunnersHistory updates the view with the entries since the runners were confirmed.
 func (r *reader) readRunnersHistory(ctx context.Context) error {
 	sent, last := r.clock.Uptime(), r.runnersPosition()
-	pages := math.MaxInt
+	pages, timeout := math.MaxInt, r.runnersTimeout()
 	if sent-last.readAt > max(maxHistoryAge, historyReads*r.runnersTook) {
-		pages = 1
+		pages, timeout = 1, readTimeout+r.patience
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.runnersTimeout())
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	pos := last
 	records, kept, err := r.readHistory(ctx, drstore.Runners, &pos, pages, 0)
@@ -257,7 +264,7 @@
 	if err != nil {
 		return err
 	}
-	r.runnersTook, r.newest = r.clock.Uptime()-sent, nil
+	r.runnersTook, r.newest, r.strangers = r.clock.Uptime()-sent, nil, false
 	for _, rec := range records {
 		r.noteWritten(rec, last)
 		r.applyRunnerRecord(rec)
