drcontroller: Read drains between the pages of a table

Cause: shortly after the start a VM has a part of the runner table. If it loses the controller then, it reads the newest entries page by page, each with a turn of up to 7.5 s, and learns of a drain only with the page of that runner.

Change: a VM knows the store's offset as of which it learned its first runners.

--- a/drcontroller/newest_read.go
+++ b/drcontroller/newest_read.go
@@ -55,6 +55,7 @@
 	}
 	if read.after == "" {
 		read.next = page.Next
+		r.view.BeginNews(read.sentAt, page.Next)
 	}
 	read.pageAt = r.clock.Uptime()
 	read.took += read.pageAt - now
--- a/drcontroller/newest_read_orders_test.go
+++ b/drcontroller/newest_read_orders_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -210,6 +211,54 @@
 	is.Equal(w.runners(), 4)
 }
 
+// Guards against VMs without the whole table that use a runner long after it has begun to
+// drain: their next page of the newest entries has a turn after several seconds.
+func TestDrainsAreReadBetweenPages(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderFixture()
+	w.reader.codec = guardedCodec{drainingCodec{}}
+	pages := w.withPages(2)
+	putRunners(w.store, 4)
+	is.True(!w.reader.newsDue(0)) // it lists no runner
+	is.NoErr(w.reader.readRunners(ctx))
+	is.True(w.reader.reading())
+	w.clock.Advance(time.Second)
+	for _, key := range []string{"r0003", "r0002", "r0001", "r0000"} {
+		w.store.Put(drstore.Runners, key, []byte("1 2 draining"))
+	}
+	w.store.Put(drstore.Runners, "r0001", nil)
+	is.True(!w.reader.newsDue(2 * time.Second))
+	for w.reader.newsDue(time.Second) {
+		is.NoErr(w.reader.readNews(ctx))
+	}
+	is.Equal(w.runners(), 2)
+	for _, r := range w.view.Runners("") {
+		is.True(r.Draining)
+	}
+	w.store.Expire(drstore.Runners)
+	w.store.Put(drstore.Runners, "r0000", []byte("1 3"))
+	w.clock.Advance(time.Second)
+	pages.failSecond()
+	is.NoErr(w.reader.readNews(ctx))
+	is.True(w.reader.readNews(ctx) != nil)
+	is.True(w.reader.reading())
+	for w.reader.reading() {
+		is.NoErr(w.reader.readRunners(ctx))
+	}
+	is.True(!w.reader.newsDue(0)) // the history is read instead
+}
+
+// drainingCodec is a textCodec of runners that drain if a third word follows.
+type drainingCodec struct{ textCodec }
+
+func (c drainingCodec) Runner(id string, value []byte) (*drfleet.Runner, error) {
+	r, err := c.textCodec.Runner(id, value)
+	if err == nil {
+		r.Draining = strings.HasSuffix(string(value), "draining")
+	}
+	return r, err
+}
+
 // Guards against a fleet that reads all at once after its first pages failed together: the
 // next page takes a turn, too.
 func TestFailedFirstPageTakesATurn(t *testing.T) {
@@ -292,6 +341,10 @@
 	case 5:
 		o.answer()
 	default:
+		if o.reader.newsDue(0) && o.rand.IntN(3) == 0 {
+			_ = o.reader.readNews(context.Background())
+			break
+		}
 		_ = o.reader.readRunners(context.Background())
 	}
 	if o.rand.IntN(60) == 0 {
--- /dev/null
+++ b/drcontroller/news_read.go
@@ -0,0 +1,48 @@
+package drcontroller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dotterelridge/dotterelridge/drstore"
+)
+
+// newsDue reports whether the listed runners may have changed, although the table cannot be
+// brought up to date yet: it is not complete, and its next page has a turn.
+func (r *reader) newsDue(after time.Duration) bool {
+	at, next := r.view.News()
+	return next > 0 && !r.hasHistory() && r.clock.Uptime()-at >= after
+}
+
+// readNews reads the next page of the history of the listed runners, so that those that have
+// begun to drain are known. It adds and removes none: a page may not reach the end, and a
+// later one may say otherwise.
+func (r *reader) readNews(ctx context.Context) error {
+	defer r.changes.end()
+	sent, last := r.clock.Uptime(), position{}
+	last.readAt, last.next = r.view.News()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout+r.patience)
+	defer cancel()
+	page, err := r.log.Read(ctx, drstore.Runners, last.next, 0)
+	if expired, ok := errors.AsType[*drstore.ExpiredError](err); ok {
+		log.WithFields(log.Fields{"event": "store-records-expired", "topic": drstore.Runners, "offset": last.next}).Info("")
+		r.view.ConfirmNews(last.readAt, expired.First)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, rec := range page.Records {
+		if _, listed := r.view.Runner(rec.Key); listed && len(rec.Value) > 0 {
+			r.applyRunnerRecord(rec)
+		}
+	}
+	if page.Next < page.End {
+		sent = last.readAt // the next page is due at once
+	}
+	r.view.ConfirmNews(sent, page.Next)
+	return nil
+}
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -179,7 +179,7 @@
 func (n *Node) runnersLoop() {
 	unreachable := false
 	var b backoff
-	var turn readTurn
+	var turn, newsTurn readTurn
 	n.awaitController()
 	for n.ctx.Err() == nil {
 		_, age, _ := n.View.Ages()
@@ -187,6 +187,9 @@
 		if !must {
 			turn.reset()
 		}
+		if must && n.controller.Load() == nil {
+			n.readNews(&newsTurn)
+		}
 		if !must || n.controller.Load() == nil && !turn.come(n.Clock.Uptime(), n.Allowances.VMs(), n.nextReadSize()) {
 			_ = n.Clock.Sleep(n.ctx, staleCheckInterval)
 			continue
@@ -207,6 +210,22 @@
 	}
 }
 
+// readNews reads what has changed of the listed runners once that may be old, in a turn of
+// its own for each page.
+func (n *Node) readNews(turn *readTurn) {
+	if !n.reader.newsDue(time.Duration(float64(n.RunnerDrain) * staleFraction)) {
+		turn.reset()
+		return
+	}
+	if !turn.come(n.Clock.Uptime(), n.Allowances.VMs(), historyReadSize) {
+		return
+	}
+	turn.reset()
+	if err := n.reader.readNews(n.ctx); err != nil && n.ctx.Err() == nil {
+		log.WithField("event", "runners-news-not-read").WithError(err).Info("")
+	}
+}
+
 // nextReadSize returns how many entries of runners the next read of the store is expected
 // to bring. A process that knows no runner goes by the lease, also after its first page
 // has failed.
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -255,6 +255,7 @@
 		n.applyOutages(reply)
 		offerLimits(n.View, reply.GetLimits(), made, log.Fields{"source": "controller", "term": reply.GetTerm()})
 		n.View.ConfirmDeployment(made - age(reply.GetDeploymentAgeMs()))
+		n.View.BeginNews(made-age(reply.GetRunnersAgeMs()), reply.GetRunnersNext())
 		if complete {
 			n.View.ConfirmRunners(made-age(reply.GetRunnersAgeMs()), reply.GetRunnersNext())
 		}
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -41,6 +41,11 @@
 	runnersNext         int64
 	deploymentConfirmed bool
 	runnersConfirmed    bool
+	// newsNext is the store's offset from which on newer descriptions of the listed runners
+	// may follow, although the table may lack others, and newsAt the uptime of that. It is 0
+	// if it is unknown.
+	newsAt   time.Duration
+	newsNext int64
 	// outages are the availability zones that are out of service.
 	outages drzone.Outages
 	// zoneDrain is the bound that SetZoneDrain sets, and closing the uptimes from which
@@ -149,10 +154,44 @@
 	defer v.mu.Unlock()
 	if at >= v.runnersAt || !v.runnersConfirmed {
 		v.runnersAt, v.runnersNext = at, next
+		v.confirmNews(at, next)
 	}
 	v.runnersConfirmed = true
 }
 
+// ConfirmNews records that, at an uptime, the store had no newer descriptions of the listed
+// runners up to an offset. There may be others.
+func (v *View) ConfirmNews(at time.Duration, next int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.confirmNews(at, next)
+}
+
+// confirmNews is ConfirmNews. The caller holds mu.
+func (v *View) confirmNews(at time.Duration, next int64) {
+	if next >= v.newsNext {
+		v.newsAt, v.newsNext = max(v.newsAt, at), next
+	}
+}
+
+// BeginNews is ConfirmNews for the first of the runners that are listed. It changes nothing if
+// there is an offset already: that holds for all of them.
+func (v *View) BeginNews(at time.Duration, next int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.newsNext == 0 {
+		v.newsAt, v.newsNext = at, next
+	}
+}
+
+// News returns the newest uptime and offset of ConfirmNews. The offset is 0 if it is
+// unknown.
+func (v *View) News() (at time.Duration, next int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.newsAt, v.newsNext
+}
+
 // RunnersConfirmed returns the newest uptime and offset of ConfirmRunners. The offset is 0
 // if it is unknown.
 func (v *View) RunnersConfirmed() (at time.Duration, next int64) {
