--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -98,9 +98,10 @@
 	}
 }
 
-// readHistory reads a topic from the position to its end. kept is false if the records at
-// the position have expired, or if there are more pages. The position moves only with a complete read, because the
-// records of the pages before a failed one are not applied.
+// readHistory reads a topic from the position to its end, in a number of pages at most. kept is
+// false if the records at the position have expired, or if there are more pages. The position
+// moves only with a complete read, because the records of the pages before a failed one are
+// not applied.
 func (r *reader) readHistory(ctx context.Context, topic drstore.Topic, pos *position, pages int, wait time.Duration) (records []drstore.Record, kept bool, err error) {
 	for next := pos.next; pages > 0; pages-- {
 		sent := r.clock.Uptime()
