drcontroller: State no position past runners that are kept without an entry

Callers: after an outage of the store a VM that had lost its controller went on sending to a runner that was gone, or dropped one that lived, for as long as its entry did not change. If it became the controller, all VMs did.

Cause: since VMs read the history from the controller's position, the position is shared, but the list of runners whose entries expired in an outage (reader.lapsed) is not. The controller's position is past the leaving of a runner that it still keeps; a VM that goes on from there never removes it. And a VM that had kept such a runner itself removes it when its time is over, though a controller has named it again since, because the entry that would have told is before the position. Class: a position that is not of the same instant as the data.

Change: the reader has its own position again and goes by the controller's only if that is newer, and then forgets what it had kept itself. While it keeps any runner, it gives its view no offset for other VMs, which then read the newest entries as before.

--- a/drcontroller/newest_read.go
+++ b/drcontroller/newest_read.go
@@ -102,7 +102,7 @@
 	maps.DeleteFunc(r.writtenSince, func(id string, _ time.Duration) bool { return !read.listed[id] })
 	log.WithFields(log.Fields{"event": "runners-read", "entries": len(read.listed), "took": read.took, "began-ago": read.pageAt - read.sentAt}).Info("")
 	r.runnersTook, r.newest = read.took, nil
-	r.view.ConfirmRunners(read.sentAt, read.next)
+	r.confirmRunners(position{next: read.next, started: true, readAt: read.sentAt})
 }
 
 // noteWritten records that a runner has written its entry since the last complete read.
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -44,6 +44,8 @@
 	readerConfig
 
 	deployments position
+	// confirmed is the position of the last read of the runners by this reader that ended.
+	confirmed position
 	// deploymentChanged is set if the last read returned a new configuration.
 	deploymentChanged bool
 	// runnersFailedAt is the uptime of the last failed read of the runners. It
@@ -228,12 +230,27 @@
 var errNoHistory = errors.New("the history since the last read is too long or has expired")
 
 // runnersPosition returns the position in the runners' topic up to which the view has all
-// entries, from this reader or from a controller.
+// entries, from this reader or, if that is newer, from a controller.
 func (r *reader) runnersPosition() position {
 	at, next := r.view.RunnersConfirmed()
+	if r.confirmed.started && r.confirmed.readAt >= at {
+		return r.confirmed
+	}
 	return position{next: next, started: next > 0, readAt: at}
 }
 
+// confirmRunners records that the view has all entries up to a position, and tells it the
+// offset for other VMs. It tells none while runners are kept that have no entry: their
+// leaving is before it, so that no VM that goes on from there would ever remove them.
+func (r *reader) confirmRunners(pos position) {
+	r.confirmed = pos
+	next := pos.next
+	if len(r.lapsed) > 0 {
+		next = 0
+	}
+	r.view.ConfirmRunners(pos.readAt, next)
+}
+
 // hasHistory reports whether the next read may be one of the history. A read of the newest
 // entries that has begun goes on, and one that has found strangers is made again, unless a
 // controller has confirmed newer entries since.
@@ -266,12 +283,15 @@
 		return err
 	}
 	r.runnersTook, r.newest, r.strangers = r.clock.Uptime()-sent, nil, false
+	if last != r.confirmed {
+		clear(r.lapsed) // the controller's table says which runners are left
+	}
 	for _, rec := range records {
 		r.noteWritten(rec, last)
 		r.applyRunnerRecord(rec)
 	}
 	r.removeLapsedRunners(r.clock.Uptime())
-	r.view.ConfirmRunners(pos.readAt, pos.next)
+	r.confirmRunners(pos)
 	return nil
 }
 
