drcontroller: Apply only the newest record of each runner in the history

Callers: after a VM had read the newest entries, it sent nothing to a runner that lived, until that runner's entry changed.

The view drops the runner then and refuses the newest entry, which it has had already. A controller's table that is newer than the position with it is a second way to this.

Change: of the records in one read only the newest of each key is applied.

Measured: TestOlderLeavingInHistoryDropsNothing fails before and passes after; go test ./drcontroller passes.

--- a/drcontroller/newest_read_orders_test.go
+++ b/drcontroller/newest_read_orders_test.go
@@ -420,3 +420,20 @@
 	is.NoErr(w.reader.readRunners(context.Background()))
 	is.Equal(c.Handover().Runners, 3)
 }
+
+// Guards against a living runner that a VM drops, because a page of the newest entries had
+// its newest one, and the history from the first page on has its leaving before that.
+func TestOlderLeavingInHistoryDropsNothing(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderFixture()
+	pages := w.withPages(2)
+	putRunners(w.store, 4)
+	is.NoErr(w.reader.readRunners(ctx))
+	w.store.Put(drstore.Runners, "r0003", nil) // expired
+	w.store.Put(drstore.Runners, "r0003", []byte("1 2"))
+	is.NoErr(w.reader.readRunners(ctx))
+	is.True(!w.reader.reading())
+	pages.size = 100
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 4)
+}
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -286,7 +287,7 @@
 	if last != r.confirmed {
 		clear(r.lapsed) // the controller's table says which runners are left
 	}
-	for _, rec := range records {
+	for _, rec := range newestOfKeys(records) {
 		r.noteWritten(rec, last)
 		r.applyRunnerRecord(rec)
 	}
@@ -295,6 +296,16 @@
 	return nil
 }
 
+// newestOfKeys returns the newest record of each key, in their order. The view may have them
+// already, so that it would drop a runner by an older record and not take it back by the newest.
+func newestOfKeys(records []drstore.Record) []drstore.Record {
+	newest := make(map[string]int64, len(records))
+	for _, rec := range records {
+		newest[rec.Key] = rec.Offset
+	}
+	return slices.DeleteFunc(records, func(rec drstore.Record) bool { return newest[rec.Key] != rec.Offset })
+}
+
 // runnersTimeout returns the timeout of one read of the runners: of the history, which may
 // take many pages, or of one page of the newest entries.
 func (r *reader) runnersTimeout() time.Duration {
