drcontroller: Drop no runner by an answer that a controller's table has overtaken

Callers: a VM that read the store while its controller was reached again sent nothing to a runner that had just started anew, until that runner's entry changed.

Cause: the answer of the store was applied although a controller's table had come while it was on its way. It may be older and still have the runner's leaving; the table, which had the runner already, is not sent again.

Change: of a read of the history only the records count that the table is not past; if the table states no position, and for pages of the newest entries, none do, and the next read begins with the table.

Measured: TestAnswerOlderThanControllersDropsNothing fails before and passes after; go test ./drcontroller passes.

--- a/drcontroller/controller_position_test.go
+++ b/drcontroller/controller_position_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drstore"
 )
@@ -78,3 +79,44 @@
 		is.Equal(w.runners(), 3)
 	}
 }
+
+// afterRead is a store after each of whose reads something happens before the answer arrives.
+type afterRead struct {
+	drstore.Log
+	then func()
+}
+
+func (s *afterRead) Read(ctx context.Context, t drstore.Topic, from int64, wait time.Duration) (drstore.Page, error) {
+	defer s.then()
+	return s.Log.Read(ctx, t, from, wait)
+}
+
+func (s *afterRead) Newest(ctx context.Context, t drstore.Topic, after string) (drstore.Page, error) {
+	defer s.then()
+	return s.Log.Newest(ctx, t, after)
+}
+
+// Guards against living runners that a VM drops, because a controller names them again while
+// an older answer of the store is on its way.
+func TestAnswerOlderThanControllersDropsNothing(t *testing.T) {
+	for _, known := range []bool{false, true} { // the position, so that it is an answer with the history
+		is, ctx := is.New(t), context.Background()
+		w := newReaderFixture()
+		controller := w.another()
+		putRunners(w.store, 3)
+		if known {
+			is.NoErr(w.reader.readRunners(ctx))
+		} else {
+			w.view.OfferRunner(&drfleet.Runner{ID: "r0001", Started: 1}, drfleetview.FromController)
+		}
+		w.store.Put(drstore.Runners, "r0001", nil)
+		w.reader.log = &afterRead{w.store, func() {
+			w.clock.Advance(time.Millisecond)
+			w.store.Put(drstore.Runners, "r0001", []byte("2 1"))
+			is.NoErr(controller.reader.readRunners(ctx))
+			w.takeTable(controller.view)
+		}}
+		is.NoErr(w.reader.readRunners(ctx))
+		is.Equal(w.runners(), 3)
+	}
+}
--- a/drcontroller/newest_read.go
+++ b/drcontroller/newest_read.go
@@ -53,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if r.confirmedSince(read.sentAt) {
+		return nil // the page may be older than what a controller has named meanwhile
+	}
 	if read.after == "" {
 		read.next = page.Next
 		r.view.BeginNews(read.sentAt, page.Next)
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -284,6 +284,13 @@
 		return err
 	}
 	r.runnersTook, r.newest, r.strangers = r.clock.Uptime()-sent, nil, false
+	if now := r.runnersPosition(); now != last { // a controller's table has come meanwhile
+		if !now.started {
+			return errNoHistory
+		}
+		records = slices.DeleteFunc(records, func(rec drstore.Record) bool { return rec.Offset < now.next })
+		pos.next, last = max(pos.next, now.next), now
+	}
 	if last != r.confirmed {
 		clear(r.lapsed) // the controller's table says which runners are left
 	}
