drcontroller: Leave out counts of a report that arrives after the next one

Cause: a VM gives a report up when a request begins to wait, and sends the next one at once, each in a stream of its own; a controller that was suspended serves both in any order. The one that arrived last counted as the newest. Counts since the start of the process that are lower than before count as those of a new process, so that what was spent in between was charged again, and the requests counted twice. Running requests of the late report stayed, because the following ones have only what changed. So did the report of a former process that came late.

Change: reports of a process are numbered.

--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -46,7 +46,9 @@
 	processor    float64
 	lastReportAt time.Time
 	// newest is its last report, which may be held.
-	newest          *drpb.FleetSyncRequest
+	newest *drpb.FleetSyncRequest
+	// charged is the number of the last report whose spendings were charged.
+	charged         uint64
 	wants           []*drpb.FleetWant
 	wantsReceivedAt time.Time
 	// pausedUntil is when the runners that want no requests of the VM take them again.
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -89,6 +89,7 @@
 
 	mu          sync.Mutex
 	leader      drlease.Lease
+	reports     uint64    // number of reports so far
 	lastReplyAt time.Time // when the controller last replied, zero if it has not or a call failed since
 	// reportedTerm is the term of the controller that last replied.
 	reportedTerm uint64
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -48,7 +48,11 @@
 	if request.GetTerm() == c.Term {
 		c.wakeVMs(c.pieces.complete(name))
 	}
-	getsPiece := c.awaitChange(ctx, name, c.applyReport(name, incarnation, request), request)
+	v, applied := c.applyReport(name, incarnation, request)
+	if !applied {
+		return &drpb.FleetSyncReply{} // which nobody reads
+	}
+	getsPiece := c.awaitChange(ctx, name, v, request)
 	reply := &drpb.FleetSyncReply{Leading: c.Holds(), Term: c.Term}
 	runnersAt, runnersNext := c.view.RunnersConfirmed() // of the table, or somewhat older
 	c.fillTable(request, reply, getsPiece)
@@ -66,7 +70,7 @@
 	}
 	reply.Verdict = encodeVerdict(c.crashes.VerdictFor(name))
 	reply.Outages = encodeOutages(c.view.Outages())
-	c.fillReply(name, request, reply)
+	c.fillReply(name, v, request, reply)
 	c.fillLimits(name, request, reply)
 	reply.Permits = c.givePermits(ctx, name, request, received)
 	if getsPiece && name != c.Holder {
@@ -127,12 +131,16 @@
 	reply.Deployment = record
 }
 
-// applyReport records a VM's report and returns the VM's record.
-func (c *Controller) applyReport(name string, incarnation uint64, request *drpb.FleetSyncRequest) *vm {
+// applyReport records a VM's report and returns the VM's record, or false if a later report
+// of the VM has come before.
+func (c *Controller) applyReport(name string, incarnation uint64, request *drpb.FleetSyncRequest) (v *vm, applied bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
 	v, known := c.vms[name]
+	if known && v.hasOvertaken(incarnation, request) {
+		return v, false
+	}
 	if !known || v.incarnation != incarnation {
 		if known {
 			c.subtractUses(v)
@@ -149,7 +157,16 @@
 	if len(v.wants) > 0 {
 		c.requestPlan()
 	}
-	return v
+	return v, true
+}
+
+// hasOvertaken reports whether a later report than one that arrives has come from the VM, of
+// the same process or a later one. Counts in the earlier one would seem to have begun anew.
+func (v *vm) hasOvertaken(incarnation uint64, request *drpb.FleetSyncRequest) bool {
+	if v.incarnation != incarnation {
+		return v.incarnation > incarnation
+	}
+	return request.GetNumber() > 0 && request.GetNumber() < v.newest.GetNumber()
 }
 
 // awaitChange waits until a change concerns the VM, its time to wait is over or
@@ -305,18 +322,13 @@
 
 // fillReply adds token grants, runner loads, load forecasts and fleet-wide
 // values to a reply.
-func (c *Controller) fillReply(name string, request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
-	for _, s := range request.GetSpendings() {
-		g := c.pool.Report(name, drtokenpool.Spending{
-			Account: s.GetAccount(), Spent: s.GetSpent(), Granted: s.GetGranted(), Requested: s.GetRequested(), Unasked: s.GetUnasked(),
-		})
-		reply.Grants = append(reply.Grants, &drpb.FleetGrant{
-			Account: s.GetAccount(), Granted: g.Granted, Share: g.Share, Level: g.Level, Saturated: g.Saturated,
-			RetryAfterMs: uint32(milliseconds(g.RetryAfter)),
-		})
-	}
+func (c *Controller) fillReply(name string, v *vm, request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.vms[name] == v && request.GetNumber() >= v.charged {
+		v.charged = request.GetNumber()
+		c.fillGrants(name, request, reply)
+	}
 	now := c.Clock.Now()
 	c.fillLoads(name, request, reply)
 	for _, w := range request.GetWants() {
@@ -329,6 +341,20 @@
 	reply.NextWaitMs = uint32(milliseconds(time.Duration(vms) * syncIntervalPerVM))
 }
 
+// fillGrants charges what a VM has spent and adds the token grants to a reply. The caller
+// holds mu.
+func (c *Controller) fillGrants(name string, request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
+	for _, s := range request.GetSpendings() {
+		g := c.pool.Report(name, drtokenpool.Spending{
+			Account: s.GetAccount(), Spent: s.GetSpent(), Granted: s.GetGranted(), Requested: s.GetRequested(), Unasked: s.GetUnasked(),
+		})
+		reply.Grants = append(reply.Grants, &drpb.FleetGrant{
+			Account: s.GetAccount(), Granted: g.Granted, Share: g.Share, Level: g.Level, Saturated: g.Saturated,
+			RetryAfterMs: uint32(milliseconds(g.RetryAfter)),
+		})
+	}
+}
+
 // countReportingVMs returns the number of VMs whose last report is within
 // vmReportTimeout. The caller holds mu.
 func (c *Controller) countReportingVMs(now time.Time) int {
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -99,6 +99,8 @@
 		Zone: n.Zone, WaitMs: uint32(n.syncWait.Milliseconds()), Whole: n.fullReport || n.reportedTerm != n.leader.Term,
 		Processor: n.Processor, ReadsDeflated: true,
 	}
+	n.reports++
+	request.Number = n.reports
 	n.table.fillRequest(leader.Term, request)
 	n.fullReport = true // reset by applyReply if this report arrives
 	uninterrupted := time.Duration(0)
