drfleetview: Let the lower limit count while it is unclear which was said later

Runners: after a runner had lowered its limit, all VMs went back to the former, higher one, because a VM that had been suspended read an older answer and had not heard of the lower limit; or they kept the higher one, because the VM that heard the lower one could not tell exactly when it made its report. Found by reading, not seen in a run.

Cause: a statement counted as made at one moment, though only bounds are known: an answer is said between the sending of its request and its arrival, a report made within the uncertainty of the controller's clock. Which bound is the safe one was decided where the statement is recorded, by what that VM knows. A limit lower than that, equal to it or the first one may be higher than what the other VMs know, for which the other bound is the safe one; and reports always counted from the earlier bound.

Change: a statement has both bounds, in the view and as two ages in reports and replies. The lower limit counts if it may be the later one, a higher one or none only if it must be. Of equal ones the earlier bound decides, so that none becomes newer by being repeated. This replaces the special case for reports of an unknown time. Reports and replies of an earlier version have one age, which counts for both.

Tests changed: TestControllerClockIsNotAhead and TestNewestLimitCounts expect the second bound, too; offerLimits has one more argument.

--- a/drcontroller/controller_clock.go
+++ b/drcontroller/controller_clock.go
@@ -42,5 +42,5 @@
 	if c.term == 0 || at <= 0 {
 		return nil
 	}
-	return &drpb.FleetMoment{Term: c.term, UptimeMs: uint64(at.Milliseconds())}
+	return &drpb.FleetMoment{Term: c.term, UptimeMs: uint64(at.Milliseconds()), UncertaintyMs: uint32(max(millisecondsUp(c.uncertainty()), 0))}
 }
--- a/drcontroller/controller_clock_test.go
+++ b/drcontroller/controller_clock_test.go
@@ -17,23 +17,23 @@
 	reply := func(term uint64, uptime time.Duration) *drpb.FleetSyncReply {
 		return &drpb.FleetSyncReply{Term: term, UptimeMs: uint64(uptime.Milliseconds())}
 	}
-	moment := func(term uint64, uptime time.Duration) *drpb.FleetMoment {
-		return &drpb.FleetMoment{Term: term, UptimeMs: uint64(uptime.Milliseconds())}
+	moment := func(term uint64, uptime, uncertainty time.Duration) *drpb.FleetMoment {
+		return &drpb.FleetMoment{Term: term, UptimeMs: uint64(uptime.Milliseconds()), UncertaintyMs: uint32(uncertainty.Milliseconds())}
 	}
 	var c controllerClock
 	is.True(c.moment(time.Hour) == nil)
 	c = c.withReply(&drpb.FleetSyncReply{Term: 5}, 0, 0) // of an earlier version
 	is.True(c.moment(time.Hour) == nil)
 	c = c.withReply(reply(5, 100*time.Second), 10*time.Second, 11*time.Second)
-	is.Equal(c.moment(12*time.Second), moment(5, 101*time.Second))
+	is.Equal(c.moment(12*time.Second), moment(5, 101*time.Second, time.Second))
 	c = c.withReply(reply(5, 103*time.Second), 13*time.Second, 15*time.Second) // tells less exactly
-	is.Equal(c.moment(15*time.Second), moment(5, 104*time.Second))
+	is.Equal(c.moment(15*time.Second), moment(5, 104*time.Second, time.Second))
 	c = c.withReply(reply(5, 106*time.Second), 16*time.Second, 16*time.Second)
-	is.Equal(c.moment(16*time.Second), moment(5, 106*time.Second))
+	is.Equal(c.moment(16*time.Second), moment(5, 106*time.Second, 0))
 	c = c.withReply(reply(5, 126*time.Second), 36*time.Second, 37*time.Second) // the last one is old
-	is.Equal(c.moment(37*time.Second), moment(5, 126*time.Second))
+	is.Equal(c.moment(37*time.Second), moment(5, 126*time.Second, time.Second))
 	c = c.withReply(reply(6, 7*time.Second), 38*time.Second, 40*time.Second)
-	is.Equal(c.moment(40*time.Second), moment(6, 7*time.Second))
+	is.Equal(c.moment(40*time.Second), moment(6, 7*time.Second, 2*time.Second))
 }
 
 // Guards against limits of VMs that don't count, because they still follow a lease whose
--- a/drcontroller/limits.go
+++ b/drcontroller/limits.go
@@ -1,6 +1,7 @@
 package drcontroller
 
 import (
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -18,7 +19,8 @@
 )
 
 func encodeLimit(l drfleetview.Limit) *drpb.FleetLimit {
-	return &drpb.FleetLimit{Runner: encodeIncarnation(l.Incarnation), Rate: l.Rate, AgeMs: uint32(milliseconds(l.Age))}
+	return &drpb.FleetLimit{Runner: encodeIncarnation(l.Incarnation), Rate: l.Rate, AgeMs: uint32(milliseconds(l.Age)),
+		MaxAgeMs: uint32(millisecondsUp(l.MaxAge))}
 }
 
 func encodeLimits(limits []drfleetview.Limit) []*drpb.FleetLimit {
@@ -33,33 +35,22 @@
 // and what it says must not count as later than what other VMs have heard meanwhile. If
 // it does not say when it was made, only lower limits count.
 func (c *Controller) offerReportedLimits(name string, request *drpb.FleetSyncRequest, received time.Duration) {
-	limits, made := request.GetLimits(), received
+	earliest, latest := time.Duration(math.MinInt32)*time.Second, received
 	if m := request.GetMade(); m != nil && m.GetTerm() == c.Term {
-		made = min(made, time.Duration(m.GetUptimeMs())*time.Millisecond)
-	} else {
-		limits = c.lowerLimits(limits)
+		made := time.Duration(m.GetUptimeMs()) * time.Millisecond
+		earliest = min(made, received)
+		latest = min(made+time.Duration(m.GetUncertaintyMs()+1)*time.Millisecond, received)
 	}
-	offerLimits(c.view, limits, made, log.Fields{"source": "vm", "reported-by": name, "term": c.Term})
+	offerLimits(c.view, request.GetLimits(), earliest, latest, log.Fields{"source": "vm", "reported-by": name, "term": c.Term})
 }
 
-// lowerLimits returns those of the limits that let runners get less than is known.
-func (c *Controller) lowerLimits(limits []*drpb.FleetLimit) []*drpb.FleetLimit {
-	var lower []*drpb.FleetLimit
+// offerLimits records what another VM knows of the limits of runners. earliest and latest are
+// the uptimes between which it said so, and source says where that was heard, for the log.
+func offerLimits(view *drfleetview.View, limits []*drpb.FleetLimit, earliest, latest time.Duration, source log.Fields) {
 	for _, l := range limits {
-		known, _ := c.view.LimitOf(decodeIncarnation(l.GetRunner()))
-		if l.GetRate() > 0 && (known.Rate == 0 || l.GetRate() < known.Rate) {
-			lower = append(lower, l)
-		}
-	}
-	return lower
-}
-
-// offerLimits records what another VM knows of the limits of runners. made is the uptime
-// at which it said so, and source says where that was heard, for the log.
-func offerLimits(view *drfleetview.View, limits []*drpb.FleetLimit, made time.Duration, source log.Fields) {
-	for _, l := range limits {
-		i := decodeIncarnation(l.GetRunner())
-		if !(l.GetRate() >= 0) || !view.OfferLimit(i, l.GetRate(), made-time.Duration(l.GetAgeMs())*time.Millisecond) {
+		i, age := decodeIncarnation(l.GetRunner()), time.Duration(l.GetAgeMs())*time.Millisecond
+		maxAge := max(time.Duration(l.GetMaxAgeMs())*time.Millisecond, age)
+		if !(l.GetRate() >= 0) || !view.OfferLimitBetween(i, l.GetRate(), earliest-maxAge, latest-age) {
 			continue
 		}
 		event := "runner-limited"
--- a/drcontroller/limits_test.go
+++ b/drcontroller/limits_test.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/matryer/is"
 
+	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
@@ -80,6 +81,45 @@
 	}
 }
 
+// Guards against a former, higher limit that replaces a lower one for all VMs, because a VM
+// was suspended before it read the answer that named it and had not heard of the lower one.
+func TestAnswerReadLateDoesNotRaiseLimit(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		is := is.New(t)
+		w := newControllerFixture(t)
+		all := w.offerRunners(1)
+		r, _ := w.view.Runner(all[0].Runner)
+		clock := drclock.NewFake(time.Unix(1000, 0))
+		v := drfleetview.New(clock)
+		v.OfferRunner(r, drfleetview.FromController)
+		if known {
+			v.OfferAnswer(all[0], 8, clock.Uptime())
+		}
+		sent := clock.Uptime()
+		clock.Advance(2 * time.Second)
+		is.Equal(len(w.syncLimits("vm-a", all, &drpb.FleetLimit{Runner: encodeIncarnation(all[0]), Rate: 3, AgeMs: 500})), 0)
+		v.OfferAnswer(all[0], 8, sent)
+		w.syncLimits("vm-b", all, encodeLimits(v.Limits())...)
+		limit, _ := w.view.LimitOf(all[0])
+		is.Equal(limit.Rate, 3.0)
+	}
+}
+
+// Guards against a runner that gets more than its limit, because the VM that has heard of a
+// lower one cannot tell exactly when it made its report.
+func TestLowerLimitOfUncertainReportCounts(t *testing.T) {
+	is := is.New(t)
+	w := newControllerFixture(t)
+	all := w.offerRunners(1)
+	r := encodeIncarnation(all[0])
+	is.Equal(len(w.syncLimits("vm-a", all, &drpb.FleetLimit{Runner: r, Rate: 8, AgeMs: 500})), 0)
+	for _, uncertainty := range []uint32{0, 1000} {
+		made := &drpb.FleetMoment{Term: w.controller.Term, UptimeMs: uint64((w.controller.Clock.Uptime() - time.Second).Milliseconds()), UncertaintyMs: uncertainty}
+		request := &drpb.FleetSyncRequest{Term: w.controller.Term, Limits: []*drpb.FleetLimit{{Runner: r, Rate: 3}}, Made: made}
+		is.Equal(len(w.controller.Sync(context.Background(), "vm-b", 1, request).GetLimits()) == 0, uncertainty > 0)
+	}
+}
+
 // Guards against malformed limits of another VM, and against reports and replies that grow
 // with the number of limited runners.
 func TestLimitsAreBounded(t *testing.T) {
@@ -87,9 +127,9 @@
 	w := newControllerFixture(t)
 	all := w.offerRunners(2 * maxToldLimits)
 	for _, rate := range []float64{-1, math.NaN()} {
-		offerLimits(w.view, []*drpb.FleetLimit{{Runner: encodeIncarnation(all[0]), Rate: rate}}, time.Hour, log.Fields{})
+		offerLimits(w.view, []*drpb.FleetLimit{{Runner: encodeIncarnation(all[0]), Rate: rate}}, time.Hour, time.Hour, log.Fields{})
 	}
-	offerLimits(w.view, []*drpb.FleetLimit{{Rate: 3}}, time.Hour, log.Fields{})
+	offerLimits(w.view, []*drpb.FleetLimit{{Rate: 3}}, time.Hour, time.Hour, log.Fields{})
 	is.Equal(len(w.view.Limits()), 0)
 	for i, r := range all {
 		w.view.OfferLimit(r, 3, time.Duration(i))
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -24,6 +24,9 @@
 	return int32(min(max(d.Milliseconds(), -limit), limit))
 }
 
+// millisecondsUp is milliseconds with d rounded up.
+func millisecondsUp(d time.Duration) int32 { return milliseconds(d + time.Millisecond - 1) }
+
 func encodeReplica(p drfleetview.Replica) *drpb.FleetReplica {
 	return &drpb.FleetReplica{Service: p.Service, Model: p.Model, Adapter: p.Adapter, Zones: p.Zones.Names()}
 }
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -244,7 +244,8 @@
 	n.lastReplyAt = n.Clock.Now()
 	age := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 	made := sent + age(reply.GetHeldMs())
-	n.controllerClock = n.controllerClock.withReply(reply, made, n.Clock.Uptime())
+	received := n.Clock.Uptime()
+	n.controllerClock = n.controllerClock.withReply(reply, made, received)
 	n.mu.Unlock()
 	n.elector.RecordValidity(drlease.Validity{
 		Offset: int64(reply.GetLeaseOffset()), Left: time.Duration(reply.GetLeaseLeftMs()) * time.Millisecond,
@@ -255,7 +256,7 @@
 	if !own {
 		n.applyDeployment(reply)
 		n.applyOutages(reply)
-		offerLimits(n.View, reply.GetLimits(), made, log.Fields{"source": "controller", "term": reply.GetTerm()})
+		offerLimits(n.View, reply.GetLimits(), made, received, log.Fields{"source": "controller", "term": reply.GetTerm()})
 		n.View.ConfirmDeployment(made - age(reply.GetDeploymentAgeMs()))
 		n.View.BeginNews(made-age(reply.GetRunnersAgeMs()), reply.GetRunnersNext())
 		if complete {
--- a/drfleetview/limit.go
+++ b/drfleetview/limit.go
@@ -21,8 +21,8 @@
 	Incarnation
 	// Rate is the number of requests a second over all VMs, 0 if any number is taken.
 	Rate float64
-	// Age is the time since it said so.
-	Age time.Duration
+	// Age and MaxAge are the shortest and the longest time since it may have said so.
+	Age, MaxAge time.Duration
 	// Awaited is set if requests of this VM wait for what the runner holds.
 	Awaited bool
 }
@@ -31,8 +31,9 @@
 type limit struct {
 	started int64
 	rate    float64
-	at      time.Duration // uptime of the statement
-	known   bool
+	// earliest and latest are the uptimes between which it was said.
+	earliest, latest time.Duration
+	known            bool
 	// newsAt is the uptime at which rate last changed, or was last contradicted by an
 	// older statement.
 	newsAt time.Duration
@@ -40,17 +41,16 @@
 
 // OfferAnswer records what an incarnation of a runner has said in an answer that has just
 // arrived, to a request that was sent at an uptime: that it takes a number of requests a
-// second over all VMs, or with 0 any number. It may have said so at any time since then. A
-// limit that is lower than what is known counts as said now, all else as said when the
-// request was sent, because the runner may have lowered its limit in the meantime. The
+// second over all VMs, or with 0 any number. It may have said so at any time since then. The
 // result is that of OfferLimit.
 func (v *View) OfferAnswer(i Incarnation, rate float64, sent time.Duration) (changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if e, ok := v.runners[i.Runner]; ok && rate > 0 && (e.limitRate() == 0 || rate <= e.limitRate()) {
-		return v.offerLimit(i, rate, v.clock.Uptime())
+	now := v.clock.Uptime()
+	if e, ok := v.runners[i.Runner]; ok && e.limit.known && e.limit.started == i.Started && e.limit.rate == rate {
+		e.limit.latest = now // it may have said so again after what is known, whenever the request was sent
 	}
-	return v.offerLimit(i, rate, sent)
+	return v.offerLimit(i, rate, sent, now)
 }
 
 // OfferLimit records that an incarnation of a runner has said, at an uptime, that it takes
@@ -58,13 +58,19 @@
 // that changes nothing: the runner is not listed or of another incarnation, or what is
 // known was said later or is the same.
 func (v *View) OfferLimit(i Incarnation, rate float64, at time.Duration) (changed bool) {
+	return v.OfferLimitBetween(i, rate, at, at)
+}
+
+// OfferLimitBetween is OfferLimit for what was said between two uptimes. If it cannot be told
+// whether that or what is known was said later, the lower limit counts.
+func (v *View) OfferLimitBetween(i Incarnation, rate float64, earliest, latest time.Duration) (changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.offerLimit(i, rate, at)
+	return v.offerLimit(i, rate, earliest, latest)
 }
 
-// offerLimit is OfferLimit. The caller holds mu.
-func (v *View) offerLimit(i Incarnation, rate float64, at time.Duration) (changed bool) {
+// offerLimit is OfferLimitBetween. The caller holds mu.
+func (v *View) offerLimit(i Incarnation, rate float64, earliest, latest time.Duration) (changed bool) {
 	e, ok := v.runners[i.Runner]
 	if !ok || e.runner.Started != i.Started {
 		return false
@@ -78,8 +84,11 @@
 	if rate != before {
 		e.limit.newsAt = uptime
 	}
-	if !known || e.limit.at <= at {
-		e.limit = limit{started: i.Started, rate: rate, at: at, known: true, newsAt: e.limit.newsAt}
+	if !known || e.limit.yieldsTo(rate, earliest, latest) {
+		if known && rate == before {
+			latest = max(latest, e.limit.latest)
+		}
+		e.limit = limit{started: i.Started, rate: rate, earliest: earliest, latest: latest, known: true, newsAt: e.limit.newsAt}
 	}
 	v.bounded.note(e, uptime)
 	if e.limit.rate == before {
@@ -89,6 +98,20 @@
 	return true
 }
 
+// yieldsTo reports whether a statement that was made between two uptimes replaces a known one.
+// One that is repeated by other VMs must not seem newer each time, so that of equal ones the
+// earliest uptime decides.
+func (l *limit) yieldsTo(rate float64, earliest, latest time.Duration) bool {
+	switch {
+	case rate == l.rate:
+		return earliest > l.earliest
+	case rate > 0 && (l.rate == 0 || rate < l.rate):
+		return latest >= l.earliest
+	default:
+		return earliest >= l.latest
+	}
+}
+
 // limitRate returns the number of requests a second that the runner takes over all VMs, 0
 // if it has named no limit.
 func (e *entry) limitRate() float64 {
@@ -113,7 +136,7 @@
 	var list []Limit
 	for e := range v.bounded.holding("", uptime) {
 		if e.limitRate() > 0 || e.hasLimitNews(uptime) {
-			list = append(list, Limit{IncarnationOf(e.runner), e.limit.rate, uptime - e.limit.at, v.isAwaited(e)})
+			list = append(list, Limit{IncarnationOf(e.runner), e.limit.rate, uptime - e.limit.latest, uptime - e.limit.earliest, v.isAwaited(e)})
 		}
 	}
 	slices.SortFunc(list, compareLimits)
@@ -151,7 +174,8 @@
 	if !ok || e.removed || e.runner.Started != i.Started || !e.limit.known || e.limit.started != i.Started {
 		return Limit{}, false
 	}
-	return Limit{Incarnation: i, Rate: e.limit.rate, Age: v.clock.Uptime() - e.limit.at}, true
+	uptime := v.clock.Uptime()
+	return Limit{Incarnation: i, Rate: e.limit.rate, Age: uptime - e.limit.latest, MaxAge: uptime - e.limit.earliest}, true
 }
 
 // LimitedCount returns the number of listed runners of a service that have named a limit.
--- a/drfleetview/limit_test.go
+++ b/drfleetview/limit_test.go
@@ -38,7 +38,7 @@
 	is.True(v.OfferLimit(r, 0, now+2))
 	is.True(v.MayStart(leavingRunner(1, 1, false)))
 	is.True(!v.OfferLimit(r, 3, now+1)) // said before it ended
-	is.Equal(v.Limits(), []drfleetview.Limit{{Incarnation: r, Age: -2}})
+	is.Equal(v.Limits(), []drfleetview.Limit{{Incarnation: r, Age: -2, MaxAge: -2}})
 	clock.Advance(time.Minute)
 	v.OfferLimit(r, 0, clock.Uptime())
 	is.Equal(len(v.Limits()), 0) // no longer news
