drcontroller: Find the controller again after its lapse without the store

Cause: the controller answers a report that comes while its lease has lapsed that it does not lead. The VM forgets it, and only a read of the lease names it again.

Change: while the lease can't be read, the VM reports once more to the controller that it has forgotten, at the pace of its retries at the store.

Measured: TestVMWithoutStoreFindsControllerAfterLapse fails before and passes after; go test ./drcontroller and 600 random worlds of TestLimitHoldsInRandomOrders pass.

--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -73,6 +73,7 @@
 	fleet       *testFleet
 	name        string
 	partitioned bool // no call to or from the store and the peers succeeds
+	storeCut    bool // no call to the store succeeds
 	handlers    map[string]drpeer.Handler
 	linkFreeAt  time.Time // when all replies so far have left
 }
@@ -144,7 +145,7 @@
 func (n *testNode) countStoreCall(t drstore.Topic) error {
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
-	if n.partitioned || time.Now().Before(n.fleet.outageUntil) {
+	if n.partitioned || n.storeCut || time.Now().Before(n.fleet.outageUntil) {
 		return errPartitioned
 	}
 	n.fleet.calls[t]++
@@ -470,3 +471,30 @@
 		}
 	})
 }
+
+// Guards against a VM that is cut off from the store and takes no more part in its fleet,
+// though it reaches the controller, because its report came while the lease had lapsed.
+func TestVMWithoutStoreFindsControllerAfterLapse(t *testing.T) {
+	for late := time.Duration(0); late < LeaseTTL; late += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(3)
+			defer f.close()
+			time.Sleep(4*time.Second + late)
+			first, other := f.controllers()[0], f.nodes["vm-0"]
+			if other == first {
+				other = f.nodes["vm-1"]
+			}
+			f.mu.Lock()
+			other.storeCut = true
+			f.outageUntil = time.Now().Add(first.elector.Validity().Left)
+			f.mu.Unlock()
+			time.Sleep(LeaseTTL + 5*time.Second)
+			if !first.Controlling() {
+				return // the lapse was noticed before it was renewed
+			}
+			_, reached := other.Leader()
+			is.True(reached)
+		})
+	}
+}
--- a/drcontroller/lease_loop.go
+++ b/drcontroller/lease_loop.go
@@ -81,6 +81,7 @@
 				n.awaitSignal(n.leaderLost, pause)
 				continue
 			}
+			n.retryFormerLeader()
 			pause = n.leaseRetryPause(&b) // the store loops log that the store is unreachable
 		}
 		_ = n.Clock.Sleep(n.ctx, pause)
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -87,8 +87,10 @@
 	// for crashLoop.
 	controllerNamed chan struct{}
 
-	mu          sync.Mutex
-	leader      drlease.Lease
+	mu     sync.Mutex
+	leader drlease.Lease
+	// former is the controller that this VM last forgot because it did not lead.
+	former      drlease.Lease
 	reports     uint64    // number of reports so far
 	lastReplyAt time.Time // when the controller last replied, zero if it has not or a call failed since
 	// reportedTerm is the term of the controller that last replied.
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -225,12 +225,23 @@
 	defer n.mu.Unlock()
 	if n.leader.VM == vm {
 		n.elector.Deny(n.leader.Term)
-		n.leader.VM = ""
+		n.former, n.leader.VM = n.leader, ""
 		n.lastReplyAt = time.Time{}
 		signal(n.leaderLost)
 	}
 }
 
+// retryFormerLeader makes this VM report once more to the controller that did not lead, if it
+// knows none and can't read the lease: that one may have renewed or acquired it since.
+func (n *Node) retryFormerLeader() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leader.VM == "" && n.former.VM != "" {
+		n.leader = n.former
+		signal(n.leaderFound)
+	}
+}
+
 // applyReply applies the changes in a reply of the controller. The age of the
 // data counts from the time at which the report was sent plus the time that the
 // controller held it. The arrival time cannot be used, because the reply may
