drcontroller: Read small pages of an old history

Cause: a VM reads one page of the history from the controller's position in a turn that counts 16 entries, 0.3 s for 410 VMs, but the page may have 1 MB, 410 MB for all, which take a store of 80 MB a second 5 s. With 3,700 runners that write anew it is full and in vain.

Change: the caller of Log.Read says how large the page may be. One of an old history has 64 KB at most, which such a store reads in the time of 16 entries (0.8 ms).

Measured: TestLongHistoryIsNotReadInShortTurn fails with 1 MB as before and passes now; go test ./drcontroller ./drstandin ./platform ./drlease ./dredge passes. The times above are calculated, not measured.

--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -167,11 +167,11 @@
 	return n.fleet.store.Newest(ctx, t, after)
 }
 
-func (n *testNode) Read(ctx context.Context, t drstore.Topic, from int64, wait time.Duration) (drstore.Page, error) {
+func (n *testNode) Read(ctx context.Context, t drstore.Topic, from int64, maxKB int, wait time.Duration) (drstore.Page, error) {
 	if err := n.countStoreCall(t); err != nil {
 		return drstore.Page{}, err
 	}
-	page, err := n.fleet.store.Read(ctx, t, from, wait)
+	page, err := n.fleet.store.Read(ctx, t, from, maxKB, wait)
 	if unanswered := n.awaitOutage(ctx); unanswered != nil {
 		return drstore.Page{}, unanswered
 	}
--- a/drcontroller/controller_position_test.go
+++ b/drcontroller/controller_position_test.go
@@ -86,9 +86,9 @@
 	then func()
 }
 
-func (s *afterRead) Read(ctx context.Context, t drstore.Topic, from int64, wait time.Duration) (drstore.Page, error) {
+func (s *afterRead) Read(ctx context.Context, t drstore.Topic, from int64, maxKB int, wait time.Duration) (drstore.Page, error) {
 	defer s.then()
-	return s.Log.Read(ctx, t, from, wait)
+	return s.Log.Read(ctx, t, from, maxKB, wait)
 }
 
 func (s *afterRead) Newest(ctx context.Context, t drstore.Topic, after string) (drstore.Page, error) {
--- a/drcontroller/newest_read_orders_test.go
+++ b/drcontroller/newest_read_orders_test.go
@@ -41,8 +41,8 @@
 	return page, err
 }
 
-func (s *smallPages) Read(ctx context.Context, t drstore.Topic, from int64, wait time.Duration) (drstore.Page, error) {
-	page, err := s.MemoryStore.Read(ctx, t, from, wait)
+func (s *smallPages) Read(ctx context.Context, t drstore.Topic, from int64, maxKB int, wait time.Duration) (drstore.Page, error) {
+	page, err := s.MemoryStore.Read(ctx, t, from, maxKB, wait)
 	if err == nil && s.failing() {
 		err = drstandin.ErrNoAnswer
 	}
--- a/drcontroller/news_read.go
+++ b/drcontroller/news_read.go
@@ -26,7 +26,7 @@
 	last.readAt, last.next = r.view.News()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout+r.patience)
 	defer cancel()
-	page, err := r.log.Read(ctx, drstore.Runners, last.next, 0)
+	page, err := r.log.Read(ctx, drstore.Runners, last.next, historyPageKB, 0)
 	if expired, ok := errors.AsType[*drstore.ExpiredError](err); ok {
 		log.WithFields(log.Fields{"event": "store-records-expired", "topic": drstore.Runners, "offset": last.next}).Info("")
 		r.view.ConfirmNews(last.readAt, expired.First)
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -101,14 +101,14 @@
 	}
 }
 
-// readHistory reads a topic from the position to its end, in a number of pages at most. kept is
-// false if the records at the position have expired, or if there are more pages. The position
-// moves only with a complete read, because the records of the pages before a failed one are
-// not applied.
-func (r *reader) readHistory(ctx context.Context, topic drstore.Topic, pos *position, pages int, wait time.Duration) (records []drstore.Record, kept bool, err error) {
+// readHistory reads a topic from the position to its end, in a number of pages of a size at
+// most. kept is false if the records at the position have expired, or if there are more pages.
+// The position moves only with a complete read, because the records of the pages before a
+// failed one are not applied.
+func (r *reader) readHistory(ctx context.Context, topic drstore.Topic, pos *position, pages, maxKB int, wait time.Duration) (records []drstore.Record, kept bool, err error) {
 	for next := pos.next; pages > 0; pages-- {
 		sent := r.clock.Uptime()
-		page, err := r.log.Read(ctx, topic, next, wait)
+		page, err := r.log.Read(ctx, topic, next, maxKB, wait)
 		if _, expired := errors.AsType[*drstore.ExpiredError](err); expired {
 			log.WithFields(log.Fields{"event": "store-records-expired", "topic": topic, "offset": next}).Info("")
 			return nil, false, nil
@@ -135,7 +135,7 @@
 func (r *reader) readDeploymentRecords(ctx context.Context, wait time.Duration) (records []drstore.Record, fromNewest bool, err error) {
 	pos := &r.deployments
 	if pos.started {
-		records, kept, err := r.readHistory(ctx, drstore.Deployments, pos, math.MaxInt, wait)
+		records, kept, err := r.readHistory(ctx, drstore.Deployments, pos, math.MaxInt, drstore.MaxPageKB, wait)
 		if kept || err != nil {
 			return records, false, err
 		}
@@ -269,14 +269,14 @@
 // readRunnersHistory updates the view with the entries since the runners were confirmed.
 func (r *reader) readRunnersHistory(ctx context.Context) error {
 	sent, last := r.clock.Uptime(), r.runnersPosition()
-	pages, timeout := math.MaxInt, r.runnersTimeout()
+	pages, maxKB, timeout := math.MaxInt, drstore.MaxPageKB, r.runnersTimeout()
 	if sent-last.readAt > max(maxHistoryAge, historyReads*r.runnersTook) {
-		pages, timeout = 1, readTimeout+r.patience
+		pages, maxKB, timeout = 1, historyPageKB, readTimeout+r.patience
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	pos := last
-	records, kept, err := r.readHistory(ctx, drstore.Runners, &pos, pages, 0)
+	records, kept, err := r.readHistory(ctx, drstore.Runners, &pos, pages, maxKB, 0)
 	if err == nil && !kept {
 		return errNoHistory
 	}
--- a/drcontroller/reader_test.go
+++ b/drcontroller/reader_test.go
@@ -174,8 +174,8 @@
 // pagedLog returns one record per page, as a store does with large records.
 type pagedLog struct{ *drstandin.MemoryStore }
 
-func (l pagedLog) Read(ctx context.Context, t drstore.Topic, from int64, wait time.Duration) (drstore.Page, error) {
-	page, err := l.MemoryStore.Read(ctx, t, from, wait)
+func (l pagedLog) Read(ctx context.Context, t drstore.Topic, from int64, maxKB int, wait time.Duration) (drstore.Page, error) {
+	page, err := l.MemoryStore.Read(ctx, t, from, maxKB, wait)
 	if len(page.Records) > 1 {
 		page.Records, page.Next = page.Records[:1], from+1
 	}
@@ -262,6 +262,40 @@
 	is.Equal(w.runners(), 3)
 }
 
+// readSizes is a store that notes how many bytes of values its reads of the history bring.
+type readSizes struct {
+	drstore.Log
+	bytes int
+}
+
+func (s *readSizes) Read(ctx context.Context, t drstore.Topic, from int64, maxKB int, wait time.Duration) (drstore.Page, error) {
+	page, err := s.Log.Read(ctx, t, from, maxKB, wait)
+	for _, rec := range page.Records {
+		s.bytes += len(rec.Value)
+	}
+	return page, err
+}
+
+// Guards against VMs that lose the controller after all entries have expired in an outage of
+// the store and that together take its time for many seconds, because each reads a large page
+// of the history in a turn that is meant for a small one.
+func TestLongHistoryIsNotReadInShortTurn(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderFixture()
+	sizes := &readSizes{Log: w.store}
+	w.reader.log = sizes
+	putRunners(w.store, 1)
+	is.NoErr(w.reader.readRunners(ctx))
+	w.clock.Advance(time.Minute)
+	for i := range 7400 {
+		w.store.Put(drstore.Runners, fmt.Sprintf("r%04d", i%3700), fmt.Appendf(nil, "1 %d %0200d", i, 0))
+	}
+	is.NoErr(w.reader.readRunners(ctx))
+	is.True(w.reader.reading())
+	is.True(sizes.bytes <= 64<<10)
+	is.True(sizes.bytes > 32<<10)
+}
+
 // Guards against a large table that is never read because each read is cut off after the
 // time that a small one takes, and begun anew.
 func TestReadersPatienceGrows(t *testing.T) {
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -36,8 +36,9 @@
 	// of one runner's entry takes, with a margin for the controller's reads.
 	readTimePerEntry = 50 * time.Microsecond
 	// historyReadSize is the number of entries whose reading takes the store as long as that
-	// of a page of the history, of which most are nearly empty.
+	// of a page of the history with historyPageKB times 1,024 bytes.
 	historyReadSize = 16
+	historyPageKB   = 64
 	// maxRush is how much of the store's time new processes may take at once. Below it
 	// they don't take turns for their first read, because their clients wait for it.
 	maxRush = time.Second
--- a/drlease/elector.go
+++ b/drlease/elector.go
@@ -200,10 +200,10 @@
 // there is no new record, it waits at the store for up to wait. It reports
 // whether it read one.
 func (e *Elector) Read(ctx context.Context, wait time.Duration) (changed bool, err error) {
-	page, err := e.config.Log.Read(ctx, drstore.Leases, e.nextOffset, wait)
+	page, err := e.config.Log.Read(ctx, drstore.Leases, e.nextOffset, drstore.MaxPageKB, wait)
 	if expired, ok := errors.AsType[*drstore.ExpiredError](err); ok {
 		e.nextOffset = expired.First
-		page, err = e.config.Log.Read(ctx, drstore.Leases, e.nextOffset, 0)
+		page, err = e.config.Log.Read(ctx, drstore.Leases, e.nextOffset, drstore.MaxPageKB, 0)
 	}
 	if err != nil {
 		return false, fmt.Errorf("read the lease: %w", err)
--- a/drstandin/memory_store.go
+++ b/drstandin/memory_store.go
@@ -120,7 +120,7 @@
 }
 
 // Read implements drstore.Log.
-func (m *MemoryStore) Read(ctx context.Context, t drstore.Topic, from int64, wait time.Duration) (drstore.Page, error) {
+func (m *MemoryStore) Read(ctx context.Context, t drstore.Topic, from int64, maxKB int, wait time.Duration) (drstore.Page, error) {
 	// A timer without a duration is a fault of the race detector in a synctest bubble (Go 1.26).
 	timer := time.NewTimer(max(wait, time.Nanosecond))
 	defer timer.Stop()
@@ -134,7 +134,8 @@
 			fault = &drstore.ExpiredError{First: topic.firstOffset}
 		}
 		if fault == nil && from < page.End {
-			page.Records, page.Next = append(page.Records, topic.records[from:]...), page.End
+			page.Records = firstRecords(topic.records[from:], maxKB)
+			page.Next += int64(len(page.Records))
 		}
 		m.mu.Unlock()
 		if fault != nil || len(page.Records) > 0 || wait <= 0 {
@@ -150,6 +151,19 @@
 	}
 }
 
+// recordHeaderSize is the size in bytes of the lengths of a record and its key.
+const recordHeaderSize = 5
+
+// firstRecords returns a copy of the first records, as many as a page of a size holds, and one
+// at least.
+func firstRecords(records []drstore.Record, maxKB int) []drstore.Record {
+	size, n := 0, 0
+	for ; n < len(records) && (n == 0 || size < maxKB<<10); n++ {
+		size += recordHeaderSize + len(records[n].Key) + len(records[n].Value)
+	}
+	return slices.Clone(records[:n])
+}
+
 // Append implements drstore.Log.
 func (m *MemoryStore) Append(_ context.Context, t drstore.Topic, value []byte, expectedOffset int64) error {
 	m.mu.Lock()
--- a/drstore/store.go
+++ b/drstore/store.go
@@ -56,6 +56,9 @@
 // NewestPageRecords is how many records one page of Log.Newest has at most.
 const NewestPageRecords = 500
 
+// MaxPageKB is the size of the largest page of Log.Read in units of 1,024 bytes.
+const MaxPageKB = 1024
+
 // Page is the result of one read.
 type Page struct {
 	Records []Record
@@ -73,9 +76,9 @@
 	// keys. The pages are no snapshot: Page.Next of the first one is the offset from which
 	// to continue with Read, and records of all pages may be newer.
 	Newest(ctx context.Context, topic Topic, after string) (Page, error)
-	// Read returns the records from an offset on. If there are none yet, it
-	// waits up to the given time for the first one.
-	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Page, error)
+	// Read returns the records from an offset on, as many as maxKB times 1,024 bytes hold. If
+	// there are none yet, it waits up to the given time for the first one.
+	Read(ctx context.Context, topic Topic, from int64, maxKB int, wait time.Duration) (Page, error)
 	// Append adds a record if the topic ends at expectedEnd and returns
 	// ErrConflict otherwise.
 	Append(ctx context.Context, topic Topic, value []byte, expectedEnd int64) error
