drcontroller: Hear a restarted VM whose clock was set back

Cause: incarnations are start times, and a lower one counted as that of a former process for good.

Measured: TestProcessWithLowerIncarnationIsHeard fails before (no reply of the controller) and passes after.

--- a/drcontroller/overtaken_report_test.go
+++ b/drcontroller/overtaken_report_test.go
@@ -60,3 +60,18 @@
 	is.Equal(hear(t, overtakenReport(3, 30, 5)), want)
 	is.Equal(hear(t, overtakenReport(3, 30, 5), overtakenReport(900, 500, 7)), want)
 }
+
+// Guards against a VM that has no controller for seconds after its restart, because its clock
+// was set back and its reports count as those of a former process.
+func TestProcessWithLowerIncarnationIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx := is.New(t), context.Background()
+		c := newControllerFixture(t).controller
+		is.True(c.Sync(ctx, "vm-a", 2, overtakenReport(1, 10, 1)).GetLeading())
+		time.Sleep(maxSyncWait)
+		is.True(!c.Sync(ctx, "vm-a", 1, overtakenReport(1, 10, 1)).GetLeading())
+		time.Sleep(syncReplyTimeout)
+		is.True(c.Sync(ctx, "vm-a", 1, overtakenReport(2, 10, 1)).GetLeading())
+		is.True(c.Sync(ctx, "vm-a", 1, overtakenReport(3, 20, 1)).GetLeading())
+	})
+}
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -138,7 +138,7 @@
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
 	v, known := c.vms[name]
-	if known && v.hasOvertaken(incarnation, request) {
+	if known && v.hasOvertaken(incarnation, request, now) {
 		return v, false
 	}
 	if !known || v.incarnation != incarnation {
@@ -162,9 +162,11 @@
 
 // hasOvertaken reports whether a later report than one that arrives has come from the VM, of
 // the same process or a later one. Counts in the earlier one would seem to have begun anew.
-func (v *vm) hasOvertaken(incarnation uint64, request *drpb.FleetSyncRequest) bool {
+// The incarnation of a later process is lower if the VM's clock has been set back, so that a
+// process with a lower one counts as later once the known one no longer reports.
+func (v *vm) hasOvertaken(incarnation uint64, request *drpb.FleetSyncRequest, now time.Time) bool {
 	if v.incarnation != incarnation {
-		return v.incarnation > incarnation
+		return v.incarnation > incarnation && now.Sub(v.lastReportAt) < maxSyncWait+syncReplyTimeout
 	}
 	return request.GetNumber() > 0 && request.GetNumber() < v.newest.GetNumber()
 }
