drproxy: Send no request on the news of a zone that is older than the bound

Operators: a request could reach a zone later than zone-drain after the store had acknowledged that it is out of service, from a VM that the store's loss kept from knowing.

Cause: that news is recent enough was checked once, when a request with a key is accepted, with a second left until the bound. A request that a runner refuses or fails late, that waits for a model, or whose connection takes long to open went to its next runner on the same news, up to its timeout later.

Change: it is checked before each attempt, and again once the connection is open. Such a request is refused as configuration-stale; if a runner may have run it, it ends as when no attempt is left. Streams that the client has begun to get go on, also on another runner: to end them would harm their callers for certain, while the zone is out only perhaps. Public routes and deployments without keys or without zone-drain are served as before.

--- a/drmatrix/mutation.go
+++ b/drmatrix/mutation.go
@@ -45,6 +45,7 @@
 	{"zone", "a plan counts its runners as leaving", "drcontroller/pause.go", "`drcontroller.TestControllerRelocatesModels`"},
 	{"zone", "models are loaded elsewhere only for zones out of service", "drscheduler/relocate.go", "`drscheduler.TestModelsOfZoneOutOfServiceAreLoadedElsewhere`"},
 	{"zone", "the bound counts from the last confirmation", "drfleetview/outage.go", "`drfleetview.TestZoneIsUsedWhileItMayBe`"},
+	{"zone", "later attempts need recent news of the store", "drproxy/plain.go", "`drproxy.TestLaterAttemptNeedsRecentNews`"},
 	{"zone", "requests are refused while all zones are out", "dradmission/wait.go", "`dradmission.TestRefusesAtOnceWhileAllZonesAreOut`"},
 	{"zone", "load returns gradually", "drfleetview/outage.go", "`drfleetview.TestLoadReturnsGraduallyToZone`"},
 	{"zone", "a reload passes the bound on", "dredge/edge.go", "`dredge.TestReloadAppliesZoneDrainWhole`"},
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -96,7 +96,7 @@
 		a.end(drfleetview.Unreachable)
 		return a, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	if !x.server.View.MayStart(runner) {
+	if _, recent := x.checkNews(); !recent || !x.server.View.MayStart(runner) {
 		a.end(drfleetview.Abandoned)
 		return a, fmt.Errorf("%w: %w", errNotSent, errUnwanted)
 	}
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -195,8 +195,7 @@
 		return refusal{}, true
 	}
 	if age > s.Freshness() {
-		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "configuration-stale",
-			detail: "configuration last confirmed " + age.Round(time.Millisecond).String() + " ago", retryAfter: retryAfterUnready}, false
+		return staleRefusal(age), false
 	}
 	if x.account = d.Account(x.call.Key); x.account == nil {
 		return refusal{status: fasthttp.StatusUnauthorized, reason: "unknown-key"}, false
@@ -204,6 +203,26 @@
 	return refusal{}, true
 }
 
+// checkNews returns false and a refusal if operators may have taken any availability zone
+// out of service longer ago than the bound and this VM has not heard of it, because the
+// store has confirmed nothing since the request was accepted. A stream that the client has
+// begun to get goes on nevertheless.
+func (x *exchange) checkNews() (refusal, bool) {
+	zoneDrain := x.server.View.ZoneDrain()
+	if zoneDrain <= 0 || x.account == nil || x.answering.Load() {
+		return refusal{}, true
+	}
+	if _, age := x.server.View.Deployment(); age > zoneDrain {
+		return staleRefusal(age), false
+	}
+	return refusal{}, true
+}
+
+func staleRefusal(age time.Duration) refusal {
+	return refusal{status: fasthttp.StatusServiceUnavailable, reason: "configuration-stale",
+		detail: "configuration last confirmed " + age.Round(time.Millisecond).String() + " ago", retryAfter: retryAfterUnready}
+}
+
 // admit charges the request against the rate limit of its client account. It
 // returns false and a refusal if the account is over its limit.
 func (x *exchange) admit() (refusal, bool) {
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -103,6 +103,10 @@
 			onRefusal(late)
 			return nil
 		}
+		if stale, ok := x.checkNews(); !ok {
+			onRefusal(stale)
+			return nil
+		}
 		tried := state.tried[c.Runner.ID]
 		options := attemptOptions{lastEvent: lastEvent, firstByteTimeout: firstByteTimeout, mayGiveUp: state.mayGiveUp, repeated: tried}
 		state.tried[c.Runner.ID] = true
