--- a/drcontroller/news_read.go
+++ b/drcontroller/news_read.go
@@ -24,7 +24,7 @@
 	defer r.changes.end()
 	sent, last := r.clock.Uptime(), position{}
 	last.readAt, last.next = r.view.News()
-	ctx, cancel := context.WithTimeout(ctx, readTimeout+r.patience)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout) // also after failed pages of the newest entries
 	defer cancel()
 	page, err := r.log.Read(ctx, drstore.Runners, last.next, historyPageKB, 0)
 	if expired, ok := errors.AsType[*drstore.ExpiredError](err); ok {
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -18,6 +18,9 @@
 	// staleFraction is the share of Config.Propagation or Config.RunnerDrain
 	// after which a VM without news from the controller reads the store itself.
 	staleFraction = 0.75
+	// newsFraction is the share of Config.RunnerDrain after which a VM without the whole
+	// table reads what has changed. It leaves the time for a second read.
+	newsFraction = 0.5
 	// startupWait is how long a new process waits for the first reply of the
 	// controller before it reads the store itself.
 	startupWait = 600 * time.Millisecond
@@ -214,7 +217,7 @@
 // readNews reads what has changed of the listed runners once that may be old, in a turn of
 // its own for each page.
 func (n *Node) readNews(turn *readTurn) {
-	if !n.reader.newsDue(time.Duration(float64(n.RunnerDrain) * staleFraction)) {
+	if !n.reader.newsDue(time.Duration(float64(n.RunnerDrain) * newsFraction)) {
 		turn.reset()
 		return
 	}
