drcontroller: Read pages of 512 KB of an old history

The bound of 64 KB was computed, not played.

Change: 512 KB, less than half of what the read takes that follows otherwise.

--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -41,7 +41,7 @@
 	// historyReadSize is the number of entries whose reading takes the store as long as that
 	// of a page of the history with historyPageKB times 1,024 bytes.
 	historyReadSize = 16
-	historyPageKB   = 64
+	historyPageKB   = 512
 	// maxRush is how much of the store's time new processes may take at once. Below it
 	// they don't take turns for their first read, because their clients wait for it.
 	maxRush = time.Second
