--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -39,7 +39,8 @@
 	// of one runner's entry takes, with a margin for the controller's reads.
 	readTimePerEntry = 50 * time.Microsecond
 	// historyReadSize is the number of entries whose reading takes the store as long as that
-	// of a page of the history with historyPageKB times 1,024 bytes.
+	// of the history of a few seconds, which most such reads bring. historyPageKB bounds a
+	// page of it, in units of 1,024 bytes.
 	historyReadSize = 16
 	historyPageKB   = 512
 	// maxRush is how much of the store's time new processes may take at once. Below it
