drnet: Poll a socket in one place

Cause: hasInput repeated peerClosed but for the event. Change: both ask hasEvent. Behaviour is as before. Measured: go test -race ./drnet passes.

--- a/drnet/epoll.go
+++ b/drnet/epoll.go
@@ -40,16 +40,15 @@
 
 // peerClosed reports whether the peer has closed its side of the socket fd, or
 // the socket has failed. It does not block.
-func peerClosed(fd int) bool {
-	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(fds, 0)
-	return err == nil && n > 0
-}
+func peerClosed(fd int) bool { return hasEvent(fd, unix.POLLRDHUP) }
 
 // hasInput reports whether data or the end of the connection can be read from the socket fd.
 // It does not block.
-func hasInput(fd int) bool {
-	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+func hasInput(fd int) bool { return hasEvent(fd, unix.POLLIN) }
+
+// hasEvent reports whether one of the poll events, an error or a hang-up is pending at fd.
+func hasEvent(fd int, events int16) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
 	n, err := unix.Poll(fds, 0)
 	return err == nil && n > 0
 }
