drproxy: Start chosen attempts in one place, and allocate nothing to check a drain

Cause: a takeover repeated what nextAttempt does around startAttempt; and each request made a retryState with a map only to be checked against a drain when it arrives. Change: startChosen serves both; checkDrain takes the number of possible runs. Behaviour is as before.

--- a/drproxy/drain.go
+++ b/drproxy/drain.go
@@ -58,9 +58,9 @@
 // checkDrain returns false and a refusal if the request must not be passed on any more
 // because it may outlast this VM. A request that may have run is not refused: the refusal
 // would say that it has not.
-func (x *exchange) checkDrain(state *retryState) (refusal, bool) {
+func (x *exchange) checkDrain(possibleRuns int) (refusal, bool) {
 	d := x.server.drainEnd.Load()
-	if d == nil || state.possibleRuns > 0 || !x.timeoutAt.After(d.end) {
+	if d == nil || possibleRuns > 0 || !x.timeoutAt.After(d.end) {
 		return refusal{}, true
 	}
 	now := x.server.Clock.Now()
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -148,7 +148,7 @@
 		x.refuse(r)
 		return
 	}
-	if r, ok := x.checkDrain(newRetryState()); !ok {
+	if r, ok := x.checkDrain(0); !ok {
 		x.refuse(r)
 		return
 	}
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
+	"github.com/dotterelridge/dotterelridge/drbalancer"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drmetric"
 )
@@ -99,7 +100,7 @@
 			onRefusal(blocked)
 			return nil
 		}
-		if late, ok := x.checkDrain(state); !ok {
+		if late, ok := x.checkDrain(state.possibleRuns); !ok {
 			onRefusal(late)
 			return nil
 		}
@@ -108,10 +109,7 @@
 			return nil
 		}
 		tried := state.tried[c.Runner.ID]
-		options := attemptOptions{lastEvent: lastEvent, firstByteTimeout: firstByteTimeout, mayGiveUp: state.mayGiveUp, repeated: tried}
-		state.tried[c.Runner.ID] = true
-		x.estimate = c.Estimate
-		a, err := x.startAttempt(c.Runner, options)
+		a, err := x.startChosen(state, c, attemptOptions{lastEvent: lastEvent, firstByteTimeout: firstByteTimeout})
 		if err == nil && !a.handleNotExecuted() {
 			state.possibleRuns++
 			return a
@@ -144,6 +142,14 @@
 	}
 }
 
+// startChosen starts an attempt at the chosen runner, which counts as tried then.
+func (x *exchange) startChosen(state *retryState, c *drbalancer.Candidate, options attemptOptions) (*attempt, error) {
+	options.mayGiveUp, options.repeated = state.mayGiveUp, state.tried[c.Runner.ID]
+	state.tried[c.Runner.ID] = true
+	x.estimate = c.Estimate
+	return x.startAttempt(c.Runner, options)
+}
+
 // failRequest ends a request that no runner answered with success: with the
 // fallback if there is one, else with a refusal. If a runner may have run the
 // request, the given refusal is replaced by 502 or 504, because it would promise
--- a/drproxy/takeover.go
+++ b/drproxy/takeover.go
@@ -64,12 +64,7 @@
 // header of its answer. Meanwhile both run; settleOverlap decides for how long.
 func (st *stream) startSuccessor(state *retryState, silent *attempt, c *drbalancer.Candidate) (*attempt, error) {
 	x := st.exchange
-	tried := state.tried[c.Runner.ID]
-	state.tried[c.Runner.ID] = true
-	x.estimate = c.Estimate
-	return x.startAttempt(c.Runner, attemptOptions{
-		lastEvent: st.lastEvent, firstByteTimeout: x.firstEventTimeout(state), mayGiveUp: state.mayGiveUp, repeated: tried, replaces: silent,
-	})
+	return x.startChosen(state, c, attemptOptions{lastEvent: st.lastEvent, firstByteTimeout: x.firstEventTimeout(state), replaces: silent})
 }
 
 // adopt makes an attempt that its runner has accepted the next one of the stream. It returns
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -60,7 +60,7 @@
 	defer func() { x.waited += s.Clock.Since(began) }()
 	afterPause := rand.N(pauseSpread)
 	for {
-		if late, ok := x.checkDrain(state); !ok {
+		if late, ok := x.checkDrain(state.possibleRuns); !ok {
 			return nil, late, refused
 		}
 		decision := dradmission.Decide(x.waitingRequest(p, giveUpAt, afterPause))
