drcontroller: Drop a check and a value that say nothing in reads of the store

Cause: confirmedSince asked whether the runners are known, which a confirmation later than an uptime implies; readNews kept two results in a position that is none. Change: both are gone. Behaviour is as before. Measured: the tests of the reads pass with -race.

--- a/drcontroller/newest_read.go
+++ b/drcontroller/newest_read.go
@@ -78,7 +78,7 @@
 // then say nothing about the runners that it lists.
 func (r *reader) confirmedSince(sentAt time.Duration) bool {
 	at, _ := r.view.RunnersConfirmed()
-	return r.view.RunnersKnown() && at > sentAt
+	return at > sentAt
 }
 
 // beginNewestRead returns a read that has read nothing.
--- a/drcontroller/news_read.go
+++ b/drcontroller/news_read.go
@@ -22,14 +22,14 @@
 // later one may say otherwise.
 func (r *reader) readNews(ctx context.Context) error {
 	defer r.changes.end()
-	sent, last := r.clock.Uptime(), position{}
-	last.readAt, last.next = r.view.News()
+	sent := r.clock.Uptime()
+	confirmedAt, next := r.view.News()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout) // also after failed pages of the newest entries
 	defer cancel()
-	page, err := r.log.Read(ctx, drstore.Runners, last.next, historyPageKB, 0)
+	page, err := r.log.Read(ctx, drstore.Runners, next, historyPageKB, 0)
 	if expired, ok := errors.AsType[*drstore.ExpiredError](err); ok {
-		log.WithFields(log.Fields{"event": "store-records-expired", "topic": drstore.Runners, "offset": last.next}).Info("")
-		r.view.ConfirmNews(last.readAt, expired.First)
+		log.WithFields(log.Fields{"event": "store-records-expired", "topic": drstore.Runners, "offset": next}).Info("")
+		r.view.ConfirmNews(confirmedAt, expired.First)
 		return nil
 	}
 	if err != nil {
@@ -41,7 +41,7 @@
 		}
 	}
 	if page.Next < page.End {
-		sent = last.readAt // the next page is due at once
+		sent = confirmedAt // the next page is due at once
 	}
 	r.view.ConfirmNews(sent, page.Next)
 	return nil
