drcontroller: Answer the first report of the controller's own VM at once

Cause: a first report is answered without a piece of the table only if there is a table. The VM of a new controller reports to itself before it has read the runners, was held for 250 ms and counted as one without a controller meanwhile. Change: the first report of the controller's own VM, which waits for no table, is not held.

--- a/drcontroller/piece_wait_test.go
+++ b/drcontroller/piece_wait_test.go
@@ -97,6 +97,20 @@
 	})
 }
 
+// Guards against a VM that runs the controller and does not reach it for a quarter of a
+// second, because its first report is held while nobody knows the runners.
+func TestFirstReportOfControllersVMIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newControllerFixture(t, func(c *ControllerConfig) { c.Clock = bubbleClock{start: time.Now()} })
+		request := &drpb.FleetSyncRequest{WaitMs: 600, ReadsUpdates: true, ReadsDeflated: true, Deployment: 1, Whole: true}
+		sent := time.Now()
+		reply := f.controller.Sync(t.Context(), f.controller.Holder, 1, request)
+		is.True(reply.GetLeading())
+		is.True(time.Since(sent) < 50*time.Millisecond)
+	})
+}
+
 // Guards against a piece for a report that the VM has given up, while its next report waits.
 func TestGivenUpReportTakesNoPiece(t *testing.T) {
 	for range 20 { // the wake-up may be seen before the end of the report, or after it
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -177,7 +177,7 @@
 	if c.admitsPiece(name, request) {
 		return true
 	}
-	if request.GetWaitMs() == 0 || c.mustBeReached(request) {
+	if request.GetWaitMs() == 0 || c.mustBeReached(name, request) {
 		return false
 	}
 	t := c.Clock.NewTimer(time.Duration(request.GetWaitMs()) * time.Millisecond)
@@ -232,8 +232,12 @@
 // mustBeReached reports whether a VM whose piece of the table must wait is to be answered
 // without one, because it may never have had a reply of this controller. Requests that begin
 // to wait have its report sent anew until it has one, so one that is held may be in vain.
-func (c *Controller) mustBeReached(request *drpb.FleetSyncRequest) bool {
-	return request.GetTerm() != c.Term && request.GetWhole() && c.hasPieceFor(request)
+// The controller's own VM waits for no table.
+func (c *Controller) mustBeReached(name string, request *drpb.FleetSyncRequest) bool {
+	if request.GetTerm() == c.Term || !request.GetWhole() {
+		return false
+	}
+	return name == c.Holder || c.hasPieceFor(request)
 }
 
 // changeChannel returns a channel that is closed with the next change of the
