drcontroller: Fill a fast link with first tables within a few rounds

Cause: the window of pieces on their way began with 8 and grew by one a round, so that a controller on a link of 200 Mbit/s sent tables at the rate of a link of 40 Mbit/s for seconds. Change: the window doubles in a round until the first piece has waited on the link, goes back to half then, and grows as before.

--- a/drcontroller/piece_queue_test.go
+++ b/drcontroller/piece_queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -106,6 +107,18 @@
 	}
 }
 
+// Guards against a large fleet that gets its tables over several seconds although the
+// controller's link carries them in less than two.
+func TestFastLinkIsFilledSoon(t *testing.T) {
+	is := is.New(t)
+	l := newSlowLink(25e6)
+	l.latency = 75 * time.Millisecond
+	last := slices.Max(slices.Collect(maps.Values(l.sendTables(300, 8))))
+	t.Logf("the last table after %v", last)
+	is.True(last < 3*time.Second)
+	is.True(l.longest < renewInterval)
+}
+
 // Guards against VMs that all get their tables late because all get pieces in turn.
 func TestBegunTableIsFinishedFirst(t *testing.T) {
 	is := is.New(t)
--- a/drcontroller/piece_window.go
+++ b/drcontroller/piece_window.go
@@ -23,6 +23,9 @@
 	bytes int
 	// narrowedAt is the uptime at which the window last became smaller.
 	narrowedAt time.Duration
+	// queued is set once a piece has waited for others on the link. The window grows fast
+	// before.
+	queued bool
 	// least is the shortest time of an answer, 0 before the first one: what VMs need for it
 	// if no other piece is on the link.
 	least time.Duration
@@ -36,8 +39,12 @@
 		w.least = took
 	}
 	switch waited := took - w.least; {
+	case waited < quickPiece && !w.queued:
+		w.bytes = min(w.bytes+size, maxWindow) // twice as many a round
 	case waited < quickPiece:
 		w.bytes = min(w.bytes+size*maxPieceBytes/w.bytes, maxWindow) // one more piece a round
+	case !w.queued:
+		w.queued, w.bytes = true, max(w.bytes/2, firstWindow) // the last round doubled it
 	case waited >= slowPiece:
 		w.narrow(now)
 	}
@@ -45,6 +52,7 @@
 
 // narrow halves the window, at most once for the pieces of about one round.
 func (w *pieceWindow) narrow(now time.Duration) {
+	w.queued = true
 	if now-w.narrowedAt >= slowPiece {
 		w.bytes, w.narrowedAt = max(w.bytes/2, minWindow), now
 	}
