drcontroller, drproxy: Name runners to VMs that wait for the table

Cause: after all VMs of a large fleet were killed, most of them wait for seconds for the runner table. Requests for a plain service were refused at once, as if it had no runner, and requests for a model waited until their time was over, though the controller knew runners that held it. Change: a VM says in its report for which replicas that requests wait for it lists no runner; the controller answers at once with some, once for each replica until the VM has the table. Requests for a plain service wait while a new process does not know all runners; they get no forecast, which is one of loads.

--- a/drcontroller/limits_test.go
+++ b/drcontroller/limits_test.go
@@ -171,9 +171,13 @@
 	c := w.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	is.Equal(c.forecast(want, now), 9*time.Second/2) // the mean of 9 requests
+	expected, ok := c.forecast(want, now)
+	is.True(ok)
+	is.Equal(expected, 9*time.Second/2) // the mean of 9 requests
 	c.runnerStates["r2"] = &runnerState{swap: &drscheduler.Swap{Load: "a"}, expectedDoneAt: now.Add(time.Second)}
-	is.Equal(c.forecast(want, now), time.Second)
+	expected, ok = c.forecast(want, now)
+	is.True(ok)
+	is.Equal(expected, time.Second)
 }
 
 // Guards against requests that wait for a limited runner for ever, because a new controller
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -77,8 +77,9 @@
 	// the store, 0 if none has failed.
 	storeFailedAt atomic.Int64
 
-	// table is used by syncLoop only.
+	// table and named are used by syncLoop only.
 	table tableReceiver
+	named namedReplicas
 
 	// leaderLost holds a token if this VM has just lost the controller, and
 	// leaderFound one if it has just learned of another.
--- a/drcontroller/piece_wait_test.go
+++ b/drcontroller/piece_wait_test.go
@@ -10,6 +10,8 @@
 	"github.com/matryer/is"
 
 	"github.com/dotterelridge/dotterelridge/drcrash"
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drrequest"
 )
@@ -97,6 +99,41 @@
 	})
 }
 
+// Guards against requests that are refused at a VM which waits seconds for the table of a
+// large fleet, although the controller knows runners that serve them.
+func TestWaitingVMIsNamedRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newPieceWaitFixture(t)
+		f.view.OfferRunner(&drfleet.Runner{ID: "far", Service: "app", Zone: "z2", Address: "2:80"}, drfleetview.FromRunner)
+		f.view.OfferRunner(&drfleet.Runner{ID: "near", Service: "app", Zone: "z1", Address: "1:80"}, drfleetview.FromRunner)
+		vm := drfleetview.New(f.controller.Clock)
+		receiver, named := tableReceiver{view: vm}, namedReplicas{}
+		ask := func() (*drpb.FleetSyncRequest, *drpb.FleetSyncReply) {
+			request := &drpb.FleetSyncRequest{Wants: []*drpb.FleetWant{{Replica: &drpb.FleetReplica{Service: "app"}}}}
+			receiver.fillRequest(f.controller.Term, request)
+			named.markUnlisted(vm, request)
+			reply := atOnce(f.sync(t.Context(), func(r *drpb.FleetSyncRequest) {
+				r.Zone, r.Wants, r.TablePosition = "z1", request.GetWants(), request.GetTablePosition()
+			}))
+			return request, reply
+		}
+		request, reply := ask()
+		is.Equal(reply.GetTablePosition().GetNextBucket(), uint32(0)) // no piece
+		is.Equal(len(reply.GetForecasts()), 0)                        // nothing is loaded for a plain service
+		is.Equal(len(reply.GetRunners()), 2)
+		is.Equal(reply.GetRunners()[0].GetId(), "near")
+		named = named.withReply(request, reply)
+		_, err := receiver.apply(reply, false)
+		is.NoErr(err)
+		is.Equal(len(vm.Candidates(drfleetview.Replica{Service: "app"})), 2)
+		vm.RemoveRunner("near")
+		vm.RemoveRunner("far")
+		_, reply = ask() // the VM knows better than the entries
+		is.Equal(reply, nil)
+	})
+}
+
 // Guards against a VM that runs the controller and does not reach it for a quarter of a
 // second, because its first report is held while nobody knows the runners.
 func TestFirstReportOfControllersVMIsAnswered(t *testing.T) {
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -258,8 +258,8 @@
 	if version > request.GetDeployment() || c.lacksVerdict(request) || c.lacksOutages(request) {
 		return true
 	}
-	if request.GetTerm() != c.Term {
-		return false // it may not know the runners that permits are for
+	if request.GetTerm() != c.Term { // it may not know the runners that permits are for
+		return c.canNameRunners(request)
 	}
 	if c.canGivePermits(request) {
 		return true
@@ -338,7 +338,9 @@
 	now := c.Clock.Now()
 	c.fillLoads(name, request, reply)
 	for _, w := range request.GetWants() {
-		reply.Forecasts = append(reply.Forecasts, &drpb.FleetForecast{Replica: w.GetReplica(), ExpectedMs: uint32(milliseconds(c.forecast(w, now)))})
+		if expected, ok := c.forecast(w, now); ok {
+			reply.Forecasts = append(reply.Forecasts, &drpb.FleetForecast{Replica: w.GetReplica(), ExpectedMs: uint32(milliseconds(expected))})
+		}
 	}
 	vms := c.countReportingVMs(now)
 	reply.MostProcessor = c.maxProcessor()
@@ -414,18 +416,19 @@
 	engine      *drfleet.Engine
 }
 
-// forecast estimates the time until the requests that wait for a replica can be served. The
+// forecast estimates the time until the requests that wait for a replica can be served. It
+// returns false for a plain service without bounded runners: nothing is loaded there. The
 // caller holds mu.
-func (c *Controller) forecast(want *drpb.FleetWant, now time.Time) time.Duration {
+func (c *Controller) forecast(want *drpb.FleetWant, now time.Time) (expected time.Duration, ok bool) {
 	replica := decodeReplica(want.GetReplica())
 	permitted, bounded := c.forecastPermits(want, now)
 	if !bounded {
-		return c.forecastLoad(replica, now)
+		return c.forecastLoad(replica, now), replica.Model != ""
 	}
 	if left, loading := c.loadLeft(replica, now); loading {
-		return min(permitted, left)
+		return min(permitted, left), true
 	}
-	return permitted
+	return permitted, true
 }
 
 // loadLeft returns the estimated time until a model is loaded where requests for a replica
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -110,6 +110,7 @@
 	n.mu.Unlock()
 	clearSignal(n.View.DemandAdded())
 	crashes := n.fillRequest(request)
+	n.named.markUnlisted(n.View, request)
 	done := make(chan struct{})
 	defer close(done)
 	var superseded atomic.Bool
@@ -135,6 +136,7 @@
 		return false
 	}
 	n.applyVerdict(request.GetWhole(), reply.GetTerm(), reply.GetVerdict())
+	n.named = n.named.withReply(request, reply)
 	return n.applyReply(reply, sent)
 }
 
--- a/drcontroller/table_reply.go
+++ b/drcontroller/table_reply.go
@@ -18,6 +18,7 @@
 func (c *Controller) fillTable(request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply, getsPiece bool) {
 	if request.GetTerm() != c.Term && request.GetReadsUpdates() {
 		c.fillPiece(request, reply, getsPiece)
+		c.nameRunners(request, reply)
 		return
 	}
 	after, limit := request.GetRevision(), maxChanges
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -50,9 +50,7 @@
 			return nil, refusal{status: fasthttp.StatusNotFound, reason: "unknown-model"}, refused
 		}
 	}
-	// The controller starts no runners of plain services, but gives permits for those
-	// that are bounded.
-	if x.service.Engine != nil || s.View.HasBoundedRunner(p) {
+	if x.runnerMayCome(p) {
 		waiter := s.View.AddWaiter(p, x.start.Add(x.route.Objective), giveUpAt, x.urgency())
 		defer waiter.Close()
 	}
@@ -93,7 +91,7 @@
 	now := s.Clock.Now()
 	waiting := dradmission.WaitingRequest{
 		Now: now, Began: x.start, Objective: x.route.Objective, TimeoutAt: giveUpAt, Silence: s.View.ControllerSilence(),
-		Loadable: x.service.Engine != nil || s.View.HasBoundedRunner(replica), OutOfService: s.View.AllOutOfService(replica.Service),
+		Loadable: x.runnerMayCome(replica), OutOfService: s.View.AllOutOfService(replica.Service),
 	}
 	waiting.Expected, waiting.Forecast = s.View.Forecast(replica)
 	var left time.Duration
@@ -102,6 +100,14 @@
 	return waiting
 }
 
+// runnerMayCome reports whether the controller can help a request that finds no runner. It
+// starts none of plain services, but gives permits for those that are bounded, and names
+// runners to a VM that has not heard of all yet.
+func (x *exchange) runnerMayCome(replica drfleetview.Replica) bool {
+	v := x.server.View
+	return x.service.Engine != nil || v.HasBoundedRunner(replica) || !v.RunnersKnown()
+}
+
 // giveUpAt returns when the client stops waiting for the beginning of its answer, and the
 // timeout of the request once a stream has begun.
 func (x *exchange) giveUpAt() time.Time {
