drproxy: Let requests wait for the first configuration

Cause: a new process refuses requests until it has a configuration, which a controller sends with its first reply. Change: a request waits for the first configuration for half a second, or half of its time.

--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -140,6 +140,9 @@
 		x.refuse(refusal{status: fasthttp.StatusBadRequest, reason: "malformed", detail: err.Error()})
 		return
 	}
+	if !x.awaitConfiguration() {
+		return // the client has left
+	}
 	if r, ok := x.resolve(); !ok {
 		x.refuse(r)
 		return
--- a/drproxy/first_table_test.go
+++ b/drproxy/first_table_test.go
@@ -35,3 +35,26 @@
 		is.Equal(took, time.Duration(0)) // it is known that there is none
 	})
 }
+
+// Guards against requests that a new process refuses although its configuration is about to
+// come, and against those that wait for it for long.
+func TestRequestWaitsForFirstConfiguration(t *testing.T) {
+	prepareBubble()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newOrderWorld(1)
+		defer w.close(t)
+		refused, took := w.ask("/get/x", "x")
+		is.Equal(refused.status, 503)
+		is.Equal(took, configurationWait)
+
+		const pause = 100 * time.Millisecond
+		w.running.Go(func() {
+			time.Sleep(pause)
+			w.configureAttempts(1, 1, w.random(0))
+		})
+		answered, took := w.ask("/unknown/y", "y")
+		is.Equal(answered.status, 404)
+		is.Equal(took, pause)
+	})
+}
