drfleetview: Ask for a permit after a runner has started anew, too

Cause: MayStart let a request pass whose runner had started again under its id since it was chosen, without asking what the present incarnation had said. Connecting lies in between and may take long. If the runner had named a limit again, the request took no permit. Change: what the present incarnation has said of limits, pauses and leaving counts. Result: TestRestartedRunnerNeedsPermit failed before; drfleetview passes with -race.

--- a/drfleetview/limit_test.go
+++ b/drfleetview/limit_test.go
@@ -82,6 +82,22 @@
 	is.True(v.MayStart(leavingRunner(2, 1, false)))
 }
 
+// Guards against requests without permits to a limited runner that has started anew since
+// they chose it: connecting may take long.
+func TestRestartedRunnerNeedsPermit(t *testing.T) {
+	is := is.New(t)
+	v, clock, _ := newLimitView()
+	chosen := leavingRunner(1, 1, false)
+	restarted := leavingRunner(2, 1, false)
+	v.OfferRunner(restarted, drfleetview.FromRunner)
+	is.True(v.MayStart(chosen))
+	v.OfferLimit(drfleetview.IncarnationOf(restarted), 3, clock.Uptime())
+	is.True(!v.MayStart(chosen))
+	v.GivePermits(drfleetview.IncarnationOf(restarted), 1, clock.Uptime()+1)
+	is.True(v.MayStart(chosen))
+	is.True(!v.MayStart(chosen))
+}
+
 // Guards against a runner that is both cold and limited and gets what only one of the two
 // allows.
 func TestColdAndLimitedRunnerTakesTheLess(t *testing.T) {
--- a/drfleetview/pause.go
+++ b/drfleetview/pause.go
@@ -106,8 +106,9 @@
 }
 
 // MayStart reports whether a request may still be sent to a runner that was chosen a
-// moment ago: that incarnation has not said meanwhile that it wants none, and its
-// availability zone gets requests. If it is bounded, that uses up a permit.
+// moment ago: it has not said meanwhile that it wants none, and its availability zone gets
+// requests. If it is bounded, that uses up a permit. If it has started anew meanwhile, what
+// its present incarnation has said counts, which may get the request.
 func (v *View) MayStart(runner *drfleet.Runner) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -115,7 +116,7 @@
 		return false
 	}
 	e, ok := v.runners[runner.ID]
-	if !ok || e.runner.Started != runner.Started {
+	if !ok {
 		return true
 	}
 	uptime := v.clock.Uptime()
