drcontroller: State the time that taking the ages of limits took

Cause: a report stated the moment before the ages of its limits were taken, as the only one at which it was made. A VM that was suspended in between made its statements seem older by that time, so that a lower limit lost against a higher one that had been said before, until its next report. Change: the uncertainty in the report covers the time from before the ages are taken to after. Result: TestReportMadeSlowlyKeepsAgesOfLimits failed before.

--- a/drcontroller/controller_clock.go
+++ b/drcontroller/controller_clock.go
@@ -35,12 +35,13 @@
 
 func (c controllerClock) uncertainty() time.Duration { return c.latest - c.earliest }
 
-// moment returns the controller's uptime at an uptime of this VM, or somewhat earlier, and
-// nil if it knows nothing.
-func (c controllerClock) moment(uptime time.Duration) *drpb.FleetMoment {
-	at := c.theirs + uptime - c.latest
+// moment returns the controller's uptime at some time between two uptimes of this VM, with
+// its uncertainty, and nil if it knows nothing.
+func (c controllerClock) moment(earliest, latest time.Duration) *drpb.FleetMoment {
+	at := c.theirs + earliest - c.latest
 	if c.term == 0 || at <= 0 {
 		return nil
 	}
-	return &drpb.FleetMoment{Term: c.term, UptimeMs: uint64(at.Milliseconds()), UncertaintyMs: uint32(max(millisecondsUp(c.uncertainty()), 0))}
+	uncertainty := c.uncertainty() + latest - earliest
+	return &drpb.FleetMoment{Term: c.term, UptimeMs: uint64(at.Milliseconds()), UncertaintyMs: uint32(max(millisecondsUp(uncertainty), 0))}
 }
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -175,9 +175,7 @@
 // has, its waiting requests, its use of runners, the tokens that it has spent and
 // what it has not reported about crashes, which it returns.
 func (n *Node) fillRequest(request *drpb.FleetSyncRequest) drcrash.Report {
-	n.mu.Lock()
-	request.Made = n.controllerClock.moment(n.Clock.Uptime()) // before the ages are taken, which may take long
-	n.mu.Unlock()
+	n.fillLimits(request)
 	_, version, _ := n.View.DeploymentRecord()
 	request.Deployment = version
 	request.Wants = encodeWants(n.View.DemandSummaries())
@@ -186,7 +184,6 @@
 		request.Leaving = append(request.Leaving, encodeIncarnation(i))
 	}
 	request.Pauses = encodePauses(n.View.Pauses())
-	request.Limits = encodeLimits(n.View.Limits())
 	request.Outages = encodeOutages(n.View.Outages())
 	crashes := n.Crashes.TakeReport(request.GetWhole())
 	request.CrashReport = encodeCrashes(crashes)
@@ -199,6 +196,16 @@
 	return crashes
 }
 
+// fillLimits adds to a report the limits of runners that this VM knows, and between which
+// moments on the controller's clock their ages were taken. This VM may be suspended meanwhile.
+func (n *Node) fillLimits(request *drpb.FleetSyncRequest) {
+	before := n.Clock.Uptime()
+	request.Limits = encodeLimits(n.View.Limits())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	request.Made = n.controllerClock.moment(before, n.Clock.Uptime())
+}
+
 // recordLeaderFailure logs that the controller no longer replies. The leader
 // stays set until the lease names another one.
 func (n *Node) recordLeaderFailure(vm string, err error) {
