drwarmup: Hold cold runners that have named a limit to both bounds

Cause: the lower of the two rates decided which bound counted. With a cold-slack well over the slack of limits, a cold and limited runner got more than its limit allows; with a smaller one, more than a cold runner bears. Change: such a runner is held to the smaller rate, overage and slack of the two, in the window of cold runners. TestColdLimitedRunnerGetsWhatBothAllow failed before in both cases.

--- a/drcontroller/permits.go
+++ b/drcontroller/permits.go
@@ -81,10 +81,14 @@
 
 // borneBy returns how many requests a bounded runner bears.
 func (c *Controller) borneBy(b drfleetview.BoundedRunner) drwarmup.Rate {
-	if b.Cold {
-		return drwarmup.Rate{PerSecond: b.Rate, Bound: c.ColdBound}
+	rate := drwarmup.Rate{PerSecond: b.Rate, Bound: drwarmup.LimitBound}
+	switch {
+	case b.Both:
+		rate.Bound = c.ColdBound.Within(drwarmup.LimitBound)
+	case b.Cold:
+		rate.Bound = c.ColdBound
 	}
-	return drwarmup.Rate{PerSecond: b.Rate, Bound: drwarmup.LimitBound}
+	return rate
 }
 
 // recheckPermits returns a channel that receives a value after permitRecheck if requests of
--- a/drcontroller/permits_test.go
+++ b/drcontroller/permits_test.go
@@ -78,6 +78,36 @@
 	is.Equal(w.syncWant("vm-a", 1, 0), 0)
 }
 
+// Guards against a cold runner that has named a limit and gets more than one of the two bounds
+// allows, because only the lower rate counts, with a slack that the other one does not have.
+func TestColdLimitedRunnerGetsWhatBothAllow(t *testing.T) {
+	for _, c := range []struct {
+		limit float64
+		cold  drwarmup.Bound
+	}{
+		{5, drwarmup.Bound{Window: time.Second, Overage: 1.5, Slack: 20}},
+		{3, drwarmup.Bound{Window: time.Second, Overage: 1}},
+	} {
+		is := is.New(t)
+		w := newColdFixture(t) // 4 requests a second while it is cold
+		w.controller.ColdBound = c.cold
+		r1, _ := w.view.Runner("r1")
+		w.view.OfferLimit(drfleetview.IncarnationOf(r1), c.limit, 0)
+		bounded := w.view.BoundedRunners(drfleetview.Replica{Service: "llm", Model: "a"})[0]
+		given := func(window time.Duration) (n int) {
+			budget := drwarmup.NewBudget(0)
+			for at := time.Duration(0); at < window+drwarmup.PermitTime; at += 10 * time.Millisecond {
+				n += budget.Give(bounded.Warming(), w.controller.borneBy(bounded), 99, time.Minute+at)
+			}
+			return n
+		}
+		is.True(float64(given(c.cold.Window)) <= 4*c.cold.Overage+c.cold.Slack)
+		b := drwarmup.LimitBound
+		is.True(float64(given(b.Window)) <= c.limit*b.Overage*b.Window.Seconds()+b.Slack)
+		is.True(given(b.Window) >= int(b.Window.Seconds())) // and something
+	}
+}
+
 // Guards against permits that count from when a reply arrives: it may have been under way
 // for long, and the VM may have been suspended.
 func TestPermitsCountFromTheReport(t *testing.T) {
--- a/drfleetview/bounded.go
+++ b/drfleetview/bounded.go
@@ -16,6 +16,9 @@
 	// named. ColdLeft is then the time until it is warm.
 	Cold     bool
 	ColdLeft time.Duration
+	// Both is set if the runner is cold and has named a limit, so that it bears no more
+	// than either allows.
+	Both bool
 }
 
 // BoundedRunners returns the bounded runners that could take requests for a replica,
@@ -59,6 +62,7 @@
 func (v *View) describeBound(e *entry, uptime time.Duration) BoundedRunner {
 	b := BoundedRunner{Incarnation: IncarnationOf(e.runner), Rate: e.limitRate()}
 	left, rate := v.coldLeft(e, uptime), v.coldService(e.runner.Service).ColdRate
+	b.Both = left > 0 && b.Rate > 0
 	if left > 0 && (b.Rate == 0 || rate < b.Rate) {
 		b.Rate, b.Cold, b.ColdLeft = rate, true, left
 	}
--- a/drwarmup/budget.go
+++ b/drwarmup/budget.go
@@ -24,6 +24,11 @@
 	Overage, Slack float64
 }
 
+// Within returns the bound b with no more overage and slack than other.
+func (b Bound) Within(other Bound) Bound {
+	return Bound{Window: b.Window, Overage: min(b.Overage, other.Overage), Slack: min(b.Slack, other.Slack)}
+}
+
 // LimitBound is the bound of runners that have named a limit.
 var LimitBound = Bound{Window: 4 * time.Second, Overage: 1.25, Slack: 2}
 
