drcontroller: Give no permits once the controller is closed

Cause: a VM that resigns closes its controller and then releases the lease, which counts as held until the store has replied. Reports that were held got permits in between, when the successor may have begun: two a runner at most, as the former level allowed. Change: givePermits checks, after the time is read that permits count from, that the controller is not closed. Result: TestNoPermitsOfClosedController failed before.

--- a/drcontroller/permits.go
+++ b/drcontroller/permits.go
@@ -23,10 +23,11 @@
 // count from received, the uptime at which the VM's report arrived, so that the VM, which
 // counts from when it sent the report, lets them end no later. The time is read before the
 // lease is checked: if this VM is suspended in between, the permits end with the lease.
-// There are none once ctx, that of the report, has ended: nobody reads the reply.
+// There are none once ctx, that of the report, has ended: nobody reads the reply. A closed
+// controller gives none, because its lease may have been released by then.
 func (c *Controller) givePermits(ctx context.Context, vm string, request *drpb.FleetSyncRequest, received time.Duration) []*drpb.FleetPermit {
 	now := c.Clock.Uptime()
-	if ctx.Err() != nil || !c.Holds() {
+	if ctx.Err() != nil || c.ctx.Err() != nil || !c.Holds() {
 		return nil
 	}
 	c.mu.Lock()
--- a/drcontroller/permits_test.go
+++ b/drcontroller/permits_test.go
@@ -78,6 +78,16 @@
 	is.Equal(w.syncWant("vm-a", 1, 0), 0)
 }
 
+// Guards against permits of a controller that is releasing its lease, which its successor may
+// have acquired before the call to the store returns.
+func TestNoPermitsOfClosedController(t *testing.T) {
+	is := is.New(t)
+	w := newColdFixture(t)
+	eventually(t, "permits can be given", func() bool { return w.controller.canGivePermits(wantOfModelA(2, 0)) })
+	w.controller.Close()
+	is.Equal(w.syncWant("vm-a", 1, 0), 0)
+}
+
 // Guards against a cold runner that has named a limit and gets more than one of the two bounds
 // allows, because only the lower rate counts, with a slack that the other one does not have.
 func TestColdLimitedRunnerGetsWhatBothAllow(t *testing.T) {
