drnet: Reset a dialled connection that is closed amid its peer's data

Cause: a connection whose reading was paused lingers when it is closed, for up to 1 s, and the event loop takes and drops whatever the peer sends meanwhile. That is for callers, who shall read their refusal; for a runner that sends without end it spends the one event loop of all connections to runners. Change: only accepted connections linger.

--- a/drnet/conn.go
+++ b/drnet/conn.go
@@ -74,6 +74,8 @@
 type conn struct {
 	local, remote net.Addr
 	onClose       func(*conn)
+	// lingers is set if the peer shall get what was written even if it goes on sending.
+	lingers bool
 
 	traffic *Traffic
 
@@ -421,7 +423,8 @@
 }
 
 // Close implements net.Conn. It drops the data that was not read. The kernel
-// still delivers the data that was written.
+// still delivers the data that was written. A dialled connection that is closed amid the
+// peer's data is reset, which ends the peer's sending.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -437,7 +440,7 @@
 	if c.gnetConn == nil {
 		return nil
 	}
-	if !c.readPaused {
+	if !c.readPaused || !c.lingers {
 		return c.gnetConn.Close()
 	}
 	return c.linger()
--- a/drnet/event_loops.go
+++ b/drnet/event_loops.go
@@ -20,6 +20,7 @@
 	gnet.BuiltinEventEngine
 	client  *gnet.Client
 	traffic *Traffic // nil if the bytes are not counted
+	lingers bool     // of the connections; set before the first is added
 
 	// mu is held for reading while a connection is added, so that stop waits:
 	// adding would block for ever if gnet's loops had stopped meanwhile.
@@ -59,7 +60,7 @@
 		return nil, net.ErrClosed
 	}
 	c := newConn(netConn.LocalAddr(), netConn.RemoteAddr())
-	c.onClose, c.traffic = l.removeConn, l.traffic
+	c.onClose, c.traffic, c.lingers = l.removeConn, l.traffic, l.lingers
 	l.connsMu.Lock()
 	l.conns[c] = struct{}{}
 	l.connsMu.Unlock()
--- a/drnet/server.go
+++ b/drnet/server.go
@@ -41,6 +41,7 @@
 		_ = ln.Close()
 		return nil, err
 	}
+	l.lingers = true
 	s := &Server{config: config, listener: ln.(*net.TCPListener), loops: l}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.acceptWG.Add(1)
