drnet: Bound the capacity of what a connection buffers

Cause: a connection stopped reading at 64 KiB of unread bytes, but a bytes.Buffer that is read and written in turn grows to twice what it holds: 300 connections that were sent more than was read had 38.4 MB of a heap of 88 MB in such buffers (heap profile). Change: reading stops before 64 KiB could be exceeded, and the buffer moves its bytes rather than grow beyond that. TestSlowReader failed before.

--- a/drnet/conn.go
+++ b/drnet/conn.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// maxInboundBytes is how many unread bytes a connection buffers before it
-	// stops reading from its socket. The last read of the event loop may exceed
-	// it by less than readChunkBytes.
+	// maxInboundBytes is how many unread bytes a connection buffers at most, and the
+	// largest capacity of its buffer. It stops reading from its socket as soon as a
+	// further read might exceed it.
 	maxInboundBytes = 64 << 10
 	// resumeInboundBytes is the number of unread bytes at which a paused
 	// connection reads from its socket again. It is well below maxInboundBytes,
@@ -24,9 +24,6 @@
 	resumeInboundBytes = 16 << 10
 	// readChunkBytes is the most that the event loop reads at once.
 	readChunkBytes = 16 << 10
-	// maxPooledBytes is the largest capacity of an inbound buffer that is kept
-	// in the pool. A bytes.Buffer grows by doubling.
-	maxPooledBytes = 2 * (maxInboundBytes + readChunkBytes)
 	// disconnectPollInterval is the interval at which a paused connection
 	// checks whether its peer has disconnected, because the event loop does not
 	// read its socket.
@@ -150,15 +147,31 @@
 		c.inbound = inboundBuffers.Get().(*bytes.Buffer)
 		c.arrivedAt = time.Now()
 	}
-	c.inbound.Write(data)
+	c.addInbound(data)
 	c.wakeReader()
-	if c.inbound.Len() < maxInboundBytes {
+	if c.inbound.Len()+readChunkBytes <= maxInboundBytes {
 		return false
 	}
 	c.pauseErr = c.pauseReading()
 	return c.pauseErr != nil
 }
 
+// addInbound appends to the inbound buffer, which a bytes.Buffer alone would let grow to
+// twice what it holds. The caller holds mu.
+func (c *conn) addInbound(data []byte) {
+	unread, size := c.inbound.Bytes(), c.inbound.Len()+len(data)
+	switch {
+	case len(data) <= c.inbound.Available():
+	case size <= c.inbound.Cap():
+		c.inbound.Reset()
+		c.inbound.Write(unread) // moves it to the beginning
+	default:
+		capacity := max(size, min(2*c.inbound.Cap(), maxInboundBytes))
+		c.inbound = bytes.NewBuffer(append(make([]byte, 0, capacity), unread...))
+	}
+	c.inbound.Write(data)
+}
+
 // pauseReading makes the event loop stop reading the socket, so that TCP flow
 // control slows the peer down. The caller holds mu.
 func (c *conn) pauseReading() error {
@@ -355,15 +368,10 @@
 	return 0, c.closeError()
 }
 
-// releaseBuffer returns the inbound buffer to the pool, unless its capacity
-// exceeds maxPooledBytes. That limit admits a buffer that reached
-// maxInboundBytes by doubling: dropping such buffers costs 60 % of the
-// throughput of bulk data. The caller holds mu.
+// releaseBuffer returns the inbound buffer to the pool. The caller holds mu.
 func (c *conn) releaseBuffer() {
-	if c.inbound.Cap() <= maxPooledBytes {
-		c.inbound.Reset()
-		inboundBuffers.Put(c.inbound)
-	}
+	c.inbound.Reset()
+	inboundBuffers.Put(c.inbound)
 	c.inbound = nil
 }
 
--- a/drnet/conn_test.go
+++ b/drnet/conn_test.go
@@ -96,11 +96,12 @@
 	c.mu.Lock()
 	buffered := c.inbound.Len()
 	c.mu.Unlock()
-	is.True(buffered <= maxInboundBytes+readChunkBytes)
+	is.True(buffered <= maxInboundBytes)
 	chunk := make([]byte, len(pattern))
 	for n := 0; n < total; n += len(chunk) {
 		_, err := io.ReadFull(a, chunk)
 		is.NoErr(err)
+		is.True(inboundCapacity(c) <= maxInboundBytes)
 		is.True(bytes.Equal(chunk, pattern))
 	}
 	is.NoErr(<-sent)
@@ -108,6 +109,15 @@
 	is.Equal(err, io.EOF)
 }
 
+func inboundCapacity(c *conn) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inbound == nil {
+		return 0
+	}
+	return c.inbound.Cap()
+}
+
 // Guards against a disconnect that only a read detects, both on an idle
 // connection and on one whose reading is paused because its buffer is full. The
 // paused one must still deliver all data.
