drproxy: Read long bodies in turns

Cause: each connection decodes what it is sent for as long as bytes are there. 300 endless answers in chunks of one byte kept as many goroutines ready, each for a time slice of up to 10 ms, and whatever else ran waited behind them. Trace of TestEndlessAnswersFitMemory's chunks with two processors, without -race: 68 % of the processors' time went into drproxy's reading of these answers, 15 % into the event loops, 6 % into the test's endless runners; a tenth of all goroutines waited over 50 ms until they ran, one in 100 over 100 ms; 40 requests to the other service took 14.5 to 23 s. With -race a tenth waited over 0.2 s and a request took up to 10 s, beyond its time.

--- a/drproxy/body.go
+++ b/drproxy/body.go
@@ -51,12 +51,19 @@
 
 // readBody reads the whole body of an answer, up to maxAnswerBody.
 func (a *attempt) readBody() ([]byte, error) {
-	return a.exchange.readAll(a.body(), maxAnswerBody, errAnswerTooLarge)
+	return a.exchange.readAll(a.body(), &a.upstream.turn, maxAnswerBody, errAnswerTooLarge)
 }
 
-// readAll reads a body to its end. It fails with tooLarge if there are more than limit
-// bytes, and with errOutOfMemory.
-func (x *exchange) readAll(r io.Reader, limit int, tooLarge error) ([]byte, error) {
+// readAll reads a body to its end, in turns with other long ones: inTurn is that of the
+// connection. It fails with tooLarge if there are more than limit bytes, and with
+// errOutOfMemory.
+func (x *exchange) readAll(r io.Reader, inTurn **turn, limit int, tooLarge error) ([]byte, error) {
+	t := &turn{turns: x.server.turns}
+	*inTurn = t
+	defer func() {
+		*inTurn = nil
+		t.end()
+	}()
 	var body []byte
 	for {
 		if len(body) > limit {
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -116,7 +116,7 @@
 	switch {
 	case length == chunkedLength:
 		var err error
-		x.body, err = x.readAll(newChunkedReader(x.conn.reader), limit, fasthttp.ErrBodyTooLarge)
+		x.body, err = x.readAll(newChunkedReader(x.conn.reader), &x.conn.turn, limit, fasthttp.ErrBodyTooLarge)
 		return err
 	case length <= 0:
 		return nil
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -79,6 +79,7 @@
 	pool     *pool
 	prompts  *keptPrompts
 	memory   memoryBudget
+	turns    turns
 	draining atomic.Bool
 	closed   atomic.Bool
 	// drainEnd is nil until EndBy has been called.
@@ -103,7 +104,7 @@
 func New(config Config) *Server {
 	s := &Server{
 		Config: config, pool: newPool(config.Dialer, config.Clock), conns: make(map[*clientConn]struct{}), idle: list.New(),
-		prompts: newKeptPrompts(config.Clock, config.View), stopWaiting: make(chan struct{}), stopAnswering: make(chan struct{}),
+		prompts: newKeptPrompts(config.Clock, config.View), turns: newTurns(), stopWaiting: make(chan struct{}), stopAnswering: make(chan struct{}),
 	}
 	s.memory.give(cmp.Or(config.LargeMessages, defaultLargeMessages))
 	return s
@@ -123,6 +124,7 @@
 	server *Server
 	reader *bufio.Reader // nil without a request
 	writer *bufio.Writer // nil without a request
+	turn   *turn         // set while a body in chunks is read
 	// arrivedAt is when the oldest data of the present request was received.
 	arrivedAt time.Time
 	// idle is the connection's element of Server.idle, nil while a request is
@@ -143,6 +145,9 @@
 	}
 }
 
+// Read implements io.Reader.
+func (c *clientConn) Read(p []byte) (int, error) { return c.turn.readFrom(c.Conn, p) }
+
 // tryServeOne is serveOne, except that a panic ends only this connection.
 func (c *clientConn) tryServeOne() (reusable bool) {
 	err := drtask.Try("serve-request", func() error {
--- a/drproxy/upstream.go
+++ b/drproxy/upstream.go
@@ -48,6 +48,8 @@
 	// happens here because the readers of a body that use this connection
 	// cannot continue after an error.
 	extendDeadline func() bool
+	// turn is set while a whole body is read.
+	turn *turn
 }
 
 // Dialer opens connections to runners, which implement drnet.Conn. The context
@@ -60,7 +62,7 @@
 // not grant more time.
 func (u *upstream) Read(p []byte) (int, error) {
 	for {
-		n, err := u.Conn.Read(p)
+		n, err := u.turn.readFrom(u.Conn, p)
 		var ne net.Error
 		if n > 0 || u.extendDeadline == nil || !errors.As(err, &ne) || !ne.Timeout() || !u.extendDeadline() {
 			return n, err
