drtokenpool, drcontroller: Keep the sum of the VMs' parts within the account

Cause: a new controller told each VM a part of 0 in its first reply and, with the number of VMs heard so far, a fraction of the account up to the whole. In the second reply parts followed the little spending that it had seen, each apart from the others. VMs that lose the controller then spend more than the account's rate together, and a bucket without a part starts with half a second of the rate, however far the account is overdrawn.

Change: a VM reports the part that it holds; while VMs of the former controller have not reported, the others keep theirs, afterwards none gets more than the others leave. A new controller counts the VMs of the former one for 6 s, in its replies and in the lease.

--- a/drcontroller/controller_test.go
+++ b/drcontroller/controller_test.go
@@ -329,6 +329,24 @@
 	is.NoErr(err)
 }
 
+// Guards against VMs that each take a large part of rates and budgets, because a controller
+// that has just begun tells the first ones that they are few, or tells its successor so.
+func TestNewControllerKnowsFleetSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newControllerFixture(t, func(c *ControllerConfig) { c.Inherited.VMs = 20 })
+		report := func() int {
+			reply := w.controller.Sync(t.Context(), "vm2", 1, &drpb.FleetSyncRequest{Whole: true})
+			return int(reply.GetVms())
+		}
+		is.Equal(report(), 20)
+		is.Equal(w.controller.Handover().VMs, 20)
+		time.Sleep(10 * time.Second)
+		is.Equal(report(), 1) // the others are gone
+		is.Equal(w.controller.Handover().VMs, 1)
+	})
+}
+
 // Guards against two VMs whose orders reach runners in turn within seconds, as they do
 // when the controller changes there and back: a late order of one could follow a new one
 // of the other. A plain change of the controller must not delay loads.
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -15,6 +15,10 @@
 	// vmReportTimeout is the time after a VM's last report for which its
 	// waiting and running requests count.
 	vmReportTimeout = 1500 * time.Millisecond
+	// maxFormerVMsAge is how long VMs that reported to the former controller count as
+	// part of the fleet without a report to this one: they may serve on their own for
+	// that long.
+	maxFormerVMsAge = 6 * time.Second
 	// rateWindow is the time constant of the moving average of a model's
 	// request rate. A rise is followed within risingRateWindow, because loads
 	// take time, and a fall more slowly.
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -345,7 +345,7 @@
 	vms := c.countReportingVMs(now)
 	reply.MostProcessor = c.maxProcessor()
 	reply.ReserveCalls = c.Processor * reserveProcessorShare / reserveCallCost.Seconds()
-	reply.Vms = uint32(vms)
+	reply.Vms = uint32(c.fleetSize(now))
 	reply.NextWaitMs = uint32(milliseconds(time.Duration(vms) * syncIntervalPerVM))
 }
 
@@ -354,7 +354,7 @@
 func (c *Controller) fillGrants(name string, request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
 	for _, s := range request.GetSpendings() {
 		g := c.pool.Report(name, drtokenpool.Spending{
-			Account: s.GetAccount(), Spent: s.GetSpent(), Granted: s.GetGranted(), Requested: s.GetRequested(), Unasked: s.GetUnasked(),
+			Account: s.GetAccount(), Spent: s.GetSpent(), Granted: s.GetGranted(), Requested: s.GetRequested(), Unasked: s.GetUnasked(), Share: s.GetShare(),
 		})
 		reply.Grants = append(reply.Grants, &drpb.FleetGrant{
 			Account: s.GetAccount(), Granted: g.Granted, Share: g.Share, Level: g.Level, Saturated: g.Saturated,
@@ -375,6 +375,17 @@
 	return n
 }
 
+// fleetSize returns the number of VMs that share rates and budgets: those that report, or
+// that reported to the former controller while this one has not heard from all of them. The
+// caller holds mu.
+func (c *Controller) fleetSize(now time.Time) int {
+	n := c.countReportingVMs(now)
+	if now.Sub(c.startedAt) < maxFormerVMsAge {
+		n = max(n, c.Inherited.VMs)
+	}
+	return n
+}
+
 // maxProcessor returns the part of a core that the strongest VM may use, 0 if
 // no VM has reported. The caller holds mu.
 func (c *Controller) maxProcessor() float64 {
@@ -398,7 +409,7 @@
 func (c *Controller) Handover() drlease.Handover {
 	c.mu.Lock()
 	now := c.Clock.Now()
-	handover := drlease.Handover{VMs: c.countReportingVMs(now), Runners: c.countRunners(), MostProcessor: c.maxProcessor(), Counted: now}
+	handover := drlease.Handover{VMs: c.fleetSize(now), Runners: c.countRunners(), MostProcessor: c.maxProcessor(), Counted: now}
 	c.mu.Unlock()
 	handover.Levels = c.pool.Levels()
 	if now.Sub(c.startedAt) < c.OrderPause {
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -190,7 +190,7 @@
 	request.VerdictTerm, request.Verdict = n.Crashes.Position()
 	for _, s := range n.Allowances.Spendings() {
 		request.Spendings = append(request.Spendings, &drpb.FleetSpending{
-			Account: s.Account, Spent: s.Spent, Granted: s.Granted, Requested: s.Requested, Unasked: s.Unasked,
+			Account: s.Account, Spent: s.Spent, Granted: s.Granted, Requested: s.Requested, Unasked: s.Unasked, Share: s.Share,
 		})
 	}
 	return crashes
--- a/drmatrix/mutation.go
+++ b/drmatrix/mutation.go
@@ -82,4 +82,9 @@
 	{"home", "adapters are loaded in the homes", "drscheduler/adapter.go", "`drscheduler.TestAdapterIsLoadedAtHome`"},
 	{"home", "homes of route and account both bind", "drfleet/homes.go", "`drfleet.TestHomesOfRouteAndAccountBothBind`"},
 	{"I7, edge", "tokens are set aside for VMs that a new controller does not know", "drtokenpool/pool.go", "`drtokenpool.TestVMsUnknownToNewControllerKeepTheirPart`"},
+	{"I7, edge", "a VM gets no larger part than the others leave", "drtokenpool/vm_usage.go", "`drtokenpool.TestControllersInRandomOrdersKeepRate`"},
+	{"I7, edge", "VMs keep their parts while some are absent", "drtokenpool/vm_usage.go", "`drtokenpool.TestControllersInRandomOrdersKeepRate`"},
+	{"I7, edge", "what a VM had before a reply counts", "drtokenpool/vm_usage.go", "`drtokenpool.TestControllersInRandomOrdersKeepRate`"},
+	{"I7, edge", "parts regard VMs that are absent", "drtokenpool/inheritance.go", "`drtokenpool.TestControllersInRandomOrdersKeepRate`"},
+	{"I7, edge", "a new controller counts the VMs of the former one", "drcontroller/reports.go", "`drcontroller.TestNewControllerKnowsFleetSize`"},
 }
--- a/drtokenpool/allowance.go
+++ b/drtokenpool/allowance.go
@@ -138,7 +138,7 @@
 	defer s.mu.Unlock()
 	var out []Spending
 	for name, a := range s.accounts {
-		out = append(out, Spending{Account: name, Spent: a.spent, Granted: a.granted, Requested: a.requested, Unasked: a.unasked})
+		out = append(out, Spending{Account: name, Spent: a.spent, Granted: a.granted, Requested: a.requested, Unasked: a.unasked, Share: a.share})
 	}
 	return out
 }
--- a/drtokenpool/grant.go
+++ b/drtokenpool/grant.go
@@ -27,13 +27,16 @@
 	// Unasked counts the requests that the VM refused without asking the
 	// controller, because the account was saturated.
 	Unasked float64
+	// Share is the fraction of the account that the VM would use now if no controller
+	// answered, as it was last told; 0 if it was told none.
+	Share float64
 }
 
 // Grant tells a VM how many tokens of an account it may spend.
 type Grant struct {
 	Granted float64 // total since the VM's process started
 	// Share is the fraction of the account that the VM may use while no
-	// controller answers, 0 if nothing has been spent recently.
+	// controller answers, 0 if the controller has no limit for the account.
 	Share float64
 	// Level is the number of tokens left in the pool, at least 0.
 	Level float64
@@ -65,7 +68,7 @@
 	u.updateRates(s, now)
 	a.charge(u.settle(s.Spent), now)
 	a.grant(u, now)
-	u.share = a.share(u)
+	a.updateShare(u, s.Share, now)
 	g := Grant{Granted: u.granted, Share: u.share, Level: max(a.level, 0)}
 	if g.Saturated = a.saturated(); g.Saturated {
 		g.RetryAfter = a.retryAfter(0, now)
--- a/drtokenpool/inheritance.go
+++ b/drtokenpool/inheritance.go
@@ -45,7 +45,7 @@
 // spend without a controller too and those that have ended cannot report it.
 func (p *Pool) newAccount(name string, l Limit) *account {
 	now := p.clock.Now()
-	a := &account{limit: l, level: l.Burst, refilledAt: now, vms: make(map[string]*vmUsage)}
+	a := &account{limit: l, level: l.Burst, refilledAt: now, vms: make(map[string]*vmUsage), formerVMs: p.inherited.VMs}
 	if p.historyUnknown {
 		a.level *= unknownLevelFraction
 	}
@@ -57,11 +57,24 @@
 	return a
 }
 
-// absentShare returns the fraction of an account that belongs to the VMs that reported
-// to a former controller and have not reported to this one.
-func (p *Pool) absentShare(a *account) float64 {
-	if p.inherited.VMs == 0 {
+// absentVMs returns how many VMs reported to a former controller, have not reported to this
+// one and may still be running.
+func (a *account) absentVMs(now time.Time) int {
+	if now.Sub(a.absent.reportedAt) > maxSilentTime {
 		return 0
 	}
-	return max(1-float64(len(a.vms))/float64(p.inherited.VMs), 0)
+	return max(a.formerVMs-len(a.vms), 0)
+}
+
+// absentShare returns the fraction of an account that the absent VMs may use: what the
+// others leave of it.
+func (a *account) absentShare() float64 {
+	if a.formerVMs <= len(a.vms) {
+		return 0
+	}
+	share := 1.0
+	for _, u := range a.vms {
+		share -= u.largestShare()
+	}
+	return max(share, 0)
 }
--- a/drtokenpool/pool.go
+++ b/drtokenpool/pool.go
@@ -44,7 +44,9 @@
 	vms        map[string]*vmUsage
 	// absent stands for the VMs that reported to a former controller and have not
 	// reported to this one. They may be spending, as those that fell silent.
-	absent vmUsage
+	// formerVMs is how many VMs reported to the former controller.
+	absent    vmUsage
+	formerVMs int
 	// unreportedSpending is the number of tokens that VMs may have spent between
 	// the last record of a former controller and the start of this one. They are
 	// paid for already, because the bucket is not refilled for that time. So
@@ -121,13 +123,9 @@
 func (p *Pool) refill(a *account) {
 	now := p.clock.Now()
 	for _, u := range a.vms {
-		if u.share == 0 {
-			a.level -= u.reserveEvenPart(a.limit.Rate/float64(len(a.vms)), now)
-			continue
-		}
 		a.level -= u.reserveWhileSilent(a.limit.Rate, max(a.level, 0), now)
 	}
-	a.absent.share = p.absentShare(a)
+	a.absent.share = a.absentShare()
 	a.level -= a.absent.reserveWhileSilent(a.limit.Rate, max(a.level, 0), now)
 	a.level = min(a.level+now.Sub(a.refilledAt).Seconds()*a.limit.Rate, a.limit.Burst)
 	a.refilledAt = now
--- a/drtokenpool/vm_usage.go
+++ b/drtokenpool/vm_usage.go
@@ -9,9 +9,11 @@
 	// fraction of an account. It is longer than rateWindow because a VM of a
 	// large fleet gets less than one request of an account per second.
 	// evenSplitFraction of the account is divided evenly among its VMs; only the
-	// rest follows their spending.
+	// rest follows their spending. minShareFraction of an even part is what each
+	// VM gets at least, also while the others hold the whole account.
 	shareWindow       = 8 * time.Second
 	evenSplitFraction = 0.5
+	minShareFraction  = 0.05
 	// maxSilentTime is how long a VM that does not report may go on spending its
 	// fraction of the rate. After that it refuses requests because it can no
 	// longer confirm its configuration, or it has been removed by Forget.
@@ -29,8 +31,9 @@
 	shareRate                  float64 // tokens per second, averaged over shareWindow
 	reportedAt                 time.Time
 	// share is the fraction of the account that the VM was last told to use
-	// while no controller answers.
-	share float64
+	// while no controller answers, and formerShare the one that it had before. It
+	// uses that one if the reply was lost.
+	share, formerShare float64
 	// reserved is the number of tokens set aside for what the VM may have spent
 	// without reporting it, up to reservedUntil.
 	reserved      float64
@@ -54,29 +57,17 @@
 	if !until.After(from) {
 		return 0
 	}
-	tokens := until.Sub(from).Seconds() * rate * u.share
+	tokens := until.Sub(from).Seconds() * rate * u.largestShare()
 	if u.reservedUntil.Before(u.reportedAt) {
-		tokens += poolLevel * u.share
+		tokens += poolLevel * u.largestShare()
 	}
 	u.reserved += tokens
 	u.reservedUntil = until
 	return tokens
 }
 
-// reserveEvenPart does what reserveWhileSilent does for a VM that was told no share,
-// because nothing had been spent of the account. It spends an even part of the rate, and
-// at first as much as that yields in initialBurstTime.
-func (u *vmUsage) reserveEvenPart(rate float64, now time.Time) float64 {
-	first := u.reservedUntil.Before(u.reportedAt)
-	even := vmUsage{share: 1, reportedAt: u.reportedAt, reservedUntil: u.reservedUntil}
-	tokens := even.reserveWhileSilent(rate, 0, now)
-	if first && tokens > 0 {
-		tokens += rate * initialBurstTime.Seconds()
-	}
-	u.reserved += tokens
-	u.reservedUntil = even.reservedUntil
-	return tokens
-}
+// largestShare returns the largest fraction of the account that the VM may be using.
+func (u *vmUsage) largestShare() float64 { return max(u.share, u.formerShare) }
 
 // settle raises the grant to cover what the VM spent beyond it and returns the
 // tokens to deduct from the account: that excess less the tokens already set
@@ -89,18 +80,30 @@
 	return owed
 }
 
-// share returns the fraction of the account that a VM may use while no controller
-// answers: partly by its recent spending, partly an even split among the VMs that
-// report. It is 0 while nothing has been spent.
-func (a *account) share(u *vmUsage) float64 {
-	total := 0.0
+// updateShare sets the fraction of the account that a VM may use while no controller
+// answers: partly by its recent spending, partly an even split among the VMs. held is the
+// one that it uses now, 0 if none. A VM gets no more than the others leave, so that the
+// sum stays within the whole but for minShareFraction. While some VMs have not reported to
+// this controller, which doesn't know their shares, the others keep theirs.
+func (a *account) updateShare(u *vmUsage, held float64, now time.Time) {
+	u.formerShare = held
+	total, room := 0.0, 1.0
 	for _, other := range a.vms {
 		total += other.shareRate
+		if other != u {
+			room -= other.largestShare()
+		}
 	}
-	if total <= 0 {
-		return 0
+	absent := a.absentVMs(now)
+	even := 1 / float64(len(a.vms)+absent)
+	wanted := even
+	switch {
+	case absent > 0 && held > 0:
+		wanted = held
+	case total > 0:
+		wanted = (1-evenSplitFraction)*u.shareRate/total + evenSplitFraction*even
 	}
-	return (1-evenSplitFraction)*u.shareRate/total + evenSplitFraction/float64(len(a.vms))
+	u.share = max(min(wanted, room), even*minShareFraction)
 }
 
 // usage returns the state of a VM. A VM that is not known yet starts with the
