drlease, drcontroller: Bound the age of handed over levels by the uptime

They may differ, or be set.

Change: the elector bounds the age of the record that it inherits by its uptime: from when it read it to when the former holder last told it of that or an earlier record. The lease itself uses the uptime alone (by reading, and TestSuspendedHolderLosesLease); a quota window and a request's deadline use times with a monotonic reading, which steps don't move and suspensions don't count (TestSuspendedVMGainsNothing for the window, by reading for drproxy).

--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -129,7 +129,7 @@
 	}
 	if handover := c.Inherited; len(handover.Levels) > 0 {
 		controller.pool.Inherit(drtokenpool.Inheritance{
-			Levels: handover.Levels, Age: c.Clock.Now().Round(0).Sub(handover.Counted), VMs: handover.VMs,
+			Levels: handover.Levels, Age: handoverAge(handover, c.Clock.Now()), VMs: handover.VMs,
 		})
 	}
 	// VMs may report before the first plan, so the pool needs the limits now.
@@ -141,6 +141,12 @@
 	return controller
 }
 
+// handoverAge returns the time since a former controller counted what it has handed over.
+// The times of day of two VMs may differ, or be set meanwhile, so this VM's uptime bounds it.
+func handoverAge(h drlease.Handover, now time.Time) time.Duration {
+	return min(max(now.Round(0).Sub(h.Counted), h.LeastAge), h.MostAge)
+}
+
 // Close stops planning and waits until the orders in progress have returned.
 func (c *Controller) Close() {
 	c.cancel()
--- a/drcontroller/controller_test.go
+++ b/drcontroller/controller_test.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelridge/dotterelridge/drcrash"
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drlease"
 	"github.com/dotterelridge/dotterelridge/drmetric"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drrequest"
@@ -347,6 +348,20 @@
 	})
 }
 
+// Guards against tokens that are spent twice because the time of day differs between two
+// controllers, or is set: what VMs spent before the change would count as paid by a time
+// without a controller that there was not.
+func TestTimeOfDayYieldsNoTokens(t *testing.T) {
+	is := is.New(t)
+	for _, step := range []time.Duration{-time.Hour, -time.Second, time.Second, time.Hour} {
+		age := handoverAge(drlease.Handover{
+			Counted: time.Now().Add(-step), LeastAge: 500 * time.Millisecond, MostAge: 600 * time.Millisecond,
+		}, time.Now())
+		is.True(age >= 500*time.Millisecond)
+		is.True(age <= 600*time.Millisecond)
+	}
+}
+
 // Guards against two VMs whose orders reach runners in turn within seconds, as they do
 // when the controller changes there and back: a late order of one could follow a new one
 // of the other. A plain change of the controller must not delay loads.
--- a/drlease/elector.go
+++ b/drlease/elector.go
@@ -55,6 +55,10 @@
 	// AfterYield is set for a lease that was acquired after its last holder had
 	// given it up for a stronger VM. It is not stored.
 	AfterYield bool
+	// LeastAge and MostAge bound the time since the record with this state was sent, for a
+	// lease that was acquired, as of then. Counted is less certain: it was read from another
+	// VM's time of day. They are not stored.
+	LeastAge, MostAge time.Duration
 	// HistoryLost is set for a lease that was acquired although earlier records
 	// had expired unread, so that RecentHolders may lack some. It is not stored.
 	HistoryLost bool
@@ -259,6 +263,7 @@
 func (e *Elector) Acquire(ctx context.Context) error {
 	l, known := e.Newest()
 	handover := l.Handover
+	handover.LeastAge, handover.MostAge = e.newestAge()
 	handover.HistoryLost = !known && e.nextOffset > 0
 	handover.AfterYield = known && l.Yielded
 	if known && l.VM != e.config.VM && !slices.Contains(handover.RecentHolders, l.VM) {
@@ -267,6 +272,25 @@
 	return e.appendLease(ctx, Lease{Term: uint64(e.nextOffset) + 1, Handover: handover})
 }
 
+// newestAge returns bounds of the time since the newest record was sent. It was sent before
+// it was read here, and not before the one that a holder has told this VM of. A process that
+// was told of none assumes that it was sent within a TTL before.
+func (e *Elector) newestAge() (least, most time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.known {
+		return 0, 0
+	}
+	now := e.config.Uptime.Uptime()
+	least = now - e.newestSeenAt
+	most = least + e.config.TTL
+	if e.told && e.toldOffset <= e.newestOffset {
+		told := now - (e.toldLapse - e.config.TTL)
+		most = min(most, max(told, least))
+	}
+	return least, most
+}
+
 // Renew extends the lease of this process and replaces its Handover. It fails
 // with drstore.ErrConflict if another VM has acquired the lease, or if an
 // earlier append without a response took effect. Read tells the two apart.
--- a/drlease/elector_test.go
+++ b/drlease/elector_test.go
@@ -250,3 +250,28 @@
 	l, _ := take("d").Newest()
 	is.True(l.HistoryLost)
 }
+
+// Guards against an age of the handed over state that follows the time of day, which is set
+// or differs between VMs: a successor's uptime bounds it, closely if the holder has told it
+// of the record.
+func TestAgeOfHandoverIsBounded(t *testing.T) {
+	for _, told := range []bool{false, true} {
+		is, ctx := is.New(t), context.Background()
+		store, clock := drstandin.NewMemoryStore(), drclock.NewFake(time.Unix(100, 0))
+		a, b := newElector(store, clock, "a"), newElector(store, clock, "b")
+		mustRead(t, a)
+		is.NoErr(a.Acquire(ctx))
+		clock.Advance(300 * time.Millisecond)
+		if told {
+			b.RecordValidity(a.Validity())
+		}
+		clock.Suspend(700 * time.Millisecond) // b reads the lease late
+		mustRead(t, b)
+		clock.Suspend(ttl + 200*time.Millisecond)
+		is.NoErr(b.Acquire(ctx))
+		l, _ := b.Newest()
+		is.Equal(l.LeastAge, ttl+200*time.Millisecond)
+		is.True(l.MostAge >= ttl+1200*time.Millisecond)
+		is.Equal(l.MostAge == ttl+1200*time.Millisecond, told)
+	}
+}
--- a/drmatrix/mutation.go
+++ b/drmatrix/mutation.go
@@ -87,4 +87,6 @@
 	{"I7, edge", "what a VM had before a reply counts", "drtokenpool/vm_usage.go", "`drtokenpool.TestControllersInRandomOrdersKeepRate`"},
 	{"I7, edge", "parts regard VMs that are absent", "drtokenpool/inheritance.go", "`drtokenpool.TestControllersInRandomOrdersKeepRate`"},
 	{"I7, edge", "a new controller counts the VMs of the former one", "drcontroller/reports.go", "`drcontroller.TestNewControllerKnowsFleetSize`"},
+	{"I7, edge", "the uptime bounds the age of levels", "drcontroller/controller.go", "`drcontroller.TestTimeOfDayYieldsNoTokens`"},
+	{"I7, edge", "a holder's replies bound the age of its record", "drlease/elector.go", "`drlease.TestAgeOfHandoverIsBounded`"},
 }
--- a/drtokenpool/pool_test.go
+++ b/drtokenpool/pool_test.go
@@ -443,3 +443,26 @@
 	is.True(admitted >= 0.95*ideal)
 	is.True(admittedLarge >= 0.8*idealLarge)
 }
+
+// Guards against a VM that spends the rate of a time in which it was suspended: the pool has
+// given it to others, and the VM's monotonic clock stood still.
+func TestSuspendedVMGainsNothing(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	clock := drclock.NewFake(time.Unix(0, 0))
+	a := drtokenpool.NewAllowances(clock)
+	a.SetLimits(limit)
+	a.SetGrant("a", drtokenpool.Grant{Granted: 100, Share: 0.1})
+	a.RecordControllerReply(10)
+	clock.Advance(2 * time.Second) // the controller is lost
+	spend := func() (tokens float64) {
+		for a.Admit(ctx, &poolClient{down: true}, "a", 10).Admitted {
+			tokens += 10
+		}
+		return tokens
+	}
+	is.Equal(spend(), 100.0) // the grant
+	clock.Advance(time.Second)
+	is.Equal(spend(), 100.0)
+	clock.Suspend(10 * time.Second)
+	is.Equal(spend(), 0.0)
+}
