drproxy: Count crashes that meet another end of the exchange

Cause: an attempt that this VM let go of, because its client left, the VM stopped, the time of the request passed or another run took the stream over, was not looked at again. If the runner had ended the connection by then, unread by the VM, its crash was not counted.

Change: at these moments the VM looks whether the runner has ended the connection with no bytes left to read. Each run counts once.

--- a/drmatrix/mutation.go
+++ b/drmatrix/mutation.go
@@ -89,4 +89,8 @@
 	{"I7, edge", "a new controller counts the VMs of the former one", "drcontroller/reports.go", "`drcontroller.TestNewControllerKnowsFleetSize`"},
 	{"I7, edge", "the uptime bounds the age of levels", "drcontroller/controller.go", "`drcontroller.TestTimeOfDayYieldsNoTokens`"},
 	{"I7, edge", "a holder's replies bound the age of its record", "drlease/elector.go", "`drlease.TestAgeOfHandoverIsBounded`"},
+	{"crash", "a VM that lets go looks whether the runner has ended the connection", "drproxy/attempt.go", "`drproxy.TestCrashCountsBesideOtherEnd`"},
+	{"crash", "the same when the time of a read has passed", "drproxy/crash.go", "`drproxy.TestCrashCountsBesideOtherEnd`"},
+	{"crash", "the same when another run takes over", "drproxy/takeover.go", "`drproxy.TestCrashCountsDuringTakeover`"},
+	{"crash", "a crash counts once for each run", "drproxy/crash.go", "`drproxy.TestCrashCountsDuringTakeover`, `drproxy.TestRandomOrders`"},
 }
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -50,8 +50,9 @@
 	sentAt        time.Time
 	sentUptime    time.Duration
 	stopWatching  func()
-	// closedHere is set before watch closes the connection to the runner.
-	closedHere atomic.Bool
+	// closedHere is set before watch closes the connection to the runner, and endedFirst if
+	// the runner had ended it by then.
+	closedHere, endedFirst atomic.Bool
 	// begun is set once the runner has sent an event with an id.
 	begun bool
 	// withoutProgress is the number of bytes of comments and repeated events that the
@@ -149,6 +150,7 @@
 					continue
 				}
 			}
+			a.endedFirst.Store(a.upstream.PeerClosed() && a.upstream.Buffered() == 0)
 			a.closedHere.Store(true)
 			_ = a.upstream.Close()
 			return
--- a/drproxy/crash.go
+++ b/drproxy/crash.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"syscall"
 	"time"
@@ -13,6 +14,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drcrash"
 	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
@@ -84,12 +86,43 @@
 	return parts
 }
 
-// recordCrash records that the runner has ended the attempt's connection, if the
-// error says so and this VM has not closed it.
+// recordCrash records that the runner has ended the attempt's connection, if it did so
+// before this VM closed it. err is why the attempt fails.
 func (a *attempt) recordCrash(err error) {
-	if a.closedHere.Load() || !connectionBroke(err) {
+	switch {
+	case a.ended:
+		return // this VM has closed the connection
+	case a.closedHere.Load():
+		if !a.endedFirst.Load() || !connectionBroke(err) && !errors.Is(err, net.ErrClosed) {
+			return
+		}
+	case connectionBroke(err), timedOut(err) && a.hasBrokenOff():
+	default:
 		return
 	}
+	a.countCrash(err)
+}
+
+// letGo ends an attempt whose answer is not awaited any longer. A runner that has broken it
+// off has crashed all the same.
+func (a *attempt) letGo(result drfleetview.Result) {
+	if !a.ended && a.hasBrokenOff() {
+		a.countCrash(errLetGo)
+	}
+	a.end(result)
+}
+
+// errLetGo stands for the error that nobody has read from a connection.
+var errLetGo = errors.New("the runner had ended the connection before it was given up")
+
+// hasBrokenOff reports whether the runner has ended the connection although more of its
+// answer is awaited. An answer that ends with its connection may be whole.
+func (a *attempt) hasBrokenOff() bool {
+	return a.upstream.PeerClosed() && a.upstream.Buffered() == 0 && a.header.ContentLength() != untilCloseLength
+}
+
+// countCrash records a crash of the runner.
+func (a *attempt) countCrash(err error) {
 	x := a.exchange
 	log.WithFields(log.Fields{"event": "runner-broke-off", "request-id": x.call.ID, "runner": a.runner.ID, "started": a.runner.Started,
 		"fingerprint": x.identity().Request, "model": x.call.Model, "prompt": promptIDs(x.call), "last-event": a.lastEvent,
@@ -115,6 +148,15 @@
 	return strings.Join(ids, ",")
 }
 
+// timedOut reports whether a read has waited in vain until its deadline.
+func timedOut(err error) bool {
+	timeout, ok := errors.AsType[interface {
+		error
+		Timeout() bool
+	}](err)
+	return ok && timeout.Timeout()
+}
+
 // connectionBroke reports whether an error shows that the runner has ended the
 // connection, as one that crashes does.
 func connectionBroke(err error) bool {
--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -81,6 +82,88 @@
 	})
 }
 
+// Guards against a crash that is not counted because at the same instant its client leaves,
+// the time of the request passes or the VM stops: none of these undoes it.
+func TestCrashCountsBesideOtherEnd(t *testing.T) {
+	prepareBubble()
+	for _, path := range []string{"/get/x", "/stream/on/x", "/stream/once/x", "/pay/x"} {
+		for _, other := range []string{"leave", "stop", "deadline"} {
+			if other == "deadline" && (path == "/get/x" || path == "/stream/on/x") {
+				continue // the other runner answers the next attempt, which clears the request
+			}
+			t.Run(path+other, func(t *testing.T) {
+				for range 30 {
+					synctest.Test(t, func(t *testing.T) { crashBeside(t, path, other) })
+				}
+			})
+		}
+	}
+}
+
+func crashBeside(t *testing.T, path, other string) {
+	t.Helper()
+	running := make(chan *memoryConn, 8)
+	w := newScriptedWorld(func(conn *memoryConn, _ string) {
+		running <- conn
+		<-conn.Done()
+	})
+	defer w.close(t)
+	client := w.sendHalfway(path, "x")
+	conn := <-running
+	if other == "deadline" {
+		conn.pipe.mu.Lock()
+		conn.pipe.reset, conn.peer.readDeadline = true, time.Now()
+		conn.pipe.mu.Unlock()
+	}
+	conn.Reset()
+	switch other {
+	case "leave":
+		_ = client.Close()
+	case "stop":
+		w.server.EndUnanswered()
+	}
+	synctest.Wait()
+	is.New(t).Equal(len(w.server.Crashes.TakeReport(false).Crashes), 1)
+	_ = client.Close()
+}
+
+// Guards against a crash of a silent runner that is not counted because another runner has
+// been sent its stream meanwhile, in time to take it over or later, and crashes, too.
+func TestCrashCountsDuringTakeover(t *testing.T) {
+	prepareBubble()
+	for _, late := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			parts := answerParts("x", "/stream/on/x", 0, answersWhole)
+			sentAgain := make(chan struct{}, 8)
+			w := newScriptedWorld(func(conn *memoryConn, _ string) {
+				writeAll(conn, parts[0]+parts[1])
+				select {
+				case <-sentAgain:
+					conn.Reset()
+				case <-conn.Done():
+				}
+			})
+			defer w.close(t)
+			w.configureAttempts(2, 2, rand.New(rand.NewPCG(1, 1)))
+			w.server.pool.dialer.(scriptedDialer).runners["4"] = func(conn *memoryConn, _ string) {
+				sentAgain <- struct{}{}
+				time.Sleep(overlapTime / 2)
+				if !late {
+					writeAll(conn, parts[0])
+				}
+				time.Sleep(overlapTime)
+				conn.Reset()
+			}
+			_, _ = w.ask("/stream/on/x", "x")
+			crashed := make(map[string]int)
+			for _, c := range w.server.Crashes.TakeReport(true).Crashes {
+				crashed[c.Runner]++
+			}
+			is.New(t).Equal(crashed, map[string]int{"llm-3@0": 1, "llm-4@0": 1})
+		})
+	}
+}
+
 // Guards against counting it as a crash that this VM closes the connection to a runner,
 // because the client has left or the VM stops: sound requests would be refused.
 func TestOwnCloseIsNoCrash(t *testing.T) {
--- a/drproxy/memory_conn_test.go
+++ b/drproxy/memory_conn_test.go
@@ -27,7 +27,8 @@
 	arrivedAt    time.Time
 	closed       bool
 	closedAt     time.Time
-	unread       int // bytes that were dropped unread when this end closed
+	unread       int  // bytes that were dropped unread when this end closed
+	endedFirst   bool // this end closed before the other one
 	readDeadline time.Time
 	done         chan struct{}
 }
@@ -153,6 +154,7 @@
 		return nil
 	}
 	c.closed, c.closedAt, c.unread = true, time.Now(), len(c.inbound)
+	c.endedFirst = c.endedFirst || !c.peer.closed
 	c.inbound = nil
 	c.endDone()
 	c.peer.endDone()
@@ -165,6 +167,7 @@
 	p := c.pipe
 	p.mu.Lock()
 	p.reset = true
+	c.endedFirst = !c.closed && !c.peer.closed
 	p.mu.Unlock()
 	_ = c.Close()
 }
@@ -186,6 +189,13 @@
 	return c.closedAt, c.unread
 }
 
+// closedFirst reports whether this end closed before the other one.
+func (c *memoryConn) closedFirst() bool {
+	c.pipe.mu.Lock()
+	defer c.pipe.mu.Unlock()
+	return c.endedFirst
+}
+
 // Buffered implements drnet.Conn.
 func (c *memoryConn) Buffered() int {
 	c.pipe.mu.Lock()
--- a/drproxy/order_check_test.go
+++ b/drproxy/order_check_test.go
@@ -4,13 +4,20 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
 // check compares what the clients saw with what the runners did.
 func (w *orderWorld) check() {
+	counted := make(map[drrequest.Fingerprint]int)
+	for _, c := range w.server.Crashes.TakeReport(true).Crashes {
+		counted[c.Request]++
+	}
 	for _, o := range w.outcomes {
 		runs := w.runs[o.id]
 		w.checkRuns(o, runs)
+		w.checkCrashes(o, runs, counted[drrequest.NewFingerprint("", "POST "+o.path, []byte("body"))])
 		w.checkAnswer(o)
 		if !o.hungUp {
 			w.checkAnswered(o, runs)
@@ -34,6 +41,26 @@
 	}
 }
 
+// checkCrashes checks that each crash of a runner was counted once, unless this VM had
+// closed its connection before, and that nothing else was.
+func (w *orderWorld) checkCrashes(o *orderOutcome, runs []*worldRun, counted int) {
+	seen, all := 0, 0
+	for _, r := range runs {
+		if r.whole {
+			return // a success clears the request
+		}
+		if r.crashed {
+			all++
+		}
+		if r.crashed && r.conn.closedFirst() {
+			seen++
+		}
+	}
+	if counted < seen || counted > all {
+		w.report("%s: %d crashes counted; %d seen of %d", o, counted, seen, all)
+	}
+}
+
 // checkAnswer checks that what a client got is its own answer.
 func (w *orderWorld) checkAnswer(o *orderOutcome) {
 	if o.status != 0 && o.answerID != o.id {
--- a/drproxy/order_runner_test.go
+++ b/drproxy/order_runner_test.go
@@ -37,6 +37,7 @@
 	silentInAnswer
 	endlessInAnswer // bytes without end follow the beginning of the answer
 	repeatsEvents   // the last event sent follows again and again
+	breaksLate      // the answer breaks off after a silence
 	behaviorCount
 )
 
@@ -51,6 +52,8 @@
 	// faulty is set if the runner's behavior alone can end the client's answer
 	// early.
 	faulty bool
+	// crashed is set if the runner ended the connection instead of its answer.
+	crashed bool
 	// ended is set if the VM closed the connection before the answer was whole.
 	ended bool
 }
@@ -136,6 +139,7 @@
 	switch chosen {
 	case breaksBeforeAnswer:
 		run.fault()
+		run.crash()
 		conn.Reset()
 		return false
 	case staysSilent:
@@ -170,7 +174,7 @@
 			if chosen != repeatsEvents {
 				writeAll(conn, part[:len(part)/2])
 			}
-			return r.breakOff(conn, chosen, parts[max(i-1, 0)])
+			return r.breakOff(conn, run, chosen, parts[max(i-1, 0)])
 		}
 		if i > 0 {
 			r.pause()
@@ -190,8 +194,15 @@
 
 // breakOff does what the behavior does instead of ending the answer. It returns
 // false: the connection takes no further request.
-func (r *orderRunner) breakOff(conn *memoryConn, chosen behavior, lastPart string) bool {
+func (r *orderRunner) breakOff(conn *memoryConn, run *worldRun, chosen behavior, lastPart string) bool {
 	switch chosen {
+	case breaksLate:
+		select {
+		case <-time.After(time.Duration(r.draw(2000)) * time.Millisecond):
+			run.crash()
+			conn.Reset()
+		case <-conn.Done():
+		}
 	case endlessInAnswer:
 		for writeAll(conn, strings.Repeat("e", 16<<10)) {
 			time.Sleep(time.Millisecond)
@@ -201,8 +212,11 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		<-conn.Done()
-	case breaksInAnswer:
-		conn.Reset()
+	case breaksInAnswer, closesInAnswer:
+		run.crash()
+		if chosen == breaksInAnswer {
+			conn.Reset()
+		}
 	case silentInAnswer:
 		<-conn.Done()
 	}
--- a/drproxy/order_test.go
+++ b/drproxy/order_test.go
@@ -39,6 +39,8 @@
 	orderPatience = 550 * time.Millisecond
 	// answerSlack is how long after its deadline a request may be answered.
 	answerSlack = 50 * time.Millisecond
+	// crashOffset is no multiple of the times of all other events.
+	crashOffset = 333331 * time.Nanosecond
 	// lateMargin is the time before a request's deadline in which an answer may
 	// come too late to be passed on.
 	lateMargin = 50 * time.Millisecond
@@ -91,6 +93,13 @@
 func (r *worldRun) end()      { r.update(func(x *runRecord) { x.ended = true }) }
 func (r *worldRun) complete() { r.update(func(x *runRecord) { x.whole, x.wholeAt = true, time.Now() }) }
 
+// crash marks the run as one that its runner breaks off, at an instant at which nothing else
+// happens: which of two things at one instant comes first is not defined.
+func (r *worldRun) crash() {
+	time.Sleep(crashOffset)
+	r.update(func(x *runRecord) { x.crashed = true })
+}
+
 func (w *orderWorld) report(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/drproxy/takeover.go
+++ b/drproxy/takeover.go
@@ -35,7 +35,7 @@
 		state.lastErr = err
 	}
 	if taken {
-		silent.end(drfleetview.Failed)
+		silent.letGo(drfleetview.Failed)
 	}
 	log.WithFields(log.Fields{"event": "stream-takeover", "request-id": x.call.ID, "silent": silent.runner.ID, "runner": c.Runner.ID, "taken": taken,
 		"gave-up": silent.ended, "last-event": st.lastEvent, "draining": x.server.draining.Load()}).WithError(err).Info("")
@@ -106,7 +106,7 @@
 	sameRunner := silent.runner.ID == a.runner.ID
 	switch {
 	case silent.hasResumed(), a.exchange.server.draining.Load() && !sameRunner:
-		a.end(drfleetview.Abandoned)
+		a.letGo(drfleetview.Abandoned)
 		return false
 	case sameRunner && !now.Before(limit):
 		return false
@@ -114,7 +114,7 @@
 		_ = a.upstream.SetReadDeadline(earlier(limit, now.Add(overlapTime)))
 		return true
 	}
-	silent.end(drfleetview.Failed)
+	silent.letGo(drfleetview.Failed)
 	a.setGiveUpDeadline(limit)
 	return true
 }
