drtokenpool: Count former VMs only for accounts of the controller's start

Cause: an account that is configured later set tokens aside for all VMs that had reported to the former controller, however long ago, as if they were absent.

Change: what was inherited is dropped after the first limits are set.

--- a/drmatrix/mutation.go
+++ b/drmatrix/mutation.go
@@ -93,4 +93,7 @@
 	{"crash", "the same when the time of a read has passed", "drproxy/crash.go", "`drproxy.TestCrashCountsBesideOtherEnd`"},
 	{"crash", "the same when another run takes over", "drproxy/takeover.go", "`drproxy.TestCrashCountsDuringTakeover`"},
 	{"crash", "a crash counts once for each run", "drproxy/crash.go", "`drproxy.TestCrashCountsDuringTakeover`, `drproxy.TestRandomOrders`"},
+	{"I7, edge", "only accounts of a controller's start count former VMs", "drtokenpool/pool.go", "`drtokenpool.TestNewAccountGetsItsRate`"},
+	{"I7, edge", "the pool follows a changed rate", "drtokenpool/pool.go", "`drtokenpool.TestMovedLimitsHoldInRandomOrders`"},
+	{"I7, edge", "the pool follows a changed burst", "drtokenpool/pool.go", "`drtokenpool.TestMovedLimitsHoldInRandomOrders`"},
 }
--- a/drtokenpool/pool.go
+++ b/drtokenpool/pool.go
@@ -114,7 +114,7 @@
 			delete(p.accounts, name)
 		}
 	}
-	p.inherited.Levels, p.historyUnknown = nil, false // accounts that are added later are new
+	p.inherited, p.historyUnknown = Inheritance{}, false // accounts that are added later are new
 }
 
 // refill brings the level up to date: it deducts the tokens to set aside for VMs
