drtokenpool: Show what half of a fleet spends without its controller

The controller sets aside what silent VMs spend for 6 s, because they could not confirm their configuration afterwards; but those that reach the store read it there and go on.

--- a/drtokenpool/replay_test.go
+++ b/drtokenpool/replay_test.go
@@ -229,6 +229,17 @@
 	is.True(r.most(time.Hour) >= 0.95*replayRate*replayLength.Seconds())
 }
 
+// Guards against a large fleet that spends more than the limit, or much less, while half of
+// its VMs cannot reach their only controller.
+func TestSurgeWithHalfOfVMsCutOff(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(400)
+	r.play(t, 400, 200, true)
+	r.logShares(t)
+	is.True(r.most(8*time.Second) <= (8*replayRate+replayBurst)*1.1)
+	is.True(r.most(time.Hour) >= 0.95*replayRate*replayLength.Seconds())
+}
+
 // lateTokens returns the tokens that second calls got before a time.
 func (r *replay) lateTokens(before time.Duration) float64 {
 	total := 0.0
