--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -108,6 +108,9 @@
 		<-conn.Done()
 	})
 	defer w.close(t)
+	for _, address := range []string{"1", "4"} { // an answer of the other runner would clear the request
+		w.server.pool.dialer.(scriptedDialer).runners[address] = func(conn *memoryConn, _ string) { <-conn.Done() }
+	}
 	client := w.sendHalfway(path, "x")
 	conn := <-running
 	if other == "deadline" {
