--- a/drproxy/unread_test.go
+++ b/drproxy/unread_test.go
@@ -74,7 +74,7 @@
 
 // Guards against a request that is held until its client loses patience although
 // its model is expected only later: it must be refused at once, so that the client
-// can come back. On a day of Lochanbeag 33 requests were held for 2.4 s each.
+// can come back. On one day 33 requests were held for 2.4 s each.
 func TestRefusesWhatOutlastsPatience(t *testing.T) {
 	startDateLoop()
 	synctest.Test(t, func(t *testing.T) {
