drproxy: Say in one place that a runner ended a connection, and that a read timed out

Cause: the same conditions stood twice, and each request read the view's channel of changes although its configuration was there. Change: upstream.endedByPeer, timedOut also for reads of upstream, one loop in awaitConfiguration that follows the check.

--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -150,7 +150,7 @@
 					continue
 				}
 			}
-			a.endedFirst.Store(a.upstream.PeerClosed() && a.upstream.Buffered() == 0)
+			a.endedFirst.Store(a.upstream.endedByPeer())
 			a.closedHere.Store(true)
 			_ = a.upstream.Close()
 			return
--- a/drproxy/crash.go
+++ b/drproxy/crash.go
@@ -118,7 +118,7 @@
 // hasBrokenOff reports whether the runner has ended the connection although more of its
 // answer is awaited. An answer that ends with its connection may be whole.
 func (a *attempt) hasBrokenOff() bool {
-	return a.upstream.PeerClosed() && a.upstream.Buffered() == 0 && a.header.ContentLength() != untilCloseLength
+	return a.upstream.endedByPeer() && a.header.ContentLength() != untilCloseLength
 }
 
 // countCrash records a crash of the runner.
--- a/drproxy/upstream.go
+++ b/drproxy/upstream.go
@@ -63,13 +63,16 @@
 func (u *upstream) Read(p []byte) (int, error) {
 	for {
 		n, err := u.turn.readFrom(u.Conn, p)
-		var ne net.Error
-		if n > 0 || u.extendDeadline == nil || !errors.As(err, &ne) || !ne.Timeout() || !u.extendDeadline() {
+		if n > 0 || u.extendDeadline == nil || !timedOut(err) || !u.extendDeadline() {
 			return n, err
 		}
 	}
 }
 
+// endedByPeer reports whether the runner has ended the connection and all that it sent has
+// been read.
+func (u *upstream) endedByPeer() bool { return u.PeerClosed() && u.Buffered() == 0 }
+
 // reset removes what an attempt has left on the connection, so that nothing of
 // it affects the next one. It fails if the runner has sent more than the answer.
 func (u *upstream) reset() error {
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -91,7 +91,6 @@
 // and half of the request's time. It returns false if the client has left.
 func (x *exchange) awaitConfiguration() bool {
 	v := x.server.View
-	changed := v.Changed()
 	if d, _ := v.Deployment(); d != nil {
 		return true
 	}
@@ -104,6 +103,10 @@
 	t := x.server.Clock.NewTimer(limit)
 	defer t.Stop()
 	for {
+		changed := v.Changed()
+		if d, _ := v.Deployment(); d != nil {
+			return true
+		}
 		select {
 		case <-changed:
 		case <-t.C():
@@ -113,10 +116,6 @@
 		case <-x.conn.Done():
 			return false
 		}
-		changed = v.Changed()
-		if d, _ := v.Deployment(); d != nil {
-			return true
-		}
 	}
 }
 
