drcontroller, drfleetview: Count the reporting VMs once a reply

Cause: fleetSize went through all VMs again for each reply; the time that a runner stays cold was worked out in three places. Change: fleetSize takes the count; entry.statedCold.

--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -258,8 +258,8 @@
 	if version > request.GetDeployment() || c.lacksVerdict(request) || c.lacksOutages(request) {
 		return true
 	}
-	if request.GetTerm() != c.Term { // it may not know the runners that permits are for
-		return c.canNameRunners(request)
+	if request.GetTerm() != c.Term {
+		return c.canNameRunners(request) // permits may be for runners that it does not know
 	}
 	if c.canGivePermits(request) {
 		return true
@@ -345,7 +345,7 @@
 	vms := c.countReportingVMs(now)
 	reply.MostProcessor = c.maxProcessor()
 	reply.ReserveCalls = c.Processor * reserveProcessorShare / reserveCallCost.Seconds()
-	reply.Vms = uint32(c.fleetSize(now))
+	reply.Vms = uint32(c.fleetSize(vms, now))
 	reply.NextWaitMs = uint32(milliseconds(time.Duration(vms) * syncIntervalPerVM))
 }
 
@@ -376,14 +376,12 @@
 }
 
 // fleetSize returns the number of VMs that share rates and budgets: those that report, or
-// that reported to the former controller while this one has not heard from all of them. The
-// caller holds mu.
-func (c *Controller) fleetSize(now time.Time) int {
-	n := c.countReportingVMs(now)
+// that reported to the former controller while this one has not heard from all of them.
+func (c *Controller) fleetSize(reporting int, now time.Time) int {
 	if now.Sub(c.startedAt) < maxFormerVMsAge {
-		n = max(n, c.Inherited.VMs)
+		return max(reporting, c.Inherited.VMs)
 	}
-	return n
+	return reporting
 }
 
 // maxProcessor returns the part of a core that the strongest VM may use, 0 if
@@ -409,7 +407,7 @@
 func (c *Controller) Handover() drlease.Handover {
 	c.mu.Lock()
 	now := c.Clock.Now()
-	handover := drlease.Handover{VMs: c.fleetSize(now), Runners: c.countRunners(), MostProcessor: c.maxProcessor(), Counted: now}
+	handover := drlease.Handover{VMs: c.fleetSize(c.countReportingVMs(now), now), Runners: c.countRunners(), MostProcessor: c.maxProcessor(), Counted: now}
 	c.mu.Unlock()
 	handover.Levels = c.pool.Levels()
 	if now.Sub(c.startedAt) < c.OrderPause {
--- a/drfleetview/bucket.go
+++ b/drfleetview/bucket.go
@@ -56,7 +56,7 @@
 	uptime := v.clock.Uptime()
 	for _, e := range b.entries {
 		if !e.removed {
-			runners = append(runners, Change{Runner: e.runner, Cold: max(e.coldUntil-uptime, 0)})
+			runners = append(runners, Change{Runner: e.runner, Cold: e.statedCold(uptime)})
 		}
 	}
 	slices.SortFunc(runners, func(a, b Change) int { return cmp.Compare(a.Runner.ID, b.Runner.ID) })
--- a/drfleetview/change.go
+++ b/drfleetview/change.go
@@ -63,7 +63,7 @@
 		if more = len(cs) == limit; more {
 			break
 		}
-		cs = append(cs, Change{Runner: e.runner, Gone: e.removed, Update: !e.removed && e.identityRevision <= after, Cold: max(e.coldUntil-uptime, 0)})
+		cs = append(cs, Change{Runner: e.runner, Gone: e.removed, Update: !e.removed && e.identityRevision <= after, Cold: e.statedCold(uptime)})
 		revision = c.revision
 	}
 	if !more {
--- a/drfleetview/cold.go
+++ b/drfleetview/cold.go
@@ -64,6 +64,10 @@
 	return e.coldUntil - uptime
 }
 
+// statedCold returns the time left for which a runner has said that it is cold, as other VMs
+// are told. The caller holds the view's mu.
+func (e *entry) statedCold(uptime time.Duration) time.Duration { return max(e.coldUntil-uptime, 0) }
+
 // noteCold records that the described incarnation of a runner is cold for the stated time
 // from now, and reports whether that is news for other VMs. A description that says less
 // than an earlier one shortens nothing, because it may be older. The caller holds mu.
--- a/drfleetview/serving.go
+++ b/drfleetview/serving.go
@@ -14,7 +14,7 @@
 		if !v.serves(e, replica) {
 			continue
 		}
-		c := Change{Runner: e.runner, Cold: max(e.coldUntil-uptime, 0)}
+		c := Change{Runner: e.runner, Cold: e.statedCold(uptime)}
 		if e.runner.Zone == zone {
 			near = append(near, c)
 		} else if len(far) < limit {
