drproxy: Deny nothing for certain by an old configuration

Cause: only the time after which a withdrawn key may not work was compared with the age of the configuration, and only for requests with a key that have a route. Class: an answer for certain from an old reading.

What an unconfirmed configuration lacks may exist once config-propagation has passed. Such a request gets 503 configuration-stale (not run, Retry-After) and goes to another VM. The log says version and age of what denied a request.

TestStaleConfigurationDeniesNothing failed before for route, key and model.

--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -138,6 +138,7 @@
 		Clock: config.Clock, Zone: settings.Zone, Regions: settings.Regions, Wire: config.Platform.Wire, View: e.view, Allowances: e.allowances, Claimer: e.controllerNode,
 		Crashes: e.crashes,
 		Budgets: e.budgets, Metrics: e.metrics, Dialer: dialer, MaxConnections: int(callersDescriptorShare * float64(settings.Descriptors)),
+		Propagation:   time.Duration(settings.Propagation),
 		LargeMessages: int(largeMessagesShare * float64(settings.MemoryLimit)),
 	})
 	e.proxy.SetFreshness(settings.freshness())
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -182,7 +182,7 @@
 	}
 	x.configVersion = d.Version
 	if x.route = d.Route(x.call.Host, x.call.Path); x.route == nil {
-		return refusal{status: fasthttp.StatusNotFound, reason: "unknown-route", detail: x.call.Host + x.call.Path}, false
+		return x.unknownRefusal(refusal{status: fasthttp.StatusNotFound, reason: "unknown-route", detail: x.call.Host + x.call.Path}), false
 	}
 	x.service = d.Service(x.route.Target(rand.Float64()))
 	x.setPrompt()
@@ -201,7 +201,7 @@
 		return staleRefusal(age), false
 	}
 	if x.account = d.Account(x.call.Key); x.account == nil {
-		return refusal{status: fasthttp.StatusUnauthorized, reason: "unknown-key"}, false
+		return x.unknownRefusal(refusal{status: fasthttp.StatusUnauthorized, reason: "unknown-key"}), false
 	}
 	return refusal{}, true
 }
@@ -221,6 +221,20 @@
 	return refusal{}, true
 }
 
+// unknownRefusal returns the refusal of a request for something that the configuration does
+// not have. If the configuration may have got it since the store last confirmed it, the
+// client is to ask another VM instead of giving up.
+func (x *exchange) unknownRefusal(unknown refusal) refusal {
+	_, age := x.server.View.Deployment()
+	unknown.detail = fmt.Sprintf("%s, version %d as of %v ago", unknown.detail, x.configVersion, age.Round(time.Millisecond))
+	if bound := x.server.Propagation; bound > 0 && age > bound {
+		stale := staleRefusal(age)
+		stale.detail = unknown.reason + " " + unknown.detail
+		return stale
+	}
+	return unknown
+}
+
 func staleRefusal(age time.Duration) refusal {
 	return refusal{status: fasthttp.StatusServiceUnavailable, reason: "configuration-stale",
 		detail: "configuration last confirmed " + age.Round(time.Millisecond).String() + " ago", retryAfter: retryAfterUnready}
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -65,6 +65,9 @@
 	// Above it the connection that has been idle longest is closed, or the new
 	// one if none is idle.
 	MaxConnections int
+	// Propagation is the time within which a change of the configuration is in force on
+	// each VM. What an older configuration lacks is not refused as unknown. 0 sets no bound.
+	Propagation time.Duration
 	// LargeMessages bounds the memory in bytes that bodies and events beyond
 	// 64 KiB take together, 24 MiB if it is 0.
 	LargeMessages int
--- a/drproxy/stale_attempt_test.go
+++ b/drproxy/stale_attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,13 +12,12 @@
 	"github.com/dotterelridge/dotterelridge/drfleet"
 )
 
-// requireKeys puts a configuration in force in which all routes need a key that no request
-// has to state, and which the store confirms now for the last time.
-func (w *orderWorld) requireKeys(t *testing.T) {
+// requireKeys puts a configuration in force in which all routes need one of the keys, and which the store confirms now for the last time.
+func (w *orderWorld) requireKeys(t *testing.T, keys ...string) {
 	t.Helper()
 	old, _ := w.view.Deployment()
 	config := old.Config
-	config.Version, config.Accounts = old.Version+1, []drfleet.Account{{Name: "account", Keys: []string{""}}}
+	config.Version, config.Accounts = old.Version+1, []drfleet.Account{{Name: "account", Keys: keys}}
 	d, err := drfleet.NewDeployment(config)
 	if err != nil {
 		t.Fatal(err)
@@ -31,6 +31,9 @@
 const (
 	// staleFreshness and staleZoneDrain are the bounds in the tests of this file.
 	staleFreshness, staleZoneDrain = time.Second, 1200 * time.Millisecond
+	stalePropagation               = 500 * time.Millisecond
+	// unstatedKey is that of requests that state none.
+	unstatedKey = ""
 	// staleDelay is how long a first attempt takes.
 	staleDelay = 300 * time.Millisecond
 )
@@ -48,7 +51,7 @@
 			_ = conn.Close()
 		})
 		defer w.close(t)
-		w.requireKeys(t)
+		w.requireKeys(t, unstatedKey)
 		time.Sleep(staleZoneDrain - staleDelay + 50*time.Millisecond)
 		o, _ := w.ask("/stream/on/x", "x")
 		is.True(o.complete)
@@ -79,7 +82,7 @@
 							d.runners["0"], d.runners["3"] = d.runners["1"], d.runners["4"]
 							w.server.pool.dialer = &statingDialer{Dialer: d, state: func() { time.Sleep(staleDelay) }}
 						}
-						w.requireKeys(t)
+						w.requireKeys(t, unstatedKey)
 						time.Sleep(age)
 						o, _ := w.ask(path, "x")
 						is.Equal(o.body, want)
@@ -89,3 +92,31 @@
 		}
 	}
 }
+
+// Guards against a client that is told that a route, key or model does not exist, and gives
+// up, by a VM that has not heard for longer than a change takes to be in force everywhere.
+func TestStaleConfigurationDeniesNothing(t *testing.T) {
+	prepareBubble()
+	for _, c := range []struct{ path, model, key, unknown string }{
+		{"/added/x", "m", unstatedKey, "unknown-route\n"},
+		{"/get/x", "m", "added", "unknown-key\n"},
+		{"/stream/on/x", "added", unstatedKey, "unknown-model\n"},
+	} {
+		for age, want := range map[time.Duration]string{
+			stalePropagation - time.Millisecond: c.unknown, stalePropagation + time.Millisecond: "configuration-stale\n",
+		} {
+			t.Run(fmt.Sprintf("%s at %v", strings.TrimSpace(c.unknown), age), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					w := newScriptedWorld(refuse)
+					defer w.close(t)
+					w.requireKeys(t, c.key)
+					w.server.Propagation = stalePropagation
+					time.Sleep(age)
+					o, _ := w.askFor(c.model, c.path, "x")
+					is.Equal(o.body, want)
+				})
+			})
+		}
+	}
+}
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -49,7 +49,7 @@
 	giveUpAt := x.giveUpAt()
 	if x.service.Engine != nil {
 		if _, ok := x.service.Engine.Models[p.Model]; !ok {
-			return nil, refusal{status: fasthttp.StatusNotFound, reason: "unknown-model"}, refused
+			return nil, x.unknownRefusal(refusal{status: fasthttp.StatusNotFound, reason: "unknown-model", detail: p.Model}), refused
 		}
 	}
 	if x.runnerMayCome(p) {
