drproxy: Keep what a refusal goes by out of its explanation

The version and age of the configuration were added to the detail of unknown route, key and model, which explain shows as the reason: TestVMExplainsWhereARequestGoes failed on. They are a field of the log line alone now, and the test passes.

--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -226,10 +227,10 @@
 // client is to ask another VM instead of giving up.
 func (x *exchange) unknownRefusal(unknown refusal) refusal {
 	_, age := x.server.View.Deployment()
-	unknown.detail = fmt.Sprintf("%s, version %d as of %v ago", unknown.detail, x.configVersion, age.Round(time.Millisecond))
+	unknown.basis = fmt.Sprintf("version %d as of %v ago", x.configVersion, age.Round(time.Millisecond))
 	if bound := x.server.Propagation; bound > 0 && age > bound {
 		stale := staleRefusal(age)
-		stale.detail = unknown.reason + " " + unknown.detail
+		stale.detail, stale.basis = strings.TrimSpace(unknown.reason+" "+unknown.detail), unknown.basis
 		return stale
 	}
 	return unknown
--- a/drproxy/refusal.go
+++ b/drproxy/refusal.go
@@ -19,6 +19,7 @@
 	status     int
 	reason     string        // from a fixed set: it is also a metric label
 	detail     string        // for the log only, "" for none
+	basis      string        // what the refusal goes by, for the log only, "" for nothing
 	retryAfter time.Duration // 0 leaves the header out
 }
 
@@ -33,7 +34,7 @@
 	x.keepAlive = x.keepAlive && !x.server.crowded()
 	x.setConnectionHeader(&h)
 	x.server.Metrics.Counter(drmetric.Refusals, response.reason).Inc(1)
-	x.logEnd("request-refused", response.status, log.Fields{"reason": response.reason, "detail": response.detail, "retry-after": response.retryAfter})
+	x.logEnd("request-refused", response.status, log.Fields{"reason": response.reason, "detail": response.detail, "basis": response.basis, "retry-after": response.retryAfter})
 	_ = x.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := h.WriteTo(x.conn.writer); err != nil {
 		x.keepAlive = false
