drcontroller, drfleetview: Let no older reading undo a newer one

Requests reached runners over 2 s after the store had acknowledged that they had left (DRAIN).

Cause: what was learned of a runner had a value and no version. Class: a belief is replaced by an older one. Each reply now says as of which reading of the store its runners are, a position (era and offset). A VM lists no runner that a later reading has not found, and removes none that a later one has found, by changes, whole tables, buckets and names. A controller that keeps runners whose entries may have lapsed states the position before that. As a controller's changes alone don't bring two tables together then, they are compared by their digests once the controller has read as far as the VM.

The end of a read of the newest entries removes runners that controllers named meanwhile by an older reading, which was left to a second read.

--- a/drcontroller/controller_position_test.go
+++ b/drcontroller/controller_position_test.go
@@ -27,7 +27,7 @@
 		listed[r.ID] = true
 		w.view.OfferRunner(r, drfleetview.FromController)
 	}
-	w.view.KeepRunners(listed)
+	w.view.KeepRunners(listed, drstore.Position{})
 	w.view.ConfirmRunners(controller.RunnersConfirmed())
 }
 
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drrequest"
 	"github.com/dotterelridge/dotterelridge/drscheduler"
+	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
 // Names of the methods that VMs call on the controller.
@@ -109,6 +110,15 @@
 	return r
 }
 
+func encodePosition(p drstore.Position) *drpb.FleetPosition {
+	return &drpb.FleetPosition{Era: p.Era, Next: p.Next}
+}
+
+// decodePosition returns the zero position for a message that is not set.
+func decodePosition(m *drpb.FleetPosition) drstore.Position {
+	return drstore.Position{Era: m.GetEra(), Next: m.GetNext(), Read: m != nil}
+}
+
 func encodeIncarnation(i drfleetview.Incarnation) *drpb.FleetIncarnation {
 	return &drpb.FleetIncarnation{Runner: i.Runner, Started: i.Started}
 }
--- a/drcontroller/newest_read.go
+++ b/drcontroller/newest_read.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
 
-	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
@@ -20,9 +18,9 @@
 // newestRead is a read of the newest entries of the runners, page by page. What it has read
 // stays read if a page fails, so that it ends however slow the store is.
 type newestRead struct {
-	// next is the offset from which the history goes on, and sentAt the uptime at which the
+	// next is where the history goes on, and sentAt the uptime at which the
 	// first page was asked for.
-	next   int64
+	next   drstore.Position
 	sentAt time.Duration
 	// after is the key after which the next page begins, and pageAt the uptime at which the
 	// last one arrived. entries counts its records, and took sums the time of all pages.
@@ -57,8 +55,8 @@
 		return nil // the page may be older than what a controller has named meanwhile
 	}
 	if read.after == "" {
-		read.next = page.Next
-		r.view.BeginNews(read.sentAt, page.Next)
+		read.next = drstore.Position{Next: page.Next}
+		r.view.BeginNews(read.sentAt, read.next)
 	}
 	read.pageAt = r.clock.Uptime()
 	read.took += read.pageAt - now
@@ -66,7 +64,7 @@
 	for _, rec := range page.Records {
 		read.listed[rec.Key] = true
 		r.noteWritten(rec, last)
-		r.applyRunnerRecord(rec)
+		r.applyRunnerRecord(rec, drstore.After(0, max(rec.Offset, page.End-1)))
 	}
 	if page.After == "" {
 		r.endNewestRead(read)
@@ -90,22 +88,24 @@
 	return read
 }
 
-// endNewestRead removes the runners that were known before the read and have no entry.
-// Others may have come meanwhile.
+// endNewestRead removes the runners that have no entry, unless they came after the read
+// began. Of those that an earlier version of the controller has named since, that is not known.
 func (r *reader) endNewestRead(read *newestRead) {
-	for id := range read.known {
-		if !read.listed[id] {
-			r.dropRunner(id, read.sentAt)
+	r.strangersAt, r.strangers = read.sentAt, false
+	for _, known := range r.view.Runners("") {
+		switch {
+		case read.listed[known.ID]:
+		case read.known[known.ID], r.view.ListedAsOf(known.ID).Known():
+			r.dropRunner(known.ID, read.sentAt, read.next)
+		default:
+			r.strangers = true
 		}
 	}
-	r.removeLapsedRunners(read.sentAt)
-	r.strangersAt, r.strangers = read.sentAt, slices.ContainsFunc(r.view.Runners(""), func(known *drfleet.Runner) bool {
-		return !read.listed[known.ID] && !read.known[known.ID]
-	})
+	r.removeLapsedRunners(read.sentAt, read.next)
 	maps.DeleteFunc(r.writtenSince, func(id string, _ time.Duration) bool { return !read.listed[id] })
 	log.WithFields(log.Fields{"event": "runners-read", "entries": len(read.listed), "took": read.took, "began-ago": read.pageAt - read.sentAt}).Info("")
 	r.runnersTook, r.newest = read.took, nil
-	r.confirmRunners(position{next: read.next, started: true, readAt: read.sentAt})
+	r.confirmRunners(position{era: read.next.Era, next: read.next.Next, started: true, readAt: read.sentAt})
 }
 
 // noteWritten records that a runner has written its entry since the last complete read.
--- a/drcontroller/newest_read_orders_test.go
+++ b/drcontroller/newest_read_orders_test.go
@@ -164,7 +164,7 @@
 	w.clock.Advance(time.Second)
 	w.store.Put(drstore.Runners, "a", []byte("2 1"))
 	w.view.OfferRunner(&drfleet.Runner{ID: "a", Started: 2}, drfleetview.FromController)
-	w.view.ConfirmRunners(w.clock.Uptime(), 0)
+	w.view.ConfirmRunners(w.clock.Uptime(), drstore.Position{})
 	w.clock.Advance(2 * time.Second)
 	for range 3 {
 		is.NoErr(w.reader.readRunners(ctx))
@@ -184,7 +184,7 @@
 	w.store.Put(drstore.Runners, "left", nil)
 	is.NoErr(w.reader.readRunners(ctx))
 	w.view.OfferRunner(&drfleet.Runner{ID: "left", Started: 1}, drfleetview.FromController)
-	w.view.ConfirmRunners(w.clock.Uptime()-time.Second, 0)
+	w.view.ConfirmRunners(w.clock.Uptime()-time.Second, drstore.Position{})
 	for range 20 {
 		w.clock.Advance(500 * time.Millisecond)
 		is.NoErr(w.reader.readRunners(ctx))
@@ -204,7 +204,7 @@
 	is.NoErr(w.reader.readRunners(ctx))
 	is.True(!w.reader.hasHistory())
 	w.clock.Advance(time.Second)
-	w.view.ConfirmRunners(w.clock.Uptime(), 3)
+	w.view.ConfirmRunners(w.clock.Uptime(), drstore.Position{Next: 3})
 	is.True(w.reader.hasHistory())
 	is.NoErr(w.reader.readRunners(ctx))
 	is.True(w.reader.hasHistory())
@@ -373,12 +373,12 @@
 		ids[id] = true
 		o.view.OfferRunner(r, drfleetview.FromController)
 	}
-	o.view.KeepRunners(ids)
+	o.view.KeepRunners(ids, drstore.Position{})
 	page, err := o.store.Newest(context.Background(), drstore.Runners, "")
 	if err != nil {
 		panic(err)
 	}
-	o.view.ConfirmRunners(o.clock.Uptime(), page.Next*int64(o.rand.IntN(2))) // one of an earlier version states none
+	o.view.ConfirmRunners(o.clock.Uptime(), drstore.Position{Next: page.Next * int64(o.rand.IntN(2))}) // one of an earlier version states none
 }
 
 // settle reads on without failures until all has been read twice and no entry counts as
--- a/drcontroller/news_read.go
+++ b/drcontroller/news_read.go
@@ -14,7 +14,7 @@
 // brought up to date yet: it is not complete, and its next page has a turn.
 func (r *reader) newsDue(after time.Duration) bool {
 	at, next := r.view.News()
-	return next > 0 && !r.hasHistory() && r.clock.Uptime()-at >= after
+	return next.Known() && !r.hasHistory() && r.clock.Uptime()-at >= after
 }
 
 // readNews reads the next page of the history of the listed runners, so that those that have
@@ -26,10 +26,10 @@
 	confirmedAt, next := r.view.News()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout) // also after failed pages of the newest entries
 	defer cancel()
-	page, err := r.log.Read(ctx, drstore.Runners, next, historyPageKB, 0)
+	page, err := r.log.Read(ctx, drstore.Runners, next.Next, historyPageKB, 0)
 	if expired, ok := errors.AsType[*drstore.ExpiredError](err); ok {
-		log.WithFields(log.Fields{"event": "store-records-expired", "topic": drstore.Runners, "offset": next}).Info("")
-		r.view.ConfirmNews(confirmedAt, expired.First)
+		log.WithFields(log.Fields{"event": "store-records-expired", "topic": drstore.Runners, "offset": next.Next}).Info("")
+		r.view.ConfirmNews(confirmedAt, drstore.Position{Era: next.Era, Next: expired.First})
 		return nil
 	}
 	if err != nil {
@@ -37,12 +37,12 @@
 	}
 	for _, rec := range page.Records {
 		if _, listed := r.view.Runner(rec.Key); listed && len(rec.Value) > 0 {
-			r.applyRunnerRecord(rec)
+			r.applyRunnerRecord(rec, drstore.After(next.Era, rec.Offset))
 		}
 	}
 	if page.Next < page.End {
 		sent = confirmedAt // the next page is due at once
 	}
-	r.view.ConfirmNews(sent, page.Next)
+	r.view.ConfirmNews(sent, drstore.Position{Era: next.Era, Next: page.Next})
 	return nil
 }
--- a/drcontroller/piece_wait_test.go
+++ b/drcontroller/piece_wait_test.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drrequest"
+	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
 // pieceWaitFixture is a controller whose window is full of pieces for other VMs.
@@ -21,7 +22,7 @@
 
 func newPieceWaitFixture(t *testing.T) pieceWaitFixture {
 	f := pieceWaitFixture{newControllerFixture(t, func(c *ControllerConfig) { c.Clock = bubbleClock{start: time.Now()} })}
-	f.view.ConfirmRunners(0, 0)
+	f.view.ConfirmRunners(0, drstore.Position{})
 	f.fillWindow()
 	return f
 }
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -87,8 +87,12 @@
 	heartbeat time.Duration
 }
 
+// asOf returns the reading that ends at the position.
+func (p position) asOf() drstore.Position { return drstore.Position{Era: p.era, Next: p.next} }
+
 // position is the read position in a topic.
 type position struct {
+	era     uint64
 	next    int64
 	started bool          // it has been read once
 	readAt  time.Duration // uptime at which the last successful read was sent
@@ -237,17 +241,19 @@
 	if r.confirmed.started && r.confirmed.readAt >= at {
 		return r.confirmed
 	}
-	return position{next: next, started: next > 0, readAt: at}
+	return position{era: next.Era, next: next.Next, started: next.Known(), readAt: at}
 }
 
 // confirmRunners records that the view has all entries up to a position, and tells it the
-// offset for other VMs. It tells none while runners are kept that have no entry: their
-// leaving is before it, so that no VM that goes on from there would ever remove them.
+// position for other VMs. It tells none while runners are kept that have no entry: their
+// leaving is before it, so that no VM that goes on from there would ever remove them, and one
+// that has removed them would list them again.
 func (r *reader) confirmRunners(pos position) {
 	r.confirmed = pos
-	next := pos.next
-	if len(r.lapsed) > 0 {
-		next = 0
+	next := drstore.Position{}
+	if len(r.lapsed) == 0 {
+		next = pos.asOf()
+		r.view.ConfirmTable(next)
 	}
 	r.view.ConfirmRunners(pos.readAt, next)
 }
@@ -296,9 +302,9 @@
 	}
 	for _, rec := range newestOfKeys(records) {
 		r.noteWritten(rec, last)
-		r.applyRunnerRecord(rec)
+		r.applyRunnerRecord(rec, drstore.After(pos.era, rec.Offset))
 	}
-	r.removeLapsedRunners(r.clock.Uptime())
+	r.removeLapsedRunners(r.clock.Uptime(), pos.asOf())
 	r.confirmRunners(pos)
 	return nil
 }
@@ -319,12 +325,12 @@
 	return readTimeout + time.Duration(r.view.RunnerCount())*entryTimeout + r.patience
 }
 
-// applyRunnerRecord applies one record of the runners' topic to the view. An
+// applyRunnerRecord applies one record of the runners' topic, as of a reading, to the view. An
 // empty value means that the entry was removed. An unreadable entry is ignored
 // and leaves the runner as it is.
-func (r *reader) applyRunnerRecord(rec drstore.Record) {
+func (r *reader) applyRunnerRecord(rec drstore.Record, asOf drstore.Position) {
 	if len(rec.Value) == 0 {
-		r.dropRunner(rec.Key, r.clock.Uptime())
+		r.dropRunner(rec.Key, r.clock.Uptime(), asOf)
 		return
 	}
 	runner, err := r.codec.Runner(rec.Key, rec.Value)
@@ -338,7 +344,7 @@
 	}
 	delete(r.lapsed, rec.Key)
 	old, known := r.view.Runner(rec.Key)
-	if !r.view.OfferRunner(runner, drfleetview.FromRunner) {
+	if !r.view.OfferRunnerAsOf(runner, drfleetview.FromRunner, asOf).Changed() {
 		return
 	}
 	if left := r.view.ColdLeft(rec.Key); runner.Cold > 0 && left > 0 {
@@ -354,8 +360,9 @@
 
 // dropRunner removes a runner whose entry is gone from the view. It does so only
 // after lapsedEntryGrace if the entry may have expired during an outage of the
-// store. readAt is the uptime from which on the store was asked for the entry.
-func (r *reader) dropRunner(id string, readAt time.Duration) {
+// store. readAt is the uptime from which on the store was asked for the entry, and asOf the
+// reading.
+func (r *reader) dropRunner(id string, readAt time.Duration, asOf drstore.Position) {
 	if _, known := r.view.Runner(id); !known {
 		return
 	}
@@ -363,7 +370,7 @@
 		r.keepLapsed(id)
 		return
 	}
-	r.removeRunner(id, "entry removed from the store")
+	r.removeRunner(id, asOf, "entry removed from the store")
 }
 
 // mayHaveLapsed reports whether a runner's entry may have expired because the runner
@@ -395,19 +402,19 @@
 }
 
 // removeLapsedRunners removes the runners that have not written their entry again within
-// lapsedEntryGrace, by a complete read of the store as of an uptime.
-func (r *reader) removeLapsedRunners(asOf time.Duration) {
+// lapsedEntryGrace, by a complete read of the store at an uptime.
+func (r *reader) removeLapsedRunners(readAt time.Duration, asOf drstore.Position) {
 	for id, at := range r.lapsed {
-		if asOf >= at {
+		if readAt >= at {
 			delete(r.lapsed, id)
-			r.removeRunner(id, "entry not written again after the store recovered")
+			r.removeRunner(id, asOf, "entry not written again after the store recovered")
 		}
 	}
 }
 
-func (r *reader) removeRunner(id, why string) {
+func (r *reader) removeRunner(id string, asOf drstore.Position, why string) {
 	delete(r.writtenSince, id)
-	if r.view.RemoveRunner(id) {
-		log.WithFields(log.Fields{"event": "runner-gone", "runner": id, "why": why, "source": "store"}).Info("")
+	if r.view.RemoveRunnerAsOf(id, drfleetview.FromRunner, asOf).Changed() {
+		log.WithFields(log.Fields{"event": "runner-gone", "runner": id, "why": why, "as-of": asOf.Next, "source": "store"}).Info("")
 	}
 }
--- a/drcontroller/reader_test.go
+++ b/drcontroller/reader_test.go
@@ -234,7 +234,7 @@
 	for i := range 3 {
 		w.view.OfferRunner(&drfleet.Runner{ID: fmt.Sprintf("r%04d", i), Started: 1, Beat: 1}, drfleetview.FromController)
 	}
-	w.view.ConfirmRunners(w.clock.Uptime(), page.Next)
+	w.view.ConfirmRunners(w.clock.Uptime(), drstore.Position{Next: page.Next})
 	n := &Node{Config: Config{View: w.view, Allowances: drtokenpool.NewAllowances(w.clock)}, reader: w.reader, recordedRunners: 3000}
 	n.Allowances.AssumeVMs(300)
 	is.Equal(n.nextReadSize(), historyReadSize)
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -63,7 +63,7 @@
 	now := c.Clock.Uptime()
 	reply.HeldMs, reply.UptimeMs = uint32(milliseconds(now-received)), uint64(now.Milliseconds())
 	reply.DeploymentAgeMs = uint32(milliseconds(now - at))
-	reply.RunnersAgeMs, reply.RunnersNext = uint32(milliseconds(now-runnersAt)), runnersNext
+	reply.RunnersAgeMs, reply.RunnersNext = uint32(milliseconds(now-runnersAt)), runnersNext.Next
 	if c.Validity != nil {
 		v := c.Validity()
 		reply.LeaseOffset, reply.LeaseLeftMs = uint64(v.Offset), uint32(milliseconds(v.Left))
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelridge/dotterelridge/drcrash"
 	"github.com/dotterelridge/dotterelridge/drlease"
 	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drstore"
 	"github.com/dotterelridge/dotterelridge/drtokenpool"
 )
 
@@ -278,9 +279,11 @@
 		n.applyOutages(reply)
 		offerLimits(n.View, reply.GetLimits(), made, received, log.Fields{"source": "controller", "term": reply.GetTerm()})
 		n.View.ConfirmDeployment(made - age(reply.GetDeploymentAgeMs()))
-		n.View.BeginNews(made-age(reply.GetRunnersAgeMs()), reply.GetRunnersNext())
+		next := runnersNextOf(reply)
+		n.View.BeginNews(made-age(reply.GetRunnersAgeMs()), next)
 		if complete {
-			n.View.ConfirmRunners(made-age(reply.GetRunnersAgeMs()), reply.GetRunnersNext())
+			n.View.ConfirmTable(decodePosition(reply.GetRunnersAsOf()))
+			n.View.ConfirmRunners(made-age(reply.GetRunnersAgeMs()), next)
 		}
 	}
 	n.mu.Lock()
@@ -312,6 +315,15 @@
 	return err == nil
 }
 
+// runnersNextOf returns the position from which on newer entries of runners than the
+// controller's follow, zero if it is unknown.
+func runnersNextOf(reply *drpb.FleetSyncReply) drstore.Position {
+	if reply.GetRunnersNext() == 0 {
+		return drstore.Position{}
+	}
+	return drstore.Position{Era: reply.GetRunnersAsOf().GetEra(), Next: reply.GetRunnersNext()}
+}
+
 // applyTable applies the reply's runners to the view and reports whether it has the
 // whole table of the controller now.
 func (n *Node) applyTable(reply *drpb.FleetSyncReply, own bool) (complete bool, err error) {
--- a/drcontroller/table_entry_test.go
+++ b/drcontroller/table_entry_test.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
 // runnerWithOrders returns a runner that holds one model.
@@ -28,7 +29,7 @@
 		v.OfferRunner(r, drfleetview.FromRunner)
 	}
 	if len(runners) > 0 {
-		v.ConfirmRunners(0, 0)
+		v.ConfirmRunners(0, drstore.Position{})
 	}
 	return &Controller{ControllerConfig: ControllerConfig{Term: term}, view: v, table: newTableSender(v)}
 }
--- a/drcontroller/table_receiver.go
+++ b/drcontroller/table_receiver.go
@@ -10,8 +10,12 @@
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
+// maxNamedOlder is how many runners of an older table one log line names.
+const maxNamedOlder = 8
+
 var (
 	errUnknownBucket = errors.New("the table has no such bucket")
 	errUnknownRunner = errors.New("an update names a runner that this VM does not know")
@@ -25,6 +29,9 @@
 	term, revision uint64
 	// position is how far a table of another term has been received.
 	position tablePosition
+	// comparing is the newest of this VM's own readings of the store that the comparison with
+	// that table includes.
+	comparing drstore.Position
 }
 
 // tablePosition is a FleetTablePosition without digests.
@@ -44,6 +51,9 @@
 		t.position = tablePosition{term: leaderTerm}
 	}
 	p := t.position
+	if p.nextBucket == 0 {
+		t.comparing = t.view.OwnReading()
+	}
 	request.TablePosition = &drpb.FleetTablePosition{
 		Term: p.term, Revision: p.revision, NextBucket: p.nextBucket, Digests: t.view.Digests()[p.nextBucket:],
 	}
@@ -60,7 +70,10 @@
 		}
 		t.applyDraining(reply)
 	}
-	p := reply.GetTablePosition()
+	p, asOf := reply.GetTablePosition(), decodePosition(reply.GetRunnersAsOf())
+	if p != nil && t.position.nextBucket == 0 && !asOf.Before(t.comparing) {
+		t.view.ForgetOwnReading(t.comparing)
+	}
 	if p != nil && p.GetNextBucket() < drfleetview.Buckets {
 		t.term, t.position = 0, tablePosition{p.GetTerm(), p.GetRevision(), p.GetNextBucket()}
 		return false, nil
@@ -69,7 +82,21 @@
 		log.WithFields(log.Fields{"event": "table-received", "term": p.GetTerm(), "revision": p.GetRevision()}).Info("")
 	}
 	t.term, t.revision, t.position = reply.GetTerm(), reply.GetRevision(), tablePosition{}
-	return true, nil
+	return own || !t.compareAnew(asOf), nil
+}
+
+// compareAnew has the table compared with the controller's, which it reports, once that is as of
+// a reading that includes this VM's own ones. What they changed may be no change for the
+// controller, so that its changes alone don't bring the two together.
+func (t *tableReceiver) compareAnew(asOf drstore.Position) bool {
+	own := t.view.OwnReading()
+	if !own.Known() || asOf.Before(own) {
+		return false
+	}
+	log.WithFields(log.Fields{"event": "table-compared-anew", "term": t.term, "era": asOf.Era, "as-of": asOf.Next, "own-era": own.Era,
+		"own-reading": own.Next}).Info("")
+	t.term = 0
+	return true
 }
 
 // applyDraining marks the runners that have begun to drain, as a VM must know them before it
@@ -83,35 +110,74 @@
 // applyRunners applies the reply's changes and blocks to the view. If the reply has the
 // whole table, runners that are missing from it are removed.
 func (t *tableReceiver) applyRunners(reply *drpb.FleetSyncReply) error {
-	listed := make(map[string]bool)
+	c := tableContent{receiver: t, asOf: decodePosition(reply.GetRunnersAsOf()), listed: make(map[string]bool)}
+	defer c.logOlder(reply.GetTerm())
 	for _, m := range reply.GetRunners() {
-		if m.GetGone() {
-			t.view.RemoveRunner(m.GetId())
-			continue
+		if err := c.applyRunner(m); err != nil {
+			return err
 		}
-		listed[m.GetId()] = true
-		r := decodeRunner(m)
-		if m.GetUpdate() {
-			known, ok := t.view.Runner(r.ID)
-			if !ok || known.Started < r.Started {
-				return errUnknownRunner
-			}
-			r.Service, r.Address, r.Zone, r.Slots = known.Service, known.Address, known.Zone, known.Slots
-		}
-		t.view.OfferRunner(r, drfleetview.FromController)
 	}
 	if reply.GetWhole() {
-		t.view.KeepRunners(listed)
+		c.older = append(c.older, t.view.KeepRunners(c.listed, c.asOf)...)
 	}
 	for _, b := range reply.GetTableBlocks() {
-		if err := t.applyBlock(b); err != nil {
+		if err := c.applyBlock(b); err != nil {
 			return fmt.Errorf("bucket %d: %w", b.GetBucket(), err)
 		}
 	}
 	return nil
 }
 
-func (t *tableReceiver) applyBlock(b *drpb.FleetTableBlock) error {
+// tableContent applies what a reply says of runners as of a reading of the store.
+type tableContent struct {
+	receiver *tableReceiver
+	asOf     drstore.Position
+	listed   map[string]bool
+	// older lists the runners of which this VM knows better from a later reading.
+	older []string
+}
+
+// applyRunner applies one entry or change of the table.
+func (c *tableContent) applyRunner(m *drpb.FleetRunner) error {
+	view := c.receiver.view
+	if m.GetGone() {
+		c.note(m.GetId(), view.RemoveRunnerAsOf(m.GetId(), drfleetview.FromController, c.asOf))
+		return nil
+	}
+	c.listed[m.GetId()] = true
+	r := decodeRunner(m)
+	if m.GetUpdate() {
+		known, ok := view.Runner(r.ID)
+		switch {
+		case !ok && view.MissesAsOf(r.ID, c.asOf):
+			c.note(r.ID, drfleetview.Older)
+			return nil
+		case !ok, known.Started < r.Started:
+			return errUnknownRunner
+		}
+		r.Service, r.Address, r.Zone, r.Slots = known.Service, known.Address, known.Zone, known.Slots
+	}
+	c.note(r.ID, view.OfferRunnerAsOf(r, drfleetview.FromController, c.asOf))
+	return nil
+}
+
+// note records what became of an entry or change.
+func (c *tableContent) note(id string, result drfleetview.Offer) {
+	if result == drfleetview.Older {
+		c.older = append(c.older, id)
+	}
+}
+
+// logOlder logs the runners of which this VM knows better.
+func (c *tableContent) logOlder(term uint64) {
+	if len(c.older) == 0 {
+		return
+	}
+	log.WithFields(log.Fields{"event": "table-entries-older", "term": term, "era": c.asOf.Era, "as-of": c.asOf.Next, "count": len(c.older),
+		"runners": c.older[:min(len(c.older), maxNamedOlder)]}).Info("")
+}
+
+func (c *tableContent) applyBlock(b *drpb.FleetTableBlock) error {
 	if b.GetBucket() >= drfleetview.Buckets {
 		return errUnknownBucket
 	}
@@ -123,11 +189,12 @@
 	if err := proto.Unmarshal(encoded, content); err != nil {
 		return err
 	}
-	listed := make(map[string]bool)
+	c.listed = make(map[string]bool)
 	for _, m := range content.GetRunners() {
-		listed[m.GetId()] = true
-		t.view.OfferRunner(decodeRunner(m), drfleetview.FromController)
+		if err := c.applyRunner(m); err != nil {
+			return err
+		}
 	}
-	t.view.KeepBucket(int(b.GetBucket()), listed)
+	c.older = append(c.older, c.receiver.view.KeepBucket(int(b.GetBucket()), c.listed, c.asOf)...)
 	return nil
 }
--- a/drcontroller/table_reply.go
+++ b/drcontroller/table_reply.go
@@ -16,6 +16,7 @@
 // revision, or if that is of another term the next piece, unless the VM must wait for it.
 // VMs of an earlier version of the program get the whole table then.
 func (c *Controller) fillTable(request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply, getsPiece bool) {
+	reply.RunnersAsOf = encodePosition(c.view.TableAsOf()) // before the table is read, which may be newer
 	if request.GetTerm() != c.Term && request.GetReadsUpdates() {
 		c.fillPiece(request, reply, getsPiece)
 		c.nameRunners(request, reply)
--- a/drcontroller/table_test.go
+++ b/drcontroller/table_test.go
@@ -30,7 +30,7 @@
 	for i := range 3000 {
 		v.OfferRunner(tableRunner(i, "m1"), drfleetview.FromRunner)
 	}
-	v.ConfirmRunners(0, 0)
+	v.ConfirmRunners(0, drstore.Position{})
 	return &tableFixture{
 		controller: &Controller{ControllerConfig: ControllerConfig{Term: term}, view: v, table: newTableSender(v)},
 		receiver:   &tableReceiver{view: drfleetview.New(drclock.System{})},
--- a/drfleetview/bucket.go
+++ b/drfleetview/bucket.go
@@ -63,18 +63,6 @@
 	return runners, uint32(b.digest)
 }
 
-// KeepBucket removes all runners of a bucket except those with the given ids.
-func (v *View) KeepBucket(i int, ids map[string]bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, e := range v.buckets[i].entries {
-		if !ids[e.runner.ID] && !e.removed {
-			e.removed = true
-			v.bumpRevision(e)
-		}
-	}
-}
-
 // updateDigest brings the digest of an entry's bucket up to date and reports whether it
 // changed. The caller holds mu.
 func (v *View) updateDigest(e *entry) bool {
--- a/drfleetview/bucket_test.go
+++ b/drfleetview/bucket_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
 // Guards against tables that differ in what matters to requests but have equal digests,
@@ -37,7 +38,7 @@
 	runners, digest := a.Bucket(bucket)
 	is.Equal(digest, a.Digests()[bucket])
 	is.True(slices.ContainsFunc(runners, func(c drfleetview.Change) bool { return c.Runner.ID == "5" }))
-	a.KeepBucket(bucket, nil)
+	a.KeepBucket(bucket, nil, drstore.Position{})
 	is.Equal(a.Digests()[bucket], uint32(0))
 	is.Equal(a.RunnerCount(), 300-len(runners))
 }
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drbalancer"
 	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
 const (
@@ -42,6 +43,9 @@
 	// changedRevision is the revision at which the digest last changed.
 	changedRevision uint64
 	removed         bool
+	// asOf is the newest reading of the store that says whether the runner is listed, unless
+	// the whole table is known as of a later one.
+	asOf drstore.Position
 
 	counters         map[Replica]*replicaCounters
 	running          int
@@ -90,9 +94,33 @@
 // description is older than the entry. It reports whether anything changed that
 // matters to requests. The caller must not change runner afterwards.
 func (v *View) OfferRunner(runner *drfleet.Runner, source Source) bool {
+	return v.OfferRunnerAsOf(runner, source, drstore.Position{}).Changed()
+}
+
+// OfferRunnerAsOf is OfferRunner for a description as of a reading of the store. It does not
+// list a runner that a later reading has not found. Without a reading it may.
+func (v *View) OfferRunnerAsOf(runner *drfleet.Runner, source Source, asOf drstore.Position) Offer {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.offer(runner, source)
+	e, known := v.runners[runner.ID]
+	listed := known && !e.removed
+	if !listed && v.knowsNewer(e, asOf) {
+		v.noteDisagreement(e)
+		return Older
+	}
+	changed := v.offer(runner, source)
+	e = v.runners[runner.ID]
+	if !e.removed {
+		e.asOf = e.asOf.Newest(asOf)
+	}
+	switch {
+	case !changed:
+		return Unchanged
+	case listed:
+		return Updated
+	}
+	v.noteOwnReading(source, asOf)
+	return Listed
 }
 
 // UpdateRunner replaces the description of a runner by what update makes of it,
@@ -240,31 +268,6 @@
 	v.notify()
 }
 
-// RemoveRunner marks a runner as removed and reports whether it was listed.
-func (v *View) RemoveRunner(id string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	e, ok := v.runners[id]
-	if !ok || e.removed {
-		return false
-	}
-	e.removed = true
-	v.bumpRevision(e)
-	return true
-}
-
-// KeepRunners removes all runners except those with the given ids.
-func (v *View) KeepRunners(ids map[string]bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for id, e := range v.runners {
-		if !ids[id] && !e.removed {
-			e.removed = true
-			v.bumpRevision(e)
-		}
-	}
-}
-
 // Runners returns the listed runners of a service, sorted by id. An empty
 // service selects the runners of all services.
 func (v *View) Runners(service string) []*drfleet.Runner {
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drstore"
 	"github.com/dotterelridge/dotterelridge/drwarmup"
 	"github.com/dotterelridge/dotterelridge/drzone"
 )
@@ -37,15 +38,18 @@
 	// confirmed that nothing newer existed.
 	deploymentAt, runnersAt time.Duration
 	// runnersNext is the store's offset from which on newer descriptions of runners than
-	// those as of runnersAt follow, 0 if it is unknown.
-	runnersNext         int64
-	deploymentConfirmed bool
-	runnersConfirmed    bool
+	// those as of runnersAt follow, zero if it is unknown.
+	runnersNext drstore.Position
+	// tableAsOf is the newest reading of the store as of which the table is complete, and
+	// ownReading that by which this VM itself knows other runners than a controller may know.
+	tableAsOf, ownReading drstore.Position
+	deploymentConfirmed   bool
+	runnersConfirmed      bool
 	// newsNext is the store's offset from which on newer descriptions of the listed runners
-	// may follow, although the table may lack others, and newsAt the uptime of that. It is 0
-	// if it is unknown.
+	// may follow, although the table may lack others, and newsAt the uptime of that. It is
+	// zero if it is unknown.
 	newsAt   time.Duration
-	newsNext int64
+	newsNext drstore.Position
 	// outages are the availability zones that are out of service.
 	outages drzone.Outages
 	// zoneDrain is the bound that SetZoneDrain sets, and closing the uptimes from which
@@ -147,9 +151,9 @@
 }
 
 // ConfirmRunners records that, at an uptime, the store had no newer descriptions of runners.
-// next is the store's offset at which newer ones follow, 0 if it is unknown. Earlier
-// uptimes than known are ignored.
-func (v *View) ConfirmRunners(at time.Duration, next int64) {
+// next is where newer ones follow in the store, zero if it is unknown. Earlier uptimes than
+// known are ignored.
+func (v *View) ConfirmRunners(at time.Duration, next drstore.Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if at >= v.runnersAt || !v.runnersConfirmed {
@@ -160,41 +164,41 @@
 }
 
 // ConfirmNews records that, at an uptime, the store had no newer descriptions of the listed
-// runners up to an offset. There may be others.
-func (v *View) ConfirmNews(at time.Duration, next int64) {
+// runners up to a position. There may be others.
+func (v *View) ConfirmNews(at time.Duration, next drstore.Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.confirmNews(at, next)
 }
 
 // confirmNews is ConfirmNews. The caller holds mu.
-func (v *View) confirmNews(at time.Duration, next int64) {
-	if next >= v.newsNext {
+func (v *View) confirmNews(at time.Duration, next drstore.Position) {
+	if !next.Before(v.newsNext) {
 		v.newsAt, v.newsNext = max(v.newsAt, at), next
 	}
 }
 
 // BeginNews is ConfirmNews for the first of the runners that are listed. It changes nothing if
-// there is an offset already: that holds for all of them.
-func (v *View) BeginNews(at time.Duration, next int64) {
+// there is a position already: that holds for all of them.
+func (v *View) BeginNews(at time.Duration, next drstore.Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.newsNext == 0 {
+	if !v.newsNext.Known() {
 		v.newsAt, v.newsNext = at, next
 	}
 }
 
-// News returns the newest uptime and offset of ConfirmNews. The offset is 0 if it is
+// News returns the newest uptime and position of ConfirmNews. The position is zero if it is
 // unknown.
-func (v *View) News() (at time.Duration, next int64) {
+func (v *View) News() (at time.Duration, next drstore.Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.newsAt, v.newsNext
 }
 
-// RunnersConfirmed returns the newest uptime and offset of ConfirmRunners. The offset is 0
-// if it is unknown.
-func (v *View) RunnersConfirmed() (at time.Duration, next int64) {
+// RunnersConfirmed returns the newest uptime and position of ConfirmRunners. The position is
+// zero if it is unknown.
+func (v *View) RunnersConfirmed() (at time.Duration, next drstore.Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.runnersAt, v.runnersNext
--- a/drproxy/first_table_test.go
+++ b/drproxy/first_table_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drstore"
 )
 
 // Guards against requests for a plain service that a new process refuses as without a runner
@@ -28,7 +30,7 @@
 		is.Equal(waiting.status, 200)
 		is.True(took >= pause)
 
-		w.view.ConfirmRunners(0, 0)
+		w.view.ConfirmRunners(0, drstore.Position{})
 		w.view.RemoveRunner(w.runners["1"].id)
 		refused, took := w.ask("/get/y", "y")
 		is.Equal(refused.status, 503)
