drlease, drcontroller, platform: Follow a store that has lost its newest records

The store may come back from an older copy: offsets go back and are given out again, and Store-Era rises. Nothing read it.

Pages name the era; readers read the newest records again in another one, the elector reads the lease from its first record, fencing tokens are higher than those of earlier eras, zones out of service hold by era. An append in another era than was read is none.

--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -178,7 +178,7 @@
 	return page, err
 }
 
-func (n *testNode) Append(ctx context.Context, t drstore.Topic, value []byte, at int64) error {
+func (n *testNode) Append(ctx context.Context, t drstore.Topic, value []byte, at drstore.Position) error {
 	if err := n.countStoreCall(t); err != nil {
 		return err
 	}
@@ -457,7 +457,7 @@
 		defer f.close()
 		lease, err := proto.Marshal(&drpb.FleetLease{Vm: "vm-7", Address: "vm-7", Term: 1, MostProcessor: 1, Vms: vms})
 		is.NoErr(err)
-		is.NoErr(f.store.Append(context.Background(), drstore.Leases, lease, 0))
+		is.NoErr(f.store.Append(context.Background(), drstore.Leases, lease, drstore.Position{}))
 		for i := range vms {
 			f.start(fmt.Sprintf("vm-%d", i), 1)
 		}
--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -43,8 +43,6 @@
 	// reads it: the interval at which runners write it, the delay of the store
 	// and a margin.
 	maxEntryLag = 4 * time.Second
-	// firstTerm is the term of the first controller that the fleet ever had.
-	firstTerm = 1
 	// vmForgetTimeout is the time after its last report at which a VM is
 	// removed.
 	vmForgetTimeout = 10 * time.Second
@@ -124,7 +122,7 @@
 		backlogs: make(map[string]modelBacklog), warmups: drwarmup.NewBudget(c.Clock.Uptime()), table: newTableSender(v), pieces: newPieceQueue(c.Clock),
 		storeLoads: loadRate{createdAt: c.Clock.Now()}, startedAt: c.Clock.Now(), limitsVersion: -1,
 	}
-	if c.Term > firstTerm {
+	if !drlease.FirstOfEra(c.Term) {
 		controller.pool.AssumeHistory()
 	}
 	if handover := c.Inherited; len(handover.Levels) > 0 {
--- a/drcontroller/limit_orders_test.go
+++ b/drcontroller/limit_orders_test.go
@@ -164,7 +164,7 @@
 }
 
 // Append implements drstore.Log. A VM that can't write renews no lease.
-func (v *limitVM) Append(ctx context.Context, t drstore.Topic, value []byte, at int64) error {
+func (v *limitVM) Append(ctx context.Context, t drstore.Topic, value []byte, at drstore.Position) error {
 	if err := v.storeError(); err != nil {
 		return err
 	}
--- a/drcontroller/newest_read.go
+++ b/drcontroller/newest_read.go
@@ -55,16 +55,21 @@
 		return nil // the page may be older than what a controller has named meanwhile
 	}
 	if read.after == "" {
-		read.next = drstore.Position{Next: page.Next}
+		read.next = drstore.Position{Era: page.Era, Next: page.Next, Read: true}
 		r.view.BeginNews(read.sentAt, read.next)
 	}
+	if page.Era != read.next.Era {
+		r.logEra(drstore.Runners, position{era: read.next.Era, next: read.next.Next}, page.Era)
+		r.newest = r.beginNewestRead(r.clock.Uptime())
+		return nil
+	}
 	read.pageAt = r.clock.Uptime()
 	read.took += read.pageAt - now
 	read.after, read.entries = page.After, len(page.Records)
 	for _, rec := range page.Records {
 		read.listed[rec.Key] = true
-		r.noteWritten(rec, last)
-		r.applyRunnerRecord(rec, drstore.After(0, max(rec.Offset, page.End-1)))
+		r.noteWritten(rec, page.Era, last)
+		r.applyRunnerRecord(rec, drstore.After(page.Era, max(rec.Offset, page.End-1)))
 	}
 	if page.After == "" {
 		r.endNewestRead(read)
@@ -108,9 +113,10 @@
 	r.confirmRunners(position{era: read.next.Era, next: read.next.Next, started: true, readAt: read.sentAt})
 }
 
-// noteWritten records that a runner has written its entry since the last complete read.
-func (r *reader) noteWritten(rec drstore.Record, last position) {
-	if last.started && rec.Offset >= last.next && len(rec.Value) > 0 {
+// noteWritten records that a runner has written its entry, in an era of the store, since the
+// last complete read.
+func (r *reader) noteWritten(rec drstore.Record, era uint64, last position) {
+	if last.started && last.era == era && rec.Offset >= last.next && len(rec.Value) > 0 {
 		r.writtenSince[rec.Key] = last.readAt
 	}
 }
--- a/drcontroller/news_read.go
+++ b/drcontroller/news_read.go
@@ -35,6 +35,11 @@
 	if err != nil {
 		return err
 	}
+	if page.Era != next.Era {
+		r.logEra(drstore.Runners, position{era: next.Era, next: next.Next}, page.Era)
+		r.view.ConfirmNews(confirmedAt, drstore.Position{Era: page.Era, Read: true}) // all that is kept may be news
+		return nil
+	}
 	for _, rec := range page.Records {
 		if _, listed := r.view.Runner(rec.Key); listed && len(rec.Value) > 0 {
 			r.applyRunnerRecord(rec, drstore.After(next.Era, rec.Offset))
--- a/drcontroller/older_table_test.go
+++ b/drcontroller/older_table_test.go
@@ -43,6 +43,8 @@
 	written, removed map[string][]int64
 	end              int64
 	starts           int64
+	// restored is set once the store has lost records, after which offsets tell nothing.
+	restored bool
 }
 
 func newTableOrder(seed uint64, vms int) *tableOrder {
@@ -124,6 +126,9 @@
 // check returns an error if a VM lists a runner again that has not written since the removal
 // that the VM knew. asOf is the reading that the VM has learned of last.
 func (o *tableOrder) check(n *tableNode, asOf int64) error {
+	if o.restored {
+		return nil
+	}
 	for _, id := range slices.Concat(slices.Collect(maps.Keys(o.written)), slices.Collect(maps.Keys(n.listed))) {
 		_, lists := n.view.Runner(id)
 		if gone, known := n.goneAt[id]; known && lists && newestBefore(o.written[id], o.end) < gone {
@@ -172,12 +177,24 @@
 	return nil
 }
 
+// restore makes the store lose its newest records.
+func (o *tableOrder) restore() {
+	o.end -= o.rand.Int64N(min(o.end, 8) + 1)
+	o.nodes[0].store.Restore(drstore.Runners, int(o.end))
+	o.restored = true
+}
+
 // settle lets the store rest and all VMs hear of it from the one that leads. It returns what
 // differs from the store then.
 func (o *tableOrder) settle() error {
 	for _, n := range o.nodes {
 		n.pages.failing = func() bool { return false }
 	}
+	for id := range o.written {
+		if _, lives := o.living[id]; !lives && o.restored {
+			o.put(id, nil) // what the store has lost is written again
+		}
+	}
 	for range 8 {
 		for _, id := range slices.Sorted(maps.Keys(o.living)) {
 			o.write(id)
@@ -227,6 +244,44 @@
 	}
 }
 
+// Guards against VMs whose tables stay apart from the store for good because it has lost records
+// and given out their offsets again.
+func TestTablesFollowStoreThatLostRecords(t *testing.T) {
+	log.SetHandler(discard.Default)
+	for seed := range uint64(2000) {
+		o := newTableOrder(seed, 3)
+		for i := range 80 {
+			if i%30 == 29 {
+				o.restore()
+			}
+			if err := o.step(); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+		}
+		if err := o.settle(); err != nil {
+			t.Fatalf("seed %d: settled: %v", seed, err)
+		}
+	}
+}
+
+// Guards against a change of the configuration that a VM never reads, because the store has
+// lost records and given out their offsets again.
+func TestConfigurationIsReadFromStoreThatLostRecords(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderFixture()
+	for version := range 5 {
+		w.store.Put(drstore.Deployments, "config", fmt.Append(nil, version))
+	}
+	is.NoErr(w.reader.readDeployment(ctx, 0))
+	w.store.Restore(drstore.Deployments, 2)
+	for _, version := range []string{"4", "7", "8"} { // up to the offset that the VM goes on from
+		w.store.Put(drstore.Deployments, "config", []byte(version))
+	}
+	is.NoErr(w.reader.readDeployment(ctx, 0))
+	d, _ := w.view.Deployment()
+	is.Equal(d.Version, int64(8))
+}
+
 // Guards against a runner that has left, and that a VM lists again because its controller,
 // which the store refuses, sends it whole, as an update, in a bucket or by name.
 func TestRefusedControllerListsNoRunnerThatLeft(t *testing.T) {
--- a/drcontroller/outage.go
+++ b/drcontroller/outage.go
@@ -12,7 +12,7 @@
 )
 
 func encodeOutages(o drzone.Outages) *drpb.FleetOutages {
-	m := &drpb.FleetOutages{End: o.End()}
+	m := &drpb.FleetOutages{End: o.End(), Era: o.Era()}
 	for _, zone := range o.Zones() {
 		m.Zones = append(m.Zones, &drpb.FleetOutage{Zone: zone, Offset: o.Since(zone)})
 	}
@@ -24,7 +24,7 @@
 	for _, z := range m.GetZones() {
 		since[z.GetZone()] = z.GetOffset()
 	}
-	return drzone.New(m.GetEnd(), since)
+	return drzone.New(m.GetEnd(), since).InEra(m.GetEra())
 }
 
 // offerOutages passes zones out of service to a view and logs if that changes what this
@@ -42,10 +42,14 @@
 // known, because the records that took zones back may have expired.
 func (r *reader) applyOutages(records []drstore.Record, fromNewest bool) {
 	if fromNewest {
-		offerOutages(r.view, drzone.New(r.deployments.next, r.newestOutages(records)), "store")
+		offerOutages(r.view, drzone.New(r.deployments.next, r.newestOutages(records)).InEra(r.deployments.era), "store")
 		return
 	}
 	outages := r.view.Outages()
+	if outages.Era() != r.deployments.era {
+		r.deployments.started = false // what is known is of another era than the records, so the newest are read
+		return
+	}
 	for _, rec := range records {
 		if zone, ok := r.codec.OutOfService(rec.Key); ok {
 			outages = outages.With(zone, rec.Offset, len(rec.Value) == 0)
--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -88,7 +88,9 @@
 }
 
 // asOf returns the reading that ends at the position.
-func (p position) asOf() drstore.Position { return drstore.Position{Era: p.era, Next: p.next} }
+func (p position) asOf() drstore.Position {
+	return drstore.Position{Era: p.era, Next: p.next, Read: p.started}
+}
 
 // position is the read position in a topic.
 type position struct {
@@ -106,7 +108,8 @@
 }
 
 // readHistory reads a topic from the position to its end, in a number of pages of a size at
-// most. kept is false if the records at the position have expired, or if there are more pages.
+// most. kept is false if the records at the position have expired, if the store has lost some
+// that were read, or if there are more pages.
 // The position moves only with a complete read, because the records of the pages before a
 // failed one are not applied.
 func (r *reader) readHistory(ctx context.Context, topic drstore.Topic, pos *position, pages, maxKB int, wait time.Duration) (records []drstore.Record, kept bool, err error) {
@@ -120,6 +123,10 @@
 		if err != nil {
 			return nil, false, err
 		}
+		if page.Era != pos.era {
+			r.logEra(topic, *pos, page.Era)
+			return nil, false, nil
+		}
 		next = page.Next
 		records = append(records, page.Records...)
 		// Pages are limited in size, so this one may not contain the newest
@@ -133,6 +140,11 @@
 	return nil, false, nil
 }
 
+// logEra logs that the store has lost records and given out their offsets again.
+func (r *reader) logEra(topic drstore.Topic, pos position, era uint64) {
+	log.WithFields(log.Fields{"event": "store-era-changed", "topic": topic, "from": pos.era, "to": era, "offset": pos.next}).Warn("")
+}
+
 // readDeploymentRecords reads the deployments topic from the position to its end, or only
 // its newest records if it has not been read yet or the records at the position have
 // expired. fromNewest is set in the latter cases.
@@ -151,7 +163,10 @@
 			return nil, false, err
 		}
 		if first {
-			*pos = position{next: page.Next, readAt: sent}
+			*pos = position{era: page.Era, next: page.Next, readAt: sent}
+		}
+		if page.Era != pos.era {
+			return nil, false, errEraChanged
 		}
 		records = append(records, page.Records...)
 	}
@@ -231,6 +246,9 @@
 	return r.readNewestRunners(ctx)
 }
 
+// errEraChanged means that the store has lost records between two pages.
+var errEraChanged = errors.New("the store has begun another era between two pages")
+
 // errNoHistory means that the newest entries must be read instead of the history.
 var errNoHistory = errors.New("the history since the last read is too long or has expired")
 
@@ -291,7 +309,7 @@
 	}
 	r.runnersTook, r.newest, r.strangers = r.clock.Uptime()-sent, nil, false
 	if now := r.runnersPosition(); now != last { // a controller's table has come meanwhile
-		if !now.started {
+		if !now.started || now.era != pos.era {
 			return errNoHistory
 		}
 		records = slices.DeleteFunc(records, func(rec drstore.Record) bool { return rec.Offset < now.next })
@@ -301,7 +319,7 @@
 		clear(r.lapsed) // the controller's table says which runners are left
 	}
 	for _, rec := range newestOfKeys(records) {
-		r.noteWritten(rec, last)
+		r.noteWritten(rec, pos.era, last)
 		r.applyRunnerRecord(rec, drstore.After(pos.era, rec.Offset))
 	}
 	r.removeLapsedRunners(r.clock.Uptime(), pos.asOf())
--- a/drlease/elector.go
+++ b/drlease/elector.go
@@ -94,11 +94,15 @@
 // lapsed, because the clocks of the VMs run at slightly different rates.
 const acquireMargin = 100 * time.Millisecond
 
+// eraShift is the number of bits of a fencing token that an offset takes.
+const eraShift = 40
+
 // Elector reads and writes the lease. Read, Acquire, Renew and Release must be
 // called from one goroutine; the other methods are safe for concurrent use.
 type Elector struct {
-	config     Config
-	nextOffset int64 // offset of the next record to read or append
+	config Config
+	// next is where the next record is read or appended.
+	next drstore.Position
 
 	mu     sync.Mutex
 	newest Lease
@@ -204,10 +208,11 @@
 // there is no new record, it waits at the store for up to wait. It reports
 // whether it read one.
 func (e *Elector) Read(ctx context.Context, wait time.Duration) (changed bool, err error) {
-	page, err := e.config.Log.Read(ctx, drstore.Leases, e.nextOffset, drstore.MaxPageKB, wait)
-	if expired, ok := errors.AsType[*drstore.ExpiredError](err); ok {
-		e.nextOffset = expired.First
-		page, err = e.config.Log.Read(ctx, drstore.Leases, e.nextOffset, drstore.MaxPageKB, 0)
+	page, err := e.readPage(ctx, wait)
+	if err == nil && page.Era != e.next.Era {
+		if e.beginEra(page.Era) {
+			page, err = e.readPage(ctx, 0)
+		}
 	}
 	if err != nil {
 		return false, fmt.Errorf("read the lease: %w", err)
@@ -215,10 +220,40 @@
 	for _, r := range page.Records {
 		e.applyRecord(r)
 	}
-	e.nextOffset = max(page.Next, page.End)
+	e.next.Next = max(page.Next, page.End)
 	return len(page.Records) > 0, nil
 }
 
+// readPage reads the next records, or the oldest ones that are kept if those have expired.
+func (e *Elector) readPage(ctx context.Context, wait time.Duration) (drstore.Page, error) {
+	page, err := e.config.Log.Read(ctx, drstore.Leases, e.next.Next, drstore.MaxPageKB, wait)
+	if expired, ok := errors.AsType[*drstore.ExpiredError](err); ok {
+		e.next.Next = expired.First
+		page, err = e.config.Log.Read(ctx, drstore.Leases, e.next.Next, drstore.MaxPageKB, 0)
+	}
+	return page, err
+}
+
+// beginEra goes back to the first record, because the store has lost some and given out their
+// offsets again. It reports whether any had been read.
+func (e *Elector) beginEra(era uint64) (readBefore bool) {
+	readBefore = e.next.Next > 0
+	log.WithFields(log.Fields{"event": "store-era-changed", "topic": drstore.Leases, "from": e.next.Era, "to": era, "offset": e.next.Next}).Warn("")
+	e.next = drstore.Position{Era: era}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.told, e.denied = false, false // of records by their offsets
+	return readBefore
+}
+
+// termOf returns the fencing token of a lease whose first record is appended at a position. It
+// is higher than those of earlier eras, whose offsets may be given out again.
+func termOf(at drstore.Position) uint64 { return at.Era<<eraShift + uint64(at.Next) + 1 }
+
+// FirstOfEra reports whether a lease with a fencing token was acquired when the log had no
+// record, or never.
+func FirstOfEra(term uint64) bool { return term&(1<<eraShift-1) <= 1 }
+
 // applyRecord makes a record the newest lease unless its term is older.
 // Unreadable records are logged and ignored.
 func (e *Elector) applyRecord(r drstore.Record) {
@@ -264,12 +299,12 @@
 	l, known := e.Newest()
 	handover := l.Handover
 	handover.LeastAge, handover.MostAge = e.newestAge()
-	handover.HistoryLost = !known && e.nextOffset > 0
+	handover.HistoryLost = !known && e.next.Next > 0
 	handover.AfterYield = known && l.Yielded
 	if known && l.VM != e.config.VM && !slices.Contains(handover.RecentHolders, l.VM) {
 		handover.RecentHolders = append(slices.Clone(handover.RecentHolders), l.VM)
 	}
-	return e.appendLease(ctx, Lease{Term: uint64(e.nextOffset) + 1, Handover: handover})
+	return e.appendLease(ctx, Lease{Term: termOf(e.next), Handover: handover})
 }
 
 // newestAge returns bounds of the time since the newest record was sent. It was sent before
@@ -307,7 +342,7 @@
 	return e.appendLease(ctx, Lease{Term: l.Term, Handover: handover, Released: true, Yielded: yield})
 }
 
-// appendLease appends a lease record of this process at nextOffset. The
+// appendLease appends a lease record of this process at the end. The
 // validity counts from before the call, because the call may take long.
 func (e *Elector) appendLease(ctx context.Context, l Lease) error {
 	l.VM, l.Address, l.Incarnation = e.config.VM, e.config.Address, e.config.Incarnation
@@ -323,11 +358,11 @@
 		return fmt.Errorf("encode the lease: %w", err)
 	}
 	sent := e.config.Uptime.Uptime()
-	if err := e.config.Log.Append(ctx, drstore.Leases, value, e.nextOffset); err != nil {
+	if err := e.config.Log.Append(ctx, drstore.Leases, value, e.next); err != nil {
 		return fmt.Errorf("append the lease: %w", err)
 	}
-	offset := e.nextOffset
-	e.nextOffset++
+	offset := e.next.Next
+	e.next.Next++
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.newest, e.known, e.newestOffset = l, true, offset
--- a/drlease/elector_test.go
+++ b/drlease/elector_test.go
@@ -275,3 +275,37 @@
 		is.Equal(l.MostAge == ttl+1200*time.Millisecond, told)
 	}
 }
+
+// Guards against two holders with one fencing token, or with tokens in the wrong order, because
+// the store has lost the newest leases and given out their offsets again.
+func TestLostLeasesGiveNoTokenTwice(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	store, clock := drstandin.NewMemoryStore(), drclock.NewFake(time.Unix(100, 0))
+	former, a, b := newElector(store, clock, "former"), newElector(store, clock, "a"), newElector(store, clock, "b")
+	mustRead(t, former)
+	is.NoErr(former.Acquire(ctx))
+	is.NoErr(former.Release(ctx, drlease.Handover{}, false))
+	mustRead(t, a)
+	is.NoErr(a.Acquire(ctx))
+	is.NoErr(a.Renew(ctx, drlease.Handover{}))
+	first, _ := a.Holds()
+
+	store.Restore(drstore.Leases, 2)
+	clock.Advance(ttl + 200*time.Millisecond)
+	mustRead(t, b)
+	is.NoErr(b.Acquire(ctx))
+	is.NoErr(b.Renew(ctx, drlease.Handover{})) // the log ends where a goes on
+	second, ok := b.Holds()
+	is.True(ok)
+	is.True(second > first)
+	is.True(errors.Is(a.Renew(ctx, drlease.Handover{}), drstore.ErrConflict))
+	_, ok = a.Holds()
+	is.True(!ok)
+	mustRead(t, a)
+	newest, _ := a.Newest()
+	is.Equal(newest.VM, "b")
+	mustRead(t, b)
+	newest, _ = b.Newest()
+	is.Equal(newest.VM, "b")
+	is.True(errors.Is(b.Renew(ctx, drlease.Handover{}), nil))
+}
--- a/drstandin/memory_store.go
+++ b/drstandin/memory_store.go
@@ -22,6 +22,7 @@
 	fault              error
 	appendDespiteFault bool
 	calls              int
+	era                uint64
 }
 
 type memoryTopic struct {
@@ -71,6 +72,17 @@
 	topic.firstOffset = int64(len(topic.records))
 }
 
+// Restore makes the store lose all records of a topic but the first ones, as if it came back
+// from an older copy, and begins the next era.
+func (m *MemoryStore) Restore(t drstore.Topic, kept int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	topic := m.topic(t)
+	topic.records = slices.Clone(topic.records[:kept])
+	topic.firstOffset = min(topic.firstOffset, int64(kept))
+	m.era++
+}
+
 // topic returns the topic and creates it if it does not exist. m.mu must be held.
 func (m *MemoryStore) topic(t drstore.Topic) *memoryTopic {
 	topic, ok := m.topics[t]
@@ -104,7 +116,7 @@
 	for _, r := range topic.records {
 		newest[r.Key] = r
 	}
-	page := drstore.Page{Next: int64(len(topic.records)), End: int64(len(topic.records))}
+	page := drstore.Page{Next: int64(len(topic.records)), End: int64(len(topic.records)), Era: m.era}
 	for _, key := range slices.Sorted(maps.Keys(newest)) {
 		r := newest[key]
 		if key <= after && after != "" || len(r.Value) == 0 {
@@ -128,9 +140,9 @@
 		m.mu.Lock()
 		m.calls++
 		appended, topic := m.appended, m.topic(t)
-		page := drstore.Page{Next: from, End: int64(len(topic.records))}
+		page := drstore.Page{Next: from, End: int64(len(topic.records)), Era: m.era}
 		fault := m.fault
-		if fault == nil && from < topic.firstOffset {
+		if fault == nil && (from < topic.firstOffset || from > page.End) {
 			fault = &drstore.ExpiredError{First: topic.firstOffset}
 		}
 		if fault == nil && from < page.End {
@@ -165,16 +177,19 @@
 }
 
 // Append implements drstore.Log.
-func (m *MemoryStore) Append(_ context.Context, t drstore.Topic, value []byte, expectedOffset int64) error {
+func (m *MemoryStore) Append(_ context.Context, t drstore.Topic, value []byte, at drstore.Position) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
 	if m.fault != nil && !m.appendDespiteFault {
 		return m.fault
 	}
-	if expectedOffset != int64(len(m.topic(t).records)) {
+	if at.Next != int64(len(m.topic(t).records)) {
 		return drstore.ErrConflict
 	}
 	m.appendRecord(t, drstore.Record{Value: value})
+	if at.Era != m.era && m.fault == nil {
+		return drstore.ErrConflict
+	}
 	return m.fault
 }
--- a/drstore/store.go
+++ b/drstore/store.go
@@ -64,6 +64,9 @@
 	Records []Record
 	Next    int64 // offset to read from next
 	End     int64 // end of the topic
+	// Era is that of the store. It rises each time that the store has lost its newest
+	// records, after which offsets are given out again.
+	Era uint64
 	// After is the key after which a read of the newest records goes on, "" if it is
 	// complete.
 	After string
@@ -79,9 +82,9 @@
 	// Read returns the records from an offset on, as many as maxKB times 1,024 bytes hold. If
 	// there are none yet, it waits up to the given time for the first one.
 	Read(ctx context.Context, topic Topic, from int64, maxKB int, wait time.Duration) (Page, error)
-	// Append adds a record if the topic ends at expectedEnd and returns
-	// ErrConflict otherwise.
-	Append(ctx context.Context, topic Topic, value []byte, expectedEnd int64) error
+	// Append adds a record if the topic ends at a position, and returns ErrConflict
+	// otherwise. If the store is in another era it may have added the record, too.
+	Append(ctx context.Context, topic Topic, value []byte, at Position) error
 }
 
 // Codec decodes the records that the operator and the runners write.
--- a/drzone/outages.go
+++ b/drzone/outages.go
@@ -11,6 +11,8 @@
 // the store's topic before an offset say. The zero value is the set before the first
 // record, without zones. Outages is immutable.
 type Outages struct {
+	// era is that of the store, whose offsets say nothing about those of other eras.
+	era uint64
 	end int64
 	// since contains, by zone, the offset of the record that took the zone out of
 	// service.
@@ -20,7 +22,13 @@
 // New returns the set of the zones with the offsets of their records, as of the end of
 // the topic. Records at the end and after it may be among them. The caller must not
 // change the map afterwards.
-func New(end int64, since map[string]int64) Outages { return Outages{end, since} }
+func New(end int64, since map[string]int64) Outages { return Outages{0, end, since} }
+
+// InEra returns the set with offsets of an era of the store.
+func (o Outages) InEra(era uint64) Outages { return Outages{era, o.end, o.since} }
+
+// Era returns the era of the store that the offsets are of.
+func (o Outages) Era() uint64 { return o.era }
 
 // End returns the offset up to which the set takes all records into account.
 func (o Outages) End() int64 { return o.end }
@@ -43,12 +51,19 @@
 
 // Merge returns what two sets say together. Which of them was received first has no
 // influence, so a set that arrives late takes nothing back: a zone that one set has and
-// the other has not is out of service unless the other takes its record into account.
+// the other has not is out of service unless the other takes its record into account. Of two
+// sets of different eras the later one holds.
 func (o Outages) Merge(other Outages) Outages {
+	switch {
+	case o.era < other.era:
+		return other
+	case o.era > other.era:
+		return o
+	}
 	merged := make(map[string]int64)
 	o.addNewsFor(other, merged)
 	other.addNewsFor(o, merged)
-	return Outages{max(o.end, other.end), merged}
+	return Outages{o.era, max(o.end, other.end), merged}
 }
 
 // addNewsFor adds the zones that the other set has too, or whose records it does not
@@ -77,12 +92,12 @@
 	} else {
 		since[zone] = offset
 	}
-	return Outages{max(o.end, offset+1), since}
+	return Outages{o.era, max(o.end, offset+1), since}
 }
 
 // WithEnd returns the set as of a later end of the topic, before which no further record
 // concerns a zone.
-func (o Outages) WithEnd(end int64) Outages { return Outages{max(o.end, end), o.since} }
+func (o Outages) WithEnd(end int64) Outages { return Outages{o.era, max(o.end, end), o.since} }
 
 // SameZones reports whether the same zones are out of service in both sets.
 func (o Outages) SameZones(other Outages) bool {
