drhttp, drproxy, drrouter: Take no answer whose status is none

A runner in trouble sent an answer with status 000, and the client got it as 200: fasthttp takes the number 0 for a status that was not set. 001 to 099 and 600 to 999 were passed on as they were. The same in the path of serve, and for answers of the store and of runners to orders, which counted as carried out. Class: a value that a library uses for 'not set' comes from outside.

ReadHeader looks at the first line before fasthttp does; connections of drhttp's client look at the first bytes of each answer. Such an answer fails the attempt like one that is broken off.

--- a/drhttp/client.go
+++ b/drhttp/client.go
@@ -73,7 +73,7 @@
 			if err != nil {
 				return nil, &dialError{err}
 			}
-			return conn, nil
+			return &statusConn{Conn: conn}, nil
 		},
 	}}
 }
--- a/drproxy/attempt.go
+++ b/drproxy/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drhttp"
 )
 
 // Errors that tell how far an attempt got.
@@ -213,7 +214,7 @@
 		a.setHeaderDeadline(limit)
 		a.header = fasthttp.ResponseHeader{}
 		a.header.SetNoDefaultContentType(true)
-		if err := a.header.Read(a.upstream.reader); err != nil {
+		if err := drhttp.ReadHeader(&a.header, a.upstream.reader); err != nil {
 			return a.fail(err)
 		}
 		if code := a.header.StatusCode(); code >= 100 && code < 200 {
--- a/drrouter/services_test.go
+++ b/drrouter/services_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -143,3 +144,42 @@
 	_, err = HTTPCaller{}.Call(context.Background(), l.Addr().String(), call)
 	is.Equal(drerror.VerdictOf(err), drerror.NotRun)
 }
+
+// Guards against a caller that gets an answer whose status is none, and against one that gets a
+// part of an answer as a whole one: its server answers a long call at once, without a length,
+// and resets the connection while the call is being written.
+func TestHTTPCallerTakesNoOddAnswer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"no status":   "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+		"high status": "HTTP/1.1 777 OK\r\nContent-Length: 2\r\n\r\nok",
+		"reset":       "HTTP/1.1 200 OK\r\n\r\npart",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				body := make([]byte, 4<<10)
+				_, _ = conn.Read(body)
+				_, _ = conn.Write([]byte(answer))
+				time.Sleep(20 * time.Millisecond)
+				if name == "reset" {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			}()
+			size := 10
+			if name == "reset" {
+				size = 4 << 20
+			}
+			_, err = HTTPCaller{}.Call(context.Background(), l.Addr().String(), Call{Method: "POST", Target: "/x", Body: make([]byte, size)})
+			is.Equal(drerror.VerdictOf(err), drerror.MayHaveRun)
+			is.True(err != nil)
+		})
+	}
+}
--- a/drversion/choice.go
+++ b/drversion/choice.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		for _, h := range s.masksIn(now, r) {
-			if h.span.meets(counted) && h.span.meets(whole) {
+			if h.meets(counted) && h.meets(whole) {
 				states = append(states, state{x.counts, h.mask})
 			}
 		}
