drfleetview: Count versions without sorting the runners

Each change of a runner had all runners of its service sorted to count their software versions, also with a single version. The counts need no order. No change of behaviour; the packages' tests pass.

--- a/drfleetview/version.go
+++ b/drfleetview/version.go
@@ -13,19 +13,23 @@
 	if !v.runnersConfirmed {
 		return
 	}
-	now := v.clock.Uptime()
-	var snapshot drversion.Snapshot
-	serving := v.listed(service, func(e *entry) bool { return !e.runner.Draining })
-	for _, e := range serving {
-		snapshot.Add(e.runner.Version, nil)
-	}
+	snapshot := v.versionSnapshot(service, func(*entry) []drversion.Replica { return nil })
 	if len(snapshot.Runners) > 1 || v.versions.Mixed(service) {
-		snapshot = drversion.Snapshot{}
-		for _, e := range serving {
-			snapshot.Add(e.runner.Version, replicasOf(e))
+		snapshot = v.versionSnapshot(service, replicasOf)
+	}
+	v.versions.Observe(service, v.clock.Uptime(), snapshot)
+}
+
+// versionSnapshot returns which versions serve a service, with the replicas that replicas
+// returns for each runner. The caller holds mu.
+func (v *View) versionSnapshot(service string, replicas func(*entry) []drversion.Replica) drversion.Snapshot {
+	var snapshot drversion.Snapshot
+	for _, e := range v.runners {
+		if !e.removed && !e.runner.Draining && e.runner.Service == service {
+			snapshot.Add(e.runner.Version, replicas(e))
 		}
 	}
-	v.versions.Observe(service, now, snapshot)
+	return snapshot
 }
 
 // replicasOf returns the replicas that the runner of an entry holds, with that of plain
