drversion: Keep the order of times in joined histories

A record that was made after a VM's first own observation put later changes before earlier ones, and numbers beyond its versions would have ended the process. What the VM observed itself replaces the record from then on. Found by reading; the random orders passed before and after.

--- a/drversion/record.go
+++ b/drversion/record.go
@@ -66,9 +66,11 @@
 		merged.bit(v)
 	}
 	for _, r := range m.GetRunners() {
-		counts := make([]int, 0, len(r.GetRunners()))
-		for _, n := range r.GetRunners() {
-			counts = append(counts, int(n))
+		counts := make([]int, len(merged.versions))
+		for i := range counts {
+			if i < len(r.GetRunners()) {
+				counts[i] = int(r.GetRunners()[i])
+			}
 		}
 		merged.runners = append(merged.runners, runnersAt{at - fromMs(r.GetAgeMs()), counts})
 	}
@@ -84,9 +86,10 @@
 
 func fromMs(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// follow adds what another history says of a later time. What that says of the time before its
-// first observation is of no use.
+// follow adds what another history says from its first observation on, in place of what is
+// known of that time.
 func (s *service) follow(later *service) {
+	s.forgetFrom(later.firstObserved())
 	bits := make([]int, len(later.versions))
 	for i, v := range later.versions {
 		bits[i] = s.bit(v)
@@ -128,6 +131,14 @@
 	}
 }
 
+// forgetFrom forgets what has changed since an uptime.
+func (s *service) forgetFrom(from time.Duration) {
+	s.runners = slices.DeleteFunc(s.runners, func(r runnersAt) bool { return r.since >= from })
+	for r, known := range s.holders {
+		s.holders[r] = slices.DeleteFunc(known, func(h holdersAt) bool { return h.since >= from })
+	}
+}
+
 // firstObserved returns the uptime of the first observation.
 func (s *service) firstObserved() time.Duration {
 	if len(s.runners) == 0 {
