--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -265,7 +265,7 @@
 		v.logChange(e)
 	}
 	v.noteDraining(e)
-	v.observeVersions(e.runner.Service)
+	v.noteVersions(e.runner.Service)
 	v.notify()
 }
 
--- a/drfleetview/version.go
+++ b/drfleetview/version.go
@@ -7,12 +7,42 @@
 	"github.com/dotterelridge/dotterelridge/drversion"
 )
 
-// observeVersions records which software versions serve a service from now on, once the table
-// is complete. The caller holds mu.
-func (v *View) observeVersions(service string) {
-	if !v.runnersConfirmed {
-		return
+// versionInterval is the least time between two looks at the versions of a service: each goes
+// through all of its runners, which may change many times a second.
+const versionInterval = 50 * time.Millisecond
+
+// versionLook says when the versions of a service were last looked at, and whether a runner has
+// changed since.
+type versionLook struct {
+	at      time.Duration // uptime
+	changed bool
+}
+
+// noteVersions records which software versions serve a service, one of whose runners has
+// changed, unless they have just been looked at. The caller holds mu.
+func (v *View) noteVersions(service string) {
+	look, known := v.versionLooks[service]
+	if !known {
+		look.at = -versionInterval
 	}
+	look.changed = true
+	v.versionLooks[service] = look
+	v.lookAtVersions(service)
+}
+
+// lookAtVersions records which software versions serve a service if a runner has changed since
+// the last look and that is long enough ago. The caller holds mu.
+func (v *View) lookAtVersions(service string) {
+	look := v.versionLooks[service]
+	if now := v.clock.Uptime(); look.changed && v.runnersConfirmed && now-look.at >= versionInterval {
+		v.versionLooks[service] = versionLook{at: now}
+		v.observeVersions(service)
+	}
+}
+
+// observeVersions records which software versions serve a service from now on. The caller
+// holds mu.
+func (v *View) observeVersions(service string) {
 	snapshot := v.versionSnapshot(service, func(*entry) []drversion.Replica { return nil })
 	if len(snapshot.Runners) > 1 || v.versions.Mixed(service) {
 		snapshot = v.versionSnapshot(service, replicasOf)
@@ -61,6 +91,7 @@
 func (v *View) ChooseVersion(replica Replica, id string) (version string, bound bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.lookAtVersions(replica.Service)
 	return v.versions.Choose(replica.Service, id, drversion.ReplicaOf(replica.Model, replica.Adapter))
 }
 
@@ -68,6 +99,7 @@
 func (v *View) VersionBegan(replica Replica, id string, age time.Duration) (version string, basis drversion.Basis) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.lookAtVersions(replica.Service)
 	return v.versions.Began(replica.Service, id, drversion.ReplicaOf(replica.Model, replica.Adapter), age, v.clock.Uptime())
 }
 
@@ -89,6 +121,9 @@
 func (v *View) VersionRecord() *drpb.FleetVersions {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	for service := range v.versionLooks {
+		v.lookAtVersions(service)
+	}
 	return v.versions.Record(v.clock.Uptime())
 }
 
@@ -98,7 +133,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	useful := v.versions.Merge(record, at)
-	if useful {
+	if useful && v.runnersConfirmed {
 		v.observeAllVersions()
 	}
 	return useful
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -65,7 +65,8 @@
 
 	runners map[string]*entry
 	// versions says which software versions of runners have served.
-	versions *drversion.History
+	versions     *drversion.History
+	versionLooks map[string]versionLook // by service
 	// bounded finds the runners that need permits.
 	bounded          boundIndex
 	buckets          [Buckets]bucket
@@ -91,7 +92,7 @@
 	return &View{
 		clock: clock, controllerAt: clock.Uptime(), changed: make(chan struct{}), runners: make(map[string]*entry), bounded: make(boundIndex),
 		waitersByReplica: make(map[Replica]*waiterSet), forecasts: make(map[Replica]forecast), demandAdded: make(chan struct{}, 1),
-		closing: make(map[string]time.Duration), versions: drversion.NewHistory(),
+		closing: make(map[string]time.Duration), versions: drversion.NewHistory(), versionLooks: make(map[string]versionLook),
 	}
 }
 
