drcontroller, drproxy: Load models for streams of the version that they need

A stream that is bound to a software version waited for a model that runners of the other version held: for the controller it was loaded.

What waits names its version; while several serve, plans take zone and version together for a runner's place, as zones are for requests with homes. Nothing changes with one version. TestControllerLoadsModelsForVersion fails without the version in backlogs.

--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -329,13 +329,13 @@
 		AtHome: make(map[drscheduler.Demand]drscheduler.Use), Stored: make(drscheduler.Copies),
 		StoreLoads: c.storeLoads.available(now),
 	}
-	slots, unheard := c.slotsOf(service.Name), c.unheardFactor(now)
+	slots, unheard, at := c.slotsOf(service.Name), c.unheardFactor(now), placesOf(c.view, service.Name)
 	for key, d := range c.demands {
 		d.decay(now)
 		d.averageIn(c.running.byDemand[key], now)
 		use := drscheduler.Use{Work: d.utilization(slots) * unheard, Rate: d.rate}
 		if key.Zones.Bind() {
-			state.AtHome[key] = use
+			state.AtHome[drscheduler.Demand{Model: key.Model, Zones: at.allowed(key.Zones, "")}] = use
 			continue
 		}
 		state.Rate[key.Model], state.Work[key.Model] = use.Rate, use.Work
@@ -344,7 +344,7 @@
 	for _, r := range c.view.Runners(service.Name) {
 		if !r.Draining && !outages.Has(r.Zone) {
 			for _, m := range slices.Concat(r.OnDisk, r.InMemory) {
-				state.Stored.Add(m, r.Zone)
+				state.Stored.Add(m, at.of(r))
 			}
 		}
 		tracked := c.runnerStates[r.ID]
@@ -352,7 +352,7 @@
 			continue
 		}
 		runner := drscheduler.Runner{
-			Runner: c.asPlanned(r, tracked, paused), Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
+			Runner: at.within(c.asPlanned(r, tracked, paused)), Running: c.running.byModel[r.ID], RunningAdapter: c.running.byAdapter[r.ID], LoadedAt: tracked.loadedAt,
 			UsedAdapter: tracked.usedAdapter, LoadingAdapters: tracked.loadingAdapters, UnloadingAdapters: tracked.unloadingAdapters,
 			OutOfService: outages.Has(r.Zone), Limit: c.limitOf(r),
 		}
@@ -364,7 +364,7 @@
 	if !c.copiesKnown(service.Name, now) {
 		state.StoreLoads = 0
 	}
-	state.Backlogs = c.sumBacklogs(service.Name, now)
+	state.Backlogs = c.sumBacklogs(service.Name, at, now)
 	return state
 }
 
@@ -416,7 +416,7 @@
 
 // sumBacklogs sums the waiting requests of all VMs by model, adapter and zones. The times
 // left are reduced by the age of the reports.
-func (c *Controller) sumBacklogs(service string, now time.Time) []drscheduler.Backlog {
+func (c *Controller) sumBacklogs(service string, at places, now time.Time) []drscheduler.Backlog {
 	type waitingKey struct {
 		drscheduler.Demand
 		adapter string
@@ -432,6 +432,7 @@
 			if s != service {
 				continue
 			}
+			w.Zones = at.allowed(w.Zones, m.GetReplica().GetVersion())
 			age := now.Sub(v.wantsReceivedAt)
 			w.ObjectiveLeft -= age
 			w.DeadlineLeft -= age
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -29,11 +29,13 @@
 func millisecondsUp(d time.Duration) int32 { return milliseconds(d + time.Millisecond - 1) }
 
 func encodeReplica(p drfleetview.Replica) *drpb.FleetReplica {
-	return &drpb.FleetReplica{Service: p.Service, Model: p.Model, Adapter: p.Adapter, Zones: p.Zones.Names()}
+	return &drpb.FleetReplica{Service: p.Service, Model: p.Model, Adapter: p.Adapter, Zones: p.Zones.Names(), Version: p.Version}
 }
 
 func decodeReplica(m *drpb.FleetReplica) drfleetview.Replica {
-	return drfleetview.Replica{Service: m.GetService(), Model: m.GetModel(), Adapter: m.GetAdapter(), Zones: decodeZones(m.GetZones())}
+	return drfleetview.Replica{
+		Service: m.GetService(), Model: m.GetModel(), Adapter: m.GetAdapter(), Zones: decodeZones(m.GetZones()), Version: m.GetVersion(),
+	}
 }
 
 // decodeZones returns the zones in which requests may be served. None mean all: requests
--- /dev/null
+++ b/drcontroller/places_test.go
@@ -0,0 +1,54 @@
+package drcontroller
+
+import (
+	"context"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drfleetview"
+)
+
+// Guards against a model that counts as loaded for streams of one software version although
+// runners of another hold it, also for streams that are bound to zones.
+func TestControllerLoadsModelsForVersion(t *testing.T) {
+	for _, zones := range [][]string{nil, {home}} {
+		is := is.New(t)
+		w := newControllerFixture(t)
+		w.addRunnerAtHome()
+		old, _ := w.view.Runner("r2")
+		updated := *old
+		updated.Version = "v2"
+		w.view.OfferRunner(&updated, drfleetview.FromController)
+		request := wantOfModelA(1, 0)
+		request.Wants[0].Replica.Version, request.Wants[0].Replica.Zones = "v2", zones
+		w.controller.Sync(context.Background(), "vm2", 1, request)
+		eventually(t, "a is loaded at v2", func() bool { return slices.Contains(w.engines.loadedModels("r2"), "a") })
+		listed, _ := w.view.Runner("r2")
+		is.Equal(listed.Zone, home) // what is planned with must not be listed
+		replica := decodeReplica(request.GetWants()[0].GetReplica())
+		is.Equal(decodeReplica(encodeReplica(replica)), replica)
+	}
+}
+
+// Guards against a runner that is taken for another place than the requests that it may serve.
+func TestPlacesOfMixedVersions(t *testing.T) {
+	is := is.New(t)
+	old := &drfleet.Runner{ID: "1", Service: "llm", Zone: "a", Version: "v1"}
+	v := viewOf(old)
+	single := placesOf(v, "llm")
+	is.Equal(single.of(old), "a")
+	is.Equal(single.allowed(drfleet.Zones{}, "v1"), drfleet.Zones{})
+	newer := &drfleet.Runner{ID: "2", Service: "llm", Zone: "b", Version: "v2"}
+	v.OfferRunner(newer, drfleetview.FromRunner)
+	mixed := placesOf(v, "llm")
+	is.True(!mixed.allowed(drfleet.Zones{}, "").Bind())
+	is.True(mixed.allowed(drfleet.Zones{}, "v2").Allow(mixed.of(newer)))
+	is.True(!mixed.allowed(drfleet.Zones{}, "v2").Allow(mixed.of(old)))
+	is.True(mixed.allowed(drfleet.ZonesOf("a"), "").Allow(mixed.of(old)))
+	is.True(!mixed.allowed(drfleet.ZonesOf("a"), "v2").Allow(mixed.of(newer)))
+	is.Equal(mixed.within(old).Zone, mixed.of(old))
+	is.Equal(old.Zone, "a")
+}
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -445,20 +445,20 @@
 // may be served, and false if no load of it is in progress there. The caller holds mu.
 func (c *Controller) loadLeft(replica drfleetview.Replica, now time.Time) (left time.Duration, loading bool) {
 	for id, s := range c.runnerStates {
-		if replica.Model != "" && s.swap != nil && s.swap.Load == replica.Model && c.isIn(replica.Zones, id) {
+		if replica.Model != "" && s.swap != nil && s.swap.Load == replica.Model && c.mayServe(replica, id) {
 			return max(s.expectedDoneAt.Sub(now), 0), true
 		}
 	}
 	return 0, false
 }
 
-// isIn reports whether a runner is in one of the zones.
-func (c *Controller) isIn(zones drfleet.Zones, runner string) bool {
-	if !zones.Bind() {
+// mayServe reports whether a runner is in one of a replica's zones and has its software version.
+func (c *Controller) mayServe(replica drfleetview.Replica, runner string) bool {
+	if !replica.Zones.Bind() && replica.Version == "" {
 		return true
 	}
 	r, ok := c.view.Runner(runner)
-	return ok && zones.Allow(r.Zone)
+	return ok && replica.Zones.Allow(r.Zone) && (replica.Version == "" || r.Version == replica.Version)
 }
 
 // forecastLoad estimates the time until a replica's model is loaded. Without a swap in
@@ -471,7 +471,7 @@
 	}
 	b, engines := c.backlogs[replica.Service], max(len(c.runnerStates), 1)
 	expected := time.Duration(b.count+engines) * swapTime / time.Duration(engines)
-	if b.copiesKnown && !b.stored.In(replica.Model, replica.Zones) {
+	if b.copiesKnown && !b.stored.In(replica.Model, placesOf(c.view, replica.Service).allowed(replica.Zones, replica.Version)) {
 		expected = max(expected, b.engine.Models[replica.Model].FromStore+swapOverhead)
 	}
 	return expected
--- a/drfleetview/pause.go
+++ b/drfleetview/pause.go
@@ -88,7 +88,8 @@
 // gets requests and one of the replica's, and holds a replica. The caller holds mu.
 func (v *View) serves(e *entry, replica Replica) bool {
 	return !v.closed(e.runner.Zone) && !e.removed && !e.runner.Draining && e.runner.Service == replica.Service &&
-		replica.Zones.Allow(e.runner.Zone) && e.runner.Holds(replica.Model, replica.Adapter)
+		replica.Zones.Allow(e.runner.Zone) && (replica.Version == "" || e.runner.Version == replica.Version) &&
+		e.runner.Holds(replica.Model, replica.Adapter)
 }
 
 // PausedCount returns the number of listed runners of a service that want no requests of
--- a/drfleetview/version.go
+++ b/drfleetview/version.go
@@ -1,6 +1,8 @@
 package drfleetview
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drpb"
@@ -86,6 +88,27 @@
 	}
 }
 
+// Versions returns the software versions of the listed runners of a service, sorted.
+func (v *View) Versions(service string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	versions := make(map[string]bool)
+	for _, e := range v.runners {
+		if !e.removed && e.runner.Service == service {
+			versions[e.runner.Version] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(versions))
+}
+
+// VersionsMixed reports whether several software versions of a service have served lately.
+func (v *View) VersionsMixed(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lookAtVersions(service)
+	return v.versions.Mixed(service)
+}
+
 // ChooseVersion returns the software version at which a stream with an id begins now. bound is
 // false if any may.
 func (v *View) ChooseVersion(replica Replica, id string) (version string, bound bool) {
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -17,9 +17,11 @@
 
 // Replica names what a request needs from a runner: a service, and for services
 // with engines a model and optionally an adapter of it ("" for none), in one of the zones.
+// What waits for a runner of one software version names that; "" stands for any.
 type Replica struct {
 	Service, Model, Adapter string
 	Zones                   drfleet.Zones
+	Version                 string
 }
 
 // View is one VM's view of the fleet. It is safe for concurrent use.
--- a/drproxy/version.go
+++ b/drproxy/version.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drbalancer"
 	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drfleetview"
 )
 
 // This file holds which software version of the runners a stream may have. Events of two
@@ -66,16 +67,31 @@
 	}
 }
 
-// ofVersion returns those of the candidates at which the request may run now. Before its first
-// event a stream has the version that follows from its id, so that any VM can tell it later.
-func (x *exchange) ofVersion(candidates []drbalancer.Candidate) []drbalancer.Candidate {
-	if !x.mayContinue() {
-		return candidates
+// version returns the software version of runners at which the request may run now; bound is
+// false if any may. Before its first event a stream has the version that follows from its id,
+// so that any VM can tell it later.
+func (x *exchange) version() (version string, bound bool) {
+	switch {
+	case !x.mayContinue():
+		return "", false
+	case x.bound.known:
+		return x.bound.version, true
 	}
-	version, bound := x.bound.version, x.bound.known
-	if !bound {
-		version, bound = x.server.View.ChooseVersion(x.replica(), x.call.ID)
+	return x.server.View.ChooseVersion(x.replica(), x.call.ID)
+}
+
+// awaitedReplica is replica for a request that waits: with the version that it needs.
+func (x *exchange) awaitedReplica() drfleetview.Replica {
+	p := x.replica()
+	if x.server.View.VersionsMixed(p.Service) {
+		p.Version, _ = x.version()
 	}
+	return p
+}
+
+// ofVersion returns those of the candidates at which the request may run now.
+func (x *exchange) ofVersion(candidates []drbalancer.Candidate) []drbalancer.Candidate {
+	version, bound := x.version()
 	if !bound {
 		return candidates
 	}
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -52,6 +52,7 @@
 			return nil, x.unknownRefusal(refusal{status: fasthttp.StatusNotFound, reason: "unknown-model", detail: p.Model}), refused
 		}
 	}
+	p = x.awaitedReplica()
 	if x.runnerMayCome(p) {
 		waiter := s.View.AddWaiter(p, x.start.Add(x.route.Objective), giveUpAt, x.urgency())
 		defer waiter.Close()
