drcontroller: Hear of writes of runners that have left since

The controller kept the runner for 2.2 s as if its entry had expired: a read had failed 2.19 s before, and it counted the runner as silent for 12.5 s.

Cause: of the records between two reads only each runner's newest was looked at, so that a write followed by the removal counted as no write. All records are looked at for writes now.

TestRunnerThatWroteAndLeftBetweenReadsGoes failed before (1 runner left).

--- a/drcontroller/reader.go
+++ b/drcontroller/reader.go
@@ -318,8 +318,10 @@
 	if last != r.confirmed {
 		clear(r.lapsed) // the controller's table says which runners are left
 	}
+	for _, rec := range records {
+		r.noteWritten(rec, pos.era, last) // also of runners that have left since
+	}
 	for _, rec := range newestOfKeys(records) {
-		r.noteWritten(rec, pos.era, last)
 		r.applyRunnerRecord(rec, drstore.After(pos.era, rec.Offset))
 	}
 	r.removeLapsedRunners(r.clock.Uptime(), pos.asOf())
--- a/drcontroller/reader_test.go
+++ b/drcontroller/reader_test.go
@@ -86,6 +86,28 @@
 	is.Equal(w.runners(), 1)
 }
 
+// Guards against a runner that has left and is kept as if its entry had expired in an outage,
+// because it wrote and left between two reads after a failed one.
+func TestRunnerThatWroteAndLeftBetweenReadsGoes(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	w := newReaderFixture()
+	w.store.Put(drstore.Runners, "left", []byte("1 1"))
+	is.NoErr(w.reader.readRunners(ctx))
+	w.store.Put(drstore.Runners, "left", []byte("1 2"))
+	w.clock.Advance(time.Second)
+	is.NoErr(w.reader.readRunners(ctx))
+	w.clock.Advance(10 * time.Second)
+	w.store.SetFault(drstore.ErrRefused, false)
+	is.True(w.reader.readRunners(ctx) != nil)
+	w.store.SetFault(nil, false)
+	is.NoErr(w.reader.readRunners(ctx))
+	w.clock.Advance(time.Second)
+	w.store.Put(drstore.Runners, "left", []byte("1 3"))
+	w.store.Put(drstore.Runners, "left", nil)
+	is.NoErr(w.reader.readRunners(ctx))
+	is.Equal(w.runners(), 0)
+}
+
 // Guards against removing live runners whose entries expired during an outage
 // of the store, and against keeping a runner that does not write its entry
 // again.
