drcontroller, drversion: Work out a service's places once a plan

Each forecast of a request that waits had the places of its service worked out anew: all runners gone through under the view's lock, for each want of each report, also with a single software version. Forecasts use those of the last plan now, as they use its copies of models. In drversion the same question, has a version served, stood in two loops.

No change of behaviour meant; the two packages' tests and the linter pass.

--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -100,6 +100,7 @@
 	storeLoads    loadRate
 	startedAt     time.Time
 	backlogs      map[string]modelBacklog // by service, as of its last plan
+	places        map[string]places       // the same
 	loads         loadIndex
 	questions     []question     // runners to ask for their state, the most urgent first
 	asking        int            // questions that await their answers
@@ -119,7 +120,7 @@
 	controller := &Controller{
 		ControllerConfig: c, view: v, pool: drtokenpool.NewPool(c.Clock), crashes: drcrash.NewTally(c.Clock), planRequests: make(chan struct{}, 1),
 		vms: make(map[string]*vm), running: newRunningTotals(), tokens: make(tokensByRunner), runnerStates: make(map[string]*runnerState), demands: make(map[drscheduler.Demand]*demand),
-		backlogs: make(map[string]modelBacklog), warmups: drwarmup.NewBudget(c.Clock.Uptime()), table: newTableSender(v), pieces: newPieceQueue(c.Clock),
+		backlogs: make(map[string]modelBacklog), places: make(map[string]places), warmups: drwarmup.NewBudget(c.Clock.Uptime()), table: newTableSender(v), pieces: newPieceQueue(c.Clock),
 		storeLoads: loadRate{createdAt: c.Clock.Now()}, startedAt: c.Clock.Now(), limitsVersion: -1,
 	}
 	if !drlease.FirstOfEra(c.Term) {
--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -330,6 +330,7 @@
 		StoreLoads: c.storeLoads.available(now),
 	}
 	slots, unheard, at := c.slotsOf(service.Name), c.unheardFactor(now), placesOf(c.view, service.Name)
+	c.places[service.Name] = at
 	for key, d := range c.demands {
 		d.decay(now)
 		d.averageIn(c.running.byDemand[key], now)
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -471,7 +471,7 @@
 	}
 	b, engines := c.backlogs[replica.Service], max(len(c.runnerStates), 1)
 	expected := time.Duration(b.count+engines) * swapTime / time.Duration(engines)
-	if b.copiesKnown && !b.stored.In(replica.Model, placesOf(c.view, replica.Service).allowed(replica.Zones, replica.Version)) {
+	if b.copiesKnown && !b.stored.In(replica.Model, c.places[replica.Service].allowed(replica.Zones, replica.Version)) {
 		expected = max(expected, b.engine.Models[replica.Model].FromStore+swapOverhead)
 	}
 	return expected
--- a/drversion/choice.go
+++ b/drversion/choice.go
@@ -56,7 +56,7 @@
 		return "", Unknown
 	}
 	if s.count() == 1 {
-		return s.versions[s.choiceOfAny()], Single
+		return s.versions[slices.IndexFunc(s.versions, func(v string) bool { return s.served(s.bit(v)) })], Single
 	}
 	choice := -1
 	for _, st := range s.statesIn(from, now, r) {
@@ -189,13 +189,3 @@
 	}
 	return st
 }
-
-// choiceOfAny returns the bit of the first version that has served.
-func (s *service) choiceOfAny() int {
-	for i := range s.versions {
-		if slices.ContainsFunc(s.runners, func(r runnersAt) bool { return i < len(r.counts) && r.counts[i] > 0 }) {
-			return i
-		}
-	}
-	return 0
-}
--- a/drversion/history.go
+++ b/drversion/history.go
@@ -155,13 +155,18 @@
 func (s *service) count() int {
 	n := 0
 	for i := range s.versions {
-		if slices.ContainsFunc(s.runners, func(r runnersAt) bool { return i < len(r.counts) && r.counts[i] > 0 }) {
+		if s.served(i) {
 			n++
 		}
 	}
 	return n
 }
 
+// served reports whether the version of a bit has served.
+func (s *service) served(i int) bool {
+	return slices.ContainsFunc(s.runners, func(r runnersAt) bool { return i < len(r.counts) && r.counts[i] > 0 })
+}
+
 // prune forgets what was over before an uptime. If only one version is left, the holders are
 // forgotten, too.
 func (s *service) prune(before time.Duration) {
