Show streams that a planned release has refused as crashing

Callers who follow the same stream lose it while half of the runners are replaced, and get 503 crashes-runners when they take it up.

Cause, as far as known: the exit of a draining runner amid an answer counts as a crash, and requests that are alike share their count.

--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -44,9 +44,11 @@
 	path   string
 	key    string
 	events int // of each stream
-	mu     sync.Mutex
-	all    []*stream
-	wg     sync.WaitGroup
+	// alike is set if all clients ask for the same: GET at the path, without a query.
+	alike bool
+	mu    sync.Mutex
+	all   []*stream
+	wg    sync.WaitGroup
 }
 
 // open runs one stream in the background. Its attempts go to the edges in the given order.
@@ -61,13 +63,16 @@
 // run makes the attempts of a stream until it is complete.
 func (c *clients) run(st *stream, edges []string, order []int) {
 	began, last, first := time.Now(), 0, ""
-	path := fmt.Sprintf("%s?stream=%016x", c.path, rand.Uint64()) // no two streams are alike
+	request := fmt.Sprintf("POST %s?stream=%016x HTTP/1.1\r\nContent-Length: 0\r\n", c.path, rand.Uint64())
+	if c.alike {
+		request = fmt.Sprintf("GET %s HTTP/1.1\r\n", c.path)
+	}
 	for try := range min(maxTries, len(order)) {
 		left := streamDeadline - time.Since(began)
 		id := fmt.Sprintf("%016x", rand.Uint64())
 		a := attempt{edge: order[try], sentAt: time.Now()}
-		head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: %s\r\nX-Deadline-Milliseconds: %d\r\nContent-Length: 0\r\n",
-			path, id, left.Milliseconds())
+		head := request + fmt.Sprintf("Host: app.example\r\nX-Request-Id: %s\r\nX-Deadline-Milliseconds: %d\r\n",
+			id, left.Milliseconds())
 		if c.key != "" {
 			head += "Authorization: Bearer " + c.key + "\r\n"
 		}
