Show streams lost with the only holder of a model at their version

Callers whose streams ran on a runner that crashes take them up and get 503 model-not-loaded, although four runners of the version serve.

Cause, as far as known: replicas are planned for models, not for a model at each software version; why no order was sent for the streams that wait was not traced.

--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -25,8 +26,10 @@
 type attempt struct {
 	edge   int
 	sentAt time.Time
-	status int
-	events int
+	// endedAt is when the answer or its connection ended.
+	endedAt time.Time
+	status  int
+	events  int
 }
 
 // stream is what one client got over all of its attempts.
@@ -46,9 +49,13 @@
 	events int // of each stream
 	// alike is set if all clients ask for the same: GET at the path, without a query.
 	alike bool
-	mu    sync.Mutex
-	all   []*stream
-	wg    sync.WaitGroup
+	// model is the model that they ask for, "" for a plain service.
+	model string
+	// deadline is how long a client waits for the whole stream, streamDeadline if it is 0.
+	deadline time.Duration
+	mu       sync.Mutex
+	all      []*stream
+	wg       sync.WaitGroup
 }
 
 // open runs one stream in the background. Its attempts go to the edges in the given order.
@@ -68,7 +75,7 @@
 		request = fmt.Sprintf("GET %s HTTP/1.1\r\n", c.path)
 	}
 	for try := range min(maxTries, len(order)) {
-		left := streamDeadline - time.Since(began)
+		left := cmp.Or(c.deadline, streamDeadline) - time.Since(began)
 		id := fmt.Sprintf("%016x", rand.Uint64())
 		a := attempt{edge: order[try], sentAt: time.Now()}
 		head := request + fmt.Sprintf("Host: app.example\r\nX-Request-Id: %s\r\nX-Deadline-Milliseconds: %d\r\n",
@@ -76,6 +83,9 @@
 		if c.key != "" {
 			head += "Authorization: Bearer " + c.key + "\r\n"
 		}
+		if c.model != "" {
+			head += "X-Model: " + c.model + "\r\nX-Token-Counts: 646,70\r\n"
+		}
 		if last > 0 {
 			head += fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", last, first)
 		}
@@ -85,6 +95,7 @@
 		st.attempts = append(st.attempts, a)
 		c.mu.Unlock()
 		err := c.receive(st, try, edges[order[try]], head+"\r\n", left, &last)
+		st.attempts[try].endedAt = time.Now()
 		if first == "" && last > before {
 			first = id
 		}
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -151,6 +151,15 @@
 
 // kill ends an entry VM at once.
 func (f *fleet) kill(i int) error {
+	f.record.add("entry VM %d is killed", i)
+	f.mu.Lock()
+	f.killedAt[i] = time.Now()
+	f.mu.Unlock()
+	return f.signal(i, syscall.SIGKILL)
+}
+
+// signal sends a signal to an entry VM.
+func (f *fleet) signal(i int, s syscall.Signal) error {
 	content, err := os.ReadFile(filepath.Join(f.dir, fmt.Sprintf("edge-%d.pid", i)))
 	if err != nil {
 		return err
@@ -162,27 +171,31 @@
 	if pid <= 1 {
 		return errors.New("no process id")
 	}
-	f.record.add("entry VM %d is killed", i)
-	f.mu.Lock()
-	f.killedAt[i] = time.Now()
-	f.mu.Unlock()
-	return syscall.Kill(pid, syscall.SIGKILL)
+	return syscall.Kill(pid, s)
 }
 
 // configure writes the configuration: one plain service whose streams may be resumed.
 func (f *fleet) configure(service, path, key string) error {
+	return f.configureRoute(service, path, key, 13*time.Second, 2*time.Second, nil)
+}
+
+// configureRoute writes the configuration: one service, with an engine if it is not nil, whose
+// streams may be resumed.
+func (f *fleet) configureRoute(service, path, key string, timeout, target time.Duration, engine map[string]any) error {
+	services := map[string]any{"name": service, "health_path": "/health", "connection_limit": 822, "protocol": "h1", "tls": false}
+	if engine != nil {
+		services["engine"] = engine
+	}
 	config, err := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
-			"name": "watch", "host": "app.example", "path_prefix": path, "kind": "streaming", "timeout_ms": 13000,
-			"target_latency_ms": 2000, "priority": 0, "service": service, "attempts": 2, "anonymous": false,
+			"name": "watch", "host": "app.example", "path_prefix": path, "kind": "streaming", "timeout_ms": timeout.Milliseconds(),
+			"target_latency_ms": target.Milliseconds(), "priority": 0, "service": service, "attempts": 2, "anonymous": false,
 			"session_affinity": false, "resumable": true, "gap_aim_ms": 600,
 		}},
-		"services": []any{map[string]any{
-			"name": service, "health_path": "/health", "connection_limit": 822, "protocol": "h1", "tls": false,
-		}},
-		"tenants": []any{map[string]any{"name": "tenant-a", "api_keys": []string{key}, "priority": 0}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"services": []any{services},
+		"tenants":  []any{map[string]any{"name": "tenant-a", "api_keys": []string{key}, "priority": 0}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	if err != nil {
 		return err
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -25,7 +25,7 @@
 // cases returns the cases by name. Each reports whether its rule was broken.
 func cases() map[string]func(environment) (broken bool, err error) {
 	return map[string]func(environment) (bool, error){
-		"releases": playReleases, "stale": playStale, "board": playBoard,
+		"releases": playReleases, "stale": playStale, "board": playBoard, "silence": playSilence, "holder": playHolder,
 	}
 }
 
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -33,16 +34,23 @@
 	mu                   sync.Mutex
 	sequence             int
 	draining, ended      bool
+	// pauseAfter is the event after which a stream pauses once, for pause; 0 for none.
+	pauseAfter int
+	pause      time.Duration
+	// refuseAfter is how long a request waits in the queue before it is turned away, 0 if the
+	// runner takes requests.
+	refuseAfter time.Duration
+	engine      *engine // nil for a plain service
 }
 
 // startRunner registers a runner in the store and serves at address. With port 0 it takes
 // a free one.
-func startRunner(s *store, rec *record, id, service, version, address string, events int) (*runner, error) {
+func startRunner(s *store, rec *record, id, service, version, address string, events int, e *engine) (*runner, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{store: s, record: rec, id: id, service: service, version: version, address: listener.Addr().String(), born: time.Now().UnixMilli(), events: events}
+	r := &runner{store: s, record: rec, id: id, service: service, version: version, address: listener.Addr().String(), born: time.Now().UnixMilli(), events: events, engine: e}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	rec.add("runner %s starts at %s with version %s", id, r.address, version)
 	r.writeEntry()
@@ -63,10 +71,14 @@
 	if r.draining {
 		state = "draining"
 	}
-	entry, _ := json.Marshal(map[string]any{
+	document := map[string]any{
 		"service": r.service, "address": r.address, "zone": "zone-a", "version": r.version, "slots": runnerSlots, "state": state,
 		"cold_remaining_ms": 0, "stage": "combined", "models": []any{}, "sequence": r.sequence, "born": r.born,
-	})
+	}
+	if r.engine != nil {
+		maps.Copy(document, r.engine.describe())
+	}
+	entry, _ := json.Marshal(document)
 	r.store.put("keyed.servers", r.id, entry)
 }
 
@@ -93,15 +105,36 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if req.URL.Path == "/health" {
+	switch {
+	case req.URL.Path == "/health":
+		return
+	case r.engine != nil && req.URL.Path == "/dotterelridge/report":
+		r.serveReport(w)
+		return
+	case r.engine != nil && req.URL.Path == "/dotterelridge/order":
+		r.serveOrder(w, req)
+		return
+	case r.engine != nil && !r.engine.holds(req.Header.Get("X-Model")):
+		w.Header().Set("X-Request-Id", id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Seal", r.version+"."+r.id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if r.refuseAfter > 0 {
+		time.Sleep(r.refuseAfter)
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		r.record.add("runner %s refuses %s", r.id, id)
+		return
+	}
 	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	r.record.add("runner %s (%s) runs %s from event %d on", r.id, r.version, id, last+1)
 	for event := last + 1; event <= r.events; event++ {
+		if r.pauseAfter > 0 && event == r.pauseAfter+1 && last < r.pauseAfter {
+			time.Sleep(r.pause)
+		}
 		select {
 		case <-time.After(eventInterval):
 		case <-req.Context().Done():
--- a/review/standins-2/versions.go
+++ b/review/standins-2/versions.go
@@ -28,7 +28,7 @@
 func startRunners(f *fleet, count int, version, prefix string, events int) ([]*runner, error) {
 	var runners []*runner
 	for i := range count {
-		r, err := startRunner(f.store, f.record, fmt.Sprintf("%s%d", prefix, i+1), service, version, "127.0.0.1:0", events)
+		r, err := startRunner(f.store, f.record, fmt.Sprintf("%s%d", prefix, i+1), service, version, "127.0.0.1:0", events, nil)
 		if err != nil {
 			return nil, err
 		}
@@ -54,7 +54,7 @@
 func release(f *fleet, old []*runner, version string, gap time.Duration) ([]*runner, error) {
 	var fresh []*runner
 	for _, r := range old {
-		n, err := startRunner(f.store, f.record, r.id+"-"+version, service, version, "127.0.0.1:0", r.events)
+		n, err := startRunner(f.store, f.record, r.id+"-"+version, service, version, "127.0.0.1:0", r.events, nil)
 		if err != nil {
 			return nil, err
 		}
