--- a/review/standins-2/silence.go
+++ b/review/standins-2/silence.go
@@ -59,8 +59,11 @@
 		return false, err
 	}
 	cut, counted := c.cutAround(began.Add(hangUpAt))
-	env.record.add("%d of %d streams were cut, %d of them around the SIGHUP", cut, len(c.all), counted)
-	return env.trouble && counted > 0, nil
+	if !env.trouble {
+		counted = 0 // there was no planned work
+	}
+	env.record.add("%d of %d streams were cut, %d of them around planned work", cut, len(c.all), counted)
+	return counted > 0, nil
 }
 
 // cutAround counts the streams that were cut well before the route's timeout, and those of them
