--- a/review/standins-2/play-2.sh
+++ b/review/standins-2/play-2.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Plays one case: play-2.sh CASE FOLDER. It starts the entry VMs with the command of
+# Plays one case: play-2.sh CASE RECORD, where RECORD is the file for what was sent,
+# answered and run. It starts the entry VMs with the command of
 # deploy/system.toml once the stand-ins have written their settings, and ends all of them.
 # Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 set -uo pipefail
-name=$1 folder=$(cd "$2" && pwd)
+name=$1 record=$2
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/dotterelridge ] && [ -x target/standins-2 ] || { echo "build first" >&2; exit 2; }
 shared=$(mktemp -d) || exit 2
@@ -16,7 +17,7 @@
 trap finish EXIT
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-target/standins-2 -dir "$shared" -case "$name" -trouble=$trouble -record "$folder/record.txt" &
+target/standins-2 -dir "$shared" -case "$name" -trouble=$trouble -record "$record" &
 standins=$!
 pids+=("$standins")
 for _ in $(seq 100); do [ -e "$shared/ready" ] && break; sleep 0.1; done
