drhttp: Take no answer whose head or trailer is malformed

What callers saw: a runner in trouble sent an answer in whose head the name of a field held a blank. The client got it as an answer, with that line passed on ("X Foo: v") or with a body that was not the runner's: with "Content Length: 5" or "Transfer Encoding: chunked" the framing is lost, and what follows, chunks and all, became the body.

Cause: answers were read by fasthttp's parser, which takes more than RFC 9110 and RFC 9112: blanks within a name and before the colon, in heads, interim heads and trailers; control bytes in the reason; Transfer-Encoding in a version other than HTTP/1.1, which it then ignores. Only the status had a check of its own, in two forms: the one of drhttp.Client looked at the first bytes after a request, so 000 behind an interim head, an empty line or two blanks passed there.

Change: drhttp checks each line of a head by the grammar, as it arrives and before fasthttp reads it, and each line of a trailer. There is one reader of heads (ReadHeader, ReadFinalHeader) and one of bodies (Body, ReadBody, NewChunkedReader) for drproxy, drrouter.HTTPCaller and, through a RoundTripper of fasthttp, drhttp.Client (the store, orders to runners, engines), the VM list and the admin client. An answer without its last CRLF CRLF is refused at once; fasthttp looked for that in the body. A connection with bytes after the answer is not used again: the next call took a second copy for its own. Taken as before: an empty reason, also without its blank, obs-text and tabs, all token characters, folded lines, LF alone.

--- a/dradmin/client.go
+++ b/dradmin/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelridge/dotterelridge/drerror"
+	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 )
 
@@ -32,7 +33,9 @@
 // "https://". The config holds the certificate authorities that may sign the server's
 // certificate, and the operator's own certificate.
 func NewTLSClient(baseURL, token string, config *tls.Config) *Client {
-	return &Client{baseURL: baseURL, token: token, http: fasthttp.Client{NoDefaultUserAgentHeader: true, TLSConfig: config}}
+	return &Client{baseURL: baseURL, token: token, http: fasthttp.Client{
+		NoDefaultUserAgentHeader: true, TLSConfig: config, Transport: drhttp.Transport{},
+	}}
 }
 
 // Submit sends a configuration change and waits until it is accepted or rejected; a
--- a/drhttp/client.go
+++ b/drhttp/client.go
@@ -62,6 +62,7 @@
 		MaxResponseBodySize:      config.MaxBody,
 		StreamResponseBody:       config.Stream,
 		NoDefaultUserAgentHeader: true,
+		Transport:                Transport{},
 		// By default fasthttp repeats failed GET and DELETE requests. Here the
 		// caller decides whether to repeat a request.
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -73,7 +74,7 @@
 			if err != nil {
 				return nil, &dialError{err}
 			}
-			return &statusConn{Conn: conn}, nil
+			return conn, nil
 		},
 	}}
 }
--- a/drmember/http_lister.go
+++ b/drmember/http_lister.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drpeer"
 )
 
@@ -30,7 +31,7 @@
 func NewHTTPLister(baseURL string, dialer drpeer.Dialer) *HTTPLister {
 	client := &fasthttp.Client{
 		MaxResponseBodySize: maxListBytes, ReadTimeout: pollTimeout, WriteTimeout: pollTimeout,
-		MaxIdleConnDuration: 10 * pollInterval,
+		MaxIdleConnDuration: 10 * pollInterval, Transport: drhttp.Transport{},
 	}
 	if dialer != nil {
 		client.Dial = func(address string) (net.Conn, error) {
--- a/drproxy/crash.go
+++ b/drproxy/crash.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelridge/dotterelridge/drcrash"
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
@@ -118,7 +119,7 @@
 // hasBrokenOff reports whether the runner has ended the connection although more of its
 // answer is awaited. An answer that ends with its connection may be whole.
 func (a *attempt) hasBrokenOff() bool {
-	return a.upstream.endedByPeer() && a.header.ContentLength() != untilCloseLength
+	return a.upstream.endedByPeer() && a.header.ContentLength() != drhttp.UntilCloseLength
 }
 
 // countCrash records a crash of the runner.
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelridge/dotterelridge/drcrash"
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drmetric"
 	"github.com/dotterelridge/dotterelridge/drprompt"
 )
@@ -118,9 +119,9 @@
 	}
 	length := x.header.ContentLength()
 	switch {
-	case length == chunkedLength:
+	case length == drhttp.ChunkedLength:
 		var err error
-		x.body, err = x.readAll(newChunkedReader(x.conn.reader), &x.conn.turn, limit, fasthttp.ErrBodyTooLarge)
+		x.body, err = x.readAll(drhttp.NewChunkedReader(x.conn.reader), &x.conn.turn, limit, fasthttp.ErrBodyTooLarge)
 		return err
 	case length <= 0:
 		return nil
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drbalancer"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drmetric"
 )
 
@@ -258,7 +259,7 @@
 	if a.header.StatusCode() >= fasthttp.StatusInternalServerError {
 		result = drfleetview.Failed
 	}
-	if a.header.ContentLength() == untilCloseLength {
+	if a.header.ContentLength() == drhttp.UntilCloseLength {
 		a.end(result)
 	} else {
 		a.finish(result)
--- a/drproxy/stream.go
+++ b/drproxy/stream.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drmetric"
 )
 
@@ -316,7 +317,7 @@
 	x.server.Wire.Deliver(&h)
 	h.SetNoDefaultContentType(true)
 	h.ResetConnectionClose()
-	h.SetContentLength(chunkedLength)
+	h.SetContentLength(drhttp.ChunkedLength)
 	x.setConnectionHeader(&h)
 	if _, err := h.WriteTo(x.conn.writer); err != nil {
 		return err
@@ -342,7 +343,7 @@
 	if err == nil {
 		err = x.conn.writer.Flush()
 	}
-	if a.header.ContentLength() == untilCloseLength {
+	if a.header.ContentLength() == drhttp.UntilCloseLength {
 		a.end(drfleetview.Succeeded)
 	} else {
 		a.finish(drfleetview.Succeeded)
--- a/drrouter/caller.go
+++ b/drrouter/caller.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"time"
 
@@ -20,10 +19,6 @@
 	maxResponseBytes = 8 << 20
 	// dialTimeout bounds the TCP connect to a backend server.
 	dialTimeout = 2 * time.Second
-	// maxInterim bounds the informational (1xx) responses before the final one.
-	maxInterim = 16
-	// chunkedLength is fasthttp's content length of a body in chunks.
-	chunkedLength = -1
 	// callBufferSize is the size of the read and of the write buffer of a
 	// connection in bytes.
 	callBufferSize = 8 << 10
@@ -65,40 +60,6 @@
 	return a, nil
 }
 
-// readFinalHeader reads the header of the final response.
-func readFinalHeader(header *fasthttp.ResponseHeader, reader *bufio.Reader) error {
-	for range maxInterim + 1 {
-		if err := drhttp.ReadHeader(header, reader); err != nil {
-			return err
-		}
-		switch code := header.StatusCode(); {
-		case code >= fasthttp.StatusOK:
-			return nil
-		case code == fasthttp.StatusSwitchingProtocols:
-			return errors.New("backend server switched protocols")
-		}
-	}
-	return errors.New("backend server sent too many interim responses")
-}
-
-// readBody reads the body that follows a response's header, and its trailer.
-func readBody(res *fasthttp.Response, reader *bufio.Reader) error {
-	if code := res.StatusCode(); code == fasthttp.StatusNoContent || code == fasthttp.StatusNotModified {
-		return nil
-	}
-	if err := res.ReadBody(reader, maxResponseBytes); err != nil {
-		return err
-	}
-	if res.Header.ContentLength() != chunkedLength {
-		return nil
-	}
-	err := res.Header.ReadTrailer(reader)
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
 // exchange writes the call to conn and reads the final response, skipping
 // informational (1xx) responses.
 func exchange(conn net.Conn, address string, call Call) (Answer, error) {
@@ -122,15 +83,16 @@
 		return Answer{}, err
 	}
 	rd := bufio.NewReaderSize(conn, callBufferSize)
-	if err := readFinalHeader(&res.Header, rd); err != nil {
+	if err := drhttp.ReadFinalHeader(&res.Header, rd); err != nil {
 		return Answer{}, err
 	}
+	a := Answer{Status: res.StatusCode()}
 	if call.Method != fasthttp.MethodHead {
-		if err := readBody(res, rd); err != nil {
+		var err error
+		if a.Body, err = drhttp.ReadBody(drhttp.Body(&res.Header, rd), maxResponseBytes); err != nil {
 			return Answer{}, err
 		}
 	}
-	a := Answer{Status: res.StatusCode(), Body: append([]byte(nil), res.Body()...)}
 	for k, v := range res.Header.All() {
 		a.Header = append(a.Header, Field{string(k), string(v)})
 	}
--- a/drrouter/services_test.go
+++ b/drrouter/services_test.go
@@ -145,13 +145,18 @@
 	is.Equal(drerror.VerdictOf(err), drerror.NotRun)
 }
 
-// Guards against a caller that gets an answer whose status is none, and against one that gets a
+// Guards against a caller that gets an answer whose status is none or that is malformed, and against one that gets a
 // part of an answer as a whole one: its server answers a long call at once, without a length,
 // and resets the connection while the call is being written.
 func TestHTTPCallerTakesNoOddAnswer(t *testing.T) {
 	for name, answer := range map[string]string{
 		"no status":   "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
 		"high status": "HTTP/1.1 777 OK\r\nContent-Length: 2\r\n\r\nok",
+		"name":        "HTTP/1.1 200 OK\r\nX Foo: v\r\nContent-Length: 2\r\n\r\nok",
+		"length":      "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nok",
+		"chunks":      "HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"interim":     "HTTP/1.1 103 Early Hints\r\nX Foo: v\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Foo : v\r\n\r\n",
 		"reset":       "HTTP/1.1 200 OK\r\n\r\npart",
 	} {
 		t.Run(name, func(t *testing.T) {
