drproxy, drgateway, dradmin: Refuse malformed requests

Cause: callers' requests are read by the same parser as answers were. It takes blanks within the name of a field: "X Foo: v" was passed on to runners, and behind "Transfer Encoding: chunked" the chunks were read as the next request of the connection.

Change: the request's fields are checked by the grammar, by drproxy before fasthttp reads them and by the servers of drgateway and dradmin, whose connections fasthttp serves, before the request is looked at. It gets 400 and its connection is closed. VMs call each other by yamux and protobuf, not by HTTP: nothing to change there.

--- a/dradmin/server.go
+++ b/dradmin/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drclock"
 	"github.com/dotterelridge/dotterelridge/drerror"
+	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 )
 
@@ -82,6 +83,11 @@
 }
 
 func (s *Server) handle(requestCtx *fasthttp.RequestCtx) {
+	if err := drhttp.CheckFields(requestCtx.Request.Header.RawHeaders()); err != nil {
+		requestCtx.SetConnectionClose() // where the body ends is unknown
+		writeProblem(requestCtx, fasthttp.StatusBadRequest, drerror.Wrap(drerror.NotRun, drerror.MalformedRequest, err, "read the request"))
+		return
+	}
 	switch path := string(requestCtx.Path()); path {
 	case "/healthz":
 		requestCtx.SetBodyString("ok\n")
--- a/drgateway/server.go
+++ b/drgateway/server.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/dotterelridge/dotterelridge/drerror"
+	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drtimeline"
 )
 
@@ -222,6 +223,11 @@
 			r.end()
 		}
 	}()
+	if err := drhttp.CheckFields(ctx.Request.Header.RawHeaders()); err != nil {
+		ctx.SetConnectionClose() // where the body ends is unknown
+		r.refuse(malformed("%v", err))
+		return
+	}
 	if err := r.serve(); err != nil {
 		r.refuse(err)
 	}
--- a/drgateway/server_test.go
+++ b/drgateway/server_test.go
@@ -44,6 +44,8 @@
 		{"POST", chat, "{", nil, nil, 400, "malformed-request", "not-run"},
 		{"POST", chat, strings.Replace(chatBody, `"m"`, `"m","n":2`, 1), nil, nil, 400, "malformed-request", "not-run"},
 		{"POST", chat, chatBody, []string{"Request-Timeout: soon"}, nil, 400, "malformed-request", "not-run"},
+		{"POST", chat, chatBody, []string{"X Foo: v"}, nil, 400, "malformed-request", "not-run"},
+		{"POST", chat, chatBody, []string{"Transfer Encoding: chunked"}, nil, 400, "malformed-request", "not-run"},
 		{"POST", chat, chatBody, []string{"Priority: first"}, nil, 400, "malformed-request", "not-run"},
 		{"POST", chat, chatBody, []string{"Authorization: Bearer other"}, nil, 401, "invalid-key", "not-run"},
 		{"GET", "/nowhere", "", []string{"Authorization: Bearer other"}, nil, 401, "invalid-key", "not-run"},
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -101,7 +101,7 @@
 // readHeader reads the header of the client's request.
 func (x *exchange) readHeader() error {
 	x.header.SetNoDefaultContentType(true)
-	if err := x.header.Read(x.conn.reader); err != nil {
+	if err := drhttp.ReadRequestHeader(&x.header, x.conn.reader); err != nil {
 		return err
 	}
 	x.keepAlive = !x.header.ConnectionClose()
--- a/drproxy/explain.go
+++ b/drproxy/explain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dotterelridge/dotterelridge/drbalancer"
+	"github.com/dotterelridge/dotterelridge/drhttp"
 )
 
 // Explanation says where a request would go now, and why. Times are in milliseconds.
@@ -52,7 +53,7 @@
 // The error says that the header cannot be read.
 func (s *Server) Explain(header io.Reader) (Explanation, error) {
 	x := &exchange{server: s, start: s.Clock.Now()}
-	if err := x.header.Read(bufio.NewReader(header)); err != nil {
+	if err := drhttp.ReadRequestHeader(&x.header, bufio.NewReader(header)); err != nil {
 		return Explanation{}, err
 	}
 	var err error
