drversion, drcontroller, drproxy: Remember at which version streams began

Cause: nobody kept at which version a stream began. It was derived from the id and the numbers of runners by version; each replaced runner moves the parts of the ids, so that two releases put most of them in doubt.

The streams of the controller's own VM are copied to two VMs with its replies; all tell a new controller. A VM that can't derive the version asks the controller, and waits for a new one for 3 s at most.

--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -93,6 +93,7 @@
 
 	mu            sync.Mutex
 	vms           map[string]*vm
+	copies        [copyHolders]copyHolder // VMs that keep a copy of what began at this one
 	running       runningTotals
 	tokens        tokensByRunner
 	runnerStates  map[string]*runnerState
--- a/drcontroller/message.go
+++ b/drcontroller/message.go
@@ -17,6 +17,7 @@
 	methodSync    = "fleet-sync"
 	methodReserve = "fleet-reserve"
 	methodCrash   = "fleet-crash"
+	methodStream  = "fleet-stream"
 )
 
 // milliseconds converts a duration to milliseconds, clamped to fit an int32.
--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -77,9 +77,10 @@
 	// the store, 0 if none has failed.
 	storeFailedAt atomic.Int64
 
-	// table and named are used by syncLoop only.
+	// table, named and told are used by syncLoop only.
 	table tableReceiver
 	named namedReplicas
+	told  toldStreams
 
 	// leaderLost holds a token if this VM has just lost the controller, and
 	// leaderFound one if it has just learned of another.
@@ -131,6 +132,7 @@
 	c.Registry.Handle(methodSync, n.handleSync)
 	c.Registry.Handle(methodReserve, n.handleReserve)
 	c.Registry.Handle(methodCrash, n.handleCrash)
+	c.Registry.Handle(methodStream, n.handleStream)
 	return n
 }
 
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -44,6 +44,7 @@
 	received := c.Clock.Uptime()
 	c.addCrashes(name, request.GetCrashReport())
 	c.recordLeavingOf(name, request)
+	c.view.OfferStreams(decodeStreams(request.GetStreams()))
 	c.offerReportedLimits(name, request, received)
 	if request.GetTerm() == c.Term {
 		c.wakeVMs(c.pieces.complete(name))
@@ -69,6 +70,7 @@
 		reply.LeaseOffset, reply.LeaseLeftMs = uint64(v.Offset), uint32(milliseconds(v.Left))
 	}
 	c.fillVersions(request, reply)
+	c.fillStreams(name, reply)
 	reply.Verdict = encodeVerdict(c.crashes.VerdictFor(name))
 	reply.Outages = encodeOutages(c.view.Outages())
 	c.fillReply(name, v, request, reply)
--- /dev/null
+++ b/drcontroller/streams.go
@@ -0,0 +1,149 @@
+package drcontroller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drpeer"
+	"github.com/dotterelridge/dotterelridge/drversion"
+)
+
+const (
+	// maxToldStreams is how many streams one message names.
+	maxToldStreams = 2000
+	// streamTimeout is the timeout of one call about a stream.
+	streamTimeout = 250 * time.Millisecond
+	// settledAfter is how long after its start a controller has heard of the streams that VMs
+	// told the former one.
+	settledAfter = 2 * (maxSyncWait + syncReplyTimeout)
+	// copyHolders is how many VMs keep a copy of what only the controller's VM knows.
+	copyHolders = 2
+	// copyHolderTimeout is how long after its last report a VM still counts as keeping a copy.
+	copyHolderTimeout = maxSyncWait + syncReplyTimeout
+)
+
+// toldStreams is the number up to which this VM has told the controller of a term which streams
+// have begun.
+type toldStreams struct {
+	term   uint64
+	number uint64
+}
+
+// fill adds to a report what the controller of a term has not been told, unless it runs on this
+// VM. It returns what it has been told once the report has arrived.
+func (t toldStreams) fill(term uint64, own bool, view *drfleetview.View, request *drpb.FleetSyncRequest) toldStreams {
+	if t.term != term {
+		t = toldStreams{term: term}
+	}
+	if own {
+		return t
+	}
+	var beginnings []drversion.Beginning
+	beginnings, t.number = view.StreamsAfter(t.number, maxToldStreams, false)
+	request.Streams = encodeStreams(beginnings)
+	return t
+}
+
+// copyHolder is a VM that keeps a copy of the streams that began at the controller's VM, and the
+// number up to which it has been told of them.
+type copyHolder struct {
+	vm     string
+	seenAt time.Duration
+	number uint64
+}
+
+// fillStreams adds to a reply the streams that have begun at the controller's VM, if the VM is
+// one of those that keep a copy.
+func (c *Controller) fillStreams(name string, reply *drpb.FleetSyncReply) {
+	if name == c.Holder {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.copyHolder(name)
+	if h == nil {
+		return
+	}
+	var beginnings []drversion.Beginning
+	beginnings, h.number = c.view.StreamsAfter(h.number, maxToldStreams, true)
+	reply.Streams = encodeStreams(beginnings)
+}
+
+// copyHolder returns the VM's entry among those that keep a copy, nil if others do. The caller
+// holds mu.
+func (c *Controller) copyHolder(name string) *copyHolder {
+	now := c.Clock.Uptime()
+	i := slices.IndexFunc(c.copies[:], func(h copyHolder) bool { return h.vm == name })
+	if i < 0 {
+		i = slices.IndexFunc(c.copies[:], func(h copyHolder) bool { return h.vm == "" || now-h.seenAt > copyHolderTimeout })
+		if i < 0 {
+			return nil
+		}
+		c.copies[i] = copyHolder{vm: name}
+	}
+	c.copies[i].seenAt = now
+	return &c.copies[i]
+}
+
+// handleStream answers a FleetStreamRequest.
+func (n *Node) handleStream(_ context.Context, _ drpeer.Sender, body []byte) (proto.Message, error) {
+	m := new(drpb.FleetStreamRequest)
+	if err := proto.Unmarshal(body, m); err != nil {
+		return nil, err
+	}
+	reply := new(drpb.FleetStreamReply)
+	reply.Version, reply.Found = n.View.StreamVersion(drversion.Key(m.GetKey()))
+	c := n.controller.Load()
+	reply.Settled = c != nil && c.Holds() && c.Clock.Since(c.startedAt) > settledAfter
+	return reply, nil
+}
+
+// AskStream asks the controller at which version a stream began. settled is set if the
+// controller answers that would know, had the VM of the stream told it.
+func (n *Node) AskStream(ctx context.Context, key drversion.Key) (version string, found, settled bool) {
+	leader, reached := n.Leader()
+	if !reached {
+		return "", false, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, streamTimeout)
+	defer cancel()
+	reply := new(drpb.FleetStreamReply)
+	if err := n.Peers.Call(ctx, leader.VM, methodStream, &drpb.FleetStreamRequest{Key: uint64(key)}, reply); err != nil {
+		log.WithFields(log.Fields{"event": "stream-not-asked", "controller": leader.VM, "term": leader.Term}).WithError(err).Info("")
+		return "", false, false
+	}
+	return reply.GetVersion(), reply.GetFound(), reply.GetSettled()
+}
+
+func encodeStreams(beginnings []drversion.Beginning) *drpb.FleetStreams {
+	if len(beginnings) == 0 {
+		return nil
+	}
+	m := new(drpb.FleetStreams)
+	for _, b := range beginnings {
+		i := slices.Index(m.Names, b.Version)
+		if i < 0 {
+			i = len(m.Names)
+			m.Names = append(m.Names, b.Version)
+		}
+		m.Keys, m.Versions = append(m.Keys, uint64(b.Key)), append(m.Versions, uint32(i))
+	}
+	return m
+}
+
+// decodeStreams leaves out streams without a version.
+func decodeStreams(m *drpb.FleetStreams) []drversion.Beginning {
+	var beginnings []drversion.Beginning
+	for i, key := range m.GetKeys() {
+		if i < len(m.GetVersions()) && int(m.GetVersions()[i]) < len(m.GetNames()) {
+			beginnings = append(beginnings, drversion.Beginning{Key: drversion.Key(key), Version: m.GetNames()[m.GetVersions()[i]]})
+		}
+	}
+	return beginnings
+}
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -111,6 +111,7 @@
 	n.mu.Unlock()
 	clearSignal(n.View.DemandAdded())
 	crashes := n.fillRequest(request)
+	told := n.told.fill(leader.Term, n.controller.Load() != nil, n.View, request)
 	n.named.markUnlisted(n.View, request)
 	done := make(chan struct{})
 	defer close(done)
@@ -138,6 +139,7 @@
 	}
 	n.applyVerdict(request.GetWhole(), reply.GetTerm(), reply.GetVerdict())
 	n.named = n.named.withReply(request, reply)
+	n.told = told
 	return n.applyReply(reply, sent)
 }
 
@@ -277,6 +279,7 @@
 	own := n.controller.Load() != nil
 	complete, err := n.applyTable(reply, own)
 	if !own {
+		n.View.OfferStreams(decodeStreams(reply.GetStreams()))
 		n.applyDeployment(reply)
 		n.applyOutages(reply)
 		offerLimits(n.View, reply.GetLimits(), made, received, log.Fields{"source": "controller", "term": reply.GetTerm()})
--- a/dredge/edge.go
+++ b/dredge/edge.go
@@ -135,7 +135,7 @@
 	e.retryBudget.Store(&settings.RetryBudget)
 	e.budgets = drproxy.NewBudgets(e.vmRetryBudget(initialVMCount))
 	e.proxy = drproxy.New(drproxy.Config{
-		Clock: config.Clock, Zone: settings.Zone, Regions: settings.Regions, Wire: config.Platform.Wire, View: e.view, Allowances: e.allowances, Claimer: e.controllerNode,
+		Clock: config.Clock, Zone: settings.Zone, Regions: settings.Regions, Wire: config.Platform.Wire, View: e.view, Allowances: e.allowances, Claimer: e.controllerNode, Streams: e.controllerNode,
 		Crashes: e.crashes,
 		Budgets: e.budgets, Metrics: e.metrics, Dialer: dialer, MaxConnections: int(callersDescriptorShare * float64(settings.Descriptors)),
 		Propagation:   time.Duration(settings.Propagation),
--- a/drfleetview/version.go
+++ b/drfleetview/version.go
@@ -188,3 +188,44 @@
 	defer v.mu.Unlock()
 	v.versions.CoverAll()
 }
+
+// VersionsInStep reports whether this VM knows all by which streams may have begun up to now.
+func (v *View) VersionsInStep() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.versions.InStep(v.clock.Uptime())
+}
+
+// RecordStream remembers at which software version a stream began at this VM.
+func (v *View) RecordStream(b drversion.Beginning) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.streams.Add(b, true, v.clock.Uptime())
+}
+
+// OfferStreams remembers at which software versions streams began at other VMs.
+func (v *View) OfferStreams(beginnings []drversion.Beginning) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, b := range beginnings {
+		v.streams.Add(b, false, v.clock.Uptime())
+	}
+}
+
+// StreamVersion returns the software version at which a stream began, if that is remembered.
+func (v *View) StreamVersion(key drversion.Key) (version string, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.streams.Version(key)
+}
+
+// StreamsAfter returns streams that are remembered for other VMs, none unless the versions of a
+// service are mixed; see drversion.Streams.After.
+func (v *View) StreamsAfter(number uint64, limit int, onlyOwn bool) (beginnings []drversion.Beginning, upTo uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.versions.AnyMixed() {
+		return nil, number
+	}
+	return v.streams.After(number, limit, onlyOwn)
+}
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -67,7 +67,9 @@
 
 	runners map[string]*entry
 	// versions says which software versions of runners have served.
-	versions     *drversion.History
+	versions *drversion.History
+	// streams says at which of them streams have begun.
+	streams      *drversion.Streams
 	versionLooks map[string]versionLook // by service
 	// bounded finds the runners that need permits.
 	bounded          boundIndex
@@ -94,7 +96,7 @@
 	return &View{
 		clock: clock, controllerAt: clock.Uptime(), changed: make(chan struct{}), runners: make(map[string]*entry), bounded: make(boundIndex),
 		waitersByReplica: make(map[Replica]*waiterSet), forecasts: make(map[Replica]forecast), demandAdded: make(chan struct{}, 1),
-		closing: make(map[string]time.Duration), versions: drversion.NewHistory(), versionLooks: make(map[string]versionLook),
+		closing: make(map[string]time.Duration), versions: drversion.NewHistory(), streams: drversion.NewStreams(), versionLooks: make(map[string]versionLook),
 	}
 }
 
--- a/drproxy/server.go
+++ b/drproxy/server.go
@@ -57,10 +57,12 @@
 	View       *drfleetview.View
 	Allowances *drtokenpool.Allowances
 	Claimer    drtokenpool.Claimer
-	Crashes    *drcrash.Ledger
-	Budgets    *Budgets
-	Metrics    *drmetric.Metrics
-	Dialer     Dialer
+	// Streams tells at which software versions streams began; nil if nobody does.
+	Streams StreamAsker
+	Crashes *drcrash.Ledger
+	Budgets *Budgets
+	Metrics *drmetric.Metrics
+	Dialer  Dialer
 	// MaxConnections bounds the open connections of clients, 0 for no bound.
 	// Above it the connection that has been idle longest is closed, or the new
 	// one if none is idle.
--- a/drproxy/version.go
+++ b/drproxy/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"time"
 
 	"github.com/apex/log"
@@ -10,6 +11,7 @@
 	"github.com/dotterelridge/dotterelridge/drbalancer"
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drversion"
 )
 
 // This file holds which software version of the runners a stream may have. Events of two
@@ -33,9 +35,9 @@
 		return refusal{}, true
 	}
 	replica, age := x.replica(), x.maxStreamAge()
-	version, basis := x.server.View.VersionBegan(replica, x.call.Resumes, age)
+	version, basis := x.versionBegan(replica, age)
 	log.WithFields(log.Fields{"event": "stream-resumed", "request-id": x.call.ID, "resumes": x.call.Resumes, "last-event": x.call.LastEvent,
-		"service": replica.Service, "version": version, "basis": basis.String(), "age": age, "covered": x.server.View.VersionsCovered()}).Info("")
+		"service": replica.Service, "version": version, "basis": basis.String(), "age": age, "covered": x.server.View.VersionsCovered(), "asked-for": x.server.Clock.Since(x.start)}).Info("")
 	if !basis.Sure() {
 		return refusal{status: fasthttp.StatusServiceUnavailable, reason: "version-unknown", detail: basis.String()}, false
 	}
@@ -46,6 +48,64 @@
 	return refusal{}, true
 }
 
+// StreamAsker asks VMs at which software version of the runners a stream began. settled is set
+// if those that would know have answered.
+type StreamAsker interface {
+	AskStream(ctx context.Context, key drversion.Key) (version string, found, settled bool)
+}
+
+const (
+	// maxAskTime is how long a stream may wait for its version: for a new controller, at most.
+	maxAskTime = 3 * time.Second
+	// maxTellTime is the time within which a VM has told the controller that a stream has begun.
+	maxTellTime = 700 * time.Millisecond
+	// askPause is the pause between two questions.
+	askPause = 100 * time.Millisecond
+)
+
+// versionBegan returns the version at which the stream that the client takes up began, up to age
+// before the request. If several are possible, it asks the controller, which VMs tell of streams.
+func (x *exchange) versionBegan(replica drfleetview.Replica, age time.Duration) (version string, basis drversion.Basis) {
+	s, key := x.server, drversion.KeyOf(replica.Service, x.call.Resumes)
+	if version, known := s.View.StreamVersion(key); known {
+		return version, drversion.Recorded
+	}
+	for {
+		passed := s.Clock.Since(x.start)
+		version, basis = s.View.VersionBegan(replica, x.call.Resumes, age+passed)
+		if basis.Sure() || s.Streams == nil || x.call.Resumes == "" {
+			return version, basis
+		}
+		version, found, settled := s.Streams.AskStream(context.Background(), key)
+		switch {
+		case found:
+			return version, drversion.Recorded
+		case settled && passed > maxTellTime, !settled && !s.View.VersionsInStep():
+			return "", basis
+		case !x.pauseToAsk(min(maxAskTime, x.remaining()/2)):
+			return "", basis
+		}
+	}
+}
+
+// pauseToAsk waits until the controller may be asked once more. It returns false if the request
+// must not wait for that until limit has passed since it came.
+func (x *exchange) pauseToAsk(limit time.Duration) bool {
+	s := x.server
+	if s.Clock.Since(x.start)+askPause > limit {
+		return false
+	}
+	t := s.Clock.NewTimer(askPause)
+	defer t.Stop()
+	select {
+	case <-t.C():
+		return true
+	case <-x.conn.Done():
+	case <-s.stopWaiting:
+	}
+	return false
+}
+
 // checkTable returns false and a refusal if the request is to begin a stream that may be taken
 // up elsewhere, and this VM is out of step: other VMs could not tell at which version it began.
 func (x *exchange) checkTable() (refusal, bool) {
@@ -83,6 +143,9 @@
 func (x *exchange) bindTo(runner *drfleet.Runner) {
 	if !x.bound.known {
 		x.bound = versionBound{runner.Version, true}
+		if x.mayContinue() {
+			x.server.View.RecordStream(drversion.Beginning{Key: drversion.KeyOf(runner.Service, x.call.ID), Version: runner.Version})
+		}
 	}
 }
 
--- a/drversion/basis_string.go
+++ b/drversion/basis_string.go
@@ -8,15 +8,16 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[Single-0]
-	_ = x[Derived-1]
-	_ = x[Ambiguous-2]
-	_ = x[Unknown-3]
+	_ = x[Recorded-0]
+	_ = x[Single-1]
+	_ = x[Derived-2]
+	_ = x[Ambiguous-3]
+	_ = x[Unknown-4]
 }
 
-const _Basis_name = "singlederivedambiguousunknown"
+const _Basis_name = "recordedsinglederivedambiguousunknown"
 
-var _Basis_index = [...]uint8{0, 6, 13, 22, 29}
+var _Basis_index = [...]uint8{0, 8, 14, 21, 30, 37}
 
 func (i Basis) String() string {
 	idx := int(i) - 0
--- a/drversion/choice.go
+++ b/drversion/choice.go
@@ -11,18 +11,30 @@
 // Basis is what an answer about the version of a stream rests on.
 type Basis int
 
-// Bases of answers. Single: only one version has served. Derived: the same version follows from
-// the id at each time at which the stream may have begun. With Ambiguous and Unknown there is
-// none: several versions are possible, or the history does not reach back far enough.
+// Bases of answers. Recorded: a VM has seen it. Single: only one version has served. Derived: the
+// same version follows from the id at each time at which the stream may have begun. With
+// Ambiguous and Unknown there is none: several versions are possible, or the history does not
+// reach back far enough.
 const (
-	Single    Basis = iota // single
+	Recorded  Basis = iota // recorded
+	Single                 // single
 	Derived                // derived
 	Ambiguous              // ambiguous
 	Unknown                // unknown
 )
 
 // Sure reports whether there is an answer.
-func (b Basis) Sure() bool { return b == Single || b == Derived }
+func (b Basis) Sure() bool { return b == Recorded || b == Single || b == Derived }
+
+// AnyMixed reports whether several versions of any service have served lately.
+func (h *History) AnyMixed() bool {
+	for name := range h.services {
+		if h.Mixed(name) {
+			return true
+		}
+	}
+	return false
+}
 
 // Mixed reports whether several versions of a service have served lately.
 func (h *History) Mixed(name string) bool {
@@ -65,7 +77,7 @@
 func (h *History) Began(name, id string, r Replica, age, now time.Duration) (version string, basis Basis) {
 	from := now - age - MaxLag - MaxBeginLag
 	s := h.services[name]
-	if !h.begun || !h.inStep(now) || s == nil || s.count() == 0 || max(h.since, s.since) > from {
+	if !h.begun || !h.InStep(now) || s == nil || s.count() == 0 || max(h.since, s.since) > from {
 		return "", Unknown
 	}
 	if s.count() == 1 {
--- a/drversion/history.go
+++ b/drversion/history.go
@@ -127,8 +127,8 @@
 	}
 }
 
-// inStep reports whether this VM knows all by which streams may have begun up to now.
-func (h *History) inStep(now time.Duration) bool { return h.known && now-h.confirmed <= MaxLag }
+// InStep reports whether this VM knows all by which streams may have begun up to now.
+func (h *History) InStep(now time.Duration) bool { return h.known && now-h.confirmed <= MaxLag }
 
 // Covered returns for how long up to now the History is complete, at most Retention.
 func (h *History) Covered(now time.Duration) time.Duration {
