drscheduler, drcontroller: Keep a second replica of models at each version

Cause: plans counted replicas of a model over all versions, so that one of each version counted as two, and what the streams of one version used was not told apart. A second replica "so that the loss of a runner does not interrupt the model" (secondReplicaLoad) was planned for none, and it would not have been loaded from the weight store.

Change: while versions are mixed the use of a model is that of the versions at which its requests run, as places, which plans already keep apart. A model in use with one replica at a version may get the second one from the weight store if no runner of the version has a copy, as long as one load is left to models that requests wait for. With one version nothing changes.

TestPlanKeepsSecondReplicaAtVersion and TestUseIsThatOfItsVersion test the two parts.

--- a/drcontroller/places.go
+++ b/drcontroller/places.go
@@ -5,6 +5,7 @@
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drscheduler"
 )
 
 // versionMark separates a zone from a software version in the name of a place. It is in no
@@ -66,3 +67,38 @@
 	}
 	return drfleet.ZonesOf(names...)
 }
+
+// splitByVersion makes the use of each model that of the software versions at which its requests
+// run, while versions are mixed, so that plans keep replicas at each. The caller holds mu.
+func (c *Controller) splitByVersion(state *drscheduler.State, service string, at places) {
+	if len(at.versions) == 0 {
+		return
+	}
+	state.VersionsMixed = true
+	running := make(map[string]map[string]int) // by model and version
+	for _, r := range c.view.Runners(service) {
+		for model, n := range c.running.byModel[r.ID] {
+			if running[model] == nil {
+				running[model] = make(map[string]int)
+			}
+			running[model][r.Version] += n
+		}
+	}
+	for model, versions := range running {
+		total := 0
+		for _, n := range versions {
+			total += n
+		}
+		if _, used := state.Work[model]; !used || total == 0 {
+			continue
+		}
+		work, rate := state.Work[model]/float64(total), state.Rate[model]/float64(total)
+		for v, n := range versions {
+			d := drscheduler.Demand{Model: model, Zones: at.allowed(drfleet.Zones{}, v)}
+			use := state.AtHome[d]
+			state.AtHome[d] = drscheduler.Use{Work: use.Work + work*float64(n), Rate: use.Rate + rate*float64(n)}
+		}
+		delete(state.Work, model)
+		delete(state.Rate, model)
+	}
+}
--- a/drcontroller/places_test.go
+++ b/drcontroller/places_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"testing"
 
@@ -9,6 +10,8 @@
 
 	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drpb"
+	"github.com/dotterelridge/dotterelridge/drscheduler"
 )
 
 // Guards against a model that counts as loaded for streams of one software version although
@@ -52,3 +55,40 @@
 	is.Equal(mixed.within(old).Zone, mixed.of(old))
 	is.Equal(old.Zone, "a")
 }
+
+// Guards against use that counts for replicas of a model at another software version than that
+// of the runners at which it was, and against use that is lost or counted twice.
+func TestUseIsThatOfItsVersion(t *testing.T) {
+	is := is.New(t)
+	w := newControllerFixture(t)
+	w.addRunnerAtHome()
+	state := func() drscheduler.State {
+		w.controller.mu.Lock()
+		defer w.controller.mu.Unlock()
+		d, _ := w.view.Deployment()
+		return w.controller.schedulerState(d.Service("llm"), w.controller.Clock.Now())
+	}
+	requests := uint64(0)
+	eventually(t, "the use counts", func() bool {
+		requests += 10
+		w.controller.Sync(context.Background(), "vm2", 1, &drpb.FleetSyncRequest{Uses: []*drpb.FleetUse{
+			{Runner: "r1", Replicas: []*drpb.FleetReplicaUse{{Model: "a", Running: 3, Requests: 3 * requests}}},
+			{Runner: "r2", Replicas: []*drpb.FleetReplicaUse{{Model: "a", Running: 1, Requests: requests}}},
+		}})
+		return state().Work["a"] > 0
+	})
+	before := state()
+	is.True(!before.VersionsMixed)
+	old, _ := w.view.Runner("r2")
+	updated := *old
+	updated.Version = "v2"
+	w.view.OfferRunner(&updated, drfleetview.FromController)
+	after := state()
+	is.True(after.VersionsMixed)
+	is.Equal(after.Work["a"], 0.0)
+	at := placesOf(w.view, "llm")
+	first, second := after.AtHome[drscheduler.Demand{Model: "a", Zones: at.allowed(drfleet.Zones{}, old.Version)}],
+		after.AtHome[drscheduler.Demand{Model: "a", Zones: at.allowed(drfleet.Zones{}, "v2")}]
+	is.True(math.Abs(first.Work-3*second.Work) < 1e-9)
+	is.True(math.Abs(first.Rate+second.Rate-before.Rate["a"]) < before.Rate["a"]/10) // it decays
+}
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -102,6 +102,9 @@
 	Rate map[string]float64
 	// AtHome holds the same of the requests that must stay in some zones.
 	AtHome map[Demand]Use
+	// VersionsMixed is set if runners of several software versions serve, whose zones then name
+	// the version, too. A stream goes on at its own version only.
+	VersionsMixed bool
 	// StoreLoads is the number of loads from the weight store that may start
 	// now.
 	StoreLoads int
@@ -135,7 +138,8 @@
 //
 // A load from the weight store blocks a runner for seconds. It is planned only if no
 // runner has a local copy of the weights, into a runner without any local copies, or if
-// requests queue and all runners with a copy hold the model.
+// requests queue and all runners with a copy hold the model, or if one runner alone holds the
+// model at a software version and versions are mixed.
 //
 // Requests that must stay in some availability zones count only with the replicas there,
 // and what is loaded for them is loaded there.
--- a/drscheduler/plan_test.go
+++ b/drscheduler/plan_test.go
@@ -166,6 +166,29 @@
 	is.Equal(got[0].Load, "a")
 }
 
+// Guards against streams that are lost with the only runner that holds their model at its
+// software version, although other runners of the version have room; and against loads from the
+// weight store for that where all have one version, or where one has a copy.
+func TestPlanKeepsSecondReplicaAtVersion(t *testing.T) {
+	is := is.New(t)
+	state := func() drscheduler.State {
+		s := newState(newEngine("a", "b"), nil, inZone("r1", "z.v1", []string{"a"}, []string{"a"}), inZone("r2", "z.v1", []string{"b"}, nil),
+			inZone("r3", "z.v2", []string{"a"}, nil), inZone("r4", "z.v2", []string{"b"}, nil))
+		s.AtHome = map[drscheduler.Demand]drscheduler.Use{
+			{Model: "a", Zones: drfleet.ZonesOf("z.v1")}: {Work: 0.2, Rate: 3}, {Model: "a", Zones: drfleet.ZonesOf("z.v2")}: {Work: 0.01, Rate: 1},
+		}
+		s.VersionsMixed = true
+		return s
+	}
+	is.Equal(runnersOf(drscheduler.Plan(state()), "a"), []string{"r2"})
+	same := state()
+	same.VersionsMixed = false
+	is.Equal(len(drscheduler.Plan(same)), 0)
+	reserved := state()
+	reserved.StoreLoads = 1
+	is.Equal(len(drscheduler.Plan(reserved)), 0)
+}
+
 // Guards against loading more adapters than a runner has slots for, and against
 // unloading an adapter that is in use.
 func TestPlanAdaptersKeepsPlaces(t *testing.T) {
