drscheduler: Load second replicas at a version in place of idle models only

Change: plans go by the use over all versions again. Their last step loads a second replica of one model, the most used one of a quarter of a runner's time or more that a single runner holds at its version, and evicts only models that are hardly used for it.

--- a/drcontroller/fleet.go
+++ b/drcontroller/fleet.go
@@ -341,7 +341,7 @@
 		}
 		state.Rate[key.Model], state.Work[key.Model] = use.Rate, use.Work
 	}
-	c.splitByVersion(&state, service.Name, at)
+	state.AtVersion = c.useAtVersions(&state, service.Name, at)
 	paused, outages := c.runnersPausedForMost(service.Name, now), c.view.Outages()
 	for _, r := range c.view.Runners(service.Name) {
 		if !r.Draining && !outages.Has(r.Zone) {
--- a/drcontroller/places.go
+++ b/drcontroller/places.go
@@ -68,37 +68,29 @@
 	return drfleet.ZonesOf(names...)
 }
 
-// splitByVersion makes the use of each model that of the software versions at which its requests
-// run, while versions are mixed, so that plans keep replicas at each. The caller holds mu.
-func (c *Controller) splitByVersion(state *drscheduler.State, service string, at places) {
+// versionedModel is a model at runners of a software version.
+type versionedModel struct{ model, version string }
+
+// useAtVersions returns the use of each model by software version, in proportion to the requests
+// that run at runners of each, nothing unless versions are mixed. The caller holds mu.
+func (c *Controller) useAtVersions(state *drscheduler.State, service string, at places) map[drscheduler.Demand]drscheduler.Use {
 	if len(at.versions) == 0 {
-		return
+		return nil
 	}
-	state.VersionsMixed = true
-	running := make(map[string]map[string]int) // by model and version
+	total, byVersion := make(map[string]float64), make(map[versionedModel]float64) // running requests
 	for _, r := range c.view.Runners(service) {
 		for model, n := range c.running.byModel[r.ID] {
-			if running[model] == nil {
-				running[model] = make(map[string]int)
-			}
-			running[model][r.Version] += n
+			total[model] += float64(n)
+			byVersion[versionedModel{model, r.Version}] += float64(n)
 		}
 	}
-	for model, versions := range running {
-		total := 0
-		for _, n := range versions {
-			total += n
-		}
-		if _, used := state.Work[model]; !used || total == 0 {
-			continue
-		}
-		work, rate := state.Work[model]/float64(total), state.Rate[model]/float64(total)
-		for v, n := range versions {
-			d := drscheduler.Demand{Model: model, Zones: at.allowed(drfleet.Zones{}, v)}
-			use := state.AtHome[d]
-			state.AtHome[d] = drscheduler.Use{Work: use.Work + work*float64(n), Rate: use.Rate + rate*float64(n)}
+	uses := make(map[drscheduler.Demand]drscheduler.Use)
+	for k, n := range byVersion {
+		if total[k.model] > 0 {
+			share := n / total[k.model]
+			d := drscheduler.Demand{Model: k.model, Zones: at.allowed(drfleet.Zones{}, k.version)}
+			uses[d] = drscheduler.Use{Work: share * state.Work[k.model], Rate: share * state.Rate[k.model]}
 		}
-		delete(state.Work, model)
-		delete(state.Rate, model)
 	}
+	return uses
 }
--- a/drcontroller/places_test.go
+++ b/drcontroller/places_test.go
@@ -57,7 +57,7 @@
 }
 
 // Guards against use that counts for replicas of a model at another software version than that
-// of the runners at which it was, and against use that is lost or counted twice.
+// of the runners at which it was, and against use by version while all have one.
 func TestUseIsThatOfItsVersion(t *testing.T) {
 	is := is.New(t)
 	w := newControllerFixture(t)
@@ -77,18 +77,16 @@
 		}})
 		return state().Work["a"] > 0
 	})
-	before := state()
-	is.True(!before.VersionsMixed)
+	is.Equal(len(state().AtVersion), 0)
 	old, _ := w.view.Runner("r2")
 	updated := *old
 	updated.Version = "v2"
 	w.view.OfferRunner(&updated, drfleetview.FromController)
-	after := state()
-	is.True(after.VersionsMixed)
-	is.Equal(after.Work["a"], 0.0)
-	at := placesOf(w.view, "llm")
-	first, second := after.AtHome[drscheduler.Demand{Model: "a", Zones: at.allowed(drfleet.Zones{}, old.Version)}],
-		after.AtHome[drscheduler.Demand{Model: "a", Zones: at.allowed(drfleet.Zones{}, "v2")}]
-	is.True(math.Abs(first.Work-3*second.Work) < 1e-9)
-	is.True(math.Abs(first.Rate+second.Rate-before.Rate["a"]) < before.Rate["a"]/10) // it decays
+	s, at := state(), placesOf(w.view, "llm")
+	use := func(version string) drscheduler.Use {
+		return s.AtVersion[drscheduler.Demand{Model: "a", Zones: at.allowed(drfleet.Zones{}, version)}]
+	}
+	is.True(s.Work["a"] > 0)
+	is.True(math.Abs(use(old.Version).Work-0.75*s.Work["a"]) < 1e-9)
+	is.True(math.Abs(use("v2").Rate-0.25*s.Rate["a"]) < 1e-9)
 }
--- a/drscheduler/patience.go
+++ b/drscheduler/patience.go
@@ -24,6 +24,8 @@
 		return p.use(d).Rate
 	case reason == Limited:
 		return p.requests(d)
+	case reason == AtVersion:
+		return idleEvictionLoss
 	case reason != Wanted:
 		return p.replicaGain(d)
 	case p.canWait(d, expected+patienceMargin):
--- a/drscheduler/plan.go
+++ b/drscheduler/plan.go
@@ -102,9 +102,9 @@
 	Rate map[string]float64
 	// AtHome holds the same of the requests that must stay in some zones.
 	AtHome map[Demand]Use
-	// VersionsMixed is set if runners of several software versions serve, whose zones then name
-	// the version, too. A stream goes on at its own version only.
-	VersionsMixed bool
+	// AtVersion holds the use by the requests at runners of each software version, whose zones
+	// then name the version, too. It is empty unless several serve.
+	AtVersion map[Demand]Use
 	// StoreLoads is the number of loads from the weight store that may start
 	// now.
 	StoreLoads int
@@ -134,12 +134,13 @@
 //   - loads of models that only runners out of service hold;
 //   - additional replicas of busy models;
 //   - loads of models whose requests can all wait;
-//   - replicas on empty runners.
+//   - replicas on empty runners;
+//   - a second replica of the most used model that one runner alone holds at its software version.
 //
 // A load from the weight store blocks a runner for seconds. It is planned only if no
-// runner has a local copy of the weights, into a runner without any local copies, or if
-// requests queue and all runners with a copy hold the model, or if one runner alone holds the
-// model at a software version and versions are mixed.
+// runner has a local copy of the weights, into a runner without any local copies, if
+// requests queue and all runners with a copy hold the model, or for a second replica at a
+// software version.
 //
 // Requests that must stay in some availability zones count only with the replicas there,
 // and what is loaded for them is loaded there.
@@ -153,6 +154,7 @@
 	p.planEach(p.busy(), Busy, p.isBusy)
 	p.planEach(patient, Wanted, always)
 	p.spread()
+	p.secondAtVersion()
 	return p.swaps
 }
 
--- a/drscheduler/plan_test.go
+++ b/drscheduler/plan_test.go
@@ -167,26 +167,32 @@
 }
 
 // Guards against streams that are lost with the only runner that holds their model at its
-// software version, although other runners of the version have room; and against loads from the
-// weight store for that where all have one version, or where one has a copy.
+// software version, although another runner of the version has room for it; and against a load
+// for that in place of models that are used, of models that are little used, or with the last
+// loads from the weight store.
 func TestPlanKeepsSecondReplicaAtVersion(t *testing.T) {
 	is := is.New(t)
 	state := func() drscheduler.State {
-		s := newState(newEngine("a", "b"), nil, inZone("r1", "z.v1", []string{"a"}, []string{"a"}), inZone("r2", "z.v1", []string{"b"}, nil),
-			inZone("r3", "z.v2", []string{"a"}, nil), inZone("r4", "z.v2", []string{"b"}, nil))
-		s.AtHome = map[drscheduler.Demand]drscheduler.Use{
-			{Model: "a", Zones: drfleet.ZonesOf("z.v1")}: {Work: 0.2, Rate: 3}, {Model: "a", Zones: drfleet.ZonesOf("z.v2")}: {Work: 0.01, Rate: 1},
+		s := newState(newEngine("a", "b", "c", "d"), nil, inZone("r1", "z.v1", []string{"a"}, []string{"a"}),
+			inZone("r2", "z.v1", []string{"b", "c", "d"}, nil), inZone("r3", "z.v2", []string{"a"}, nil), inZone("r4", "z.v2", []string{"b"}, nil))
+		s.Work, s.Rate = map[string]float64{"a": 0.4}, map[string]float64{"a": 8}
+		s.AtVersion = map[drscheduler.Demand]drscheduler.Use{
+			{Model: "a", Zones: drfleet.ZonesOf("z.v1")}: {Work: 0.35, Rate: 7}, {Model: "a", Zones: drfleet.ZonesOf("z.v2")}: {Work: 0.05, Rate: 1},
 		}
-		s.VersionsMixed = true
 		return s
 	}
-	is.Equal(runnersOf(drscheduler.Plan(state()), "a"), []string{"r2"})
-	same := state()
-	same.VersionsMixed = false
-	is.Equal(len(drscheduler.Plan(same)), 0)
+	plan := drscheduler.Plan(state())
+	is.Equal(runnersOf(plan, "a"), []string{"r2"})
+	is.Equal(plan[0].Why, drscheduler.AtVersion)
+	used := state()
+	used.Rate["b"], used.Rate["c"], used.Rate["d"] = 4, 4, 4
+	is.Equal(len(drscheduler.Plan(used)), 0)
 	reserved := state()
-	reserved.StoreLoads = 1
+	reserved.StoreLoads = 2
 	is.Equal(len(drscheduler.Plan(reserved)), 0)
+	little := state()
+	little.AtVersion[drscheduler.Demand{Model: "a", Zones: drfleet.ZonesOf("z.v1")}] = drscheduler.Use{Work: 0.2, Rate: 4}
+	is.Equal(len(drscheduler.Plan(little)), 0)
 }
 
 // Guards against loading more adapters than a runner has slots for, and against
--- a/drscheduler/reason.go
+++ b/drscheduler/reason.go
@@ -24,4 +24,6 @@
 	// Limited means that requests wait for the model although runners hold it, because
 	// these take few requests.
 	Limited // limited
+	// AtVersion means that one runner alone holds the model at its software version.
+	AtVersion // at-version
 )
--- a/drscheduler/reason_string.go
+++ b/drscheduler/reason_string.go
@@ -14,11 +14,12 @@
 	_ = x[Queued-3]
 	_ = x[Relocated-4]
 	_ = x[Limited-5]
+	_ = x[AtVersion-6]
 }
 
-const _Reason_name = "wantedbusyspreadqueuedrelocatedlimited"
+const _Reason_name = "wantedbusyspreadqueuedrelocatedlimitedat-version"
 
-var _Reason_index = [...]uint8{0, 6, 10, 16, 22, 31, 38}
+var _Reason_index = [...]uint8{0, 6, 10, 16, 22, 31, 38, 48}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/drscheduler/saturated.go
+++ b/drscheduler/saturated.go
@@ -41,27 +41,21 @@
 
 // mayUseStore reports whether a model may be loaded for a demand from the weight store. A
 // model that no runner in service holds may if none has a copy. One whose requests queue
-// may if no runner could load a further replica from a copy, even once it is free, one whose
-// runners take too few if the others have no copy, and one in use that has a single replica at a
-// software version: with that runner all its streams would be lost.
+// may if no runner could load a further replica from a copy, even once it is free, so may one
+// that needs a second replica at a software version, and one whose runners take too few if the
+// others have no copy.
 func (p *planner) mayUseStore(d Demand, reason Reason) bool {
 	switch reason {
 	case Wanted, Relocated:
 		return !p.Stored.In(d.Model, d.Zones)
 	case Limited:
 		return p.exceedsLimits(d) && p.StoreLoads > reservedForWanted && !p.hasUnlimitedCopy(d)
-	case Busy:
-		return p.isAloneAtVersion(d) && p.StoreLoads > reservedForWanted && !p.hasSpareCopy(d)
+	case AtVersion:
+		return p.StoreLoads > reservedStoreLoads && !p.hasSpareCopy(d)
 	}
 	return reason == Queued && p.isSaturated(d) && p.StoreLoads > reservedForWanted && !p.hasSpareCopy(d)
 }
 
-// isAloneAtVersion reports whether a demand is for one software version of several, at which one
-// runner alone holds the model.
-func (p *planner) isAloneAtVersion(d Demand) bool {
-	return p.VersionsMixed && d.Zones.Bind() && p.count(d) == 1
-}
-
 // hasCopy reports whether the runner has a local copy of a model's weights.
 func (r *Runner) hasCopy(model string) bool {
 	return slices.Contains(r.InMemory, model) || slices.Contains(r.OnDisk, model)
