drnet: Give writing of connections a file of its own

Change: Write, its attempt and their pauses move to conn_write.go, unchanged. Evidence: the tests of drnet pass with -race.

--- a/drnet/conn.go
+++ b/drnet/conn.go
@@ -28,11 +28,6 @@
 	// checks whether its peer has disconnected, because the event loop does not
 	// read its socket.
 	disconnectPollInterval = 100 * time.Millisecond
-	// minWriteBackoff and maxWriteBackoff bound the pause between attempts to
-	// write to a socket whose send buffer is full. gnet does not report when a
-	// socket becomes writable, and its own outbound buffer is unbounded.
-	minWriteBackoff = 200 * time.Microsecond
-	maxWriteBackoff = 50 * time.Millisecond
 	// lingerTimeout is how long a locally closed connection with unread input
 	// waits for its peer to close.
 	lingerTimeout = time.Second
@@ -375,61 +370,6 @@
 	c.inbound = nil
 }
 
-// Write implements net.Conn. It returns once the kernel's send buffer holds all
-// data.
-func (c *conn) Write(p []byte) (int, error) {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	total, backoff := 0, minWriteBackoff
-	for {
-		if c.writeDeadline.expired() {
-			return total, c.opError("write", os.ErrDeadlineExceeded)
-		}
-		n, err := c.tryWrite(p[total:])
-		total += n
-		if err != nil || total == len(p) {
-			return total, err
-		}
-		if n > 0 {
-			backoff = minWriteBackoff
-			continue
-		}
-		t := time.NewTimer(backoff)
-		select {
-		case <-t.C:
-		case <-c.socketClosed:
-		case <-c.localClosed:
-		case <-c.writeDeadline.notification():
-		}
-		t.Stop()
-		backoff = min(2*backoff, maxWriteBackoff)
-	}
-}
-
-// tryWrite writes as much as the socket's send buffer takes. It returns 0 and
-// no error if the buffer is full.
-func (c *conn) tryWrite(p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.closed:
-		return 0, c.opError("write", net.ErrClosed)
-	case c.gnetClosed:
-		return 0, c.opError("write", unix.EPIPE)
-	case len(p) == 0:
-		return 0, nil
-	}
-	n, err := unix.Write(c.fd, p)
-	if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
-		return 0, nil
-	}
-	if err != nil {
-		return 0, c.opError("write", os.NewSyscallError("write", err))
-	}
-	c.traffic.addSent(n)
-	return n, nil
-}
-
 // Close implements net.Conn. It drops the data that was not read. The kernel
 // still delivers the data that was written. A dialled connection that is closed amid the
 // peer's data is reset, which ends the peer's sending.
