drversion: Outlive odd records of other VMs

Cause, found on the last reading: a record with a service of mixed versions and no runners ended the process at the next gap (index out of range), and a service that began anew and was missing in the controller's record kept the VM's history short, so that each of its reports was answered at once for up to 10 s.

Change: a service without runners has not changed, and a record that reaches further back completes the history of all services.

Evidence: TestOddRecordEndsNothing fails without the change and passes with it, as do the other tests of drversion.

--- a/drhttp/grammar.go
+++ b/drhttp/grammar.go
@@ -28,7 +28,7 @@
 // or a reason (tabs, blanks, visible characters and obs-text).
 var (
 	tokenBytes = newByteSet(func(c int) bool {
-		return c >= '0' && c <= '9' || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z' || bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), byte(c)) >= 0
+		return isDigit(byte(c)) || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z' || bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), byte(c)) >= 0
 	})
 	textBytes = newByteSet(func(c int) bool { return c == '\t' || c >= ' ' && c != 0x7f })
 )
@@ -79,8 +79,7 @@
 	return nil
 }
 
-// statusStart is the number of bytes of a status line before the status, versionEnd of those
-// before the blank.
+// Positions in a status line: where the version ends, and where the status starts and ends.
 const (
 	versionEnd  = len("HTTP/1.1")
 	statusStart = versionEnd + 1
@@ -94,7 +93,7 @@
 		return errStatusLine
 	}
 	for _, c := range line[statusStart:statusEnd] {
-		if c < '0' || c > '9' {
+		if !isDigit(c) {
 			return errStatusLine
 		}
 	}
--- a/drversion/history.go
+++ b/drversion/history.go
@@ -95,7 +95,7 @@
 // changedSince reports whether what matters to the choice of a version has changed after an
 // uptime. The number of runners does not while all have the same version.
 func (s *service) changedSince(from time.Duration) bool {
-	if !s.mixed {
+	if !s.mixed || len(s.runners) == 0 {
 		return false
 	}
 	if s.runners[len(s.runners)-1].since > from {
--- a/drversion/history_test.go
+++ b/drversion/history_test.go
@@ -258,3 +258,32 @@
 	h.Observe(testService, 3*time.Minute+2*Retention, only)
 	is.True(!h.Mixed(testService))
 }
+
+// Guards against a record of another VM, complete or not, that ends the process, and against a
+// history that never counts as complete again because the record lacks one of its services.
+func TestOddRecordEndsNothing(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory()
+	h.Begin(time.Minute)
+	h.Confirm(time.Minute, time.Minute)
+	for i, service := range []string{testService, "gone"} {
+		var s Snapshot
+		s.Add("v1", nil)
+		s.Add("v2", nil)
+		h.Observe(service, time.Minute+time.Duration(i)*time.Second, s)
+	}
+	h.Confirm(2*time.Minute, 2*time.Minute)
+	is.Equal(h.Covered(2*time.Minute), time.Duration(0))
+	is.True(h.Merge(&drpb.FleetVersions{CoveredMs: 60_000, Services: []*drpb.FleetServiceVersions{
+		{Service: testService, Versions: []string{"v1"}, Mixed: true, Holders: []*drpb.FleetVersionHolders{{Versions: ^uint32(0)}}},
+		{Service: "new", Mixed: true, Runners: []*drpb.FleetVersionRunners{{}}},
+		{Service: "empty", Versions: []string{"v1", "v2"}, Mixed: true},
+	}}, 2*time.Minute))
+	is.Equal(h.Covered(2*time.Minute), time.Minute)
+	h.Confirm(3*time.Minute, 3*time.Minute)
+	for _, service := range []string{testService, "gone", "new", "empty", "unknown"} {
+		h.Choose(service, "x", 0, 3*time.Minute)
+		h.Began(service, "x", 0, time.Second, 3*time.Minute)
+		h.MayBegin(service, 3*time.Minute)
+	}
+}
--- a/drversion/record.go
+++ b/drversion/record.go
@@ -56,6 +56,9 @@
 		h.mergeService(sm, at)
 	}
 	h.begun, h.since = true, since
+	for _, s := range h.services {
+		s.since = always // a service that the record lacks has had no runners
+	}
 	return true
 }
 
