drprocess: Begin TestPoison beside a load that runs

Cause, a fault of the test, read off its timeline: two engines held the model already, so the crashes and all refusals were over 14 ms after the first request; the callers of the load pause for 20 ms before their first one, and the load was stopped before it had sent any.

Change: the test waits until the load has been served once, for 8 s at most, before it sends the request that crashes engines. Its checks are as before; that the load runs beside the crashes is now certain.

--- a/drprocess/load_test.go
+++ b/drprocess/load_test.go
@@ -17,6 +17,10 @@
 	refused   map[string]int // by type of problem
 }
 
+// loadStartTimeout is how long a test waits for the background load: for the load of a model, and
+// for its first answer.
+const loadStartTimeout = 8 * time.Second
+
 // startLoad starts a few callers, each of which sends one request after the other to
 // a random model through a random VM. It fails the test if a request ends with
 // neither its complete answer nor a refusal before its deadline (I3, I8).
@@ -58,6 +62,21 @@
 	}
 }
 
+// awaitServed waits until a request of the load was served.
+func (l *backgroundLoad) awaitServed(t *testing.T) {
+	t.Helper()
+	served := func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.completed > 0
+	}
+	for end := time.Now().Add(loadStartTimeout); !served(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no request of the background load was served within %s", loadStartTimeout)
+		}
+	}
+}
+
 func (l *backgroundLoad) stop() {
 	select {
 	case <-l.done:
--- a/drprocess/pause_test.go
+++ b/drprocess/pause_test.go
@@ -93,6 +93,7 @@
 		before := c.crashCount(t)
 		q := completionRequest{key: demoKey(s.account), model: s.killTestModel, prompt: uniquePrompt(t, 0) + poisonText, tokens: 5, timeout: 8 * time.Second}
 		l := c.startLoad(t, s.account, []string{s.sharedModel, s.drainTestModel}, c.vms)
+		l.awaitServed(t)
 		var last answer
 		for i := range 8 {
 			last = c.requestCompletion(c.vms[(3*i)%entryVMs], q)
