drhttp: Take memory for the part of a body that has come

Cause, found on the last reading: ReadBody made room for the whole length that an answer states.

Change: 64 KiB are made room for at first, the rest as it arrives.

--- a/drhttp/body.go
+++ b/drhttp/body.go
@@ -17,8 +17,12 @@
 	UntilCloseLength = -2 // the body ends when its connection closes
 )
 
-// maxTrailer bounds the trailer of a chunked body, in bytes.
-const maxTrailer = 8 << 10
+const (
+	// maxTrailer bounds the trailer of a chunked body, in bytes.
+	maxTrailer = 8 << 10
+	// maxStatedMemory is how many bytes of a body are made room for before any has come.
+	maxStatedMemory = 64 << 10
+)
 
 // Body returns a reader of the body that follows the header of an answer, unless the request
 // was a HEAD. The reader returns io.EOF only at the end that Content-Length or the chunked
@@ -39,24 +43,23 @@
 }
 
 // ReadBody reads a body to its end. It fails with fasthttp.ErrBodyTooLarge if there are more
-// than limit bytes; 0 sets no limit.
+// than limit bytes; 0 sets no limit. Memory is taken for what arrives, not for what is stated.
 func ReadBody(body io.Reader, limit int) ([]byte, error) {
 	if limit <= 0 {
 		limit = math.MaxInt - 1
 	}
+	var content bytes.Buffer
 	if exact, ok := body.(*exactReader); ok {
 		if exact.remaining > limit {
 			return nil, fasthttp.ErrBodyTooLarge
 		}
-		content := make([]byte, exact.remaining)
-		_, err := io.ReadFull(body, content)
-		return content, err
+		content.Grow(min(exact.remaining, maxStatedMemory) + bytes.MinRead)
 	}
-	content, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
-	if err == nil && len(content) > limit {
+	_, err := content.ReadFrom(io.LimitReader(body, int64(limit)+1))
+	if err == nil && content.Len() > limit {
 		err = fasthttp.ErrBodyTooLarge
 	}
-	return content, err
+	return content.Bytes(), err
 }
 
 // CloseBody closes the body of a response of a Client with Config.Stream, whether or not
