drfleetview, drhttp: One look at changed versions; say what drhttp is

confirmVersions had a copy of the look that lookAtVersions makes, without its pause; both call lookAtChange now. drhttp's package comment spoke of a client only. No behaviour changes.

--- a/drfleetview/version.go
+++ b/drfleetview/version.go
@@ -35,9 +35,16 @@
 // lookAtVersions records which software versions serve a service if a runner has changed since
 // the last look and that is long enough ago. The caller holds mu.
 func (v *View) lookAtVersions(service string) {
-	look := v.versionLooks[service]
-	if now := v.clock.Uptime(); look.changed && v.runnersConfirmed && now-look.at >= versionInterval {
-		v.versionLooks[service] = versionLook{at: now}
+	if v.clock.Uptime()-v.versionLooks[service].at >= versionInterval {
+		v.lookAtChange(service)
+	}
+}
+
+// lookAtChange records which software versions serve a service if a runner has changed since the
+// last look. The caller holds mu.
+func (v *View) lookAtChange(service string) {
+	if v.versionLooks[service].changed && v.runnersConfirmed {
+		v.versionLooks[service] = versionLook{at: v.clock.Uptime()}
 		v.observeVersions(service)
 	}
 }
@@ -90,11 +97,8 @@
 
 // confirmVersions says that this VM knows what served at an uptime. The caller holds mu.
 func (v *View) confirmVersions(at time.Duration) {
-	for service, look := range v.versionLooks {
-		if look.changed && v.runnersConfirmed {
-			v.versionLooks[service] = versionLook{at: v.clock.Uptime()}
-			v.observeVersions(service)
-		}
+	for service := range v.versionLooks {
+		v.lookAtChange(service)
 	}
 	v.versions.Confirm(at, v.clock.Uptime())
 }
--- a/drhttp/client.go
+++ b/drhttp/client.go
@@ -1,5 +1,6 @@
-// Package drhttp is an HTTP client for services of the platform. Its errors tell
-// whether the service may have received the request.
+// Package drhttp reads the heads and bodies of HTTP/1.1 messages by the grammar of RFC 9110 and
+// RFC 9112, and is an HTTP client for services of the platform. The client's errors tell whether
+// the service may have received the request.
 package drhttp
 
 import (
