drcontroller: Change a runner's version in tests in one step

Cause, in the test: it read r2's description, changed its version and offered the copy as the controller's. When the controller had queried r2 in between, the entry had one accepted order and the copy none, so the view took it for an older description and r2 never was at v2.

Both tests with this step now change the listed entry with View.UpdateRunner, between which and the controller's update nothing comes. What they check is unchanged. 20 runs of each with -race passed.

--- a/drcontroller/places_test.go
+++ b/drcontroller/places_test.go
@@ -14,6 +14,15 @@
 	"github.com/dotterelridge/dotterelridge/drscheduler"
 )
 
+// updateVersion changes the software version of a listed runner, whatever the controller learns
+// of the runner meanwhile.
+func (w *controllerFixture) updateVersion(runner, version string) {
+	w.view.UpdateRunner(runner, 0, func(r drfleet.Runner) drfleet.Runner {
+		r.Version = version
+		return r
+	})
+}
+
 // Guards against a model that counts as loaded for streams of one software version although
 // runners of another hold it, also for streams that are bound to zones.
 func TestControllerLoadsModelsForVersion(t *testing.T) {
@@ -21,10 +30,7 @@
 		is := is.New(t)
 		w := newControllerFixture(t)
 		w.addRunnerAtHome()
-		old, _ := w.view.Runner("r2")
-		updated := *old
-		updated.Version = "v2"
-		w.view.OfferRunner(&updated, drfleetview.FromController)
+		w.updateVersion("r2", "v2")
 		request := wantOfModelA(1, 0)
 		request.Wants[0].Replica.Version, request.Wants[0].Replica.Zones = "v2", zones
 		w.controller.Sync(context.Background(), "vm2", 1, request)
@@ -79,9 +85,7 @@
 	})
 	is.Equal(len(state().AtVersion), 0)
 	old, _ := w.view.Runner("r2")
-	updated := *old
-	updated.Version = "v2"
-	w.view.OfferRunner(&updated, drfleetview.FromController)
+	w.updateVersion("r2", "v2")
 	s, at := state(), placesOf(w.view, "llm")
 	use := func(version string) drscheduler.Use {
 		return s.AtVersion[drscheduler.Demand{Model: "a", Zones: at.allowed(drfleet.Zones{}, version)}]
