drproxy: Don't count the announced exit of a runner as a crash

Cause: a runner that has drained ends what still runs on it as it exits, and each end counted as a crash of the request. A stream succeeds only at its end, so nothing spoke for it meanwhile.

Change: an end counts only if it was not announced: the view knows that the incarnation drains or has said that it leaves, or does not list it any longer (some runners leave without a word). The log line says exit-announced.

--- a/drfleetview/leaving.go
+++ b/drfleetview/leaving.go
@@ -50,3 +50,17 @@
 // LeavingCount returns the number of listed runners of a service that have said in an
 // answer to this VM that they leave.
 func (v *View) LeavingCount(service string) int { return v.count(service, (*entry).saysLeaving) }
+
+// EndAnnounced reports whether the end of a runner's incarnation was to be expected: it drains,
+// has said that it leaves, or is not listed any longer.
+func (v *View) EndAnnounced(i Incarnation) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e, ok := v.runners[i.Runner]
+	switch {
+	case !ok, e.drains != nil && e.drains.Started == i.Started, e.leaving != nil && e.leaving.Started == i.Started:
+		return true
+	default:
+		return e.runner.Started == i.Started && (e.removed || e.runner.Draining)
+	}
+}
--- a/drproxy/crash.go
+++ b/drproxy/crash.go
@@ -122,12 +122,17 @@
 	return a.upstream.endedByPeer() && a.header.ContentLength() != drhttp.UntilCloseLength
 }
 
-// countCrash records a crash of the runner.
+// countCrash records a crash of the runner, unless its exit was announced: it ends what still
+// runs there, and the request is no cause of that.
 func (a *attempt) countCrash(err error) {
 	x := a.exchange
+	announced := x.server.View.EndAnnounced(drfleetview.IncarnationOf(a.runner))
 	log.WithFields(log.Fields{"event": "runner-broke-off", "request-id": x.call.ID, "runner": a.runner.ID, "started": a.runner.Started,
 		"fingerprint": x.identity().Request, "model": x.call.Model, "prompt": promptIDs(x.call), "last-event": a.lastEvent,
-		"answering": a.begun}).WithError(err).Warn("")
+		"answering": a.begun, "exit-announced": announced}).WithError(err).Warn("")
+	if announced {
+		return
+	}
 	x.server.Crashes.RecordCrash(drcrash.Crash{Identity: x.identity(), Runner: fmt.Sprintf("%s@%d", a.runner.ID, a.runner.Started)})
 }
 
--- a/drproxy/crash_test.go
+++ b/drproxy/crash_test.go
@@ -11,6 +11,8 @@
 	"github.com/matryer/is"
 
 	"github.com/dotterelridge/dotterelridge/drcrash"
+	"github.com/dotterelridge/dotterelridge/drfleet"
+	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drrequest"
 )
 
@@ -82,6 +84,39 @@
 	})
 }
 
+// Guards against a planned release that has a request refused everywhere: the exits of three
+// runners that drain count as its crashes.
+func TestAnnouncedExitIsNoCrash(t *testing.T) {
+	prepareBubble()
+	announcements := map[string]func(*drfleetview.View, *drfleet.Runner){
+		"draining": func(v *drfleetview.View, r *drfleet.Runner) { v.OfferRunner(r.WithDraining(), drfleetview.FromRunner) },
+		"leaving":  func(v *drfleetview.View, r *drfleet.Runner) { v.MarkLeaving(drfleetview.IncarnationOf(r)) },
+		"unlisted": func(v *drfleetview.View, r *drfleet.Runner) { v.RemoveRunner(r.ID) },
+		"replaced": func(v *drfleetview.View, r *drfleet.Runner) {
+			v.OfferRunner(r.WithDraining(), drfleetview.FromRunner)
+			next := *r
+			next.Started++
+			v.OfferRunner(&next, drfleetview.FromRunner)
+		},
+	}
+	for name, announce := range announcements {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var w *orderWorld
+				w = newScriptedWorld(func(conn *memoryConn, _ string) {
+					r, _ := w.view.Runner("app-0")
+					announce(w.view, r)
+					conn.Reset()
+				})
+				defer w.close(t)
+				_, _ = w.ask("/pay/sound", "x")
+				is.Equal(len(w.server.Crashes.TakeReport(false).Crashes), 0)
+			})
+		})
+	}
+}
+
 // Guards against a crash that is not counted because at the same instant its client leaves,
 // the time of the request passes or the VM stops: none of these undoes it.
 func TestCrashCountsBesideOtherEnd(t *testing.T) {
--- a/drproxy/order_runner_test.go
+++ b/drproxy/order_runner_test.go
@@ -54,6 +54,8 @@
 	faulty bool
 	// crashed is set if the runner ended the connection instead of its answer.
 	crashed bool
+	// unlisted is set if the runner was not listed at that moment, so that its end was announced.
+	unlisted bool
 	// ended is set if the VM closed the connection before the answer was whole.
 	ended bool
 }
