drproxy: Keep a silent run until another one goes on with the stream

Cause: after 0.2 s the VM chose one of two runs of which it knew nothing yet, so that a request did not occupy two runners for longer. That bound was our own.

Change: both go on until one of them does. Each 0.05 s the VM looks whether the silent runner has sent something; then the other run ends. A second run that is late ends for a third one only with a retry in hand, which is tried at once, and the silent run goes on beside it.

Tests: TestRunnersOverlapShortly demanded the bound of 0.2 s, which is the fault: it and TestLateRefusalKeepsSilentRun could not both pass each time. Instead of it TestRunnersOverlapUntilOneBegins demands that the silent run ends at the instant at which the other one begins, TestSuccessorOfResumedRunEnds that the other one ends within 0.05 s of the silent one's going on, and TestThirdRunFollowsSilentOnes that a late run gives way to a third.

--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -61,13 +61,21 @@
 // takes a retry from the budget of its service.
 func (x *exchange) tryRetry(state *retryState) bool {
 	state.denied = x.retryDenial(state)
-	if state.denied == notDenied && !state.retryTaken && !x.takeRetryFromBudget() {
+	if state.denied == notDenied && !x.takeRetry(state) {
 		state.denied = overRetryBudget
 	}
 	state.retryTaken = false
 	return state.denied == notDenied
 }
 
+// takeRetry takes the retry that the request has in hand, or one from the budget, and reports
+// whether there was one.
+func (x *exchange) takeRetry(state *retryState) bool {
+	inHand := state.retryTaken
+	state.retryTaken = false
+	return inHand || x.takeRetryFromBudget()
+}
+
 // takeRetryFromBudget takes a retry from the service's budget and reports
 // whether there was one. It counts both outcomes in the metrics.
 func (x *exchange) takeRetryFromBudget() bool {
--- a/drproxy/takeover.go
+++ b/drproxy/takeover.go
@@ -15,19 +15,30 @@
 // be merely slow, and that of the successor which is to go on in its place. The silent run
 // ends only once the other one has begun. docs/design/stream-takeover.md has the steps.
 
-// overlapTime is how long the run of a silent runner goes on after the request was sent to
-// another one. A runner that refuses a request says so within that time.
-const overlapTime = 200 * time.Millisecond
+// overlapCheck is the time between two checks whether a silent runner goes on by itself while
+// the request waits at another one.
+const overlapCheck = 50 * time.Millisecond
 
 // tryTakeOver looks for a run that goes on with the stream in place of the silent attempt,
-// and reports whether that one has ended. It ends only once another run has begun, or may
-// have. The run that takes over is then st.next, nil if it has failed since.
+// and reports whether that one has ended. It ends only once another run has begun. The run
+// that takes over is then st.next, nil if it has failed since.
 func (st *stream) tryTakeOver(state *retryState, silent *attempt) (ended bool) {
-	x := st.exchange
-	c := st.successor(state)
-	if c == nil || !x.takeRetryFromBudget() {
-		return false
+	for {
+		c := st.successor(state)
+		if c == nil || !st.exchange.takeRetry(state) {
+			return false
+		}
+		st.tryRunner(state, silent, c)
+		if silent.ended || !state.retryTaken {
+			return silent.ended
+		}
 	}
+}
+
+// tryRunner sends the stream to a runner that may take it over from the silent attempt, which
+// it ends once that has succeeded. With state.retryTaken that run was given up for another one.
+func (st *stream) tryRunner(state *retryState, silent *attempt, c *drbalancer.Candidate) {
+	x := st.exchange
 	next, err := st.startSuccessor(state, silent, c)
 	taken := err == nil && !next.handleNotExecuted() && st.adopt(state, next)
 	if err != nil && !errors.Is(err, errNotSent) && !errors.Is(err, errClientGone) {
@@ -38,11 +49,10 @@
 		silent.letGo(drfleetview.Failed)
 	}
 	log.WithFields(log.Fields{"event": "stream-takeover", "request-id": x.call.ID, "silent": silent.runner.ID, "runner": c.Runner.ID, "taken": taken,
-		"gave-up": silent.ended, "last-event": st.lastEvent, "draining": x.server.draining.Load()}).WithError(err).Info("")
+		"again": state.retryTaken, "last-event": st.lastEvent, "draining": x.server.draining.Load()}).WithError(err).Info("")
 	if !silent.ended {
 		x.current, x.runner = silent, silent.runner.ID
 	}
-	return silent.ended
 }
 
 // successor returns the runner that would begin a further run of the stream at once, nil if
@@ -61,7 +71,7 @@
 }
 
 // startSuccessor sends the request to the successor of a silent attempt and waits for the
-// header of its answer. Meanwhile both run; settleOverlap decides for how long.
+// header of its answer. Meanwhile both run; settleOverlap decides when one of them ends.
 func (st *stream) startSuccessor(state *retryState, silent *attempt, c *drbalancer.Candidate) (*attempt, error) {
 	x := st.exchange
 	return x.startChosen(state, c, attemptOptions{lastEvent: st.lastEvent, firstByteTimeout: x.firstEventTimeout(state), replaces: silent})
@@ -84,38 +94,32 @@
 }
 
 // setHeaderDeadline makes reads of the header fail at limit. If this attempt is to replace
-// a silent one that still runs, settleOverlap decides between the two after overlapTime,
-// unless the answer has come by then.
+// a silent one that still runs, settleOverlap decides between the two each overlapCheck until
+// the answer has come.
 func (a *attempt) setHeaderDeadline(limit time.Time) {
 	if a.replaces == nil || a.replaces.ended {
 		a.setGiveUpDeadline(limit)
 		return
 	}
 	a.upstream.extendDeadline = func() bool { return a.settleOverlap(limit) }
-	_ = a.upstream.SetReadDeadline(earlier(limit, a.sentAt.Add(overlapTime)))
+	_ = a.upstream.SetReadDeadline(earlier(limit, a.sentAt.Add(overlapCheck)))
 }
 
-// settleOverlap is called when overlapTime has passed and the answer to this attempt has not
-// begun. It decides whether this attempt or the silent one ends, and reports whether this one
-// goes on, until limit. This one ends in two cases: the silent runner has sent something
-// meanwhile; or there are two runners and the VM stops, because the run that it has may still
-// end in time, and one that fails now is hardly replaced. Otherwise the silent one ends. Two
-// runs on the same runner may overlap for longer, up to limit.
+// settleOverlap is called while the answer to this attempt has not begun, and reports whether
+// it goes on. It ends if the silent runner has sent something meanwhile, and at limit if it is
+// at the same runner or may be given up for another one. Otherwise both go on until one of them
+// does, or the time of the request has passed: either may be the one that is lost.
 func (a *attempt) settleOverlap(limit time.Time) (goesOn bool) {
 	silent, now := a.replaces, time.Now()
-	sameRunner := silent.runner.ID == a.runner.ID
-	switch {
-	case silent.hasResumed(), a.exchange.server.draining.Load() && !sameRunner:
+	if silent.hasResumed() {
 		a.letGo(drfleetview.Abandoned)
 		return false
-	case sameRunner && !now.Before(limit):
+	}
+	sameRunner := silent.runner.ID == a.runner.ID
+	if a.exchange.remaining() <= 0 || !now.Before(limit) && (sameRunner || a.mayGiveUp == nil || a.mayGiveUp()) {
 		return false
-	case sameRunner:
-		_ = a.upstream.SetReadDeadline(earlier(limit, now.Add(overlapTime)))
-		return true
 	}
-	silent.letGo(drfleetview.Failed)
-	a.setGiveUpDeadline(limit)
+	_ = a.upstream.SetReadDeadline(earlier(a.exchange.timeoutAt, now.Add(overlapCheck)))
 	return true
 }
 
