drtokenpool, drcontroller: Give up a VM's share while a controller leads that it does not reach

Cause: the controller sets a silent VM's share aside for 6 s and gives it to the others then, as such a VM refuses requests once it can't confirm its configuration. One that reaches the store confirms it there and went on spending.

Change: a VM that reads in the store that another one's lease lasts, and has had no reply of that controller for 5 s since it knows of it, spends nothing beyond its grants: 503 controller-unreachable, not run, with a short Retry-After, as another VM may serve the request. While no lease lasts, or the store can't be read, nothing changes.

--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -74,6 +74,7 @@
 	name        string
 	partitioned bool // no call to or from the store and the peers succeeds
 	storeCut    bool // no call to the store succeeds
+	peersCut    bool // no call to or from the peers succeeds
 	handlers    map[string]drpeer.Handler
 	linkFreeAt  time.Time // when all replies so far have left
 }
@@ -187,10 +188,15 @@
 
 func (n *testNode) Handle(method string, h drpeer.Handler) { n.handlers[method] = h }
 
+// cutFrom reports whether no call from one VM to the other succeeds. The caller holds mu.
+func (n *testNode) cutFrom(to *testNode) bool {
+	return n.partitioned || to.partitioned || n != to && (n.peersCut || to.peersCut)
+}
+
 func (n *testNode) Call(ctx context.Context, vm, method string, req, resp proto.Message) error {
 	n.fleet.mu.Lock()
 	to := n.fleet.nodes[vm]
-	lost := n.partitioned || to == nil || to.partitioned
+	lost := to == nil || n.cutFrom(to)
 	n.fleet.mu.Unlock()
 	if lost {
 		<-ctx.Done() // like a call without a response
@@ -209,7 +215,7 @@
 		return err
 	}
 	n.fleet.mu.Lock()
-	lost = n.partitioned || to.partitioned
+	lost = n.cutFrom(to)
 	n.fleet.mu.Unlock()
 	if lost {
 		<-ctx.Done()
--- a/drcontroller/lease_loop.go
+++ b/drcontroller/lease_loop.go
@@ -206,6 +206,7 @@
 		n.maxProcessor, n.recordedRunners = max(n.maxProcessor, l.MostProcessor), l.Runners
 		n.mu.Unlock()
 	}
+	n.recordLeader(l)
 	switch {
 	case !n.elector.Vacant() && n.elector.Denied():
 		return 0, nil // the next read waits at the store until the lease has lapsed or changed
@@ -227,6 +228,15 @@
 	return 0, nil
 }
 
+// recordLeader tells the allowances whether another VM leads by the lease that was just read.
+func (n *Node) recordLeader(l drlease.Lease) {
+	if n.elector.Vacant() || n.elector.Denied() {
+		n.Allowances.RecordLeader(0, 0)
+		return
+	}
+	n.Allowances.RecordLeader(l.Term, n.elector.VacantIn())
+}
+
 // followLeaseHolder makes the holder of a valid lease this VM's controller. It
 // returns the pause before the lease is read again: none if the holder may be
 // lost, because the next read waits at the store until it has lapsed or changed.
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -19,6 +19,7 @@
 	"github.com/dotterelridge/dotterelridge/drhttp"
 	"github.com/dotterelridge/dotterelridge/drmetric"
 	"github.com/dotterelridge/dotterelridge/drprompt"
+	"github.com/dotterelridge/dotterelridge/drtokenpool"
 )
 
 const (
@@ -263,6 +264,12 @@
 	if a.Admitted {
 		return refusal{}, true
 	}
+	if a.Basis == drtokenpool.ByExpiredShare {
+		return refusal{
+			status: fasthttp.StatusServiceUnavailable, reason: "controller-unreachable", retryAfter: a.RetryAfter,
+			detail: fmt.Sprintf("the controller leads and has not replied for %v", a.Unheard.Round(time.Millisecond)),
+		}, false
+	}
 	return refusal{
 		status: fasthttp.StatusTooManyRequests, reason: "over-rate", retryAfter: a.RetryAfter,
 		detail: fmt.Sprintf("%.0f tokens, by %s, limit %.0f/s, burst %.0f", cost, a.Basis, x.account.Rate, x.account.Burst),
--- a/drtokenpool/allowance.go
+++ b/drtokenpool/allowance.go
@@ -16,6 +16,10 @@
 	// bucket. The bucket gets the VM's fraction of the account's recent spending,
 	// or an equal fraction if that is unknown.
 	controllerTimeout = time.Second
+	// maxUnheardTime is how long a VM spends its fraction while a controller leads that it does
+	// not reach. It is over before that controller gives the fraction to others (maxSilentTime),
+	// with the time that a report may take to be answered.
+	maxUnheardTime = 5 * time.Second
 	// initialBurstTime sizes the local bucket of a process that knows no spending
 	// yet: the bucket starts with, and holds at most, what the VM's fraction of
 	// the rate yields in this time. It is short because all VMs may restart at
@@ -59,6 +63,7 @@
 	mu                  sync.Mutex
 	accounts            map[string]*allowance
 	lastControllerReply time.Time
+	leader              leader
 	vmCount             int
 	slack               float64
 	// calls is the number of calls that may be made now about requests of
@@ -68,6 +73,13 @@
 	callRate float64
 }
 
+// leader is the controller that is known to lead: its term, 0 if there is none, since when
+// this VM has known of it, and until when its lease lasts by what is known.
+type leader struct {
+	term         uint64
+	since, until time.Time
+}
+
 // allowance is the state of one client account on this VM. Amounts are in
 // tokens; spent, granted and requested count from the start of the process.
 type allowance struct {
@@ -169,6 +181,29 @@
 	}
 }
 
+// RecordLeader records that the lease of the controller of a term lasts for a time by what the
+// store says, or with term 0 that no controller holds it. A VM that reads that a controller leads
+// and gets no replies from it must stop spending its fraction, which others get after a time.
+func (s *Allowances) RecordLeader(term uint64, left time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if term != s.leader.term {
+		s.leader = leader{term: term, since: now}
+	}
+	s.leader.until = now.Add(left)
+}
+
+// unheard returns for how long a controller that leads has not replied to this VM, 0 if none is
+// known to lead. The caller holds s.mu.
+func (s *Allowances) unheard(now time.Time) time.Duration {
+	l := s.leader
+	if l.term == 0 || !now.Before(l.until) {
+		return 0
+	}
+	return min(now.Sub(l.since), now.Sub(s.lastControllerReply))
+}
+
 // SetSlack sets the number of tokens by which an account may exceed its limit
 // during a controller outage. The VMs share it; the default is 0.
 func (s *Allowances) SetSlack(tokens float64) {
@@ -216,6 +251,8 @@
 	// RetryAfter is how long a refused client should wait before it retries; it is
 	// 0 if the request was admitted.
 	RetryAfter time.Duration
+	// Unheard is for how long the controller has not replied, set with ByExpiredShare.
+	Unheard time.Duration
 }
 
 // Admit spends tokens of an account: from the grant if that suffices, else by
@@ -313,9 +350,12 @@
 // admitFromLocalBucket admits a request from the local bucket. The bucket starts
 // with this VM's fraction of the tokens that were left when the controller last
 // answered and is refilled with the same fraction of the rate. A request larger
-// than the bucket is admitted when the bucket is full and overdraws it. The
-// caller holds s.mu.
+// than the bucket is admitted when the bucket is full and overdraws it. Nothing is
+// admitted once the controller may have given the fraction to others. The caller holds s.mu.
 func (s *Allowances) admitFromLocalBucket(a *allowance, tokens float64) Admission {
+	if unheard := s.unheard(s.clock.Now()); unheard > maxUnheardTime {
+		return Admission{Basis: ByExpiredShare, RetryAfter: spread(unansweredPause), Unheard: unheard}
+	}
 	share := 1 / float64(s.vmCount)
 	if a.share > 0 {
 		share = a.share
--- a/drtokenpool/basis.go
+++ b/drtokenpool/basis.go
@@ -9,8 +9,9 @@
 // the controller granted in advance, ByController is the controller's answer to
 // this request, ByRepeatedRefusal reuses its recent refusal, BySaturation refuses
 // without asking because few tokens of the account are left, ByShare uses the local bucket
-// while no controller answers, and ByFirstComers is the controller's refusal of a request
-// that it refused shortly before, because others leave too few tokens.
+// while no controller answers, ByFirstComers is the controller's refusal of a request that it
+// refused shortly before, because others leave too few tokens, and ByExpiredShare refuses because
+// a controller leads that has not replied for so long that it may give this VM's share to others.
 const (
 	ByNoLimit         Basis = iota // no-limit
 	ByGrant                        // grant
@@ -19,4 +20,5 @@
 	BySaturation                   // saturated
 	ByShare                        // share-without-controller
 	ByFirstComers                  // first-comers
+	ByExpiredShare                 // share-expired
 )
--- a/drtokenpool/basis_string.go
+++ b/drtokenpool/basis_string.go
@@ -15,11 +15,12 @@
 	_ = x[BySaturation-4]
 	_ = x[ByShare-5]
 	_ = x[ByFirstComers-6]
+	_ = x[ByExpiredShare-7]
 }
 
-const _Basis_name = "no-limitgrantcontrollerrepeated-refusalsaturatedshare-without-controllerfirst-comers"
+const _Basis_name = "no-limitgrantcontrollerrepeated-refusalsaturatedshare-without-controllerfirst-comersshare-expired"
 
-var _Basis_index = [...]uint8{0, 8, 13, 23, 39, 48, 72, 84}
+var _Basis_index = [...]uint8{0, 8, 13, 23, 39, 48, 72, 84, 97}
 
 func (i Basis) String() string {
 	idx := int(i) - 0
--- a/drtokenpool/idle_test.go
+++ b/drtokenpool/idle_test.go
@@ -47,7 +47,7 @@
 	allowances, clients := newFleet(clock, pool, limits, vms)
 	surge(t, clock, allowances, clients, 3*rate, 8*time.Second)
 	for _, c := range clients[:vms/2] {
-		c.down = true
+		c.down, c.readsStore = true, true
 	}
 	for range 3 { // windows of the platform's rule
 		admitted, _ := surge(t, clock, allowances, clients, 3*rate, 8*time.Second)
--- a/drtokenpool/pool_test.go
+++ b/drtokenpool/pool_test.go
@@ -18,11 +18,11 @@
 var limit = map[string]drtokenpool.Limit{"a": {Rate: 1000, Burst: 2000}}
 
 // poolClient connects one VM's allowances to a pool without a network. The pool is
-// unreachable while down is set.
+// unreachable while down is set; with readsStore the VM reads meanwhile that the controller leads.
 type poolClient struct {
-	pool *drtokenpool.Pool
-	vm   string
-	down bool
+	pool             *drtokenpool.Pool
+	vm               string
+	down, readsStore bool
 	// calls counts the calls of Reserve. With mute they get no answer, although
 	// reports do.
 	calls int
@@ -303,8 +303,14 @@
 					byVM[i] += tokens
 				}
 			}
-			if (int(elapsed/step)+i)%5 == 0 && !clients[i].down {
+			if (int(elapsed/step)+i)%5 != 0 {
+				continue
+			}
+			switch {
+			case !clients[i].down:
 				clients[i].report(a, len(allowances))
+			case clients[i].readsStore:
+				a.RecordLeader(1, time.Second)
 			}
 		}
 		byStep = append(byStep, admitted)
