drscheduler: Load second replicas at a version from a tenth of a runner's use on

Cause: a model gets a second replica at a software version once the requests of that version use a quarter of a runner, six of them at a time.

Change: a tenth of a runner. Only idle models make room for it and reserved loads stay, as before.

TestPlanKeepsSecondReplicaAtVersion expected no load at 0.2; it expects one there now, and none at 0.08.

--- a/drscheduler/plan_test.go
+++ b/drscheduler/plan_test.go
@@ -190,9 +190,11 @@
 	reserved := state()
 	reserved.StoreLoads = 2
 	is.Equal(len(drscheduler.Plan(reserved)), 0)
-	little := state()
-	little.AtVersion[drscheduler.Demand{Model: "a", Zones: drfleet.ZonesOf("z.v1")}] = drscheduler.Use{Work: 0.2, Rate: 4}
-	is.Equal(len(drscheduler.Plan(little)), 0)
+	for work, loaded := range map[float64][]string{0.2: {"r2"}, 0.08: nil} {
+		little := state()
+		little.AtVersion[drscheduler.Demand{Model: "a", Zones: drfleet.ZonesOf("z.v1")}] = drscheduler.Use{Work: work, Rate: 4}
+		is.Equal(runnersOf(drscheduler.Plan(little), "a"), loaded)
+	}
 }
 
 // Guards against loading more adapters than a runner has slots for, and against
--- a/drscheduler/version.go
+++ b/drscheduler/version.go
@@ -3,7 +3,7 @@
 const (
 	// atVersionLoad is the utilization by the requests of one software version, as a share of one
 	// runner's time, above which a model gets a second replica at that version.
-	atVersionLoad = 0.25
+	atVersionLoad = 0.1
 	// idleEvictionLoss is the eviction loss that this may cause, in requests per second. While
 	// versions are mixed runners have models of each to hold.
 	idleEvictionLoss = 0.1
