--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -188,11 +188,6 @@
 
 func (n *testNode) Handle(method string, h drpeer.Handler) { n.handlers[method] = h }
 
-// cutFrom reports whether no call from one VM to the other succeeds. The caller holds mu.
-func (n *testNode) cutFrom(to *testNode) bool {
-	return n.partitioned || to.partitioned || n != to && (n.peersCut || to.peersCut)
-}
-
 func (n *testNode) Call(ctx context.Context, vm, method string, req, resp proto.Message) error {
 	n.fleet.mu.Lock()
 	to := n.fleet.nodes[vm]
--- a/drcontroller/unheard_test.go
+++ b/drcontroller/unheard_test.go
@@ -18,6 +18,11 @@
 	return drtokenpool.Reservation{}, false
 }
 
+// cutFrom reports whether no call from one VM to the other succeeds. The caller holds mu.
+func (n *testNode) cutFrom(to *testNode) bool {
+	return n.partitioned || to.partitioned || n != to && (n.peersCut || to.peersCut)
+}
+
 // Guards against a VM that goes on spending its share for good while it reaches the store and not
 // the controller, which gives that share to others; and against VMs that spend nothing while the
 // store is away and no controller leads, or once the controller is reached again.
