drfleetview: Compare incarnations in one place

Cause: five places compared the start of a runner with that of an incarnation that may be unknown, each in its own words, and EndAnnounced listed by hand what noteDraining has already recorded.

Change: Incarnation.is says whether one that may be unknown is this one. A runner that drains is known by what noteDraining recorded; behaviour is unchanged.

--- a/drfleetview/draining.go
+++ b/drfleetview/draining.go
@@ -22,10 +22,10 @@
 // noteDraining records that the runner of an entry drains, unless it did before. The caller
 // holds mu.
 func (v *View) noteDraining(e *entry) {
-	if !e.runner.Draining || e.removed || e.drains != nil && e.drains.Started == e.runner.Started {
+	i := IncarnationOf(e.runner)
+	if !e.runner.Draining || e.removed || i.is(e.drains) {
 		return
 	}
-	i := IncarnationOf(e.runner)
 	e.drains, v.drainRevision = &i, e.revision
 	v.drainBegins = append(v.drainBegins, drainBegin{e, e.runner.Started, v.clock.Uptime()})
 	if len(v.drainBegins) > maxDrainingNews {
--- a/drfleetview/leaving.go
+++ b/drfleetview/leaving.go
@@ -13,6 +13,9 @@
 // IncarnationOf returns the incarnation that a description of a runner is of.
 func IncarnationOf(r *drfleet.Runner) Incarnation { return Incarnation{r.ID, r.Started} }
 
+// is reports whether an incarnation that may be unknown, nil, is this one.
+func (i Incarnation) is(other *Incarnation) bool { return other != nil && *other == i }
+
 // MarkLeaving records that an incarnation of a runner has said in an answer that it
 // leaves. From then on it counts as draining here until it ends, whatever else
 // describes it. MarkLeaving returns false if that was known, or if the runner is not
@@ -33,7 +36,7 @@
 }
 
 // saysLeaving reports whether the present incarnation has said that it leaves.
-func (e *entry) saysLeaving() bool { return e.leaving != nil && e.leaving.Started == e.runner.Started }
+func (e *entry) saysLeaving() bool { return IncarnationOf(e.runner).is(e.leaving) }
 
 // Leaving returns the incarnations that MarkLeaving has recorded and that are still
 // listed, sorted by runner.
@@ -57,10 +60,5 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	e, ok := v.runners[i.Runner]
-	switch {
-	case !ok, e.drains != nil && e.drains.Started == i.Started, e.leaving != nil && e.leaving.Started == i.Started:
-		return true
-	default:
-		return e.runner.Started == i.Started && (e.removed || e.runner.Draining)
-	}
+	return !ok || i.is(e.drains) || i.is(e.leaving) || e.removed && e.runner.Started == i.Started
 }
--- a/drfleetview/runner.go
+++ b/drfleetview/runner.go
@@ -152,7 +152,7 @@
 	if source == FromRunner {
 		e.reportedReplicas = runner.Replicas
 	}
-	if e.leaving != nil && e.leaving.Started == runner.Started && !runner.Draining {
+	if IncarnationOf(runner).is(e.leaving) && !runner.Draining {
 		runner = runner.WithDraining()
 	}
 	old := e.runner
