drproxy: Say in one place when an attempt is given up

Cause: settleOverlap and setGiveUpDeadline each asked whether the time of the request had passed or the attempt might be given up, and set the next deadline.

Change: givesUp and readOn do that for both. Behaviour is unchanged: limit is never later than the request's timeout, so a request without time left is late.

--- a/drproxy/later_try.go
+++ b/drproxy/later_try.go
@@ -19,15 +19,26 @@
 // be given up then.
 func (a *attempt) setGiveUpDeadline(limit time.Time) {
 	a.upstream.extendDeadline = func() bool {
-		if a.mayGiveUp == nil || a.exchange.remaining() <= 0 || a.mayGiveUp() {
+		if a.givesUp() {
 			return false
 		}
-		_ = a.upstream.SetReadDeadline(earlier(a.exchange.timeoutAt, time.Now().Add(giveUpRecheck)))
+		a.readOn(giveUpRecheck)
 		return true
 	}
 	_ = a.upstream.SetReadDeadline(limit)
 }
 
+// givesUp reports whether an attempt whose answer has not begun in time ends: it may be given up,
+// or the time of the request has passed.
+func (a *attempt) givesUp() bool {
+	return a.mayGiveUp == nil || a.exchange.remaining() <= 0 || a.mayGiveUp()
+}
+
+// readOn lets reads go on for a time, within that of the request.
+func (a *attempt) readOn(pause time.Duration) {
+	_ = a.upstream.SetReadDeadline(earlier(a.exchange.timeoutAt, time.Now().Add(pause)))
+}
+
 // mayGiveUp reports whether an attempt whose answer has not begun in time may end. If the
 // client has the header of the stream, nothing but a further attempt can follow, so mayGiveUp
 // takes the retry for that one first.
--- a/drproxy/takeover.go
+++ b/drproxy/takeover.go
@@ -110,16 +110,15 @@
 // at the same runner or may be given up for another one. Otherwise both go on until one of them
 // does, or the time of the request has passed: either may be the one that is lost.
 func (a *attempt) settleOverlap(limit time.Time) (goesOn bool) {
-	silent, now := a.replaces, time.Now()
-	if silent.hasResumed() {
+	silent, late := a.replaces, !time.Now().Before(limit)
+	switch {
+	case silent.hasResumed():
 		a.letGo(drfleetview.Abandoned)
 		return false
-	}
-	sameRunner := silent.runner.ID == a.runner.ID
-	if a.exchange.remaining() <= 0 || !now.Before(limit) && (sameRunner || a.mayGiveUp == nil || a.mayGiveUp()) {
+	case late && (silent.runner.ID == a.runner.ID || a.givesUp()):
 		return false
 	}
-	_ = a.upstream.SetReadDeadline(earlier(a.exchange.timeoutAt, now.Add(overlapCheck)))
+	a.readOn(overlapCheck)
 	return true
 }
 
