drtokenpool: Derive the time of an unheard share from that of a silent VM

Cause: the two bounds, 5 s and 6 s, depend on each other and stood as two numbers.

Change: maxUnheardTime is a second less than maxSilentTime. The value is the same; the clock is read once in admitFromLocalBucket instead of twice.

--- a/drtokenpool/allowance.go
+++ b/drtokenpool/allowance.go
@@ -17,9 +17,9 @@
 	// or an equal fraction if that is unknown.
 	controllerTimeout = time.Second
 	// maxUnheardTime is how long a VM spends its fraction while a controller leads that it does
-	// not reach. It is over before that controller gives the fraction to others (maxSilentTime),
-	// with the time that a report may take to be answered.
-	maxUnheardTime = 5 * time.Second
+	// not reach. It is over before that controller gives the fraction to others, with the time
+	// that a report may take to be answered.
+	maxUnheardTime = maxSilentTime - time.Second
 	// initialBurstTime sizes the local bucket of a process that knows no spending
 	// yet: the bucket starts with, and holds at most, what the VM's fraction of
 	// the rate yields in this time. It is short because all VMs may restart at
@@ -353,7 +353,8 @@
 // than the bucket is admitted when the bucket is full and overdraws it. Nothing is
 // admitted once the controller may have given the fraction to others. The caller holds s.mu.
 func (s *Allowances) admitFromLocalBucket(a *allowance, tokens float64) Admission {
-	if unheard := s.unheard(s.clock.Now()); unheard > maxUnheardTime {
+	now := s.clock.Now()
+	if unheard := s.unheard(now); unheard > maxUnheardTime {
 		return Admission{Basis: ByExpiredShare, RetryAfter: spread(unansweredPause), Unheard: unheard}
 	}
 	share := 1 / float64(s.vmCount)
@@ -362,7 +363,6 @@
 	}
 	rate := a.limit.Rate * share
 	initial, capacity := rate*initialBurstTime.Seconds(), rate*initialBurstTime.Seconds()
-	now := s.clock.Now()
 	slack := 0.0
 	if a.share > 0 {
 		initial, capacity = a.poolLevel*share, a.limit.Burst*share
--- a/drtokenpool/vm_usage.go
+++ b/drtokenpool/vm_usage.go
@@ -16,7 +16,8 @@
 	minShareFraction  = 0.05
 	// maxSilentTime is how long a VM that does not report may go on spending its
 	// fraction of the rate. After that it refuses requests because it can no
-	// longer confirm its configuration, or it has been removed by Forget.
+	// longer confirm its configuration or has not heard of this controller
+	// (maxUnheardTime), or it has been removed by Forget.
 	maxSilentTime = 6 * time.Second
 )
 
