--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -482,10 +482,7 @@
 			f := newTestFleet(3)
 			defer f.close()
 			time.Sleep(4*time.Second + late)
-			first, other := f.controllers()[0], f.nodes["vm-0"]
-			if other == first {
-				other = f.nodes["vm-1"]
-			}
+			first, other := f.controllers()[0], f.follower()
 			f.mu.Lock()
 			other.storeCut = true
 			f.outageUntil = time.Now().Add(first.elector.Validity().Left)
--- a/drcontroller/unheard_test.go
+++ b/drcontroller/unheard_test.go
@@ -23,6 +23,14 @@
 	return n.partitioned || to.partitioned || n != to && (n.peersCut || to.peersCut)
 }
 
+// follower returns a VM that does not run the controller.
+func (f *testFleet) follower() *testNode {
+	if n := f.nodes["vm-0"]; n != f.controllers()[0] {
+		return n
+	}
+	return f.nodes["vm-1"]
+}
+
 // Guards against a VM that goes on spending its share for good while it reaches the store and not
 // the controller, which gives that share to others; and against VMs that spend nothing while the
 // store is away and no controller leads, or once the controller is reached again.
@@ -32,10 +40,7 @@
 		f := newTestFleet(5)
 		defer f.close()
 		time.Sleep(5 * time.Second)
-		leading, cut := f.controllers()[0], f.nodes["vm-0"]
-		if cut == leading {
-			cut = f.nodes["vm-1"]
-		}
+		leading, cut := f.controllers()[0], f.follower()
 		basis := func(n *testNode) drtokenpool.Basis {
 			n.Allowances.SetLimits(map[string]drtokenpool.Limit{"a": {Rate: 1000, Burst: 1000}})
 			return n.Allowances.Admit(context.Background(), deafReserver{}, "a", 1).Basis
--- a/drproxy/version_test.go
+++ b/drproxy/version_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dotterelridge/dotterelridge/drfleet"
 	"github.com/dotterelridge/dotterelridge/drfleetview"
 	"github.com/dotterelridge/dotterelridge/drstore"
 	"github.com/dotterelridge/dotterelridge/drversion"
@@ -17,10 +18,10 @@
 // withVersions gives the runners of streams software versions, by address.
 func (w *orderWorld) withVersions(versions map[string]string) {
 	for address, version := range versions {
-		known, _ := w.view.Runner(w.runners[address].id)
-		updated := *known
-		updated.Version = version
-		w.view.OfferRunner(&updated, drfleetview.FromController)
+		w.view.UpdateRunner(w.runners[address].id, 0, func(r drfleet.Runner) drfleet.Runner {
+			r.Version = version
+			return r
+		})
 	}
 	w.view.ConfirmRunners(w.server.Clock.Uptime(), drstore.Position{})
 }
