drcontroller: Copy the streams of all VMs to two of them

Cause: a VM told the controller alone at which versions its streams began, and the controller copied only those of its own VM. What began elsewhere was known to its VM and to the controller, and to nobody once both had ended.

Change: the two VMs that keep a copy get all streams that the controller knows. A beginning has the term of the controller that named it, so that a VM does not send what it has from the controller back to it, and tells it to the next one.

Measured: TestStreamsOutliveControllerAndAnotherVM fails without it for each of four VMs that end with the controller's (20 of 100 streams unknown at the others), passes with it. go vet, drversion and drcontroller's tests of streams pass.

--- a/drcontroller/change_test.go
+++ b/drcontroller/change_test.go
@@ -62,6 +62,8 @@
 	// calls is the number of calls to the store since the last takeCalls, by
 	// topic.
 	calls map[drstore.Topic]int
+	// repliesLost is set while replies to reports don't arrive.
+	repliesLost bool
 	// linkRate is how many bytes of replies a node sends in a second, 0 for no limit.
 	linkRate float64
 }
@@ -76,6 +78,7 @@
 	storeCut    bool // no call to the store succeeds
 	peersCut    bool // no call to or from the peers succeeds
 	handlers    map[string]drpeer.Handler
+	incarnation uint64
 	linkFreeAt  time.Time // when all replies so far have left
 }
 
@@ -95,10 +98,13 @@
 }
 
 // start adds a VM that may use the given part of a core.
-func (f *testFleet) start(name string, processor float64) {
-	n := &testNode{fleet: f, name: name, handlers: make(map[string]drpeer.Handler)}
+func (f *testFleet) start(name string, processor float64) { f.startIn("", name, processor) }
+
+// startIn is start in an availability zone.
+func (f *testFleet) startIn(zone, name string, processor float64) {
+	n := &testNode{fleet: f, name: name, handlers: make(map[string]drpeer.Handler), incarnation: f.nextIncarnation(name)}
 	n.Node = New(Config{
-		Clock: f.clock, VM: name, Address: name, Incarnation: 1, Log: n, Codec: lengthCodec{}, Engines: &fakeEngines{},
+		Clock: f.clock, VM: name, Zone: zone, Address: name, Incarnation: n.incarnation, Log: n, Codec: lengthCodec{}, Engines: &fakeEngines{},
 		Peers: n, Registry: n, Metrics: drmetric.New(), View: drfleetview.New(f.clock), Allowances: drtokenpool.NewAllowances(f.clock),
 		Crashes:   drcrash.NewLedger(f.clock),
 		Processor: processor, Propagation: 2 * time.Second, RunnerDrain: 2 * time.Second,
@@ -109,6 +115,21 @@
 	n.Start()
 }
 
+// nextIncarnation returns the incarnation of a VM that starts, 1 if none of its name has before.
+func (f *testFleet) nextIncarnation(name string) uint64 {
+	if former := f.nodes[name]; former != nil {
+		return former.incarnation + 1
+	}
+	return 1
+}
+
+// setReplyLoss sets whether replies to reports are lost.
+func (f *testFleet) setReplyLoss(lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.repliesLost = lost
+}
+
 func (f *testFleet) close() {
 	for _, n := range f.nodes {
 		n.Close()
@@ -201,7 +222,7 @@
 	if err != nil {
 		return err
 	}
-	m, err := to.handlers[method](ctx, drpeer.Sender{VM: n.name, Incarnation: 1}, body)
+	m, err := to.handlers[method](ctx, drpeer.Sender{VM: n.name, Incarnation: n.incarnation}, body)
 	if err != nil {
 		return err
 	}
@@ -210,7 +231,7 @@
 		return err
 	}
 	n.fleet.mu.Lock()
-	lost = n.cutFrom(to)
+	lost = n.cutFrom(to) || n.fleet.repliesLost && method == methodSync
 	n.fleet.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -258,7 +279,7 @@
 }
 
 // lengthCodec decodes a configuration whose version is the record's length, and
-// a runner that has only an ID.
+// a runner that has only an ID, and as software version what follows an "@" in it.
 type lengthCodec struct{}
 
 func (lengthCodec) Deployment(b []byte) (*drfleet.Deployment, error) {
@@ -268,7 +289,8 @@
 func (lengthCodec) OutOfService(key string) (string, bool) { return strings.CutPrefix(key, "out/") }
 
 func (lengthCodec) Runner(id string, _ []byte) (*drfleet.Runner, error) {
-	return &drfleet.Runner{ID: id}, nil
+	_, version, _ := strings.Cut(id, "@")
+	return &drfleet.Runner{ID: id, Version: version}, nil
 }
 
 // Guards against overloading the store when a fleet starts or its controller
--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -93,7 +93,7 @@
 
 	mu            sync.Mutex
 	vms           map[string]*vm
-	copies        [copyHolders]copyHolder // VMs that keep a copy of what began at this one
+	copies        [copyHolders]copyHolder // VMs that keep a copy of the streams
 	running       runningTotals
 	tokens        tokensByRunner
 	runnerStates  map[string]*runnerState
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -44,7 +44,7 @@
 	received := c.Clock.Uptime()
 	c.addCrashes(name, request.GetCrashReport())
 	c.recordLeavingOf(name, request)
-	c.view.OfferStreams(decodeStreams(request.GetStreams()))
+	c.view.OfferStreams(decodeStreams(request.GetStreams()), 0)
 	c.offerReportedLimits(name, request, received)
 	if request.GetTerm() == c.Term {
 		c.wakeVMs(c.pieces.complete(name))
--- a/drcontroller/streams.go
+++ b/drcontroller/streams.go
@@ -22,7 +22,7 @@
 	// settledAfter is how long after its start a controller has heard of the streams that VMs
 	// told the former one.
 	settledAfter = 2 * (maxSyncWait + syncReplyTimeout)
-	// copyHolders is how many VMs keep a copy of what only the controller's VM knows.
+	// copyHolders is how many VMs keep a copy of the streams that the controller knows.
 	copyHolders = 2
 	// copyHolderTimeout is how long after its last report a VM still counts as keeping a copy.
 	copyHolderTimeout = maxSyncWait + syncReplyTimeout
@@ -45,12 +45,12 @@
 		return t
 	}
 	var beginnings []drversion.Beginning
-	beginnings, t.number = view.StreamsAfter(t.number, maxToldStreams, false)
+	beginnings, t.number = view.StreamsAfter(t.number, maxToldStreams, term)
 	request.Streams = encodeStreams(beginnings)
 	return t
 }
 
-// copyHolder is a VM that keeps a copy of the streams that began at the controller's VM, and the
+// copyHolder is a VM that keeps a copy of the streams that the controller knows, and the
 // number up to which it has been told of them.
 type copyHolder struct {
 	vm     string
@@ -58,7 +58,7 @@
 	number uint64
 }
 
-// fillStreams adds to a reply the streams that have begun at the controller's VM, if the VM is
+// fillStreams adds to a reply the streams that have begun, if the VM is
 // one of those that keep a copy.
 func (c *Controller) fillStreams(name string, reply *drpb.FleetSyncReply) {
 	if name == c.Holder {
@@ -71,7 +71,7 @@
 		return
 	}
 	var beginnings []drversion.Beginning
-	beginnings, h.number = c.view.StreamsAfter(h.number, maxToldStreams, true)
+	beginnings, h.number = c.view.StreamsAfter(h.number, maxToldStreams, c.Term)
 	reply.Streams = encodeStreams(beginnings)
 }
 
--- /dev/null
+++ b/drcontroller/streams_test.go
@@ -0,0 +1,107 @@
+package drcontroller
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelridge/dotterelridge/drstore"
+	"github.com/dotterelridge/dotterelridge/drversion"
+)
+
+// streamTimes are bounds on how far beginnings of streams spread, as callers count on them.
+const (
+	// copiedWithin is the time within which other VMs than the controller's know of a stream: a
+	// report and a reply.
+	copiedWithin = 2 * maxSyncWait
+	// takeUpTime is how long a stream that is taken up may wait for its version.
+	takeUpTime = 3 * time.Second
+)
+
+// newStreamFleet starts a fleet of VMs in zones while runners of three software versions serve.
+func newStreamFleet(zones ...string) *testFleet {
+	f := newTestFleet(0)
+	for i, zone := range zones {
+		f.startIn(zone, fmt.Sprint("vm-", i), 1)
+	}
+	for _, runner := range []string{"r@v1", "s@v2", "t@v3"} {
+		f.store.Put(drstore.Runners, runner, []byte("x"))
+	}
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+// beginStreams has count streams begin at each VM, in its name, and returns their keys.
+func (f *testFleet) beginStreams(count int) map[string][]drversion.Key {
+	keys := make(map[string][]drversion.Key)
+	for name, n := range f.nodes {
+		for i := range count {
+			key := drversion.KeyOf("", fmt.Sprint(name, "-", i))
+			keys[name] = append(keys[name], key)
+			n.View.RecordStream(drversion.Beginning{Key: key, Version: "v2"})
+		}
+	}
+	return keys
+}
+
+// knows reports whether a VM learns at which version a stream began.
+func (n *testNode) knows(key drversion.Key) bool {
+	if version, known := n.View.StreamVersion(key); known {
+		return version == "v2"
+	}
+	version, found, _ := n.AskStream(context.Background(), key)
+	return found && version == "v2"
+}
+
+// unknown counts the streams whose version a VM does not learn.
+func (n *testNode) unknown(keys map[string][]drversion.Key) int {
+	count := 0
+	for _, ks := range keys {
+		for _, key := range ks {
+			if !n.knows(key) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// others returns the VMs that are not the controller's, by name.
+func (f *testFleet) others() []*testNode {
+	var others []*testNode
+	for _, name := range slices.Sorted(maps.Keys(f.nodes)) {
+		if f.nodes[name] != f.controllers()[0] {
+			others = append(others, f.nodes[name])
+		}
+	}
+	return others
+}
+
+// Guards against streams that only the controller and their own VM remember: those of a VM that
+// ends at the same moment as the controller's were not taken up.
+func TestStreamsOutliveControllerAndAnotherVM(t *testing.T) {
+	for i := range 4 {
+		t.Run(fmt.Sprint("other-", i), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newStreamFleet("a", "a", "a", "a", "a")
+				defer f.close()
+				keys := f.beginStreams(20)
+				time.Sleep(copiedWithin)
+				others := f.others()
+				f.controllers()[0].partition()
+				others[i].partition()
+				time.Sleep(takeUpTime)
+				for _, n := range slices.Delete(others, i, i+1) {
+					is.Equal(n.unknown(keys), 0) // streams whose version is not learned
+				}
+			})
+		})
+	}
+}
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -279,7 +279,7 @@
 	own := n.controller.Load() != nil
 	complete, err := n.applyTable(reply, own)
 	if !own {
-		n.View.OfferStreams(decodeStreams(reply.GetStreams()))
+		n.View.OfferStreams(decodeStreams(reply.GetStreams()), reply.GetTerm())
 		n.applyDeployment(reply)
 		n.applyOutages(reply)
 		offerLimits(n.View, reply.GetLimits(), made, received, log.Fields{"source": "controller", "term": reply.GetTerm()})
--- a/drfleetview/version.go
+++ b/drfleetview/version.go
@@ -204,15 +204,16 @@
 func (v *View) RecordStream(b drversion.Beginning) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.streams.Add(b, true, v.clock.Uptime())
+	v.streams.Add(b, 0, v.clock.Uptime())
 }
 
-// OfferStreams remembers at which software versions streams began at other VMs.
-func (v *View) OfferStreams(beginnings []drversion.Beginning) {
+// OfferStreams remembers at which software versions streams began at other VMs. term is that of the
+// controller that has named them, 0 if the VMs have themselves.
+func (v *View) OfferStreams(beginnings []drversion.Beginning, term uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, b := range beginnings {
-		v.streams.Add(b, false, v.clock.Uptime())
+		v.streams.Add(b, term, v.clock.Uptime())
 	}
 }
 
@@ -225,11 +226,11 @@
 
 // StreamsAfter returns streams that are remembered for other VMs, none unless the versions of a
 // service are mixed; see drversion.Streams.After.
-func (v *View) StreamsAfter(number uint64, limit int, onlyOwn bool) (beginnings []drversion.Beginning, upTo uint64) {
+func (v *View) StreamsAfter(number uint64, limit int, term uint64) (beginnings []drversion.Beginning, upTo uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.versions.AnyMixed() {
 		return nil, number
 	}
-	return v.streams.After(number, limit, onlyOwn)
+	return v.streams.After(number, limit, term)
 }
--- a/drversion/streams.go
+++ b/drversion/streams.go
@@ -30,19 +30,20 @@
 	first uint64
 }
 
-// addedBeginning is a Beginning with the uptime at which it was added. Its version is empty if
-// others were named for the same key.
+// addedBeginning is a Beginning with the uptime at which it was added, and the term of the
+// controller that named it, 0 if none did. Its version is empty if others were named for the same
+// key.
 type addedBeginning struct {
 	Beginning
-	at  time.Duration
-	own bool
+	at   time.Duration
+	term uint64
 }
 
 // NewStreams returns Streams that remember none.
 func NewStreams() *Streams { return &Streams{numbers: make(map[Key]uint64), first: 1} }
 
-// Add remembers a beginning. own is set if the stream began at this VM.
-func (s *Streams) Add(b Beginning, own bool, now time.Duration) {
+// Add remembers a beginning. term is that of the controller that named it, 0 if none did.
+func (s *Streams) Add(b Beginning, term uint64, now time.Duration) {
 	s.prune(now)
 	if n, known := s.numbers[b.Key]; known {
 		if x := &s.added[n-s.first]; x.Version != b.Version {
@@ -51,7 +52,7 @@
 		return
 	}
 	s.numbers[b.Key] = s.first + uint64(len(s.added))
-	s.added = append(s.added, addedBeginning{b, now, own})
+	s.added = append(s.added, addedBeginning{b, now, term})
 }
 
 // prune forgets what is too old or too much.
@@ -72,14 +73,14 @@
 }
 
 // After returns beginnings with numbers above a given one, at most limit, and the number up to
-// which they are all. With onlyOwn it leaves out those of other VMs.
-func (s *Streams) After(number uint64, limit int, onlyOwn bool) (beginnings []Beginning, upTo uint64) {
+// which they are all. It leaves out those that the controller of a term has named.
+func (s *Streams) After(number uint64, limit int, term uint64) (beginnings []Beginning, upTo uint64) {
 	upTo = max(number, s.first-1)
 	for _, x := range s.added[upTo+1-s.first:] {
 		if len(beginnings) == limit {
 			break
 		}
-		if upTo++; x.Version != "" && (x.own || !onlyOwn) {
+		if upTo++; x.Version != "" && x.term != term {
 			beginnings = append(beginnings, x.Beginning)
 		}
 	}
