drcontroller: Copy streams by what the VM says that it has

Cause: the controller counted a copy as made once it had made the reply. Replies are lost, or given up by their VM as requests begin to wait for a model; and a VM that starts again under its name within 1.1 s has nothing, yet counted as one that had all.

Change: each report says how far the VM has the streams of the controller of a term, and the controller goes on from there. It keeps no number of its own. VMs of an earlier version of the program don't say so and keep no copies.

--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -77,10 +77,11 @@
 	// the store, 0 if none has failed.
 	storeFailedAt atomic.Int64
 
-	// table, named and told are used by syncLoop only.
-	table tableReceiver
-	named namedReplicas
-	told  toldStreams
+	// table, named, told and copied are used by syncLoop only.
+	table  tableReceiver
+	named  namedReplicas
+	told   toldStreams
+	copied copiedStreams
 
 	// leaderLost holds a token if this VM has just lost the controller, and
 	// leaderFound one if it has just learned of another.
--- a/drcontroller/reports.go
+++ b/drcontroller/reports.go
@@ -70,7 +70,7 @@
 		reply.LeaseOffset, reply.LeaseLeftMs = uint64(v.Offset), uint32(milliseconds(v.Left))
 	}
 	c.fillVersions(request, reply)
-	c.fillStreams(name, reply)
+	c.fillStreams(name, request, reply)
 	reply.Verdict = encodeVerdict(c.crashes.VerdictFor(name))
 	reply.Outages = encodeOutages(c.view.Outages())
 	c.fillReply(name, v, request, reply)
--- a/drcontroller/streams.go
+++ b/drcontroller/streams.go
@@ -50,45 +50,56 @@
 	return t
 }
 
-// copyHolder is a VM that keeps a copy of the streams that the controller knows, and the
-// number up to which it has been told of them.
+// copiedStreams is the number up to which the controller of a term has copied streams to this VM.
+type copiedStreams struct{ term, number uint64 }
+
+// fill adds to a report how far this VM has the streams of the controller.
+func (s copiedStreams) fill(request *drpb.FleetSyncRequest) {
+	request.StreamsCopied = &drpb.FleetStreamPosition{Term: s.term, Number: s.number}
+}
+
+// withReply returns s after a reply of the controller.
+func (s copiedStreams) withReply(reply *drpb.FleetSyncReply) copiedStreams {
+	p := reply.GetStreamsCopied()
+	return copiedStreams{term: p.GetTerm(), number: p.GetNumber()}
+}
+
+// copyHolder is a VM that keeps a copy of the streams that the controller knows.
 type copyHolder struct {
 	vm     string
 	seenAt time.Duration
-	number uint64
 }
 
-// fillStreams adds to a reply the streams that have begun, if the VM is
-// one of those that keep a copy.
-func (c *Controller) fillStreams(name string, reply *drpb.FleetSyncReply) {
-	if name == c.Holder {
+// fillStreams adds to a reply the streams that have begun, if the VM is one of those that keep a
+// copy. It goes by what the VM says that it has: a reply may be lost, and a VM may start again.
+func (c *Controller) fillStreams(name string, request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
+	had := request.GetStreamsCopied()
+	if name == c.Holder || had == nil || !c.keepsCopy(name) {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	h := c.copyHolder(name)
-	if h == nil {
-		return
+	number := uint64(0)
+	if had.GetTerm() == c.Term {
+		number = had.GetNumber()
 	}
-	var beginnings []drversion.Beginning
-	beginnings, h.number = c.view.StreamsAfter(h.number, maxToldStreams, c.Term)
+	beginnings, number := c.view.StreamsAfter(number, maxToldStreams, c.Term)
 	reply.Streams = encodeStreams(beginnings)
+	reply.StreamsCopied = &drpb.FleetStreamPosition{Term: c.Term, Number: number}
 }
 
-// copyHolder returns the VM's entry among those that keep a copy, nil if others do. The caller
-// holds mu.
-func (c *Controller) copyHolder(name string) *copyHolder {
+// keepsCopy reports whether a VM that reports keeps a copy. It begins to if there is room.
+func (c *Controller) keepsCopy(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := c.Clock.Uptime()
 	i := slices.IndexFunc(c.copies[:], func(h copyHolder) bool { return h.vm == name })
 	if i < 0 {
 		i = slices.IndexFunc(c.copies[:], func(h copyHolder) bool { return h.vm == "" || now-h.seenAt > copyHolderTimeout })
-		if i < 0 {
-			return nil
-		}
-		c.copies[i] = copyHolder{vm: name}
 	}
-	c.copies[i].seenAt = now
-	return &c.copies[i]
+	if i < 0 {
+		return false
+	}
+	c.copies[i] = copyHolder{vm: name, seenAt: now}
+	return true
 }
 
 // handleStream answers a FleetStreamRequest.
--- a/drcontroller/streams_test.go
+++ b/drcontroller/streams_test.go
@@ -105,3 +105,55 @@
 		})
 	}
 }
+
+// Guards against copies of streams that have a gap: replies that bring them are lost, or given up
+// by their VM as requests begin to wait for a model there.
+func TestLostReplyLeavesNoGapInCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStreamFleet("a", "a", "a")
+		defer f.close()
+		keys := make(map[string][]drversion.Key)
+		for round := range 10 {
+			for name, n := range f.nodes {
+				key := drversion.KeyOf("", fmt.Sprint(name, "-", round))
+				keys[name] = append(keys[name], key)
+				n.View.RecordStream(drversion.Beginning{Key: key, Version: "v2"})
+			}
+			f.setReplyLoss(round < 9)
+			time.Sleep(350 * time.Millisecond)
+			f.setReplyLoss(false)
+			time.Sleep(maxSyncWait)
+		}
+		time.Sleep(copiedWithin)
+		others := f.others()
+		f.controllers()[0].partition()
+		others[0].partition()
+		time.Sleep(takeUpTime)
+		is.Equal(others[1].unknown(keys), 0) // streams whose version is not learned
+	})
+}
+
+// Guards against a VM that starts again under its name and counts as one that still has its copy.
+func TestRestartedVMHasNoCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStreamFleet("a", "a", "a")
+		defer f.close()
+		keys := f.beginStreams(20)
+		time.Sleep(copiedWithin)
+		first := f.controllers()[0]
+		for _, n := range f.others() {
+			n.Close()
+			f.startIn(n.Zone, n.name, 1)
+		}
+		time.Sleep(copiedWithin)
+		first.partition()
+		time.Sleep(takeUpTime)
+		for _, n := range f.others() {
+			if n != first {
+				is.Equal(n.unknown(keys), 0) // streams whose version is not learned
+			}
+		}
+	})
+}
--- a/drcontroller/sync.go
+++ b/drcontroller/sync.go
@@ -112,6 +112,7 @@
 	clearSignal(n.View.DemandAdded())
 	crashes := n.fillRequest(request)
 	told := n.told.fill(leader.Term, n.controller.Load() != nil, n.View, request)
+	n.copied.fill(request)
 	n.named.markUnlisted(n.View, request)
 	done := make(chan struct{})
 	defer close(done)
@@ -280,6 +281,7 @@
 	complete, err := n.applyTable(reply, own)
 	if !own {
 		n.View.OfferStreams(decodeStreams(reply.GetStreams()), reply.GetTerm())
+		n.copied = n.copied.withReply(reply)
 		n.applyDeployment(reply)
 		n.applyOutages(reply)
 		offerLimits(n.View, reply.GetLimits(), made, received, log.Fields{"source": "controller", "term": reply.GetTerm()})
