drcontroller: Keep copies of streams in availability zones apart

What callers would see: a zone is lost with the controller's VM, and the streams that began in it are not taken up (found in a test).

Cause: the first two VMs that report keep the copies, whatever their zone; both may stand in the controller's.

Change: a VM of a zone that has neither the controller nor a copy takes over a copy that shares its zone with one of them.

--- a/drcontroller/controller.go
+++ b/drcontroller/controller.go
@@ -55,6 +55,8 @@
 	Metrics *drmetric.Metrics
 	// Holder is the name of this VM. It is sent with each order.
 	Holder string
+	// Zone is the availability zone of this VM.
+	Zone string
 	// Processor is the part of a core that this process may use.
 	Processor float64
 	// Term is the fencing token of the lease. Holds reports whether the lease
--- a/drcontroller/lease_loop.go
+++ b/drcontroller/lease_loop.go
@@ -296,7 +296,7 @@
 func (n *Node) becomeController() {
 	l, _ := n.elector.Newest()
 	c := NewController(ControllerConfig{
-		Clock: n.Clock, Engines: n.Engines, Metrics: n.Metrics, Holder: n.VM, Processor: n.Processor, Term: l.Term,
+		Clock: n.Clock, Engines: n.Engines, Metrics: n.Metrics, Holder: n.VM, Zone: n.Zone, Processor: n.Processor, Term: l.Term,
 		Holds: func() bool {
 			term, ok := n.elector.Holds()
 			return ok && term == l.Term
--- a/drcontroller/streams.go
+++ b/drcontroller/streams.go
@@ -66,15 +66,15 @@
 
 // copyHolder is a VM that keeps a copy of the streams that the controller knows.
 type copyHolder struct {
-	vm     string
-	seenAt time.Duration
+	vm, zone string
+	seenAt   time.Duration
 }
 
 // fillStreams adds to a reply the streams that have begun, if the VM is one of those that keep a
 // copy. It goes by what the VM says that it has: a reply may be lost, and a VM may start again.
 func (c *Controller) fillStreams(name string, request *drpb.FleetSyncRequest, reply *drpb.FleetSyncReply) {
 	had := request.GetStreamsCopied()
-	if name == c.Holder || had == nil || !c.keepsCopy(name) {
+	if name == c.Holder || had == nil || !c.keepsCopy(name, request.GetZone()) {
 		return
 	}
 	number := uint64(0)
@@ -86,22 +86,41 @@
 	reply.StreamsCopied = &drpb.FleetStreamPosition{Term: c.Term, Number: number}
 }
 
-// keepsCopy reports whether a VM that reports keeps a copy. It begins to if there is room.
-func (c *Controller) keepsCopy(name string) bool {
+// keepsCopy reports whether a VM that reports keeps a copy. It begins to if there is room, or if
+// its copy would outlive more than another one.
+func (c *Controller) keepsCopy(name, zone string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Uptime()
 	i := slices.IndexFunc(c.copies[:], func(h copyHolder) bool { return h.vm == name })
 	if i < 0 {
-		i = slices.IndexFunc(c.copies[:], func(h copyHolder) bool { return h.vm == "" || now-h.seenAt > copyHolderTimeout })
+		i = c.replaceableCopy(zone, now)
 	}
 	if i < 0 {
 		return false
 	}
-	c.copies[i] = copyHolder{vm: name, seenAt: now}
+	c.copies[i] = copyHolder{vm: name, zone: zone, seenAt: now}
 	return true
 }
 
+// replaceableCopy returns the index of a copy that a VM of an availability zone takes over, -1 if
+// there is none: one whose VM is gone, or that would be lost with its zone together with the
+// controller or another copy. The caller holds mu.
+func (c *Controller) replaceableCopy(zone string, now time.Duration) int {
+	gone := slices.IndexFunc(c.copies[:], func(h copyHolder) bool { return h.vm == "" || now-h.seenAt > copyHolderTimeout })
+	if gone >= 0 {
+		return gone
+	}
+	copies := map[string]int{c.Zone: 1}
+	for _, h := range c.copies {
+		copies[h.zone]++
+	}
+	if copies[zone] > 0 {
+		return -1
+	}
+	return slices.IndexFunc(c.copies[:], func(h copyHolder) bool { return copies[h.zone] > 1 })
+}
+
 // handleStream answers a FleetStreamRequest.
 func (n *Node) handleStream(_ context.Context, _ drpeer.Sender, body []byte) (proto.Message, error) {
 	m := new(drpb.FleetStreamRequest)
--- a/drcontroller/streams_test.go
+++ b/drcontroller/streams_test.go
@@ -106,6 +106,33 @@
 	}
 }
 
+// Guards against copies of streams that are all in the availability zone of the controller.
+func TestStreamsOutliveZoneOfController(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStreamFleet("a", "a", "a")
+		defer f.close()
+		for i, zone := range []string{"b", "b", "c", "c"} {
+			f.startIn(zone, fmt.Sprint("later-", i), 1)
+		}
+		time.Sleep(5 * time.Second)
+		keys := f.beginStreams(20)
+		time.Sleep(copiedWithin)
+		zone := f.controllers()[0].Zone
+		for _, n := range f.nodes {
+			if n.Zone == zone {
+				n.partition()
+			}
+		}
+		time.Sleep(takeUpTime)
+		for _, n := range f.nodes {
+			if n.Zone != zone {
+				is.Equal(n.unknown(keys), 0) // streams whose version is not learned
+			}
+		}
+	})
+}
+
 // Guards against copies of streams that have a gap: replies that bring them are lost, or given up
 // by their VM as requests begin to wait for a model there.
 func TestLostReplyLeavesNoGapInCopies(t *testing.T) {
