drcontroller: Send what one message of streams has no room for at once

What callers would see: after a change of the controller, streams are refused for seconds though VMs know them, and with over 3,300 new streams a second copies fall behind until they are forgotten (found in a test).

Cause: a message names 2,000 streams, and the next one was held for 0.25 to 0.6 s like any report. 60,000 streams took up to 18 s, while the new controller says after 2.2 s that it knows all.

Change: a VM whose last message was full has its next report answered at once, in both directions.

--- a/drcontroller/streams.go
+++ b/drcontroller/streams.go
@@ -47,21 +47,31 @@
 	var beginnings []drversion.Beginning
 	beginnings, t.number = view.StreamsAfter(t.number, maxToldStreams, term)
 	request.Streams = encodeStreams(beginnings)
+	if len(beginnings) == maxToldStreams {
+		request.WaitMs = 0 // there may be more
+	}
 	return t
 }
 
 // copiedStreams is the number up to which the controller of a term has copied streams to this VM.
-type copiedStreams struct{ term, number uint64 }
+// more is set if it did not have room for all of them.
+type copiedStreams struct {
+	term, number uint64
+	more         bool
+}
 
 // fill adds to a report how far this VM has the streams of the controller.
 func (s copiedStreams) fill(request *drpb.FleetSyncRequest) {
 	request.StreamsCopied = &drpb.FleetStreamPosition{Term: s.term, Number: s.number}
+	if s.more {
+		request.WaitMs = 0
+	}
 }
 
 // withReply returns s after a reply of the controller.
 func (s copiedStreams) withReply(reply *drpb.FleetSyncReply) copiedStreams {
 	p := reply.GetStreamsCopied()
-	return copiedStreams{term: p.GetTerm(), number: p.GetNumber()}
+	return copiedStreams{term: p.GetTerm(), number: p.GetNumber(), more: len(reply.GetStreams().GetKeys()) == maxToldStreams}
 }
 
 // copyHolder is a VM that keeps a copy of the streams that the controller knows.
--- a/drcontroller/streams_test.go
+++ b/drcontroller/streams_test.go
@@ -184,3 +184,21 @@
 		}
 	})
 }
+
+// Guards against a controller that names itself settled while VMs still tell it of a minute's
+// streams, and against copies that fall behind for good: more streams begin than one message
+// names, up to all that are remembered.
+func TestManyStreamsOutliveController(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStreamFleet("a", "a", "a", "a")
+		defer f.close()
+		keys := f.beginStreams(15000)
+		time.Sleep(copiedWithin)
+		others := f.others()
+		f.controllers()[0].partition()
+		others[0].partition()
+		time.Sleep(takeUpTime)
+		is.Equal(others[1].unknown(keys), 0) // streams whose version is not learned
+	})
+}
