drcontroller: Ask the last controller of streams while none leads

What callers saw: while the store is away no controller leads, and a stream whose id is in doubt was refused with 503 version-unknown at all VMs but three, though the VM that led knows it.

Cause: a VM asked only a controller that leads. But where a stream began is a fact; it needs no lease.

Change: a VM that knows no controller asks the last one that it reached. An answer that names no version still counts for nothing, as that one does not lead.

While versions are not mixed nothing is recorded, and the known limit stays: taken up for 2 s, begun for 4 s of an outage.

--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -178,10 +178,13 @@
 func (n *Node) Controlling() bool { return n.controller.Load() != nil }
 
 // PeerAddress returns the address of another VM. It returns false for all VMs
-// but the controller, whose address is the only one known.
+// but the controller and the last one, whose addresses are the only ones known.
 func (n *Node) PeerAddress(vm string) (string, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.leader.VM == "" {
+		return n.former.Address, n.former.VM == vm
+	}
 	return n.leader.Address, n.leader.VM == vm
 }
 
--- a/drcontroller/streams.go
+++ b/drcontroller/streams.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dotterelridge/dotterelridge/drfleetview"
+	"github.com/dotterelridge/dotterelridge/drlease"
 	"github.com/dotterelridge/dotterelridge/drpb"
 	"github.com/dotterelridge/dotterelridge/drpeer"
 	"github.com/dotterelridge/dotterelridge/drversion"
@@ -147,7 +148,7 @@
 // AskStream asks the controller at which version a stream began. settled is set if the
 // controller answers that would know, had the VM of the stream told it.
 func (n *Node) AskStream(ctx context.Context, key drversion.Key) (version string, found, settled bool) {
-	leader, reached := n.Leader()
+	leader, reached := n.leaderToAsk()
 	if !reached {
 		return "", false, false
 	}
@@ -161,6 +162,19 @@
 	return reply.GetVersion(), reply.GetFound(), reply.GetSettled()
 }
 
+// leaderToAsk returns the lease of the controller, or of the last one if that has said that it
+// leads no more and no other is known, as while the store is away. It returns false if this VM
+// reaches none.
+func (n *Node) leaderToAsk() (drlease.Lease, bool) {
+	leader, reached := n.Leader()
+	if leader.VM != "" {
+		return leader, reached
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.former, n.former.VM != ""
+}
+
 func encodeStreams(beginnings []drversion.Beginning) *drpb.FleetStreams {
 	if len(beginnings) == 0 {
 		return nil
--- a/drcontroller/streams_test.go
+++ b/drcontroller/streams_test.go
@@ -202,3 +202,24 @@
 		is.Equal(others[1].unknown(keys), 0) // streams whose version is not learned
 	})
 }
+
+// Guards against streams that are not taken up while the store is away, although the VM that led
+// knows of them.
+func TestStreamsAreKnownWhileStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStreamFleet("a", "a", "a", "a", "a", "a")
+		defer f.close()
+		keys := f.beginStreams(20)
+		time.Sleep(copiedWithin)
+		f.mu.Lock()
+		f.outageUntil = time.Now().Add(20 * time.Second)
+		f.mu.Unlock()
+		for range 4 {
+			time.Sleep(4 * time.Second)
+			for _, n := range f.nodes {
+				is.Equal(n.unknown(keys), 0) // streams whose version is not learned
+			}
+		}
+	})
+}
