drproxy, drcontroller: Wait for the next controller with an old table, too

Cause: a VM whose table is older than 2 s and that reaches no controller counted as cut off. It waited for the next controller only while its table was younger.

Change: a VM that reaches the store but no controller is not cut off: another controller is about to lead, and it waits for that, as before for 3 s and half of the request's time at most. One that the store has not answered for 1 s refuses at once, as before.

Measured: TestTakenUpStreamWaitsForNextController fails without it. TestOnlyVMThatReachesStoreAwaitsController passes.

--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -76,6 +76,8 @@
 	// storeFailedAt is the uptime, in nanoseconds, of this VM's last failed call to
 	// the store, 0 if none has failed.
 	storeFailedAt atomic.Int64
+	// storeAnsweredAt is the uptime, in nanoseconds, of the last one that succeeded.
+	storeAnsweredAt atomic.Int64
 
 	// table, named, told and copied are used by syncLoop only.
 	table  tableReceiver
--- a/drcontroller/store_loops.go
+++ b/drcontroller/store_loops.go
@@ -159,9 +159,11 @@
 
 // recordStoreResult remembers when a call to the store has failed.
 func (n *Node) recordStoreResult(err error) {
+	at := &n.storeAnsweredAt
 	if err != nil {
-		n.storeFailedAt.Store(int64(n.Clock.Uptime()))
+		at = &n.storeFailedAt
 	}
+	at.Store(int64(n.Clock.Uptime()))
 }
 
 // logStoreState logs when a topic of the store becomes unreachable or reachable
--- a/drcontroller/streams.go
+++ b/drcontroller/streams.go
@@ -27,6 +27,9 @@
 	copyHolders = 2
 	// copyHolderTimeout is how long after its last report a VM still counts as keeping a copy.
 	copyHolderTimeout = maxSyncWait + syncReplyTimeout
+	// maxStoreSilence is the time since the last answer of the store within which a VM without a
+	// controller still reaches it: it reads the lease more often.
+	maxStoreSilence = time.Second
 )
 
 // toldStreams is the number up to which this VM has told the controller of a term which streams
@@ -162,6 +165,14 @@
 	return reply.GetVersion(), reply.GetFound(), reply.GetSettled()
 }
 
+// AwaitsController reports whether this VM reaches the store but no controller, so that another
+// one is about to lead. A VM that is cut off reaches neither.
+func (n *Node) AwaitsController() bool {
+	_, reached := n.Leader()
+	answered := time.Duration(n.storeAnsweredAt.Load())
+	return !reached && answered > 0 && n.Clock.Uptime()-answered < maxStoreSilence
+}
+
 // leaderToAsk returns the lease of the controller, or of the last one if that has said that it
 // leads no more and no other is known, as while the store is away. It returns false if this VM
 // reaches none.
--- a/drcontroller/streams_test.go
+++ b/drcontroller/streams_test.go
@@ -223,3 +223,29 @@
 		}
 	})
 }
+
+// Guards against a VM that has streams wait for another controller although it is cut off, and
+// against one that does not while there is none.
+func TestOnlyVMThatReachesStoreAwaitsController(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStreamFleet("a", "a", "a", "a")
+		defer f.close()
+		others := f.others()
+		cut, awaiting := others[0], 0
+		f.controllers()[0].partition()
+		cut.partition()
+		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			is.True(!cut.AwaitsController())
+			for _, n := range others[1:] {
+				if _, reached := n.Leader(); !reached && n.AwaitsController() {
+					awaiting++
+				}
+				if _, reached := n.Leader(); reached {
+					is.True(!n.AwaitsController())
+				}
+			}
+		}
+		is.True(awaiting > 0)
+	})
+}
--- a/drproxy/order_wire_test.go
+++ b/drproxy/order_wire_test.go
@@ -19,6 +19,7 @@
 	instanceHeader    = "Instance"
 	notExecutedHeader = "Not-Executed"
 	sealHeader        = "Seal"
+	resumesHeader     = "Resumes"
 )
 
 // orderWire is a minimal Wire.
@@ -32,7 +33,7 @@
 	return &drfleet.Call{
 		ID: string(h.Peek(idHeader)), Method: string(h.Method()), Host: string(h.Host()), Path: string(h.RequestURI()),
 		Key: string(h.Peek(keyHeader)), Deadline: time.Duration(deadline) * time.Millisecond,
-		Model: string(h.Peek(modelHeader)), LastEvent: last,
+		Model: string(h.Peek(modelHeader)), LastEvent: last, Resumes: string(h.Peek(resumesHeader)),
 	}, nil
 }
 
--- a/drproxy/version.go
+++ b/drproxy/version.go
@@ -52,6 +52,8 @@
 // if those that would know have answered.
 type StreamAsker interface {
 	AskStream(ctx context.Context, key drversion.Key) (version string, found, settled bool)
+	// AwaitsController reports whether there is no controller to ask, and one is about to come.
+	AwaitsController() bool
 }
 
 const (
@@ -80,7 +82,7 @@
 		switch {
 		case found:
 			return version, drversion.Recorded
-		case settled && passed > maxTellTime, !settled && !s.View.VersionsInStep():
+		case settled && passed > maxTellTime, !settled && !s.View.VersionsInStep() && !s.Streams.AwaitsController():
 			return "", basis
 		case !x.pauseToAsk(min(maxAskTime, x.remaining()/2)):
 			return "", basis
--- a/drproxy/version_test.go
+++ b/drproxy/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,16 @@
 	w.view.ConfirmRunners(w.server.Clock.Uptime(), drstore.Position{})
 }
 
+// idOf returns the id of a stream that begins at a version, or any if none does.
+func (w *orderWorld) idOf(version string) string {
+	replica := drfleetview.Replica{Service: "llm", Model: "m"}
+	for id := "x"; ; id += "x" {
+		if chosen, bound := w.view.ChooseVersion(replica, id); !bound || chosen == version {
+			return id
+		}
+	}
+}
+
 // breakAfterFirst sends the first event of a stream and breaks it off.
 func breakAfterFirst(conn *memoryConn, id string) {
 	writeAll(conn, answerParts(id, "/stream/", 0, answersWhole)[0])
@@ -46,11 +57,7 @@
 				defer w.close(t)
 				w.view.CoverAllVersions()
 				w.withVersions(map[string]string{"3": "v1", "4": second})
-				id, replica := "", drfleetview.Replica{Service: "llm", Model: "m"}
-				for version, bound := "", true; bound && version != "v1"; { // an id that begins at v1
-					id += "x"
-					version, bound = w.view.ChooseVersion(replica, id)
-				}
+				id := w.idOf("v1")
 				o, _ := w.ask("/stream/on/"+id, id)
 				is.Equal(o.complete, complete)
 				if !complete {
@@ -119,11 +126,58 @@
 
 // takeUp asks for the rest of a stream after an event.
 func (w *orderWorld) takeUp(path, id string, last int) *orderOutcome {
+	return w.takeUpOf(path, id, "", last)
+}
+
+// takeUpOf is takeUp for a stream that a request with another id has begun.
+func (w *orderWorld) takeUpOf(path, id, resumes string, last int) *orderOutcome {
 	client, conn := newMemoryPipe()
 	w.running.Go(func() { w.server.ServeConn(conn) })
-	writeAll(client, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nModel: m\r\nDeadline: 3000\r\nLast-Event: %d\r\nContent-Length: 0\r\n\r\n", path, id, last))
+	writeAll(client, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nModel: m\r\nDeadline: 3000\r\nLast-Event: %d\r\nResumes: %s\r\nContent-Length: 0\r\n\r\n", path, id, last, resumes))
 	o := &orderOutcome{id: id, path: path}
 	o.read(bufio.NewReader(client))
 	_ = client.Close()
 	return o
 }
+
+// lateAsker answers questions about streams from a time on.
+type lateAsker struct {
+	from   time.Time
+	awaits bool
+}
+
+func (a lateAsker) AskStream(context.Context, drversion.Key) (version string, found, settled bool) {
+	late := !time.Now().Before(a.from)
+	return "v1", late, late
+}
+
+func (a lateAsker) AwaitsController() bool { return a.awaits }
+
+// Guards against a VM whose table grows old because the controller has ended, and that refuses
+// to take streams up a moment before the next one leads. One that is cut off refuses at once.
+func TestTakenUpStreamWaitsForNextController(t *testing.T) {
+	for _, awaits := range []bool{true, false} {
+		t.Run(fmt.Sprint("awaits-", awaits), func(t *testing.T) {
+			prepareBubble()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const pause = 200 * time.Millisecond
+				w := newScriptedWorld(refuse)
+				defer w.close(t)
+				w.view.CoverAllVersions()
+				w.withVersions(map[string]string{"3": "v1", "4": "v1"})
+				time.Sleep(drversion.MaxLag + time.Millisecond)
+				w.server.Streams = lateAsker{from: time.Now().Add(pause), awaits: awaits}
+				began := time.Now()
+				o := w.takeUpOf("/stream/on/x", "x", "first", 1)
+				if !awaits {
+					is.Equal(o.body, "version-unknown\n")
+					is.Equal(time.Since(began), time.Duration(0))
+					return
+				}
+				is.Equal(o.body, wholeBody("x", "/stream/on/x")[len(eventText(1)):])
+				is.True(time.Since(began) >= pause)
+			})
+		})
+	}
+}
