drfleetview, drproxy: Let requests wait while a VM that stood still catches up

Cause: what a VM knows ages while it stands still, and a VM with old knowledge refuses at once. That is right for one that is cut off; one that has just gone on is about to hear.

For 0.5 s afterwards, and half of the request's time at most, requests wait until it knows the configuration, the runners and what served 2 s ago. A VM that is cut off runs on and refuses at once, as before.

Measured: TestVMThatGoesOnWaitsForNews and TestVMThatGoesOnAmidReleaseWaitsForVersions fail without it.

--- a/drcontroller/node.go
+++ b/drcontroller/node.go
@@ -147,6 +147,15 @@
 	n.startLoop("lease-loop", n.leaseLoop)
 	n.startLoop("sync-loop", n.syncLoop)
 	n.startLoop("crash-loop", n.crashLoop)
+	n.startLoop("alive-loop", n.aliveLoop)
+}
+
+// aliveLoop has the view notice that this VM has stood still.
+func (n *Node) aliveLoop() {
+	for n.ctx.Err() == nil {
+		n.View.NoteAlive()
+		_ = n.Clock.Sleep(n.ctx, drfleetview.AliveInterval)
+	}
 }
 
 func (n *Node) startLoop(task string, loop func()) {
--- a/drfleetview/view.go
+++ b/drfleetview/view.go
@@ -71,6 +71,7 @@
 	// streams says at which of them streams have begun.
 	streams      *drversion.Streams
 	versionLooks map[string]versionLook // by service
+	stall        stallWatch
 	// bounded finds the runners that need permits.
 	bounded          boundIndex
 	buckets          [Buckets]bucket
--- a/drproxy/exchange.go
+++ b/drproxy/exchange.go
@@ -146,7 +146,7 @@
 		x.refuse(refusal{status: fasthttp.StatusBadRequest, reason: "malformed", detail: err.Error()})
 		return
 	}
-	if !x.awaitConfiguration() {
+	if !x.awaitNews() {
 		return // the client has left
 	}
 	if r, ok := x.resolve(); !ok {
--- a/drproxy/version_test.go
+++ b/drproxy/version_test.go
@@ -140,6 +140,44 @@
 	return o
 }
 
+// Guards against a VM that has stood still and refuses what comes in the moments until it hears
+// from others again, and against one that is cut off and keeps requests waiting.
+func TestVMThatGoesOnWaitsForNews(t *testing.T) {
+	for _, stoodStill := range []bool{true, false} {
+		t.Run(fmt.Sprint("stood-still-", stoodStill), func(t *testing.T) {
+			prepareBubble()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const silence, pause = 5 * time.Second, 60 * time.Millisecond
+				w := newScriptedWorld(refuse)
+				defer w.close(t)
+				w.view.CoverAllVersions()
+				w.withVersions(map[string]string{"3": "v1", "4": "v1"})
+				w.view.NoteAlive()
+				for end := time.Now().Add(silence); time.Now().Before(end); time.Sleep(drfleetview.AliveInterval) {
+					if !stoodStill {
+						w.view.NoteAlive()
+					}
+				}
+				w.running.Go(func() {
+					time.Sleep(pause)
+					w.view.ConfirmDeployment(w.server.Clock.Uptime())
+					w.view.ConfirmRunners(w.server.Clock.Uptime(), drstore.Position{})
+				})
+				began := time.Now()
+				o := w.takeUp("/stream/on/x", "x", 1)
+				if !stoodStill {
+					is.Equal(o.body, "version-unknown\n")
+					is.Equal(time.Since(began), time.Duration(0))
+					return
+				}
+				is.Equal(o.body, wholeBody("x", "/stream/on/x")[len(eventText(1)):])
+				is.True(time.Since(began) >= pause)
+			})
+		})
+	}
+}
+
 // lateAsker answers questions about streams from a time on.
 type lateAsker struct {
 	from   time.Time
@@ -181,3 +219,33 @@
 		})
 	}
 }
+
+// Guards against a VM that has stood still and refuses new streams amid a release, in the moments
+// between the table and what has served meanwhile.
+func TestVMThatGoesOnAmidReleaseWaitsForVersions(t *testing.T) {
+	prepareBubble()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const silence, pause = 5 * time.Second, 60 * time.Millisecond
+		other := drfleetview.New(newOrderWorld(2).server.Clock)
+		w := newScriptedWorld(refuse)
+		defer w.close(t)
+		w.view.CoverAllVersions()
+		w.withVersions(map[string]string{"3": "v1", "4": "v2"})
+		time.Sleep(silence)
+		w.view.NoteAlive()
+		time.Sleep(silence)
+		w.withVersions(map[string]string{"3": "v3", "4": "v2"})
+		w.view.ConfirmDeployment(w.server.Clock.Uptime())
+		other.CoverAllVersions()
+		other.ConfirmRunners(w.server.Clock.Uptime(), drstore.Position{})
+		w.running.Go(func() {
+			time.Sleep(pause)
+			w.view.MergeVersions(other.VersionRecord(), w.server.Clock.Uptime())
+		})
+		id := w.idOf("v2")
+		o, took := w.ask("/stream/on/"+id, id)
+		is.Equal(o.body, wholeBody(id, "/stream/on/"+id))
+		is.True(took >= pause)
+	})
+}
--- a/drproxy/wait.go
+++ b/drproxy/wait.go
@@ -15,8 +15,6 @@
 	// minRetryAfter is the least Retry-After for requests without a runner, so
 	// that refused clients do not retry at once.
 	minRetryAfter = 50 * time.Millisecond
-	// configurationWait is how long a request waits for the first configuration.
-	configurationWait = 500 * time.Millisecond
 	// pauseSpread is the time after a pause over which the clients and requests that
 	// wait for its end come back.
 	pauseSpread = 500 * time.Millisecond
@@ -87,39 +85,6 @@
 	}
 }
 
-// awaitConfiguration waits for the first configuration of a new process, which comes within a
-// few round trips if the store or a controller is reached. It waits configurationWait at most,
-// and half of the request's time. It returns false if the client has left.
-func (x *exchange) awaitConfiguration() bool {
-	v := x.server.View
-	if d, _ := v.Deployment(); d != nil {
-		return true
-	}
-	limit := configurationWait
-	if x.call.Deadline > 0 {
-		limit = min(limit, x.call.Deadline/2)
-	}
-	began := x.server.Clock.Now()
-	defer func() { x.waited += x.server.Clock.Since(began) }()
-	t := x.server.Clock.NewTimer(limit)
-	defer t.Stop()
-	for {
-		changed := v.Changed()
-		if d, _ := v.Deployment(); d != nil {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-t.C():
-			return true
-		case <-x.server.stopWaiting:
-			return true
-		case <-x.conn.Done():
-			return false
-		}
-	}
-}
-
 // waitingRequest returns what dradmission needs to decide about the request. afterPause
 // is how long after the end of a pause it comes back.
 func (x *exchange) waitingRequest(replica drfleetview.Replica, giveUpAt time.Time, afterPause time.Duration) dradmission.WaitingRequest {
--- a/drversion/choice.go
+++ b/drversion/choice.go
@@ -42,6 +42,12 @@
 	return s != nil && s.count() > 1
 }
 
+// KnowsLag reports whether this VM knows of all services of several versions what served MaxLag
+// ago.
+func (h *History) KnowsLag(now time.Duration) bool {
+	return !h.AnyMixed() || h.completeSince() <= now-MaxLag
+}
+
 // MayBegin reports whether streams of a service may begin at this VM: its table is no older than
 // MaxBeginLag, and while versions are mixed it knows what served MaxLag ago.
 func (h *History) MayBegin(name string, now time.Duration) bool {
