drproxy: Give a stream that is taken up the tries of one that has begun

To the VM that is asked, a taken-up stream looked like a new one, though its client has a part and mostly no further try.

Change: a stream that is taken up is sent again like one that has begun, for as long as its client waits for the next event and as the retry budget allows.

Measured: TestTakenUpStreamOutlastsFullRunners fails without it.

--- a/drproxy/later_try.go
+++ b/drproxy/later_try.go
@@ -54,12 +54,18 @@
 	return state.retryTaken
 }
 
+// hasBegun reports whether the client has a part of the stream: from this VM, or from another one
+// or an earlier answer, which it takes up.
+func (x *exchange) hasBegun() bool {
+	return x.answering.Load() || x.mayContinue() && x.call.LastEvent > 0
+}
+
 // awaitLaterTry waits until a stream that the client has begun to get may be sent to a runner
 // again, after one has not run it: after laterTryPause, and once the retry budget has a
 // retry, unless the request was not sent at all. It returns false if the client leaves, or
-// the time of the stream passes.
+// the time of the stream passes, or that in which a client that takes it up waits for an event.
 func (x *exchange) awaitLaterTry(notSent bool) bool {
-	for x.remaining() > laterTryPause+answerMargin {
+	for x.giveUpAt().Sub(x.server.Clock.Now()) > laterTryPause+answerMargin {
 		t := x.server.Clock.NewTimer(laterTryPause)
 		select {
 		case <-t.C():
--- a/drproxy/plain.go
+++ b/drproxy/plain.go
@@ -137,7 +137,7 @@
 			continue
 		case err == nil, errors.Is(err, errNotSent):
 			state.notRun++
-			if x.answering.Load() && x.awaitLaterTry(err != nil) {
+			if x.hasBegun() && x.awaitLaterTry(err != nil) {
 				continue
 			}
 			if state.notRun < maxNotRun && x.remaining() > answerMargin && (err != nil || x.takeRetryFromBudget()) {
--- a/drproxy/version_test.go
+++ b/drproxy/version_test.go
@@ -249,3 +249,28 @@
 		is.True(took >= pause)
 	})
 }
+
+// Guards against a stream that is taken up and refused because runners are full, or lack its
+// model for a moment, four times within milliseconds: its client has no further try.
+func TestTakenUpStreamOutlastsFullRunners(t *testing.T) {
+	prepareBubble()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newScriptedWorld(refuse)
+		defer w.close(t)
+		d := w.server.pool.dialer.(scriptedDialer)
+		whole, roomAt := d.runners["4"], time.Now().Add(250*time.Millisecond)
+		for _, address := range []string{"3", "4"} {
+			d.runners[address] = func(conn *memoryConn, id string) {
+				if time.Now().Before(roomAt) {
+					refuse(conn, id)
+					return
+				}
+				whole(conn, id)
+			}
+		}
+		w.view.CoverAllVersions()
+		w.withVersions(map[string]string{"3": "v1", "4": "v1"})
+		is.Equal(w.takeUp("/stream/on/x", "x", 1).body, wholeBody("x", "/stream/on/x")[len(eventText(1)):])
+	})
+}
