drcontroller: Ask the last controller also while it is tried once more

What was seen: TestStreamsAreKnownWhileStoreIsAway failed in 1 of 1 runs with -race (100 streams unknown at one VM), after it had passed without.

Cause: while the store is away a VM reports again and again to the controller that said that it does not lead; for that moment it counted as a controller that is not reached, and nobody was asked.

Change: that one is asked then, too.

--- a/drcontroller/streams.go
+++ b/drcontroller/streams.go
@@ -178,12 +178,13 @@
 // reaches none.
 func (n *Node) leaderToAsk() (drlease.Lease, bool) {
 	leader, reached := n.Leader()
-	if leader.VM != "" {
-		return leader, reached
+	if reached {
+		return leader, true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.former, n.former.VM != ""
+	noOther := n.leader.VM == "" || n.leader.VM == n.former.VM
+	return n.former, noOther && n.former.VM != ""
 }
 
 func encodeStreams(beginnings []drversion.Beginning) *drpb.FleetStreams {
