drversion, drcontroller: Forget the streams that began first

What callers would see: where more streams begin in a minute than are remembered (65,536), newer ones are refused with 503 version-unknown after a change of the controller, while older ones are known (found in a test).

Cause: what there was no room for was forgotten in the order in which it was heard of, and a new controller hears of all streams of the last minute once more, in any order. Each VM that heard of a stream remembered it for a further minute, too.

--- a/drcontroller/streams.go
+++ b/drcontroller/streams.go
@@ -199,6 +199,7 @@
 			m.Names = append(m.Names, b.Version)
 		}
 		m.Keys, m.Versions = append(m.Keys, uint64(b.Key)), append(m.Versions, uint32(i))
+		m.AgesMs = append(m.AgesMs, uint32(milliseconds(b.Age)))
 	}
 	return m
 }
@@ -207,9 +208,14 @@
 func decodeStreams(m *drpb.FleetStreams) []drversion.Beginning {
 	var beginnings []drversion.Beginning
 	for i, key := range m.GetKeys() {
-		if i < len(m.GetVersions()) && int(m.GetVersions()[i]) < len(m.GetNames()) {
-			beginnings = append(beginnings, drversion.Beginning{Key: drversion.Key(key), Version: m.GetNames()[m.GetVersions()[i]]})
+		if i >= len(m.GetVersions()) || int(m.GetVersions()[i]) >= len(m.GetNames()) {
+			continue
 		}
+		b := drversion.Beginning{Key: drversion.Key(key), Version: m.GetNames()[m.GetVersions()[i]]}
+		if i < len(m.GetAgesMs()) {
+			b.Age = time.Duration(m.GetAgesMs()[i]) * time.Millisecond
+		}
+		beginnings = append(beginnings, b)
 	}
 	return beginnings
 }
--- a/drcontroller/streams_test.go
+++ b/drcontroller/streams_test.go
@@ -249,3 +249,38 @@
 		is.True(awaiting > 0)
 	})
 }
+
+// Guards against newer streams that are forgotten before older ones, at the controller, at the VMs
+// that keep copies and at the next controller, where more begin in a minute than are remembered.
+func TestOldestStreamsAreForgottenFirst(t *testing.T) {
+	const (
+		perSecond = 1000 // streams at each VM
+		seconds   = 20
+		kept      = 10 // seconds whose streams all have room
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStreamFleet("a", "a", "a", "a", "a")
+		defer f.close()
+		newest := make(map[string][]drversion.Key)
+		for second := range seconds {
+			for name, n := range f.nodes {
+				for i := range perSecond {
+					key := drversion.KeyOf("", fmt.Sprint(name, "-", second, "-", i))
+					n.View.RecordStream(drversion.Beginning{Key: key, Version: "v2"})
+					if second >= seconds-kept {
+						newest[name] = append(newest[name], key)
+					}
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		time.Sleep(copiedWithin)
+		others := f.others()
+		is.Equal(others[3].unknown(newest), 0) // streams whose version is not learned
+		f.controllers()[0].partition()
+		others[0].partition()
+		time.Sleep(takeUpTime)
+		is.Equal(others[3].unknown(newest), 0) // streams whose version is not learned
+	})
+}
--- a/drfleetview/version.go
+++ b/drfleetview/version.go
@@ -232,5 +232,5 @@
 	if !v.versions.AnyMixed() {
 		return nil, number
 	}
-	return v.streams.After(number, limit, term)
+	return v.streams.After(number, limit, term, v.clock.Uptime())
 }
--- a/drversion/streams.go
+++ b/drversion/streams.go
@@ -1,13 +1,19 @@
 package drversion
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxStreams is how many streams are remembered at most.
-const maxStreams = 1 << 16
+const (
+	// maxStreams is how many streams are remembered at most.
+	maxStreams = 1 << 16
+	// minCompacted is how many entries of forgotten streams are left out at a time, at least.
+	minCompacted = 1 << 12
+)
 
 // Key identifies a stream by a hash of its service and of the id of the request that began it.
 type Key uint64
@@ -15,73 +21,127 @@
 // KeyOf returns the key of a stream.
 func KeyOf(service, id string) Key { return Key(xxhash.Sum64String(service + "\x00" + id)) }
 
-// Beginning says at which version a stream began.
+// Beginning says at which version a stream began, and how long ago.
 type Beginning struct {
 	Key     Key
 	Version string
+	Age     time.Duration
 }
 
-// Streams remembers at which versions streams began, each for Retention. Beginnings are numbered
-// from 1 on, in the order in which they were added. It is not safe for concurrent use.
+// Streams remembers at which versions streams began, each for Retention. Where more begin, the
+// oldest are forgotten first, whenever this VM has heard of them. Beginnings are numbered from 1
+// on, in the order in which they were added. It is not safe for concurrent use.
 type Streams struct {
 	numbers map[Key]uint64
-	// added holds the last beginnings, the oldest first; first is the number of that one.
+	// added holds beginnings by number, those that are forgotten, too, until it is compacted. last
+	// is the number of the last one.
 	added []addedBeginning
-	first uint64
+	last  uint64
+	// seconds holds the streams by the second of the uptime in which they began. There are none
+	// before oldest.
+	seconds map[int64][]Key
+	oldest  int64
 }
 
-// addedBeginning is a Beginning with the uptime at which it was added, and the term of the
+// addedBeginning is a beginning with the uptime at which the stream began, and the term of the
 // controller that named it, 0 if none did. Its version is empty if others were named for the same
 // key.
 type addedBeginning struct {
-	Beginning
-	at   time.Duration
-	term uint64
+	key     Key
+	version string
+	number  uint64
+	beganAt time.Duration
+	term    uint64
 }
 
 // NewStreams returns Streams that remember none.
-func NewStreams() *Streams { return &Streams{numbers: make(map[Key]uint64), first: 1} }
+func NewStreams() *Streams {
+	return &Streams{numbers: make(map[Key]uint64), seconds: make(map[int64][]Key)}
+}
 
 // Add remembers a beginning. term is that of the controller that named it, 0 if none did.
 func (s *Streams) Add(b Beginning, term uint64, now time.Duration) {
 	s.prune(now)
 	if n, known := s.numbers[b.Key]; known {
-		if x := &s.added[n-s.first]; x.Version != b.Version {
-			x.Version = ""
+		if x := &s.added[s.index(n)]; x.version != b.Version {
+			x.version = ""
 		}
 		return
 	}
-	s.numbers[b.Key] = s.first + uint64(len(s.added))
-	s.added = append(s.added, addedBeginning{b, now, term})
+	if b.Age > Retention {
+		return
+	}
+	beganAt := now - b.Age
+	second := secondOf(beganAt)
+	if len(s.numbers) == 0 {
+		s.oldest = second
+	}
+	s.oldest = min(s.oldest, second)
+	s.seconds[second] = append(s.seconds[second], b.Key)
+	s.last++
+	s.numbers[b.Key] = s.last
+	s.added = append(s.added, addedBeginning{b.Key, b.Version, s.last, beganAt, term})
+	if len(s.numbers) > maxStreams {
+		s.forgetOldest()
+	}
+	if len(s.added) > 2*len(s.numbers)+minCompacted {
+		s.added = slices.DeleteFunc(s.added, func(x addedBeginning) bool { return !s.remembers(x) })
+	}
 }
 
-// prune forgets what is too old or too much.
+func secondOf(uptime time.Duration) int64 { return int64(uptime / time.Second) }
+
+// index returns the index of the first entry with a number, or a higher one.
+func (s *Streams) index(number uint64) int {
+	i, _ := slices.BinarySearchFunc(s.added, number, func(x addedBeginning, n uint64) int { return cmp.Compare(x.number, n) })
+	return i
+}
+
+// remembers reports whether the stream of an entry is not forgotten.
+func (s *Streams) remembers(x addedBeginning) bool { return s.numbers[x.key] == x.number }
+
+// prune forgets the streams of seconds that are too long ago.
 func (s *Streams) prune(now time.Duration) {
-	for len(s.added) > 0 && (s.added[0].at < now-Retention || len(s.added) >= maxStreams) {
-		delete(s.numbers, s.added[0].Key)
-		s.added, s.first = s.added[1:], s.first+1
+	for from := secondOf(now - Retention); len(s.numbers) > 0 && s.oldest < from; s.oldest++ {
+		for _, key := range s.seconds[s.oldest] {
+			delete(s.numbers, key)
+		}
+		delete(s.seconds, s.oldest)
+	}
+}
+
+// forgetOldest forgets one stream of the first second in which any began.
+func (s *Streams) forgetOldest() {
+	for len(s.seconds[s.oldest]) == 0 {
+		delete(s.seconds, s.oldest)
+		s.oldest++
 	}
+	keys := s.seconds[s.oldest]
+	delete(s.numbers, keys[0])
+	s.seconds[s.oldest] = keys[1:]
 }
 
 // Version returns the version at which a stream began.
 func (s *Streams) Version(key Key) (version string, known bool) {
 	n, known := s.numbers[key]
-	if !known || s.added[n-s.first].Version == "" {
+	if !known {
 		return "", false
 	}
-	return s.added[n-s.first].Version, true
+	version = s.added[s.index(n)].version
+	return version, version != ""
 }
 
 // After returns beginnings with numbers above a given one, at most limit, and the number up to
 // which they are all. It leaves out those that the controller of a term has named.
-func (s *Streams) After(number uint64, limit int, term uint64) (beginnings []Beginning, upTo uint64) {
-	upTo = max(number, s.first-1)
-	for _, x := range s.added[upTo+1-s.first:] {
+func (s *Streams) After(number uint64, limit int, term uint64, now time.Duration) (beginnings []Beginning, upTo uint64) {
+	upTo = number
+	for _, x := range s.added[s.index(number+1):] {
 		if len(beginnings) == limit {
 			break
 		}
-		if upTo++; x.Version != "" && x.term != term {
-			beginnings = append(beginnings, x.Beginning)
+		upTo = x.number
+		if x.version != "" && x.term != term && s.remembers(x) {
+			beginnings = append(beginnings, Beginning{x.key, x.version, now - x.beganAt})
 		}
 	}
 	return beginnings, upTo
